--- /dev/null
+++ b/src/main/java/cairnbridge/adapter/Malformed.java
@@ -0,0 +1,10 @@
+package cairnbridge.adapter;
+
+/** Input that does not keep to the wire; the message names the line and the fault. */
+public final class Malformed extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    public Malformed(long line, String fault) {
+        super("line " + line + ": " + fault);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/adapter/WireHost.java
@@ -0,0 +1,118 @@
+package cairnbridge.adapter;
+
+import cairnbridge.decision.Host;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
+import cairnbridge.decision.Ids.TimerId;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HexFormat;
+
+/** Writes one instance's actions into the reply being built. */
+final class WireHost implements Host {
+    private static final int ALL_PEERS = -1;
+
+    private final JsonGenerator out;
+    private final int instance;
+
+    WireHost(JsonGenerator out, int instance) {
+        this.out = out;
+        this.instance = instance;
+    }
+
+    private interface Values {
+        void write() throws IOException;
+    }
+
+    private void action(String name, Values values) {
+        try {
+            out.writeStartArray();
+            out.writeString(name);
+            out.writeNumber(instance);
+            values.write();
+            out.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Tenths of a millisecond as seconds, written exactly; a double's digits would cost time. */
+    private void seconds(long tenths) throws IOException {
+        long t = Math.max(0, tenths);
+        String fraction = Long.toString(10_000 + t % 10_000);
+        out.writeNumber(t / 10_000 + "." + fraction.substring(1));
+    }
+
+    @Override
+    public void push(OpId op, NodeId node, long timeOut) {
+        action("ATTEMPT", () -> {
+            out.writeNumber(op.value());
+            out.writeNumber(node.value());
+            seconds(timeOut);
+        });
+    }
+
+    @Override
+    public void cancel(OpId op, int push) {
+        action("ABORT_ATTEMPT", () -> {
+            out.writeNumber(op.value());
+            out.writeNumber(push);
+        });
+    }
+
+    @Override
+    public void nack(OpId op, long retryAfter) {
+        action("PUSH_BACK", () -> {
+            out.writeNumber(op.value());
+            seconds(retryAfter);
+        });
+    }
+
+    @Override
+    public void deadLetter(OpId op) {
+        action("FAIL", () -> out.writeNumber(op.value()));
+    }
+
+    @Override
+    public void timer(long in, TimerId timer) {
+        action("REMIND", () -> {
+            seconds(in);
+            out.writeNumber(timer.value());
+        });
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        action("TEST", () -> out.writeNumber(node.value()));
+    }
+
+    @Override
+    public void tellPeer(PeerId peer, byte[] body) {
+        action("NOTIFY", () -> {
+            out.writeNumber(peer == null ? ALL_PEERS : peer.value());
+            out.writeString(HexFormat.of().formatHex(body));
+        });
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        action("TAIL", () -> out.writeBoolean(on));
+    }
+
+    @Override
+    public void fetchRoster() {
+        action("LIST_ALL", () -> {
+        });
+    }
+
+    @Override
+    public void log(String line) {
+        action("WRITE_LOG", () -> out.writeString(line));
+    }
+
+    void fault(String text) {
+        action("INTERNAL_ERROR", () -> out.writeString(text));
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/adapter/WireReader.java
@@ -0,0 +1,193 @@
+package cairnbridge.adapter;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Reads the positional values of one message; a value that is null or left out takes its default. */
+final class WireReader {
+    private final JsonParser parser;
+    private boolean ended;
+
+    WireReader(JsonParser parser) {
+        this.parser = parser;
+    }
+
+    long line() {
+        return parser.currentLocation().getLineNr();
+    }
+
+    Malformed fault(String what) {
+        return new Malformed(line(), what);
+    }
+
+    /** Steps into the array whose opening bracket is the current token. */
+    void open() {
+        if (parser.currentToken() != JsonToken.START_ARRAY) {
+            throw fault("an array was expected");
+        }
+        ended = false;
+    }
+
+    /** Skips what a newer wire may have appended, up to the closing bracket. */
+    void close() throws IOException {
+        while (!ended) {
+            next();
+            parser.skipChildren();
+        }
+        ended = false;
+    }
+
+    /** The next value's token; null when the value is null or the array has ended. */
+    JsonToken next() throws IOException {
+        if (ended) {
+            return null;
+        }
+        JsonToken token = parser.nextToken();
+        if (token == null) {
+            throw fault("the input ends inside a message");
+        }
+        if (token == JsonToken.END_ARRAY) {
+            ended = true;
+            return null;
+        }
+        return token == JsonToken.VALUE_NULL ? null : token;
+    }
+
+    long whole(String name) throws IOException {
+        JsonToken token = next();
+        if (token == null) {
+            throw fault(name + " is missing");
+        }
+        return wholeValue(token, name);
+    }
+
+    long whole(String name, long absent) throws IOException {
+        JsonToken token = next();
+        return token == null ? absent : wholeValue(token, name);
+    }
+
+    private long wholeValue(JsonToken token, String name) throws IOException {
+        if (token == JsonToken.VALUE_NUMBER_INT) {
+            return parser.getLongValue();
+        }
+        if (token == JsonToken.VALUE_NUMBER_FLOAT) {
+            return (long) parser.getDoubleValue();
+        }
+        throw fault(name + " is not a number");
+    }
+
+    double number(String name, double absent) throws IOException {
+        JsonToken token = next();
+        if (token == null) {
+            return absent;
+        }
+        if (!token.isNumeric()) {
+            throw fault(name + " is not a number");
+        }
+        return parser.getDoubleValue();
+    }
+
+    double number(String name) throws IOException {
+        double value = number(name, Double.NaN);
+        if (Double.isNaN(value)) {
+            throw fault(name + " is missing");
+        }
+        return value;
+    }
+
+    boolean flag(String name) throws IOException {
+        JsonToken token = next();
+        if (token == null) {
+            return false;
+        }
+        if (!token.isBoolean()) {
+            throw fault(name + " is neither true nor false");
+        }
+        return token == JsonToken.VALUE_TRUE;
+    }
+
+    String text(String name, boolean needed) throws IOException {
+        JsonToken token = next();
+        if (token == null) {
+            if (needed) {
+                throw fault(name + " is missing");
+            }
+            return null;
+        }
+        if (token != JsonToken.VALUE_STRING) {
+            throw fault(name + " is not a text");
+        }
+        return parser.getText();
+    }
+
+    double[] row(String name, int width) throws IOException {
+        JsonToken token = next();
+        if (token == null) {
+            return null;
+        }
+        if (token != JsonToken.START_ARRAY) {
+            throw fault(name + " is not an array");
+        }
+        double[] values = new double[width];
+        int count = 0;
+        for (JsonToken t = parser.nextToken(); t != JsonToken.END_ARRAY; t = parser.nextToken()) {
+            if (t == null) {
+                throw fault("the input ends inside a message");
+            }
+            if (count < width && t.isNumeric()) {
+                values[count] = parser.getDoubleValue();
+            }
+            parser.skipChildren();
+            count++;
+        }
+        return values;
+    }
+
+    /** The settings object as nested maps, lists, texts, numbers and flags; null values are left out. */
+    Object tree(String name) throws IOException {
+        JsonToken token = next();
+        if (token != JsonToken.START_OBJECT) {
+            throw fault(name + " is not an object");
+        }
+        return subtree();
+    }
+
+    private Object subtree() throws IOException {
+        switch (parser.currentToken()) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new HashMap<>();
+                while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                    String field = parser.currentName();
+                    parser.nextToken();
+                    Object value = subtree();
+                    if (value != null) {
+                        map.put(field, value);
+                    }
+                }
+                return map;
+            }
+            case START_ARRAY -> {
+                var list = new java.util.ArrayList<Object>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(subtree());
+                }
+                return list;
+            }
+            case VALUE_STRING -> {
+                return parser.getText();
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return parser.getDoubleValue();
+            }
+            case VALUE_TRUE, VALUE_FALSE -> {
+                return parser.getBooleanValue();
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/decision/Host.java
@@ -0,0 +1,36 @@
+package cairnbridge.decision;
+
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
+import cairnbridge.decision.Ids.TimerId;
+
+/**
+ * What a router may ask of the proxy it lives in. All times are spans in tenths of a millisecond.
+ * Calls take effect in the order they are made, at the time of the event being handled.
+ */
+public interface Host {
+    /** Starts a push; pushes of an op are numbered 0, 1, 2 ... in the order of these calls. */
+    void push(OpId op, NodeId node, long timeOut);
+
+    void cancel(OpId op, int push);
+
+    /** Final answer: turned away, trying again is harmless; retryAfter 0 gives no advice. */
+    void nack(OpId op, long retryAfter);
+
+    /** Final answer: dead letter, no promise about effects. */
+    void deadLetter(OpId op);
+
+    void timer(long in, TimerId timer);
+
+    void probe(NodeId node);
+
+    /** Sends a message to one peer, or to all of them when peer is null. */
+    void tellPeer(PeerId peer, byte[] body);
+
+    void subscribe(boolean on);
+
+    void fetchRoster();
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -0,0 +1,1131 @@
+package cairnbridge.decision;
+
+import cairnbridge.decision.Event.*;
+import cairnbridge.decision.Ids.*;
+import cairnbridge.decision.Settings.*;
+import java.util.*;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * The decision module of one proxy. Make one with its settings, seed, clock and Host, then call handle for
+ * every event in order; it answers by calls on the Host before handle returns. The interface is beside this
+ * file: Settings, Event, Host and Ids. Nothing here reads a clock, a thread or another instance.
+ *
+ * <p>Ordinary path: the desk asks the ring to place an op; an Offer walks the ring clockwise from the key's
+ * point and the first node under its cap takes it; the gate pushes it. All times are tenths of a millisecond.
+ */
+public final class Router {
+    private static final long MS = 10;
+    private static final long SECOND = 1000 * MS;
+    private static final long BEAT = 100 * MS;
+    private static final int POINTS = 256;
+    private static final double EPSILON = 0.25;
+    private static final int CAP_FLOOR = 2;
+    private static final int SUSPECT_AFTER = 3;
+    private static final int MOST_DOUBLINGS = 6;
+    private static final double COPY_SHARE = 0.1;
+    private static final double COPY_BURST = 10;
+
+    private final Host host;
+    private final RandomGenerator chance;
+    private final ArrayDeque<Part> ready = new ArrayDeque<>();
+    private final Map<Long, Wake> wakes = new HashMap<>();
+    private final Map<NodeId, Node> nodes = new TreeMap<>(Comparator.comparingLong(NodeId::value));
+    private final Ring ring = new Ring();
+    private final Origin origin;
+    private final Admission admission;
+    private final OpDesk desk;
+    private final Gate gate;
+    private long now;
+    private long lastTimer;
+
+    public Router(Settings settings, long seed, long clock, Host host) {
+        this.host = host;
+        this.now = clock;
+        this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.gate = new Gate(settings);
+        this.origin = new Origin(settings);
+        this.admission = new Admission(settings);
+        this.desk = new OpDesk(settings);
+    }
+
+    /** The one loop: an event becomes notes, and notes are handed out until every inbox is empty. */
+    public void handle(long clock, Event event) {
+        now = Math.max(now, clock);
+        desk.begin();
+        if (event instanceof Event.TimerFired fired) {
+            Wake wake = wakes.remove(fired.timer().value());
+            if (wake != null) {
+                post(wake.to, wake.note);
+            }
+        } else if (event instanceof Event.Roster roster) {
+            post(ring, new Listed(roster));
+        } else if (event instanceof Event.PushEnded || event instanceof Event.OpArrived
+                || event instanceof Event.OpDropped || event instanceof Event.StreamBegan) {
+            post(desk, new Told(event));
+        }
+        for (Part part = ready.poll(); part != null; part = ready.poll()) {
+            part.take(part.inbox.poll());
+        }
+    }
+
+    // ---- notes ----
+
+    private interface Note { }
+
+    private record Wake(Part to, Note note) { }
+
+    private record Told(Event event) implements Note { }
+
+    private record Listed(Event.Roster roster) implements Note { }
+
+    /** Asks the ring to place an op; first, where not null, is offered it before the key's own node. */
+    private record Place(Op op, Node first) implements Note { }
+
+    /** The whole walk found nobody under cap: the least loaded node seen takes it after all. */
+    private record Fallback(Op op) implements Note { }
+
+    private record Send(Op op, Node node, boolean fetch) implements Note { }
+
+    private record Sent(Op op, int push) implements Note { }
+
+    /** No push could be made for the op just now. */
+    private record Stuck(Op op) implements Note { }
+
+    private record Ended(Op op, Push push, Ending ending, long took) implements Note { }
+
+    private record Vetoed(Op op) implements Note { }
+
+    private record Load(int change) implements Note { }
+
+    private record Suspects(int change) implements Note { }
+
+    private record GhostGone(int token) implements Note { }
+
+    private record Want(Op op) implements Note { }
+
+    private record Forget(Op op) implements Note { }
+
+    private record Ask(Op op) implements Note { }
+
+    private record Admitted(Op op) implements Note { }
+
+    private record Shed(Op op, long retryAfter) implements Note { }
+
+    private record GiveUp(Op op, boolean nack, long retryAfter) implements Note { }
+
+    private record Expire(Op op) implements Note { }
+
+    private record Impatient(Op op, int push) implements Note { }
+
+    private record Members(List<Node> caches, List<Node> origins) implements Note { }
+
+    private enum Beat implements Note { BEAT }
+
+    private enum Subscribe implements Note { SUBSCRIBE }
+
+    private abstract static class Part {
+        final ArrayDeque<Note> inbox = new ArrayDeque<>(4);
+
+        abstract void take(Note note);
+    }
+
+    private void post(Part to, Note note) {
+        to.inbox.add(note);
+        ready.add(to);
+    }
+
+    private void wake(Part to, long in, Note note) {
+        wakes.put(++lastTimer, new Wake(to, note));
+        host.timer(Math.max(1, in), new TimerId(lastTimer));
+    }
+
+    // ---- small measures ----
+
+    /** A coarse histogram of spans: bins grow by the square root of two; halved when it has seen enough. */
+    private static final class Spans {
+        private static final int BINS = 40;
+        private static final int ENOUGH = 400;
+        private final int[] bins = new int[BINS];
+        private int total;
+
+        void add(long span) {
+            int bin = (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
+            bins[bin]++;
+            if (++total >= ENOUGH) {
+                total = 0;
+                for (int i = 0; i < BINS; i++) {
+                    bins[i] /= 2;
+                    total += bins[i];
+                }
+            }
+        }
+
+        long quantile(double share, long absent) {
+            if (total < 8) {
+                return absent;
+            }
+            double left = share * total;
+            for (int i = 0; i < BINS; i++) {
+                left -= bins[i];
+                if (left < 0) {
+                    return Math.round(Math.pow(2, i / 2.0));
+                }
+            }
+            return absent;
+        }
+    }
+
+    /** An adaptive concurrency limit: rises by one a round trip while used, falls by a part when late. */
+    private final class Limit {
+        private final double least;
+        private final double cut;
+        private double level;
+        private long cutAt;
+
+        Limit(double start, double least, double cut) {
+            this.level = start;
+            this.least = least;
+            this.cut = cut;
+        }
+
+        void good(int inFlight) {
+            if (inFlight + 1 >= level) {
+                level += 1 / level;
+            }
+        }
+
+        void bad(long rest) {
+            if (now - cutAt >= rest) {
+                cutAt = now;
+                level = Math.max(least, level * cut);
+            }
+        }
+    }
+
+    // ---- ops ----
+
+    /** What decisions use of a category. */
+    private record Plan(Effect effect, Group group, long span, long target, double stretch, long ttl,
+                        double benefit, double lateBenefit, boolean stream, Spans hits) {
+    }
+
+    private static final class Push {
+        final Node node;
+        final long sent;
+        final boolean fetch;
+        boolean open = true;
+        boolean mayHaveRun = true;
+
+        Push(Node node, long sent, boolean fetch) {
+            this.node = node;
+            this.sent = sent;
+            this.fetch = fetch;
+        }
+    }
+
+    private static final class Op {
+        final OpId id;
+        final Plan plan;
+        final KeyId key;
+        final int tenant;
+        final long point;
+        final long arrived;
+        final long expires;
+        final boolean write;
+        final List<Push> pushes = new ArrayList<>(2);
+        double benefit;
+        int open;
+        boolean over;
+        boolean streaming;
+        boolean waiting;
+        Node missedAt;
+
+        Op(Event.OpArrived event, Plan plan, long now) {
+            id = event.op();
+            this.plan = plan;
+            key = event.key();
+            tenant = event.tenant().value();
+            point = mix(key == null ? id.value() : key.value());
+            arrived = now;
+            expires = event.expires();
+            write = event.write();
+            benefit = plan.benefit;
+        }
+
+        boolean triedAt(Node node) {
+            for (Push push : pushes) {
+                if (push.node == node) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    private static long mix(long value) {
+        long z = value + 0x9E3779B97F4A7C15L;
+        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+
+    // ---- the ring ----
+
+    /** One walk clockwise over the distinct nodes, carrying the cap and the least loaded node seen. */
+    private static final class Offer implements Note {
+        final Op op;
+        final double average;
+        final boolean trusting;
+        private final Ring ring;
+        private final Node first;
+        private final boolean[] seen;
+        private int at;
+        private int left;
+        private boolean begun;
+        Node least;
+        double leastLoad = Double.MAX_VALUE;
+
+        Offer(Op op, Ring ring, Node first, double average, boolean trusting) {
+            this.op = op;
+            this.ring = ring;
+            this.first = first;
+            this.average = average;
+            this.trusting = trusting;
+            seen = new boolean[ring.caches.size()];
+            left = ring.points.length;
+            at = ring.indexOf(op.point);
+        }
+
+        Node next() {
+            if (!begun) {
+                begun = true;
+                if (first != null && first.slot >= 0 && first.state == State.READY) {
+                    seen[first.slot] = true;
+                    return first;
+                }
+            }
+            for (; left > 0; left--) {
+                int here = at;
+                at = at + 1 == ring.points.length ? 0 : at + 1;
+                Node node = ring.owners[here];
+                // A cold node's keys come back as it warms: points above its openness belong to the next.
+                if (!seen[node.slot] && ring.ranks[here] <= node.openness) {
+                    seen[node.slot] = true;
+                    if (!op.triedAt(node)) {
+                        left--;
+                        return node;
+                    }
+                }
+            }
+            return null;
+        }
+    }
+
+    /** The points of all ready caches, the count in flight over them, and the members list. */
+    private final class Ring extends Part {
+        private List<Node> caches = List.of();
+        private long[] points = {};
+        private Node[] owners = {};
+        private float[] ranks = {};
+        private double weights;
+        private int inFlight;
+        private double smoothed;
+        private int suspects;
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Place place) {
+                place(place);
+            } else if (note instanceof Load load) {
+                inFlight += load.change;
+            } else if (note instanceof Suspects changed) {
+                suspects += changed.change;
+            } else if (note instanceof Listed listed) {
+                list(listed.roster);
+            } else if (note == Subscribe.SUBSCRIBE) {
+                host.subscribe(true);
+            } else if (note == Beat.BEAT) {
+                smoothed += (inFlight - smoothed) * 0.2;
+                double open = 0;
+                for (Node node : caches) {
+                    open += node.weight * node.open();
+                }
+                weights = open;
+            }
+        }
+
+        private void place(Place place) {
+            double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
+            // Guards against condemning the fleet for what is the path's or the origin's fault.
+            boolean trusting = suspects * 2 <= caches.size();
+            Offer offer = new Offer(place.op, this, place.first, average, trusting);
+            Node node = offer.next();
+            if (node == null) {
+                post(desk, new Stuck(place.op));
+            } else {
+                post(node, offer);
+            }
+        }
+
+        int indexOf(long point) {
+            int found = Arrays.binarySearch(points, point);
+            int at = found >= 0 ? found : -found - 1;
+            return at >= points.length ? 0 : at;
+        }
+
+        private void list(Event.Roster roster) {
+            if (roster.scope() == Scope.FAILED) {
+                // A spread of waits, so that all proxies do not ask a struggling registry at once.
+                wake(this, BEAT + chance.nextLong(SECOND), Subscribe.SUBSCRIBE);
+                return;
+            }
+            if (roster.scope() != Scope.CHANGES) {
+                for (Node node : nodes.values()) {
+                    node.listed = false;
+                }
+            }
+            for (Entry entry : roster.entries()) {
+                nodes.computeIfAbsent(entry.node(), Node::new).enter(entry);
+            }
+            for (Node node : nodes.values()) {
+                if (!node.listed) {
+                    node.state = State.GONE;
+                }
+            }
+            build();
+        }
+
+        private void build() {
+            List<Node> found = new ArrayList<>();
+            List<Node> origins = new ArrayList<>();
+            double sizes = 0;
+            for (Node node : nodes.values()) {
+                node.slot = -1;
+                if (node.state == State.READY) {
+                    (origin.is(node) ? origins : found).add(node);
+                    sizes += origin.is(node) ? 0 : node.size;
+                }
+            }
+            List<long[]> marks = new ArrayList<>();
+            for (Node node : found) {
+                node.weight = sizes > 0 ? node.size * found.size() / sizes : 1;
+            }
+            for (int slot = 0; slot < found.size(); slot++) {
+                Node node = found.get(slot);
+                node.slot = slot;
+                // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
+                int count = (int) Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size)));
+                for (int i = 0; i < count; i++) {
+                    marks.add(new long[] {mix(mix(node.id.value()) + i), slot, i, count});
+                }
+            }
+            marks.sort(Comparator.<long[]>comparingLong(m -> m[0]).thenComparingLong(m -> m[1]));
+            points = new long[marks.size()];
+            owners = new Node[marks.size()];
+            ranks = new float[marks.size()];
+            for (int i = 0; i < points.length; i++) {
+                long[] mark = marks.get(i);
+                points[i] = mark[0];
+                owners[i] = found.get((int) mark[1]);
+                ranks[i] = (float) mark[2] / mark[3];
+            }
+            caches = found;
+            post(origin, new Members(found, origins));
+            post(this, Beat.BEAT);
+        }
+    }
+
+    // ---- caches ----
+
+    /** One server: its count in flight, its health and its warmth. */
+    private final class Node extends Part {
+        final NodeId id;
+        State state = State.GONE;
+        boolean listed;
+        MachineKind kind;
+        ZoneId zone;
+        CellId cell;
+        double size = 1;
+        double weight = 1;
+        long started;
+        double openness = 1;
+        int slot = -1;
+        private int inFlight;
+        private int ghosts;
+        private int badRun;
+        private int sentInWindow;
+        private long windowEnds;
+        private double sendRate;
+
+        Node(NodeId id) {
+            this.id = id;
+        }
+
+        void enter(Entry entry) {
+            listed = true;
+            state = entry.state();
+            kind = entry.kind();
+            zone = entry.zone();
+            cell = entry.cell();
+            size = entry.size() > 0 ? entry.size() : 1;
+            if (entry.started() != started) {
+                started = entry.started();
+                clear();
+            }
+        }
+
+        /** A new start forgets what the old process did wrong. */
+        private void clear() {
+            if (badRun >= SUSPECT_AFTER) {
+                post(ring, new Suspects(-1));
+            }
+            badRun = 0;
+            ghosts = 0;
+        }
+
+        /** The share of its capacity that a node is sure to have by now, from 0 to 1. */
+        double open() {
+            openness = gate.warmth(this);
+            return openness;
+        }
+
+        double load(boolean trusting) {
+            return inFlight + (trusting ? ghosts : 0);
+        }
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Offer offer) {
+                weigh(offer);
+            } else if (note instanceof Fallback fallback) {
+                accept(fallback.op);
+            } else if (note instanceof Ended ended) {
+                count(-1);
+                judge(ended);
+            } else if (note instanceof Vetoed) {
+                count(-1);
+            } else if (note instanceof GhostGone) {
+                ghosts = Math.max(0, ghosts - 1);
+            }
+        }
+
+        private void weigh(Offer offer) {
+            boolean suspect = offer.trusting && badRun >= SUSPECT_AFTER;
+            double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
+            double load = load(offer.trusting);
+            boolean room = suspect ? load == 0 && offer.op.plan.effect == Effect.REDELIVERABLE : load < cap;
+            if (room && gate.coldRoom(this)) {
+                accept(offer.op);
+                return;
+            }
+            double share = (load + (suspect ? cap : 0)) / weight;
+            if (share < offer.leastLoad && gate.coldRoom(this)) {
+                offer.least = this;
+                offer.leastLoad = share;
+            }
+            Node next = offer.next();
+            if (next != null) {
+                post(next, offer);
+            } else if (offer.least != null) {
+                post(offer.least, new Fallback(offer.op));
+            } else {
+                post(desk, new Stuck(offer.op));
+            }
+        }
+
+        private void accept(Op op) {
+            count(1);
+            post(gate, new Send(op, this, false));
+        }
+
+        private void count(int change) {
+            inFlight += change;
+            if (slot >= 0 || !origin.is(this)) {
+                post(ring, new Load(change));
+            }
+        }
+
+        private void judge(Ended ended) {
+            switch (ended.ending) {
+                case ACKED, MISS -> {
+                    if (badRun >= SUSPECT_AFTER) {
+                        post(ring, new Suspects(-1));
+                    }
+                    badRun = 0;
+                }
+                case CALLED_OFF -> haunt(Math.max(ended.took, BEAT / 2));
+                case NEVER_SENT -> {
+                }
+                default -> {
+                    // Guards against quick errors: a cache that fails fast would keep a near-zero count and
+                    // all its keys, so each bad end keeps its place in the count for a growing spell.
+                    if (++badRun == SUSPECT_AFTER) {
+                        post(ring, new Suspects(1));
+                    }
+                    haunt((BEAT / 2) << Math.min(badRun, MOST_DOUBLINGS));
+                }
+            }
+        }
+
+        private void haunt(long spell) {
+            ghosts++;
+            wake(this, spell, new GhostGone(0));
+        }
+    }
+
+    // ---- the origin ----
+
+    /** The shared store behind the caches: off the ring, with its own limit and a short queue. */
+    private final class Origin extends Part {
+        private static final class Fetch {
+            final List<Op> followers = new ArrayList<>(2);
+            Op leader;
+        }
+
+        private final boolean aside;
+        private final MachineKind kind;
+        private final Limit limit;
+        private final Spans times = new Spans();
+        private final List<Op> queue = new ArrayList<>();
+        private final Map<KeyId, Fetch> fetches = new HashMap<>();
+        private List<Node> members = List.of();
+        private int inFlight;
+
+        Origin(Settings settings) {
+            aside = settings.aside();
+            kind = settings.originKind();
+            limit = new Limit(4, 1, 0.8);
+        }
+
+        boolean is(Node node) {
+            return aside && node.kind.equals(kind);
+        }
+
+        /** A key being fetched is not asked for again meanwhile. */
+        boolean fetching(KeyId key) {
+            return key != null && fetches.containsKey(key);
+        }
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Want want) {
+                want(want.op);
+            } else if (note instanceof Ended ended) {
+                inFlight--;
+                ended(ended);
+                pump();
+            } else if (note instanceof Vetoed vetoed) {
+                inFlight--;
+                settle(vetoed.op, false);
+                pump();
+            } else if (note instanceof Forget forget) {
+                forget(forget.op);
+            } else if (note instanceof Members members) {
+                this.members = members.origins;
+                pump();
+            } else if (note == Beat.BEAT) {
+                pump();
+            }
+        }
+
+        private void want(Op op) {
+            if (members.isEmpty()) {
+                post(desk, new Stuck(op));
+                return;
+            }
+            op.waiting = true;
+            if (!op.write && op.key != null) {
+                Fetch fetch = fetches.computeIfAbsent(op.key, k -> new Fetch());
+                if (fetch.leader != null && fetch.leader != op) {
+                    fetch.followers.add(op);
+                    return;
+                }
+                fetch.leader = op;
+            }
+            queue.add(op);
+            pump();
+        }
+
+        /** Sends from the queue while the limit allows, dearest first; those that cannot make it give up. */
+        private void pump() {
+            long typical = times.quantile(0.5, 0);
+            for (int i = queue.size() - 1; i >= 0; i--) {
+                Op op = queue.get(i);
+                if (op.expires - now <= typical) {
+                    queue.remove(i);
+                    drop(op);
+                }
+            }
+            while (inFlight < Math.floor(limit.level) && !queue.isEmpty() && !members.isEmpty()) {
+                int best = 0;
+                for (int i = 1; i < queue.size(); i++) {
+                    if (queue.get(i).benefit > queue.get(best).benefit) {
+                        best = i;
+                    }
+                }
+                Op op = queue.remove(best);
+                Node node = members.get(0);
+                for (Node other : members) {
+                    node = other.inFlight < node.inFlight ? other : node;
+                }
+                inFlight++;
+                op.waiting = false;
+                node.inFlight++;
+                post(gate, new Send(op, node, true));
+            }
+        }
+
+        private void drop(Op op) {
+            op.waiting = false;
+            settle(op, false);
+            post(desk, new GiveUp(op, true, times.quantile(0.9, BEAT)));
+        }
+
+        private void ended(Ended ended) {
+            long usual = times.quantile(0.3, 0);
+            if (ended.ending == Ending.ACKED) {
+                if (usual > 0 && ended.took > 4 * usual) {
+                    limit.bad(ended.took / 2);
+                } else {
+                    limit.good(inFlight);
+                }
+                times.add(ended.took);
+            } else if (ended.ending != Ending.CALLED_OFF && ended.ending != Ending.NEVER_SENT) {
+                limit.bad(Math.max(usual, BEAT / 2));
+            }
+            settle(ended.op, ended.ending == Ending.ACKED);
+        }
+
+        /** The fetch that op led has ended: its followers ask the cache where it landed, or try themselves. */
+        private void settle(Op op, boolean landed) {
+            Fetch fetch = op.write || op.key == null ? null : fetches.get(op.key);
+            if (fetch == null || fetch.leader != op) {
+                return;
+            }
+            fetches.remove(op.key);
+            for (Op follower : fetch.followers) {
+                follower.waiting = false;
+                if (!follower.over) {
+                    post(landed ? ring : this, landed ? new Place(follower, op.missedAt) : new Want(follower));
+                }
+            }
+        }
+
+        private void forget(Op op) {
+            if (queue.remove(op)) {
+                op.waiting = false;
+                settle(op, false);
+            }
+        }
+    }
+
+    // ---- admission ----
+
+    /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
+    private final class Admission extends Part {
+        private static final double EXCESS_PART = 0.6;
+        private final double[] quotas;
+        private final double[] tokens;
+        private final double excessBenefit;
+        private final long advice;
+        private final Limit limit = new Limit(200, 4, 0.9);
+        private long filledAt;
+
+        Admission(Settings settings) {
+            quotas = new double[settings.tenants().size()];
+            tokens = new double[quotas.length];
+            for (int i = 0; i < quotas.length; i++) {
+                Tenant tenant = settings.tenants().get(i);
+                quotas[i] = tenant.quota() / Math.max(1, settings.proxies()) / SECOND;
+                tokens[i] = quotas[i] * SECOND;
+            }
+            excessBenefit = settings.excessBenefit();
+            advice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
+            filledAt = now;
+        }
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Ask ask) {
+                ask(ask.op);
+            } else if (note instanceof Ended ended) {
+                boolean late = ended.ending == Ending.TIMED_OUT || ended.ending == Ending.FULL
+                        || ended.took > ended.op.plan.target * 0.6;
+                if (late) {
+                    limit.bad(BEAT / 2);
+                } else if (ended.ending == Ending.ACKED) {
+                    limit.good(ring.inFlight);
+                }
+            }
+        }
+
+        private void ask(Op op) {
+            boolean excess = excess(op.tenant);
+            if (excess) {
+                op.benefit *= excessBenefit;
+            }
+            double room = limit.level * (excess ? EXCESS_PART : 1);
+            if (ring.inFlight >= room) {
+                post(desk, new Shed(op, Math.min(advice, op.plan.target)));
+            } else {
+                post(desk, new Admitted(op));
+            }
+        }
+
+        private boolean excess(int tenant) {
+            if (tenant >= quotas.length || quotas[tenant] <= 0) {
+                return false;
+            }
+            for (int i = 0; i < tokens.length; i++) {
+                tokens[i] = Math.min(quotas[i] * SECOND, tokens[i] + quotas[i] * (now - filledAt));
+            }
+            filledAt = now;
+            if (tokens[tenant] < 1) {
+                return true;
+            }
+            tokens[tenant]--;
+            return false;
+        }
+    }
+
+    // ---- the life of an op ----
+
+    /** Owns every op from its arrival to the end of its last push. */
+    private final class OpDesk extends Part {
+        private final Plan[] plans;
+        private final Map<OpId, Op> ops = new HashMap<>();
+        private final boolean secondCopies;
+        private final boolean mustSubscribe;
+        private final long margin;
+        private double copies = COPY_BURST;
+        private boolean begun;
+
+        OpDesk(Settings settings) {
+            plans = settings.categories().stream().map(OpDesk::plan).toArray(Plan[]::new);
+            secondCopies = settings.maySecondCopy();
+            mustSubscribe = settings.mustSubscribe();
+            margin = 2 * settings.tick();
+        }
+
+        private static Plan plan(Category c) {
+            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.targetStretch(), c.ttl(),
+                    c.benefit(), c.lateBenefit(), c.stream(), new Spans());
+        }
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Told told) {
+                told(told.event);
+            } else if (note instanceof Admitted admitted) {
+                route(admitted.op);
+            } else if (note instanceof Shed shed) {
+                post(gate, new GiveUp(shed.op, true, shed.retryAfter));
+            } else if (note instanceof Sent sent) {
+                sent(sent.op, sent.push);
+            } else if (note instanceof Stuck stuck) {
+                if (stuck.op.open == 0) {
+                    post(gate, new GiveUp(stuck.op, true, BEAT));
+                }
+            } else if (note instanceof GiveUp up) {
+                if (up.op.open == 0) {
+                    post(gate, up);
+                }
+            } else if (note instanceof Expire expire) {
+                if (!expire.op.over && !expire.op.streaming) {
+                    post(gate, new GiveUp(expire.op, false, 0));
+                }
+            } else if (note instanceof Impatient impatient) {
+                impatient(impatient.op, impatient.push);
+            } else if (note == Beat.BEAT) {
+                post(ring, Beat.BEAT);
+                post(origin, Beat.BEAT);
+                wake(this, BEAT, Beat.BEAT);
+            }
+        }
+
+        void begin() {
+            if (!begun) {
+                begun = true;
+                post(this, Beat.BEAT);
+                if (mustSubscribe) {
+                    post(ring, Subscribe.SUBSCRIBE);
+                }
+            }
+        }
+
+        private void told(Event event) {
+            if (event instanceof Event.OpArrived arrived) {
+                arrived(arrived);
+            } else if (event instanceof Event.PushEnded ended) {
+                ended(ended);
+            } else if (event instanceof Event.OpDropped dropped) {
+                Op op = ops.get(dropped.op());
+                if (op != null) {
+                    finish(op);
+                }
+            } else if (event instanceof Event.StreamBegan began && ops.get(began.op()) != null) {
+                ops.get(began.op()).streaming = true;
+            }
+        }
+
+        private void arrived(Event.OpArrived event) {
+            int category = event.category().value();
+            Op op = new Op(event, plans[Math.max(0, Math.min(plans.length - 1, category))], now);
+            ops.put(op.id, op);
+            if (op.expires - now <= margin) {
+                post(gate, new GiveUp(op, true, 0));
+                return;
+            }
+            wake(this, op.expires - now - margin, new Expire(op));
+            post(admission, new Ask(op));
+        }
+
+        private void route(Op op) {
+            boolean toOrigin = origin.aside && (op.write || origin.fetching(op.key));
+            post(toOrigin ? origin : ring, toOrigin ? new Want(op) : new Place(op, null));
+        }
+
+        /** A push is out: when it outlasts nearly all others of its category, a second copy may go. */
+        private void sent(Op op, int number) {
+            Push push = op.pushes.get(number);
+            if (push.fetch || !secondCopies || op.plan.effect != Effect.REDELIVERABLE) {
+                return;
+            }
+            copies = Math.min(COPY_BURST, copies + COPY_SHARE);
+            long patience = 2 * op.plan.hits.quantile(0.95, op.plan.target / 4);
+            if (op.expires - now > patience + op.plan.hits.quantile(0.5, 0)) {
+                wake(this, patience, new Impatient(op, number));
+            }
+        }
+
+        private void impatient(Op op, int number) {
+            if (!op.over && !op.streaming && op.open == 1 && op.pushes.get(number).open && copies >= 1) {
+                copies--;
+                post(ring, new Place(op, null));
+            }
+        }
+
+        private void ended(Event.PushEnded event) {
+            Op op = ops.get(event.op());
+            if (op == null || event.push() < 0 || event.push() >= op.pushes.size()
+                    || !op.pushes.get(event.push()).open) {
+                return;
+            }
+            Push push = op.pushes.get(event.push());
+            push.open = false;
+            push.mayHaveRun = !event.ending().neverRan;
+            op.open--;
+            Ended ended = new Ended(op, push, event.ending(), event.took());
+            post(push.node, ended);
+            if (push.fetch) {
+                post(origin, ended);
+            } else {
+                post(admission, ended);
+                if (event.ending() == Ending.ACKED) {
+                    op.plan.hits.add(event.took());
+                }
+            }
+            if (event.over() || op.over) {
+                finish(op);
+            } else if (event.ending() == Ending.MISS) {
+                op.missedAt = op.missedAt == null ? push.node : op.missedAt;
+                post(origin, new Want(op));
+            } else {
+                again(op, push);
+            }
+        }
+
+        /** A push ended without an answer: try elsewhere if the rules and the time allow, else say so. */
+        private void again(Op op, Push push) {
+            if (op.open > 0 || op.waiting) {
+                return;
+            }
+            boolean time = op.expires - now - margin > op.plan.hits.quantile(0.25, 0);
+            if (time && copies >= 1 && gate.mayPush(op)) {
+                copies--;
+                post(push.fetch ? origin : ring, push.fetch ? new Want(op) : new Place(op, null));
+            } else {
+                post(gate, new GiveUp(op, true, BEAT));
+            }
+        }
+
+        void finish(Op op) {
+            if (!op.over) {
+                op.over = true;
+            }
+            if (op.waiting) {
+                post(origin, new Forget(op));
+            }
+            if (op.open == 0) {
+                ops.remove(op.id);
+            }
+            gate.callOff(op);
+        }
+    }
+
+    // ---- the gate ----
+
+    /** The four rules. Every push and every final answer passes here, and nowhere else are they made. */
+    private final class Gate extends Part {
+        private final int mostPushes;
+        private final boolean secondCopies;
+        private final boolean mayCancel;
+        private final boolean mayAdvise;
+        private final long maxAdvice;
+        private final long tick;
+        private final double coldFrom;
+        private final long warmUp;
+        private final double coldBudget;
+        private final long fallSpan;
+
+        Gate(Settings settings) {
+            mostPushes = settings.mostPushes();
+            secondCopies = settings.maySecondCopy();
+            mayCancel = settings.mayCancel();
+            mayAdvise = settings.mayAdviseRetry();
+            maxAdvice = settings.maxRetryAfter();
+            tick = settings.tick();
+            coldFrom = settings.coldFrom();
+            warmUp = settings.warmUp();
+            coldBudget = settings.fallMultiple() > 0 ? Math.max(0.5, settings.fallMultiple() / 2) : 1e9;
+            fallSpan = Math.max(1, settings.fallSpan());
+        }
+
+        @Override
+        void take(Note note) {
+            if (note instanceof Send send) {
+                send(send);
+            } else if (note instanceof GiveUp up) {
+                answer(up);
+            }
+        }
+
+        private void send(Send send) {
+            Op op = send.op;
+            if (!mayPush(op) || !mayPushTo(op, send.node)) {
+                post(send.node, new Vetoed(op));
+                if (send.fetch) {
+                    post(origin, new Vetoed(op));
+                }
+                post(desk, new Stuck(op));
+                return;
+            }
+            op.pushes.add(new Push(send.node, now, send.fetch));
+            op.open++;
+            spend(send.node);
+            host.push(op.id, send.node.id, 0);
+            post(desk, new Sent(op, op.pushes.size() - 1));
+        }
+
+        /** Rules 1 and 2, as far as they do not depend on the node. */
+        boolean mayPush(Op op) {
+            if (op.over || op.streaming || op.expires - now <= tick || op.pushes.size() >= mostPushes
+                    || !secondCopies && op.open > 0) {
+                return false;
+            }
+            return op.plan.effect != Effect.AT_MOST_ONCE || !mayHaveRun(op);
+        }
+
+        /** Rule 2 for deduplicated ops (group and span), rule 3 (drains), rule 4 (cold nodes). */
+        private boolean mayPushTo(Op op, Node node) {
+            if (node.state != State.READY || !coldRoom(node)) {
+                return false;
+            }
+            if (op.plan.effect != Effect.DEDUPLICATED) {
+                return true;
+            }
+            for (Push push : op.pushes) {
+                boolean same = switch (op.plan.group) {
+                    case ALL -> true;
+                    case ZONE -> push.node.zone.equals(node.zone);
+                    case CELL -> push.node.cell.equals(node.cell);
+                };
+                if (push.mayHaveRun && (!same || now - push.sent >= op.plan.span - tick)) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private boolean mayHaveRun(Op op) {
+            for (Push push : op.pushes) {
+                if (push.mayHaveRun) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** The one place of final answers; a nack is made only where a repeat is harmless. */
+        private void answer(GiveUp up) {
+            Op op = up.op;
+            if (op.over) {
+                return;
+            }
+            boolean harmless = switch (op.plan.effect) {
+                case REDELIVERABLE -> true;
+                case DEDUPLICATED -> op.plan.group == Group.ALL || !mayHaveRun(op);
+                case AT_MOST_ONCE -> !mayHaveRun(op);
+            };
+            if (up.nack && harmless) {
+                host.nack(op.id, mayAdvise ? Math.min(maxAdvice, up.retryAfter) : 0);
+            } else {
+                host.deadLetter(op.id);
+            }
+            desk.finish(op);
+        }
+
+        void callOff(Op op) {
+            for (int i = 0; mayCancel && op.open > 0 && i < op.pushes.size(); i++) {
+                // An at-most-once op may still be carried out: calling it off would help nobody.
+                if (op.pushes.get(i).open && op.plan.effect == Effect.REDELIVERABLE) {
+                    host.cancel(op.id, i);
+                }
+            }
+        }
+
+        double warmth(Node node) {
+            if (node.started <= 0 || warmUp <= 0 || now >= node.started + warmUp) {
+                return 1;
+            }
+            return coldFrom + (1 - coldFrom) * Math.max(0, now - node.started) / warmUp;
+        }
+
+        /** Rule 4: within one span a cold node gets no more than its share of what a warm one is sent. */
+        boolean coldRoom(Node node) {
+            double warmth = warmth(node);
+            if (warmth >= 1) {
+                return true;
+            }
+            if (now >= node.windowEnds) {
+                node.windowEnds = now + fallSpan;
+                node.sentInWindow = 0;
+            }
+            return node.sentInWindow < Math.max(1, coldBudget * warmth * sentToWarm() * node.weight);
+        }
+
+        private double warmRate;
+        private double warmSends;
+        private long warmSince;
+
+        private double sentToWarm() {
+            if (now - warmSince >= fallSpan) {
+                double each = warmSends / Math.max(1, ring.weights) * fallSpan / (now - warmSince);
+                warmRate = warmRate == 0 ? each : warmRate + (each - warmRate) * 0.3;
+                warmSince = now;
+                warmSends = 0;
+            }
+            return warmRate;
+        }
+
+        private void spend(Node node) {
+            node.sentInWindow++;
+            if (node.slot >= 0 && warmth(node) >= 1) {
+                warmSends++;
+            }
+            sentToWarm();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/adapter/AdapterTest.java
@@ -0,0 +1,46 @@
+package cairnbridge.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class AdapterTest {
+    private static final String START = "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,"
+            + "{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},\"new\":[1]}],"
+            + "[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
+
+    private static String answer(String input) throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Adapter(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void anOpIsSentAndAnEmptyBatchAnsweredEmpty() throws Exception {
+        String order = "{\"clock-s\":10.00525,\"events\":[[\"ORDER\",3,2025963407446468,0,0,\"91f03b7c55d20a64\",10.5]]}\n";
+        String[] lines = answer("{\"clock-s\":9,\"events\":[]}\n" + START + order).split("\n");
+        assertEquals("{\"do\":[]}", lines[0]);
+        assertTrue(lines[2].contains("[\"ATTEMPT\",3,2025963407446468,77,"), lines[2]);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{\"clock-s\":1,\"events\":[[\"HELLO\",1]]} | unknown message HELLO",
+        "{\"clock-s\":1,\"events\":[[\"ORDER\"]]} | proxy-id is missing",
+        "{\"clock-s\":1,\"events\":[[\"WAKEUP\",8,1]]} | instance 8 was not started",
+        "{\"clock-s\":1} | events is missing", "[1] | a batch must be an object",
+        "{\"clock-s\":1,\"events\":[ | not valid JSON"})
+    void malformedInputNamesTheLineAndTheFault(String line, String fault) {
+        Malformed e = assertThrows(Malformed.class, () -> answer(START + line + "\n"));
+        assertTrue(e.getMessage().startsWith("line 2: ") || e.getMessage().startsWith("line 3: "), e.getMessage());
+        assertTrue(e.getMessage().contains(fault), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count());
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -0,0 +1,166 @@
+package cairnbridge.decision;
+
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Event.Entry;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.CategoryId;
+import cairnbridge.decision.Ids.CellId;
+import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
+import cairnbridge.decision.Ids.TenantId;
+import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Settings.Category;
+import cairnbridge.decision.Settings.Effect;
+import cairnbridge.decision.Settings.Group;
+import cairnbridge.decision.Settings.Tenant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A tiny host: it notes what the router asks for and fires its timers as the clock moves. */
+final class FakeHost implements Host {
+    static final long SECOND = 10_000;
+    static final long ORIGIN = 900;
+
+    record Pushed(long op, int push, long node) {
+    }
+
+    final List<Pushed> pushes = new ArrayList<>();
+    final List<String> answers = new ArrayList<>();
+    final List<String> calls = new ArrayList<>();
+    private final Map<Long, List<TimerId>> timers = new TreeMap<>();
+    private final Map<Long, Integer> counts = new TreeMap<>();
+    private final Router router;
+    long clock = 100 * SECOND;
+
+    Effect effect = Effect.REDELIVERABLE;
+    boolean write;
+
+    FakeHost(Effect effect, Group group, boolean aside, Tenant... tenants) {
+        this.effect = effect;
+        Category category = new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
+        router = new Router(new Settings(new PeerId(0), 1, new ZoneId(0), aside,
+                new MachineKind(aside ? 9 : -1), 3, SECOND, false, 0, 10, 100, 0.25, 10 * SECOND, 2, SECOND, 6,
+                true, true, false, true, true, SECOND, 0.1, false, new Settings.Prices(0, 0, 0, 0, 0),
+                List.of(), List.of(category), List.of(tenants)), 1, clock, this);
+    }
+
+    FakeHost(Effect effect) {
+        this(effect, Group.ALL, true);
+    }
+
+    static Entry entry(long node, State state, long started) {
+        boolean origin = node == ORIGIN;
+        return new Entry(new NodeId(node), state, new MachineKind(origin ? 9 : 0), 1, started,
+                new CellId((int) node % 2), new ZoneId((int) node % 2));
+    }
+
+    FakeHost listed(int caches) {
+        List<Entry> entries = new ArrayList<>();
+        for (long n = 1; n <= caches; n++) {
+            entries.add(entry(n, State.READY, 0));
+        }
+        entries.add(entry(ORIGIN, State.READY, 0));
+        tell(new Event.Roster(Scope.CACHED, 1, entries));
+        return this;
+    }
+
+    FakeHost changed(Entry... entries) {
+        tell(new Event.Roster(Scope.CHANGES, 2, List.of(entries)));
+        return this;
+    }
+
+    void tell(Event event) {
+        router.handle(clock, event);
+    }
+
+    FakeHost op(long id, long key, long ttl) {
+        tell(new Event.OpArrived(new OpId(id), new CategoryId(0), new TenantId(0), new KeyId(key), clock + ttl,
+                0, -1, false, write));
+        return this;
+    }
+
+    /** The latest push ends so. */
+    FakeHost ends(Ending ending, long took) {
+        return ends(pushes.get(pushes.size() - 1), ending, took);
+    }
+
+    FakeHost ends(Pushed pushed, Ending ending, long took) {
+        pass(took);
+        tell(new Event.PushEnded(new OpId(pushed.op), pushed.push, new NodeId(pushed.node), ending, 0, took,
+                ending == Ending.ACKED, null));
+        return this;
+    }
+
+    FakeHost pass(long span) {
+        long end = clock + span;
+        while (!timers.isEmpty() && timers.keySet().iterator().next() <= end) {
+            long due = timers.keySet().iterator().next();
+            clock = Math.max(clock, due);
+            timers.remove(due).forEach(t -> tell(new Event.TimerFired(t)));
+        }
+        clock = end;
+        return this;
+    }
+
+    long lastNode() {
+        return pushes.get(pushes.size() - 1).node;
+    }
+
+    @Override
+    public void push(OpId op, NodeId node, long timeOut) {
+        int number = counts.merge(op.value(), 1, Integer::sum) - 1;
+        pushes.add(new Pushed(op.value(), number, node.value()));
+    }
+
+    @Override
+    public void cancel(OpId op, int push) {
+        calls.add("cancel " + op.value() + " " + push);
+    }
+
+    @Override
+    public void nack(OpId op, long retryAfter) {
+        answers.add("nack " + op.value());
+    }
+
+    @Override
+    public void deadLetter(OpId op) {
+        answers.add("dead " + op.value());
+    }
+
+    @Override
+    public void timer(long in, TimerId timer) {
+        timers.computeIfAbsent(clock + in, k -> new ArrayList<>()).add(timer);
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        calls.add("probe " + node.value());
+    }
+
+    @Override
+    public void tellPeer(PeerId peer, byte[] body) {
+        calls.add("tell " + body.length);
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        calls.add("subscribe " + on);
+    }
+
+    @Override
+    public void fetchRoster() {
+        calls.add("fetch");
+    }
+
+    @Override
+    public void log(String line) {
+        calls.add("log " + line);
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -0,0 +1,182 @@
+package cairnbridge.decision;
+
+import static cairnbridge.decision.FakeHost.ORIGIN;
+import static cairnbridge.decision.FakeHost.SECOND;
+import static cairnbridge.decision.FakeHost.entry;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.decision.Settings.Effect;
+import cairnbridge.decision.Settings.Group;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** One short story for each rule and for each failure met. */
+class RouterTest {
+    @Test
+    void aKeyStaysWithItsNodeAndSpillsOnlyOverTheCap() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8);
+        long home = host.op(1, 77, SECOND).lastNode();
+        assertEquals(home, host.op(2, 77, SECOND).lastNode());
+        long spilled = host.op(3, 77, SECOND).lastNode();
+        assertNotEquals(home, spilled, "two are in flight there, the floor of the cap");
+        host.ends(host.pushes.get(0), Ending.ACKED, 10);
+        assertEquals(home, host.op(4, 77, SECOND).lastNode());
+    }
+
+    @Test
+    void aLostNodeMovesOnlyItsOwnKeys() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(6);
+        Map<Long, Long> homes = new HashMap<>();
+        for (long key = 0; key < 200; key++) {
+            homes.put(key, host.op(key, key, SECOND).lastNode());
+            host.ends(Ending.ACKED, 1);
+        }
+        host.changed(entry(3, State.GONE, 0));
+        for (long key = 0; key < 200; key++) {
+            long node = host.op(1000 + key, key, SECOND).lastNode();
+            host.ends(Ending.ACKED, 1);
+            if (homes.get(key) == 3) {
+                assertNotEquals(3, node);
+            } else {
+                assertEquals(homes.get(key), node);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Effect.class)
+    void anOpNobodyAnswersIsAnsweredOnceBeforeItsTtl(Effect effect) {
+        FakeHost host = new FakeHost(effect).listed(3);
+        host.op(1, 5, SECOND).pass(SECOND - 1);
+        assertEquals(1, host.answers.size());
+        int sent = host.pushes.size();
+        host.ends(host.pushes.get(0), Ending.TIMED_OUT, 1).pass(SECOND);
+        assertEquals(1, host.answers.size());
+        assertEquals(sent, host.pushes.size(), "nothing is sent after the answer");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "AT_MOST_ONCE, ERROR, false", "AT_MOST_ONCE, BROKEN, false", "AT_MOST_ONCE, TIMED_OUT, false",
+        "AT_MOST_ONCE, FULL, true", "AT_MOST_ONCE, NO_CONNECTION, true", "REDELIVERABLE, ERROR, true",
+        "DEDUPLICATED, ERROR, true"})
+    void aFurtherPushNeedsProofOrARepeatableEffect(Effect effect, Ending ending, boolean again) {
+        FakeHost host = new FakeHost(effect).listed(3);
+        host.op(1, 5, SECOND).ends(ending, 10);
+        assertEquals(again ? 2 : 1, host.pushes.size());
+        assertEquals(again ? List.of() : List.of("dead 1"), host.answers);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Group.class)
+    void aDeduplicatedOpStaysInItsGroup(Group group) {
+        FakeHost host = new FakeHost(Effect.DEDUPLICATED, group, false).listed(1);
+        host.changed(entry(2, State.READY, 0), entry(ORIGIN, State.GONE, 0));
+        host.op(1, 5, SECOND).ends(Ending.BROKEN, 10);
+        boolean all = group == Group.ALL;
+        assertEquals(all ? 2 : 1, host.pushes.size(), "the other node is of another zone and cell");
+        assertEquals(all ? List.of() : List.of("dead 1"), host.answers, "a nack would promise too much");
+    }
+
+    @Test
+    void aDeduplicatedOpIsNotRepeatedOnceItMayBeForgotten() {
+        FakeHost host = new FakeHost(Effect.DEDUPLICATED).listed(3);
+        host.op(1, 5, 2 * SECOND).ends(Ending.BROKEN, SECOND);
+        assertEquals(1, host.pushes.size());
+    }
+
+    @Test
+    void aDrainingNodeGetsNothingNew() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
+        for (long op = 0; op < 40; op++) {
+            assertEquals(2, host.op(op, op, SECOND).lastNode());
+        }
+    }
+
+    @Test
+    void aColdNodeGetsAShareOfWhatWarmOnesGet() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(3);
+        int op = 0;
+        for (; op < 600; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, 50);
+        }
+        host.changed(entry(4, State.READY, host.clock));
+        host.pushes.clear();
+        for (; op < 800; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, 50);
+        }
+        long cold = host.pushes.stream().filter(p -> p.node() == 4).count();
+        assertTrue(cold > 0 && cold < 25, "got " + cold + " of 200");
+    }
+
+    @Test
+    void aMissGoesToTheOriginAndItsFollowersWaitForIt() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
+        long home = host.op(1, 5, SECOND).lastNode();
+        host.ends(Ending.MISS, 10);
+        assertEquals(ORIGIN, host.lastNode());
+        host.op(2, 5, SECOND).op(3, 5, SECOND);
+        assertEquals(2, host.pushes.size(), "the key is being fetched");
+        host.ends(Ending.ACKED, 100);
+        assertEquals(4, host.pushes.size());
+        assertEquals(home, host.lastNode());
+    }
+
+    @Test
+    void aNodeOfQuickErrorsLosesItsKeysAndIsTriedAgainLater() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(5);
+        long home = host.op(1, 5, SECOND).lastNode();
+        host.ends(Ending.ERROR, 5).ends(Ending.ACKED, 5);
+        long op = 2;
+        Set<Long> seen = new HashSet<>();
+        for (; op < 100; op++) {
+            host.op(op, 5, SECOND);
+            boolean bad = host.lastNode() == home;
+            seen.add(host.lastNode());
+            host.ends(bad ? Ending.ERROR : Ending.ACKED, 5);
+            if (bad) {
+                host.ends(Ending.ACKED, 5);
+            }
+        }
+        long asked = host.pushes.stream().filter(p -> p.node() == home).count();
+        assertTrue(asked < 20, "asked " + asked + " times");
+        assertTrue(seen.size() > 1);
+        host.pass(10 * SECOND);
+        assertEquals(home, host.op(op, 5, SECOND).lastNode(), "one trial op");
+    }
+
+    @Test
+    void aGivenUpOpIsAnsweredInTheSameBreath() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE);
+        host.op(1, 5, SECOND);
+        assertEquals(List.of("nack 1"), host.answers, "no node is known");
+        host.op(2, 5, 0);
+        assertEquals(List.of("nack 1", "nack 2"), host.answers, "its TTL has passed");
+    }
+
+    @Test
+    void strayEventsAreIgnored() {
+        FakeHost host = new FakeHost(Effect.AT_MOST_ONCE).listed(2);
+        host.tell(new Event.TimerFired(new TimerId(12345)));
+        host.tell(new Event.OpDropped(new OpId(99)));
+        host.op(1, 5, SECOND).ends(Ending.ACKED, 5);
+        host.ends(host.pushes.get(0), Ending.ERROR, 5);
+        host.tell(new Event.OpDropped(new OpId(1)));
+        assertTrue(host.answers.isEmpty());
+        assertFalse(host.pushes.size() > 1);
+    }
+}
