Limits fall on a smoothed share of late ends instead of on single ones

Cause: heavy-tailed work made single late answers cut the origin's and the fleet's limit, so ops were nacked idle.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -177,29 +177,27 @@
         }
     }
 
-    /** An adaptive concurrency limit: rises by one a round trip while used, falls by a part when late. */
+    /** An adaptive concurrency limit: rises by one a round trip while used, falls while many ends are late. */
     private final class Limit {
+        private static final double LATE_SHARE = 0.25;
         private final double least;
-        private final double cut;
         private double level;
+        private double late;
         private long cutAt;
 
-        Limit(double start, double least, double cut) {
+        Limit(double start, double least) {
             this.level = start;
             this.least = least;
-            this.cut = cut;
         }
 
-        void good(int inFlight) {
-            if (inFlight + 1 >= level) {
+        /** One late end proves nothing where work is uneven, so a smoothed share of them decides. */
+        void ended(boolean wasLate, int inFlight) {
+            late += ((wasLate ? 1 : 0) - late) / 16;
+            if (late < LATE_SHARE && !wasLate && inFlight + 1 >= level) {
                 level += 1 / level;
-            }
-        }
-
-        void bad(long rest) {
-            if (now - cutAt >= rest) {
+            } else if (late >= LATE_SHARE && wasLate && now - cutAt >= BEAT) {
                 cutAt = now;
-                level = Math.max(least, level * cut);
+                level = Math.max(least, Math.min(level, inFlight + 1) * 0.9);
             }
         }
     }
@@ -596,7 +594,7 @@
         Origin(Settings settings) {
             aside = settings.aside();
             kind = settings.originKind();
-            limit = new Limit(4, 1, 0.8);
+            limit = new Limit(16, 2);
         }
 
         boolean is(Node node) {
@@ -684,16 +682,11 @@
         }
 
         private void ended(Ended ended) {
-            long usual = times.quantile(0.3, 0);
             if (ended.ending == Ending.ACKED) {
-                if (usual > 0 && ended.took > 4 * usual) {
-                    limit.bad(ended.took / 2);
-                } else {
-                    limit.good(inFlight);
-                }
                 times.add(ended.took);
-            } else if (ended.ending != Ending.CALLED_OFF && ended.ending != Ending.NEVER_SENT) {
-                limit.bad(Math.max(usual, BEAT / 2));
+            }
+            if (ended.ending != Ending.CALLED_OFF && ended.ending != Ending.NEVER_SENT) {
+                limit.ended(ended.ending != Ending.ACKED || ended.took > ended.op.plan.target / 2, inFlight);
             }
             settle(ended.op, ended.ending == Ending.ACKED);
         }
@@ -730,7 +723,7 @@
         private final double[] tokens;
         private final double excessBenefit;
         private final long advice;
-        private final Limit limit = new Limit(200, 4, 0.9);
+        private final Limit limit = new Limit(200, 4);
         private long filledAt;
 
         Admission(Settings settings) {
@@ -753,10 +746,8 @@
             } else if (note instanceof Ended ended) {
                 boolean late = ended.ending == Ending.TIMED_OUT || ended.ending == Ending.FULL
                         || ended.took > ended.op.plan.target * 0.6;
-                if (late) {
-                    limit.bad(BEAT / 2);
-                } else if (ended.ending == Ending.ACKED) {
-                    limit.good(ring.inFlight);
+                if (late || ended.ending == Ending.ACKED) {
+                    limit.ended(late, ring.inFlight);
                 }
             }
         }
