--- /dev/null
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -0,0 +1,68 @@
+package cairnbridge.decision;
+
+import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Router.Node;
+import cairnbridge.decision.Settings.Effect;
+import cairnbridge.decision.Settings.Group;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The record kept of one op from its arrival to the end of its last push. */
+final class Op {
+    final OpId id;
+    final Plan plan;
+    final KeyId key;
+    final int tenant;
+    final long point;
+    final long arrived;
+    final long expires;
+    final boolean write;
+    final List<Push> pushes = new ArrayList<>(2);
+    double benefit;
+    int open;
+    boolean over;
+    boolean streaming;
+    boolean waiting;
+    Node missedAt;
+
+    Op(Event.OpArrived event, Plan plan, long now) {
+        id = event.op();
+        this.plan = plan;
+        key = event.key();
+        tenant = event.tenant().value();
+        point = Router.mix(key == null ? id.value() : key.value());
+        arrived = now;
+        expires = event.expires();
+        write = event.write();
+        benefit = plan.benefit();
+    }
+
+    boolean triedAt(Node node) {
+        for (Push push : pushes) {
+            if (push.node == node) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What decisions use of a category. */
+    record Plan(Effect effect, Group group, long span, long target, double benefit, Spans hits) {
+    }
+
+    /** One push of the op; until its end is known it may have run. */
+    static final class Push {
+        final Node node;
+        final long sent;
+        final boolean fetch;
+        boolean open = true;
+        boolean mayHaveRun = true;
+
+        Push(Node node, long sent, boolean fetch) {
+            this.node = node;
+            this.sent = sent;
+            this.fetch = fetch;
+        }
+    }
+}
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -2,6 +2,8 @@
 
 import cairnbridge.decision.Event.*;
 import cairnbridge.decision.Ids.*;
+import cairnbridge.decision.Note.What;
+import cairnbridge.decision.Op.*;
 import cairnbridge.decision.Settings.*;
 import java.util.*;
 import java.util.random.RandomGenerator;
@@ -59,11 +61,10 @@
             if (wake != null) {
                 post(wake.to, wake.note);
             }
-        } else if (event instanceof Event.Roster roster) {
-            post(ring, new Listed(roster));
-        } else if (event instanceof Event.PushEnded || event instanceof Event.OpArrived
-                || event instanceof Event.OpDropped || event instanceof Event.StreamBegan) {
-            post(desk, new Told(event));
+        } else if (event instanceof Event.Roster) {
+            post(ring, new Note(What.LISTED, event));
+        } else {
+            post(desk, new Note(What.EVENT, event));
         }
         for (Part part = ready.poll(); part != null; part = ready.poll()) {
             part.take(part.inbox.poll());
@@ -72,65 +73,8 @@
 
     // ---- notes ----
 
-    private interface Note { }
-
     private record Wake(Part to, Note note) { }
 
-    private record Told(Event event) implements Note { }
-
-    private record Listed(Event.Roster roster) implements Note { }
-
-    /** Asks the ring to place an op; first, where not null, is offered it before the key's own node. */
-    private record Place(Op op, Node first) implements Note { }
-
-    /** The whole walk found nobody under cap: the least loaded node seen takes it after all. */
-    private record Fallback(Op op) implements Note { }
-
-    private record Send(Op op, Node node, boolean fetch) implements Note { }
-
-    private record Sent(Op op, int push) implements Note { }
-
-    /** No push could be made for the op just now. */
-    private record Stuck(Op op) implements Note { }
-
-    private record Ended(Op op, Push push, Ending ending, long took) implements Note { }
-
-    private record Vetoed(Op op) implements Note { }
-
-    private record Load(int change) implements Note { }
-
-    private record Suspects(int change) implements Note { }
-
-    private record GhostGone(int token) implements Note { }
-
-    private record Want(Op op) implements Note { }
-
-    private record Forget(Op op) implements Note { }
-
-    private record Ask(Op op) implements Note { }
-
-    private record Admitted(Op op) implements Note { }
-
-    private record Shed(Op op, long retryAfter) implements Note { }
-
-    private record GiveUp(Op op, boolean nack, long retryAfter) implements Note { }
-
-    private record Expire(Op op) implements Note { }
-
-    private record Impatient(Op op, int push) implements Note { }
-
-    private record Members(List<Node> caches, List<Node> origins) implements Note { }
-
-    private enum Beat implements Note { BEAT }
-
-    private enum Subscribe implements Note { SUBSCRIBE }
-
-    private abstract static class Part {
-        final ArrayDeque<Note> inbox = new ArrayDeque<>(4);
-
-        abstract void take(Note note);
-    }
-
     private void post(Part to, Note note) {
         to.inbox.add(note);
         ready.add(to);
@@ -143,41 +87,7 @@
 
     // ---- small measures ----
 
-    /** A coarse histogram of spans: bins grow by the square root of two; halved when it has seen enough. */
-    private static final class Spans {
-        private static final int BINS = 40;
-        private static final int ENOUGH = 400;
-        private final int[] bins = new int[BINS];
-        private int total;
-
-        void add(long span) {
-            int bin = (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
-            bins[bin]++;
-            if (++total >= ENOUGH) {
-                total = 0;
-                for (int i = 0; i < BINS; i++) {
-                    bins[i] /= 2;
-                    total += bins[i];
-                }
-            }
-        }
-
-        long quantile(double share, long absent) {
-            if (total < 8) {
-                return absent;
-            }
-            double left = share * total;
-            for (int i = 0; i < BINS; i++) {
-                left -= bins[i];
-                if (left < 0) {
-                    return Math.round(Math.pow(2, i / 2.0));
-                }
-            }
-            return absent;
-        }
-    }
-
-    /** An adaptive concurrency limit: rises by one a round trip while used, falls while many ends are late. */
+    /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
         private final double least;
@@ -202,67 +112,7 @@
         }
     }
 
-    // ---- ops ----
-
-    /** What decisions use of a category. */
-    private record Plan(Effect effect, Group group, long span, long target, double stretch, long ttl,
-                        double benefit, double lateBenefit, boolean stream, Spans hits) {
-    }
-
-    private static final class Push {
-        final Node node;
-        final long sent;
-        final boolean fetch;
-        boolean open = true;
-        boolean mayHaveRun = true;
-
-        Push(Node node, long sent, boolean fetch) {
-            this.node = node;
-            this.sent = sent;
-            this.fetch = fetch;
-        }
-    }
-
-    private static final class Op {
-        final OpId id;
-        final Plan plan;
-        final KeyId key;
-        final int tenant;
-        final long point;
-        final long arrived;
-        final long expires;
-        final boolean write;
-        final List<Push> pushes = new ArrayList<>(2);
-        double benefit;
-        int open;
-        boolean over;
-        boolean streaming;
-        boolean waiting;
-        Node missedAt;
-
-        Op(Event.OpArrived event, Plan plan, long now) {
-            id = event.op();
-            this.plan = plan;
-            key = event.key();
-            tenant = event.tenant().value();
-            point = mix(key == null ? id.value() : key.value());
-            arrived = now;
-            expires = event.expires();
-            write = event.write();
-            benefit = plan.benefit;
-        }
-
-        boolean triedAt(Node node) {
-            for (Push push : pushes) {
-                if (push.node == node) {
-                    return true;
-                }
-            }
-            return false;
-        }
-    }
-
-    private static long mix(long value) {
+    static long mix(long value) {
         long z = value + 0x9E3779B97F4A7C15L;
         z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
         z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
@@ -272,8 +122,7 @@
     // ---- the ring ----
 
     /** One walk clockwise over the distinct nodes, carrying the cap and the least loaded node seen. */
-    private static final class Offer implements Note {
-        final Op op;
+    private static final class Offer extends Note {
         final double average;
         final boolean trusting;
         private final Ring ring;
@@ -286,7 +135,7 @@
         double leastLoad = Double.MAX_VALUE;
 
         Offer(Op op, Ring ring, Node first, double average, boolean trusting) {
-            this.op = op;
+            super(What.OFFER, op);
             this.ring = ring;
             this.first = first;
             this.average = average;
@@ -334,34 +183,32 @@
 
         @Override
         void take(Note note) {
-            if (note instanceof Place place) {
-                place(place);
-            } else if (note instanceof Load load) {
-                inFlight += load.change;
-            } else if (note instanceof Suspects changed) {
-                suspects += changed.change;
-            } else if (note instanceof Listed listed) {
-                list(listed.roster);
-            } else if (note == Subscribe.SUBSCRIBE) {
-                host.subscribe(true);
-            } else if (note == Beat.BEAT) {
-                smoothed += (inFlight - smoothed) * 0.2;
-                double open = 0;
-                for (Node node : caches) {
-                    open += node.weight * node.open();
-                }
-                weights = open;
+            switch (note.what) {
+                case PLACE -> place(note.op, note.node);
+                case LOAD -> inFlight += note.number;
+                case SUSPECTS -> suspects += note.number;
+                case LISTED -> list((Event.Roster) note.event);
+                case SUBSCRIBE -> host.subscribe(true);
+                default -> beat();
             }
         }
 
-        private void place(Place place) {
+        private void beat() {
+            smoothed += (inFlight - smoothed) * 0.2;
+            weights = 0;
+            for (Node node : caches) {
+                weights += node.weight * node.open();
+            }
+        }
+
+        private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             // Guards against condemning the fleet for what is the path's or the origin's fault.
             boolean trusting = suspects * 2 <= caches.size();
-            Offer offer = new Offer(place.op, this, place.first, average, trusting);
+            Offer offer = new Offer(op, this, first, average, trusting);
             Node node = offer.next();
             if (node == null) {
-                post(desk, new Stuck(place.op));
+                post(desk, new Note(What.STUCK, op));
             } else {
                 post(node, offer);
             }
@@ -376,7 +223,7 @@
         private void list(Event.Roster roster) {
             if (roster.scope() == Scope.FAILED) {
                 // A spread of waits, so that all proxies do not ask a struggling registry at once.
-                wake(this, BEAT + chance.nextLong(SECOND), Subscribe.SUBSCRIBE);
+                wake(this, BEAT + chance.nextLong(SECOND), new Note(What.SUBSCRIBE, 0));
                 return;
             }
             if (roster.scope() != Scope.CHANGES) {
@@ -397,13 +244,12 @@
 
         private void build() {
             List<Node> found = new ArrayList<>();
-            List<Node> origins = new ArrayList<>();
             double sizes = 0;
             for (Node node : nodes.values()) {
                 node.slot = -1;
-                if (node.state == State.READY) {
-                    (origin.is(node) ? origins : found).add(node);
-                    sizes += origin.is(node) ? 0 : node.size;
+                if (node.state == State.READY && !origin.is(node)) {
+                    found.add(node);
+                    sizes += node.size;
                 }
             }
             List<long[]> marks = new ArrayList<>();
@@ -430,15 +276,15 @@
                 ranks[i] = (float) mark[2] / mark[3];
             }
             caches = found;
-            post(origin, new Members(found, origins));
-            post(this, Beat.BEAT);
+            post(origin, new Note(What.MEMBERS, 0));
+            beat();
         }
     }
 
     // ---- caches ----
 
     /** One server: its count in flight, its health and its warmth. */
-    private final class Node extends Part {
+    final class Node extends Part {
         final NodeId id;
         State state = State.GONE;
         boolean listed;
@@ -477,7 +323,7 @@
         /** A new start forgets what the old process did wrong. */
         private void clear() {
             if (badRun >= SUSPECT_AFTER) {
-                post(ring, new Suspects(-1));
+                post(ring, new Note(What.SUSPECTS, -1));
             }
             badRun = 0;
             ghosts = 0;
@@ -495,17 +341,16 @@
 
         @Override
         void take(Note note) {
-            if (note instanceof Offer offer) {
-                weigh(offer);
-            } else if (note instanceof Fallback fallback) {
-                accept(fallback.op);
-            } else if (note instanceof Ended ended) {
-                count(-1);
-                judge(ended);
-            } else if (note instanceof Vetoed) {
-                count(-1);
-            } else if (note instanceof GhostGone) {
-                ghosts = Math.max(0, ghosts - 1);
+            switch (note.what) {
+                case OFFER -> weigh((Offer) note);
+                case FALLBACK -> accept(note.op);
+                case GHOST_GONE -> ghosts = Math.max(0, ghosts - 1);
+                default -> {
+                    count(-1);
+                    if (note.what == What.ENDED) {
+                        judge((Event.PushEnded) note.event);
+                    }
+                }
             }
         }
 
@@ -513,7 +358,7 @@
             boolean suspect = offer.trusting && badRun >= SUSPECT_AFTER;
             double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
             double load = load(offer.trusting);
-            boolean room = suspect ? load == 0 && offer.op.plan.effect == Effect.REDELIVERABLE : load < cap;
+            boolean room = suspect ? load == 0 && offer.op.plan.effect() == Effect.REDELIVERABLE : load < cap;
             if (room && gate.coldRoom(this)) {
                 accept(offer.op);
                 return;
@@ -527,40 +372,40 @@
             if (next != null) {
                 post(next, offer);
             } else if (offer.least != null) {
-                post(offer.least, new Fallback(offer.op));
+                post(offer.least, new Note(What.FALLBACK, offer.op));
             } else {
-                post(desk, new Stuck(offer.op));
+                post(desk, new Note(What.STUCK, offer.op));
             }
         }
 
         private void accept(Op op) {
             count(1);
-            post(gate, new Send(op, this, false));
+            post(gate, new Note(What.SEND, op, this, null, null, 0));
         }
 
         private void count(int change) {
             inFlight += change;
             if (slot >= 0 || !origin.is(this)) {
-                post(ring, new Load(change));
+                post(ring, new Note(What.LOAD, change));
             }
         }
 
-        private void judge(Ended ended) {
-            switch (ended.ending) {
+        private void judge(Event.PushEnded ended) {
+            switch (ended.ending()) {
                 case ACKED, MISS -> {
                     if (badRun >= SUSPECT_AFTER) {
-                        post(ring, new Suspects(-1));
+                        post(ring, new Note(What.SUSPECTS, -1));
                     }
                     badRun = 0;
                 }
-                case CALLED_OFF -> haunt(Math.max(ended.took, BEAT / 2));
+                case CALLED_OFF -> haunt(Math.max(ended.took(), BEAT / 2));
                 case NEVER_SENT -> {
                 }
                 default -> {
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
                     if (++badRun == SUSPECT_AFTER) {
-                        post(ring, new Suspects(1));
+                        post(ring, new Note(What.SUSPECTS, 1));
                     }
                     haunt((BEAT / 2) << Math.min(badRun, MOST_DOUBLINGS));
                 }
@@ -569,7 +414,7 @@
 
         private void haunt(long spell) {
             ghosts++;
-            wake(this, spell, new GhostGone(0));
+            wake(this, spell, new Note(What.GHOST_GONE, 0));
         }
     }
 
@@ -608,29 +453,27 @@
 
         @Override
         void take(Note note) {
-            if (note instanceof Want want) {
-                want(want.op);
-            } else if (note instanceof Ended ended) {
-                inFlight--;
-                ended(ended);
-                pump();
-            } else if (note instanceof Vetoed vetoed) {
-                inFlight--;
-                settle(vetoed.op, false);
-                pump();
-            } else if (note instanceof Forget forget) {
-                forget(forget.op);
-            } else if (note instanceof Members members) {
-                this.members = members.origins;
-                pump();
-            } else if (note == Beat.BEAT) {
-                pump();
+            switch (note.what) {
+                case WANT -> want(note.op);
+                case ENDED -> ended(note.op, (Event.PushEnded) note.event);
+                case VETOED -> {
+                    inFlight--;
+                    settle(note.op, false);
+                }
+                case FORGET -> forget(note.op);
+                case MEMBERS -> {
+                    members = new ArrayList<>(nodes.values());
+                    members.removeIf(node -> node.state != State.READY || !is(node));
+                }
+                default -> {
+                }
             }
+            pump();
         }
 
         private void want(Op op) {
             if (members.isEmpty()) {
-                post(desk, new Stuck(op));
+                post(desk, new Note(What.STUCK, op));
                 return;
             }
             op.waiting = true;
@@ -643,7 +486,6 @@
                 fetch.leader = op;
             }
             queue.add(op);
-            pump();
         }
 
         /** Sends from the queue while the limit allows, dearest first; those that cannot make it give up. */
@@ -671,27 +513,29 @@
                 inFlight++;
                 op.waiting = false;
                 node.inFlight++;
-                post(gate, new Send(op, node, true));
+                post(gate, new Note(What.SEND, op, node, null, null, 1));
             }
         }
 
         private void drop(Op op) {
             op.waiting = false;
             settle(op, false);
-            post(desk, new GiveUp(op, true, times.quantile(0.9, BEAT)));
+            post(desk, new Note(What.GIVE_UP, op, null, null, null, times.quantile(0.9, BEAT)));
         }
 
-        private void ended(Ended ended) {
-            if (ended.ending == Ending.ACKED) {
-                times.add(ended.took);
+        private void ended(Op op, Event.PushEnded ended) {
+            inFlight--;
+            boolean acked = ended.ending() == Ending.ACKED;
+            if (acked) {
+                times.add(ended.took());
             }
-            if (ended.ending != Ending.CALLED_OFF && ended.ending != Ending.NEVER_SENT) {
-                limit.ended(ended.ending != Ending.ACKED || ended.took > ended.op.plan.target / 2, inFlight);
+            if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
+                limit.ended(!acked || ended.took() > op.plan.target() / 2, inFlight);
             }
-            settle(ended.op, ended.ending == Ending.ACKED);
+            settle(op, acked);
         }
 
-        /** The fetch that op led has ended: its followers ask the cache where it landed, or try themselves. */
+        /** The fetch that op led has ended: followers ask the cache where it landed, or try themselves. */
         private void settle(Op op, boolean landed) {
             Fetch fetch = op.write || op.key == null ? null : fetches.get(op.key);
             if (fetch == null || fetch.leader != op) {
@@ -701,7 +545,8 @@
             for (Op follower : fetch.followers) {
                 follower.waiting = false;
                 if (!follower.over) {
-                    post(landed ? ring : this, landed ? new Place(follower, op.missedAt) : new Want(follower));
+                    post(landed ? ring : this, new Note(landed ? What.PLACE : What.WANT, follower,
+                            op.missedAt, null, null, 0));
                 }
             }
         }
@@ -741,14 +586,15 @@
 
         @Override
         void take(Note note) {
-            if (note instanceof Ask ask) {
-                ask(ask.op);
-            } else if (note instanceof Ended ended) {
-                boolean late = ended.ending == Ending.TIMED_OUT || ended.ending == Ending.FULL
-                        || ended.took > ended.op.plan.target * 0.6;
-                if (late || ended.ending == Ending.ACKED) {
-                    limit.ended(late, ring.inFlight);
-                }
+            if (note.what == What.ASK) {
+                ask(note.op);
+                return;
+            }
+            Event.PushEnded ended = (Event.PushEnded) note.event;
+            boolean late = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL
+                    || ended.took() > note.op.plan.target() * 0.6;
+            if (late || ended.ending() == Ending.ACKED) {
+                limit.ended(late, ring.inFlight);
             }
         }
 
@@ -759,9 +605,9 @@
             }
             double room = limit.level * (excess ? EXCESS_PART : 1);
             if (ring.inFlight >= room) {
-                post(desk, new Shed(op, Math.min(advice, op.plan.target)));
+                post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.min(advice, op.plan.target())));
             } else {
-                post(desk, new Admitted(op));
+                post(desk, new Note(What.ADMITTED, op));
             }
         }
 
@@ -801,47 +647,41 @@
         }
 
         private static Plan plan(Category c) {
-            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.targetStretch(), c.ttl(),
-                    c.benefit(), c.lateBenefit(), c.stream(), new Spans());
+            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(), new Spans());
         }
 
         @Override
         void take(Note note) {
-            if (note instanceof Told told) {
-                told(told.event);
-            } else if (note instanceof Admitted admitted) {
-                route(admitted.op);
-            } else if (note instanceof Shed shed) {
-                post(gate, new GiveUp(shed.op, true, shed.retryAfter));
-            } else if (note instanceof Sent sent) {
-                sent(sent.op, sent.push);
-            } else if (note instanceof Stuck stuck) {
-                if (stuck.op.open == 0) {
-                    post(gate, new GiveUp(stuck.op, true, BEAT));
+            Op op = note.op;
+            switch (note.what) {
+                case EVENT -> told(note.event);
+                case ADMITTED -> route(op);
+                case SENT -> sent(op, note.push);
+                case IMPATIENT -> impatient(op, note.push);
+                case STUCK, GIVE_UP -> {
+                    if (op.open == 0) {
+                        post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.max(BEAT, note.number)));
+                    }
                 }
-            } else if (note instanceof GiveUp up) {
-                if (up.op.open == 0) {
-                    post(gate, up);
+                case EXPIRE -> {
+                    if (!op.over && !op.streaming) {
+                        post(gate, note);
+                    }
                 }
-            } else if (note instanceof Expire expire) {
-                if (!expire.op.over && !expire.op.streaming) {
-                    post(gate, new GiveUp(expire.op, false, 0));
+                default -> {
+                    post(ring, note);
+                    post(origin, note);
+                    wake(this, BEAT, note);
                 }
-            } else if (note instanceof Impatient impatient) {
-                impatient(impatient.op, impatient.push);
-            } else if (note == Beat.BEAT) {
-                post(ring, Beat.BEAT);
-                post(origin, Beat.BEAT);
-                wake(this, BEAT, Beat.BEAT);
             }
         }
 
         void begin() {
             if (!begun) {
                 begun = true;
-                post(this, Beat.BEAT);
+                post(this, new Note(What.BEAT, 0));
                 if (mustSubscribe) {
-                    post(ring, Subscribe.SUBSCRIBE);
+                    post(ring, new Note(What.SUBSCRIBE, 0));
                 }
             }
         }
@@ -851,11 +691,8 @@
                 arrived(arrived);
             } else if (event instanceof Event.PushEnded ended) {
                 ended(ended);
-            } else if (event instanceof Event.OpDropped dropped) {
-                Op op = ops.get(dropped.op());
-                if (op != null) {
-                    finish(op);
-                }
+            } else if (event instanceof Event.OpDropped dropped && ops.get(dropped.op()) != null) {
+                finish(ops.get(dropped.op()));
             } else if (event instanceof Event.StreamBegan began && ops.get(began.op()) != null) {
                 ops.get(began.op()).streaming = true;
             }
@@ -866,35 +703,34 @@
             Op op = new Op(event, plans[Math.max(0, Math.min(plans.length - 1, category))], now);
             ops.put(op.id, op);
             if (op.expires - now <= margin) {
-                post(gate, new GiveUp(op, true, 0));
+                post(gate, new Note(What.GIVE_UP, op));
                 return;
             }
-            wake(this, op.expires - now - margin, new Expire(op));
-            post(admission, new Ask(op));
+            wake(this, op.expires - now - margin, new Note(What.EXPIRE, op));
+            post(admission, new Note(What.ASK, op));
         }
 
         private void route(Op op) {
             boolean toOrigin = origin.aside && (op.write || origin.fetching(op.key));
-            post(toOrigin ? origin : ring, toOrigin ? new Want(op) : new Place(op, null));
+            post(toOrigin ? origin : ring, new Note(toOrigin ? What.WANT : What.PLACE, op));
         }
 
         /** A push is out: when it outlasts nearly all others of its category, a second copy may go. */
-        private void sent(Op op, int number) {
-            Push push = op.pushes.get(number);
-            if (push.fetch || !secondCopies || op.plan.effect != Effect.REDELIVERABLE) {
+        private void sent(Op op, Push push) {
+            if (push.fetch || !secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
                 return;
             }
             copies = Math.min(COPY_BURST, copies + COPY_SHARE);
-            long patience = 2 * op.plan.hits.quantile(0.95, op.plan.target / 4);
-            if (op.expires - now > patience + op.plan.hits.quantile(0.5, 0)) {
-                wake(this, patience, new Impatient(op, number));
+            long patience = 2 * op.plan.hits().quantile(0.95, op.plan.target() / 4);
+            if (op.expires - now > patience + op.plan.hits().quantile(0.5, 0)) {
+                wake(this, patience, new Note(What.IMPATIENT, op, push.node, push, null, 0));
             }
         }
 
-        private void impatient(Op op, int number) {
-            if (!op.over && !op.streaming && op.open == 1 && op.pushes.get(number).open && copies >= 1) {
+        private void impatient(Op op, Push push) {
+            if (!op.over && !op.streaming && op.open == 1 && push.open && copies >= 1) {
                 copies--;
-                post(ring, new Place(op, null));
+                post(ring, new Note(What.PLACE, op));
             }
         }
 
@@ -908,21 +744,21 @@
             push.open = false;
             push.mayHaveRun = !event.ending().neverRan;
             op.open--;
-            Ended ended = new Ended(op, push, event.ending(), event.took());
+            Note ended = new Note(What.ENDED, op, push.node, push, event, 0);
             post(push.node, ended);
             if (push.fetch) {
                 post(origin, ended);
             } else {
                 post(admission, ended);
                 if (event.ending() == Ending.ACKED) {
-                    op.plan.hits.add(event.took());
+                    op.plan.hits().add(event.took());
                 }
             }
             if (event.over() || op.over) {
                 finish(op);
             } else if (event.ending() == Ending.MISS) {
                 op.missedAt = op.missedAt == null ? push.node : op.missedAt;
-                post(origin, new Want(op));
+                post(origin, new Note(What.WANT, op));
             } else {
                 again(op, push);
             }
@@ -933,21 +769,19 @@
             if (op.open > 0 || op.waiting) {
                 return;
             }
-            boolean time = op.expires - now - margin > op.plan.hits.quantile(0.25, 0);
+            boolean time = op.expires - now - margin > op.plan.hits().quantile(0.25, 0);
             if (time && copies >= 1 && gate.mayPush(op)) {
                 copies--;
-                post(push.fetch ? origin : ring, push.fetch ? new Want(op) : new Place(op, null));
+                post(push.fetch ? origin : ring, new Note(push.fetch ? What.WANT : What.PLACE, op));
             } else {
-                post(gate, new GiveUp(op, true, BEAT));
+                post(gate, new Note(What.GIVE_UP, op, null, null, null, BEAT));
             }
         }
 
         void finish(Op op) {
-            if (!op.over) {
-                op.over = true;
-            }
+            op.over = true;
             if (op.waiting) {
-                post(origin, new Forget(op));
+                post(origin, new Note(What.FORGET, op));
             }
             if (op.open == 0) {
                 ops.remove(op.id);
@@ -986,28 +820,28 @@
 
         @Override
         void take(Note note) {
-            if (note instanceof Send send) {
-                send(send);
-            } else if (note instanceof GiveUp up) {
-                answer(up);
+            if (note.what == What.SEND) {
+                send(note.op, note.node, note.number == 1);
+            } else {
+                answer(note.op, note.what == What.GIVE_UP, note.number);
             }
         }
 
-        private void send(Send send) {
-            Op op = send.op;
-            if (!mayPush(op) || !mayPushTo(op, send.node)) {
-                post(send.node, new Vetoed(op));
-                if (send.fetch) {
-                    post(origin, new Vetoed(op));
+        private void send(Op op, Node node, boolean fetch) {
+            if (!mayPush(op) || !mayPushTo(op, node)) {
+                post(node, new Note(What.VETOED, op));
+                if (fetch) {
+                    post(origin, new Note(What.VETOED, op));
                 }
-                post(desk, new Stuck(op));
+                post(desk, new Note(What.STUCK, op));
                 return;
             }
-            op.pushes.add(new Push(send.node, now, send.fetch));
+            Push push = new Push(node, now, fetch);
+            op.pushes.add(push);
             op.open++;
-            spend(send.node);
-            host.push(op.id, send.node.id, 0);
-            post(desk, new Sent(op, op.pushes.size() - 1));
+            spend(node);
+            host.push(op.id, node.id, 0);
+            post(desk, new Note(What.SENT, op, node, push, null, 0));
         }
 
         /** Rules 1 and 2, as far as they do not depend on the node. */
@@ -1016,7 +850,7 @@
                     || !secondCopies && op.open > 0) {
                 return false;
             }
-            return op.plan.effect != Effect.AT_MOST_ONCE || !mayHaveRun(op);
+            return op.plan.effect() != Effect.AT_MOST_ONCE || !mayHaveRun(op);
         }
 
         /** Rule 2 for deduplicated ops (group and span), rule 3 (drains), rule 4 (cold nodes). */
@@ -1024,16 +858,16 @@
             if (node.state != State.READY || !coldRoom(node)) {
                 return false;
             }
-            if (op.plan.effect != Effect.DEDUPLICATED) {
+            if (op.plan.effect() != Effect.DEDUPLICATED) {
                 return true;
             }
             for (Push push : op.pushes) {
-                boolean same = switch (op.plan.group) {
+                boolean same = switch (op.plan.group()) {
                     case ALL -> true;
                     case ZONE -> push.node.zone.equals(node.zone);
                     case CELL -> push.node.cell.equals(node.cell);
                 };
-                if (push.mayHaveRun && (!same || now - push.sent >= op.plan.span - tick)) {
+                if (push.mayHaveRun && (!same || now - push.sent >= op.plan.span() - tick)) {
                     return false;
                 }
             }
@@ -1050,18 +884,17 @@
         }
 
         /** The one place of final answers; a nack is made only where a repeat is harmless. */
-        private void answer(GiveUp up) {
-            Op op = up.op;
+        private void answer(Op op, boolean nack, long retryAfter) {
             if (op.over) {
                 return;
             }
-            boolean harmless = switch (op.plan.effect) {
+            boolean harmless = switch (op.plan.effect()) {
                 case REDELIVERABLE -> true;
-                case DEDUPLICATED -> op.plan.group == Group.ALL || !mayHaveRun(op);
+                case DEDUPLICATED -> op.plan.group() == Group.ALL || !mayHaveRun(op);
                 case AT_MOST_ONCE -> !mayHaveRun(op);
             };
-            if (up.nack && harmless) {
-                host.nack(op.id, mayAdvise ? Math.min(maxAdvice, up.retryAfter) : 0);
+            if (nack && harmless) {
+                host.nack(op.id, mayAdvise ? Math.min(maxAdvice, retryAfter) : 0);
             } else {
                 host.deadLetter(op.id);
             }
@@ -1071,7 +904,7 @@
         void callOff(Op op) {
             for (int i = 0; mayCancel && op.open > 0 && i < op.pushes.size(); i++) {
                 // An at-most-once op may still be carried out: calling it off would help nobody.
-                if (op.pushes.get(i).open && op.plan.effect == Effect.REDELIVERABLE) {
+                if (op.pushes.get(i).open && op.plan.effect() == Effect.REDELIVERABLE) {
                     host.cancel(op.id, i);
                 }
             }
