--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -199,6 +199,9 @@
             for (Node node : caches) {
                 weights += node.weight * node.open();
             }
+            // The median node speaks for the fleet: a few slow or half-dead caches are no reason to shed.
+            double[] late = caches.stream().mapToDouble(node -> node.late).sorted().toArray();
+            post(admission, new Note(What.LATE, late.length == 0 ? 0 : Math.round(1000 * late[late.length / 2])));
         }
 
         private void place(Op op, Node first) {
@@ -299,6 +302,7 @@
         private int inFlight;
         private int ghosts;
         private int badRun;
+        private double late;
         private int sentInWindow;
         private long windowEnds;
         private double sendRate;
@@ -348,7 +352,7 @@
                 default -> {
                     count(-1);
                     if (note.what == What.ENDED) {
-                        judge((Event.PushEnded) note.event);
+                        judge(note.op, (Event.PushEnded) note.event);
                     }
                 }
             }
@@ -390,7 +394,11 @@
             }
         }
 
-        private void judge(Event.PushEnded ended) {
+        private void judge(Op op, Event.PushEnded ended) {
+            if (ended.ending() != Ending.NEVER_SENT) {
+                boolean slow = ended.took() > op.plan.target() / 2;
+                late += ((slow || ended.ending() == Ending.FULL ? 1 : 0) - late) / 6;
+            }
             switch (ended.ending()) {
                 case ACKED, MISS -> {
                     if (badRun >= SUSPECT_AFTER) {
@@ -563,12 +571,14 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        private static final double EXCESS_PART = 0.6;
+        private static final double LATE_SHARE = 0.3;
+        private static final double LEAST_LEVEL = 0.1;
         private final double[] quotas;
         private final double[] tokens;
         private final double excessBenefit;
         private final long advice;
-        private final Limit limit = new Limit(200, 4);
+        /** Above one: the share of the excess admitted, less one; below: that of the rest, without excess. */
+        private double level = 2;
         private long filledAt;
 
         Admission(Settings settings) {
@@ -590,12 +600,9 @@
                 ask(note.op);
                 return;
             }
-            Event.PushEnded ended = (Event.PushEnded) note.event;
-            boolean late = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL
-                    || ended.took() > note.op.plan.target() * 0.6;
-            if (late || ended.ending() == Ending.ACKED) {
-                limit.ended(late, ring.inFlight);
-            }
+            double late = note.number / 1000.0;
+            level += late > LATE_SHARE ? -0.05 : 0.01;
+            level = Math.max(LEAST_LEVEL, Math.min(2, level));
         }
 
         private void ask(Op op) {
@@ -603,8 +610,7 @@
             if (excess) {
                 op.benefit *= excessBenefit;
             }
-            double room = limit.level * (excess ? EXCESS_PART : 1);
-            if (ring.inFlight >= room) {
+            if (chance.nextDouble() >= (excess ? level - 1 : level)) {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.min(advice, op.plan.target())));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
@@ -749,7 +755,6 @@
             if (push.fetch) {
                 post(origin, ended);
             } else {
-                post(admission, ended);
                 if (event.ending() == Ending.ACKED) {
                     op.plan.hits().add(event.took());
                 }
