--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -24,6 +24,7 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.25;
     private static final int CAP_FLOOR = 2;
+    private static final double LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
     private static final double COPY_SHARE = 0.1;
@@ -112,6 +113,25 @@
         }
     }
 
+    /** Counts of lately asked keys in a few slots, halved now and then. */
+    private static final class Heat {
+        private static final int SLOTS = 1024;
+        private final int[] counts = new int[SLOTS];
+        private int total;
+
+        boolean hot(long point, int caches) {
+            total++;
+            return ++counts[(int) (point & SLOTS - 1)] >= Math.max(3, total / Math.max(1, caches) / 8);
+        }
+
+        void halve() {
+            total = 0;
+            for (int i = 0; i < SLOTS; i++) {
+                total += counts[i] /= 2;
+            }
+        }
+    }
+
     static long mix(long value) {
         long z = value + 0x9E3779B97F4A7C15L;
         z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
@@ -125,6 +145,7 @@
     private static final class Offer extends Note {
         final double average;
         final boolean trusting;
+        final boolean hot;
         private final Ring ring;
         private final Node first;
         private final boolean[] seen;
@@ -134,12 +155,13 @@
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
-        Offer(Op op, Ring ring, Node first, double average, boolean trusting) {
+        Offer(Op op, Ring ring, Node first, double average, boolean trusting, boolean hot) {
             super(What.OFFER, op);
             this.ring = ring;
             this.first = first;
             this.average = average;
             this.trusting = trusting;
+            this.hot = hot;
             seen = new boolean[ring.caches.size()];
             left = ring.points.length;
             at = ring.indexOf(op.point);
@@ -180,6 +202,8 @@
         private int inFlight;
         private double smoothed;
         private int suspects;
+        private int beats;
+        private final Heat heat = new Heat();
 
         @Override
         void take(Note note) {
@@ -198,17 +222,23 @@
             weights = 0;
             for (Node node : caches) {
                 weights += node.weight * node.open();
+                post(node, new Note(What.BEAT, 0));
             }
             // The median node speaks for the fleet: a few slow or half-dead caches are no reason to shed.
-            double[] late = caches.stream().mapToDouble(node -> node.late).sorted().toArray();
-            post(admission, new Note(What.LATE, late.length == 0 ? 0 : Math.round(1000 * late[late.length / 2])));
+            double[] shares = caches.stream().mapToDouble(node -> node.share).sorted().toArray();
+            post(admission, new Note(What.LATE, shares.length == 0 ? 1000
+                    : Math.round(1000 * shares[shares.length / 2])));
+            if (++beats % 20 == 0) {
+                heat.halve();
+            }
         }
 
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             // Guards against condemning the fleet for what is the path's or the origin's fault.
             boolean trusting = suspects * 2 <= caches.size();
-            Offer offer = new Offer(op, this, first, average, trusting);
+            boolean hot = heat.hot(op.point, caches.size());
+            Offer offer = new Offer(op, this, first, average, trusting, hot);
             Node node = offer.next();
             if (node == null) {
                 post(desk, new Note(What.STUCK, op));
@@ -302,7 +332,8 @@
         private int inFlight;
         private int ghosts;
         private int badRun;
-        private double late;
+        /** The part of what it is offered that the node takes; falls while its ends are late. */
+        private double share = 1;
         private int sentInWindow;
         private long windowEnds;
         private double sendRate;
@@ -348,6 +379,7 @@
             switch (note.what) {
                 case OFFER -> weigh((Offer) note);
                 case FALLBACK -> accept(note.op);
+                case BEAT -> share = Math.min(1, share + 0.005);
                 case GHOST_GONE -> ghosts = Math.max(0, ghosts - 1);
                 default -> {
                     count(-1);
@@ -363,14 +395,17 @@
             double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
             double load = load(offer.trusting);
             boolean room = suspect ? load == 0 && offer.op.plan.effect() == Effect.REDELIVERABLE : load < cap;
-            if (room && gate.coldRoom(this)) {
+            // Guards against a hot key met by many proxies: each has too few in flight to reach its cap, so a
+            // node that answers late also declines by chance, hot keys first, and they go on clockwise.
+            double takes = offer.hot ? share : 2 * share;
+            if (room && gate.coldRoom(this) && (takes >= 1 || chance.nextDouble() < takes)) {
                 accept(offer.op);
                 return;
             }
-            double share = (load + (suspect ? cap : 0)) / weight;
-            if (share < offer.leastLoad && gate.coldRoom(this)) {
+            double burden = (load + 1 + (suspect ? cap : 0)) / weight / share;
+            if (burden < offer.leastLoad && gate.coldRoom(this)) {
                 offer.least = this;
-                offer.leastLoad = share;
+                offer.leastLoad = burden;
             }
             Node next = offer.next();
             if (next != null) {
@@ -396,8 +431,8 @@
 
         private void judge(Op op, Event.PushEnded ended) {
             if (ended.ending() != Ending.NEVER_SENT) {
-                boolean slow = ended.took() > op.plan.target() / 2;
-                late += ((slow || ended.ending() == Ending.FULL ? 1 : 0) - late) / 6;
+                boolean late = ended.took() > op.plan.target() * 0.6 || ended.ending() == Ending.FULL;
+                share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share + 0.03);
             }
             switch (ended.ending()) {
                 case ACKED, MISS -> {
@@ -571,7 +606,6 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        private static final double LATE_SHARE = 0.3;
         private static final double LEAST_LEVEL = 0.1;
         private final double[] quotas;
         private final double[] tokens;
@@ -600,8 +634,7 @@
                 ask(note.op);
                 return;
             }
-            double late = note.number / 1000.0;
-            level += late > LATE_SHARE ? -0.05 : 0.01;
+            level += note.number < 500 ? -0.05 : 0.01;
             level = Math.max(LEAST_LEVEL, Math.min(2, level));
         }
 
