--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -49,6 +49,10 @@
 
     /** What decisions use of a category. */
     record Plan(Effect effect, Group group, long span, long target, double benefit, Spans hits) {
+        /** A hit that took longer than this waited behind others: some times the usual, within the target. */
+        long late() {
+            return Math.max(target / 5, Math.min(target * 3 / 5, 5 * hits.floor()));
+        }
     }
 
     /** One push of the op; until its end is known it may have run. */
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -431,7 +431,7 @@
 
         private void judge(Op op, Event.PushEnded ended) {
             if (ended.ending() != Ending.NEVER_SENT) {
-                boolean late = ended.took() > op.plan.target() * 0.6 || ended.ending() == Ending.FULL;
+                boolean late = ended.took() > op.plan.late() || ended.ending() == Ending.FULL;
                 share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share + 0.03);
             }
             switch (ended.ending()) {
@@ -612,7 +612,8 @@
         private final double excessBenefit;
         private final long advice;
         /** Above one: the share of the excess admitted, less one; below: that of the rest, without excess. */
-        private double level = 2;
+        private double level;
+        private final double most;
         private long filledAt;
 
         Admission(Settings settings) {
@@ -626,6 +627,8 @@
             excessBenefit = settings.excessBenefit();
             advice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
             filledAt = now;
+            most = quotas.length > 0 ? 2 : 1;
+            level = most;
         }
 
         @Override
@@ -634,8 +637,8 @@
                 ask(note.op);
                 return;
             }
-            level += note.number < 500 ? -0.05 : 0.01;
-            level = Math.max(LEAST_LEVEL, Math.min(2, level));
+            level *= note.number < 500 ? 0.9 : 1.05;
+            level = Math.max(LEAST_LEVEL, Math.min(most, level));
         }
 
         private void ask(Op op) {
--- a/src/main/java/cairnbridge/decision/Spans.java
+++ b/src/main/java/cairnbridge/decision/Spans.java
@@ -6,11 +6,15 @@
     private static final int ENOUGH = 400;
     private final int[] bins = new int[BINS];
     private int total;
+    private double floor = Double.MAX_VALUE;
 
     void add(long span) {
         int bin = (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
         bins[bin]++;
-        if (++total >= ENOUGH) {
+        if (++total % 32 == 0) {
+            floor = Math.min(floor * 1.02, quantile(0.5, Long.MAX_VALUE));
+        }
+        if (total >= ENOUGH) {
             total = 0;
             for (int i = 0; i < BINS; i++) {
                 bins[i] /= 2;
@@ -19,6 +23,11 @@
         }
     }
 
+    /** The lowest median seen; it creeps up, so that a lasting change is believed in the end. */
+    long floor() {
+        return floor >= Long.MAX_VALUE ? Long.MAX_VALUE / 8 : (long) floor;
+    }
+
     long quantile(double share, long absent) {
         if (total < 8) {
             return absent;
