--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -224,10 +224,7 @@
                 weights += node.weight * node.open();
                 post(node, new Note(What.BEAT, 0));
             }
-            // The median node speaks for the fleet: a few slow or half-dead caches are no reason to shed.
-            double[] shares = caches.stream().mapToDouble(node -> node.share).sorted().toArray();
-            post(admission, new Note(What.LATE, shares.length == 0 ? 1000
-                    : Math.round(1000 * shares[shares.length / 2])));
+            post(admission, new Note(What.BEAT, inFlight));
             if (++beats % 20 == 0) {
                 heat.halve();
             }
@@ -606,14 +603,17 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        private static final double LEAST_LEVEL = 0.1;
+        private static final double LEAST_LEVEL = 2;
+        private static final double EXCESS_PART = 0.6;
+        private static final double MOST_TIMES = 8;
+        private static final double JAMMED = 4;
         private final double[] quotas;
         private final double[] tokens;
         private final double excessBenefit;
         private final long advice;
-        /** Above one: the share of the excess admitted, less one; below: that of the rest, without excess. */
-        private double level;
-        private final double most;
+        /** The bound on ops in flight, and how many times its lowest usual span a push lately took. */
+        private double level = 200;
+        private double stretch;
         private long filledAt;
 
         Admission(Settings settings) {
@@ -627,8 +627,6 @@
             excessBenefit = settings.excessBenefit();
             advice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
             filledAt = now;
-            most = quotas.length > 0 ? 2 : 1;
-            level = most;
         }
 
         @Override
@@ -637,8 +635,19 @@
                 ask(note.op);
                 return;
             }
-            level *= note.number < 500 ? 0.9 : 1.05;
-            level = Math.max(LEAST_LEVEL, Math.min(most, level));
+            int used = ring.inFlight;
+            if (note.what == What.ENDED) {
+                Event.PushEnded ended = (Event.PushEnded) note.event;
+                boolean lost = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL;
+                double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, (double) ended.took() / note.op.plan.hits().floor());
+                if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS) {
+                    stretch += (times - stretch) / 24;
+                }
+            } else if (stretch > JAMMED) {
+                level = Math.max(LEAST_LEVEL, Math.min(level, used + 1) * 0.9);
+            } else if (used + 1 >= level * 0.7) {
+                level += Math.max(0.5, level * 0.04);
+            }
         }
 
         private void ask(Op op) {
@@ -646,7 +655,7 @@
             if (excess) {
                 op.benefit *= excessBenefit;
             }
-            if (chance.nextDouble() >= (excess ? level - 1 : level)) {
+            if (ring.inFlight >= level * (excess ? EXCESS_PART : 1)) {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.min(advice, op.plan.target())));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
@@ -791,6 +800,7 @@
             if (push.fetch) {
                 post(origin, ended);
             } else {
+                post(admission, ended);
                 if (event.ending() == Ending.ACKED) {
                     op.plan.hits().add(event.took());
                 }
