--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -17,6 +17,8 @@
     final long point;
     final long arrived;
     final long expires;
+    /** An answer after this is worth nothing. */
+    final long useful;
     final boolean write;
     final List<Push> pushes = new ArrayList<>(2);
     double benefit;
@@ -34,6 +36,7 @@
         point = Router.mix(key == null ? id.value() : key.value());
         arrived = now;
         expires = event.expires();
+        useful = plan.lateCounts ? expires : Math.min(expires, now + plan.target);
         write = event.write();
         benefit = plan.benefit();
     }
@@ -48,7 +51,8 @@
     }
 
     /** What decisions use of a category. */
-    record Plan(Effect effect, Group group, long span, long target, double benefit, Spans hits) {
+    record Plan(Effect effect, Group group, long span, long target, double benefit, boolean lateCounts,
+                Spans hits) {
         /** A hit that took longer than this waited behind others: some times the usual, within the target. */
         long late() {
             return Math.max(target / 5, Math.min(target * 3 / 5, 5 * hits.floor()));
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -104,7 +104,7 @@
         /** One late end proves nothing where work is uneven, so a smoothed share of them decides. */
         void ended(boolean wasLate, int inFlight) {
             late += ((wasLate ? 1 : 0) - late) / 16;
-            if (late < LATE_SHARE && !wasLate && inFlight + 1 >= level) {
+            if (late < LATE_SHARE && !wasLate && inFlight + 2 > level) {
                 level += 1 / level;
             } else if (late >= LATE_SHARE && wasLate && now - cutAt >= BEAT) {
                 cutAt = now;
@@ -525,7 +525,14 @@
                 }
                 fetch.leader = op;
             }
-            queue.add(op);
+            // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
+            long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
+            long typical = times.quantile(0.5, 0);
+            if (op.useful - now <= typical + Math.round(ahead * typical / limit.level)) {
+                drop(op);
+            } else {
+                queue.add(op);
+            }
         }
 
         /** Sends from the queue while the limit allows, dearest first; those that cannot make it give up. */
@@ -533,7 +540,7 @@
             long typical = times.quantile(0.5, 0);
             for (int i = queue.size() - 1; i >= 0; i--) {
                 Op op = queue.get(i);
-                if (op.expires - now <= typical) {
+                if (op.useful - now <= typical) {
                     queue.remove(i);
                     drop(op);
                 }
@@ -603,16 +610,15 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        private static final double LEAST_LEVEL = 2;
-        private static final double EXCESS_PART = 0.6;
+        private static final double[] LEAST_LEVEL = {2, 0};
         private static final double MOST_TIMES = 8;
-        private static final double JAMMED = 4;
+        private static final double[] JAMMED = {4, 2.2};
         private final double[] quotas;
         private final double[] tokens;
         private final double excessBenefit;
         private final long advice;
-        /** The bound on ops in flight, and how many times its lowest usual span a push lately took. */
-        private double level = 200;
+        /** Bounds on ops in flight, of all and of excess ones; how many times its usual span a push takes. */
+        private final double[] levels = {200, 200};
         private double stretch;
         private long filledAt;
 
@@ -639,14 +645,19 @@
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 boolean lost = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL;
-                double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, (double) ended.took() / note.op.plan.hits().floor());
+                double times = lost ? MOST_TIMES
+                        : Math.min(MOST_TIMES, (double) ended.took() / note.op.plan.hits().floor());
                 if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS) {
                     stretch += (times - stretch) / 24;
                 }
-            } else if (stretch > JAMMED) {
-                level = Math.max(LEAST_LEVEL, Math.min(level, used + 1) * 0.9);
-            } else if (used + 1 >= level * 0.7) {
-                level += Math.max(0.5, level * 0.04);
+                return;
+            }
+            for (int i = 0; i < levels.length; i++) {
+                if (stretch > JAMMED[i]) {
+                    levels[i] = Math.max(LEAST_LEVEL[i], Math.min(levels[i], used + 1) * 0.9);
+                } else if (used + 1 >= levels[i] * 0.7) {
+                    levels[i] += Math.max(0.5, levels[i] * 0.04);
+                }
             }
         }
 
@@ -655,7 +666,7 @@
             if (excess) {
                 op.benefit *= excessBenefit;
             }
-            if (ring.inFlight >= level * (excess ? EXCESS_PART : 1)) {
+            if (ring.inFlight >= levels[excess ? 1 : 0]) {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.min(advice, op.plan.target())));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
@@ -698,7 +709,8 @@
         }
 
         private static Plan plan(Category c) {
-            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(), new Spans());
+            boolean lateCounts = c.lateBenefit() > 0;
+            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(), lateCounts, new Spans());
         }
 
         @Override
