--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -376,7 +376,7 @@
             switch (note.what) {
                 case OFFER -> weigh((Offer) note);
                 case FALLBACK -> accept(note.op);
-                case BEAT -> share = Math.min(1, share + 0.005);
+                case BEAT -> share = Math.min(1, share * 1.005 + 0.001);
                 case GHOST_GONE -> ghosts = Math.max(0, ghosts - 1);
                 default -> {
                     count(-1);
@@ -429,7 +429,7 @@
         private void judge(Op op, Event.PushEnded ended) {
             if (ended.ending() != Ending.NEVER_SENT) {
                 boolean late = ended.took() > op.plan.late() || ended.ending() == Ending.FULL;
-                share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share + 0.03);
+                share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share * 1.03);
             }
             switch (ended.ending()) {
                 case ACKED, MISS -> {
