--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -24,6 +24,7 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.25;
     private static final int CAP_FLOOR = 2;
+    private static final double HOT = 0.5;
     private static final double LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
@@ -115,13 +116,16 @@
 
     /** Counts of lately asked keys in a few slots, halved now and then. */
     private static final class Heat {
-        private static final int SLOTS = 1024;
+        private static final int SLOTS = 4096;
+        private static final int FEW = 4;
         private final int[] counts = new int[SLOTS];
         private int total;
 
-        boolean hot(long point, int caches) {
+        /** How many times a cache's fair share of the traffic this key alone makes up; 0 while unclear. */
+        double shares(long point, int caches) {
             total++;
-            return ++counts[(int) (point & SLOTS - 1)] >= Math.max(3, total / Math.max(1, caches) / 8);
+            int count = ++counts[(int) (point & SLOTS - 1)];
+            return count < FEW ? 0 : (double) count * caches / total;
         }
 
         void halve() {
@@ -225,7 +229,7 @@
                 post(node, new Note(What.BEAT, 0));
             }
             post(admission, new Note(What.BEAT, inFlight));
-            if (++beats % 20 == 0) {
+            if (++beats % 40 == 0) {
                 heat.halve();
             }
         }
@@ -234,9 +238,16 @@
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             // Guards against condemning the fleet for what is the path's or the origin's fault.
             boolean trusting = suspects * 2 <= caches.size();
-            boolean hot = heat.hot(op.point, caches.size());
-            Offer offer = new Offer(op, this, first, average, trusting, hot);
+            double shares = heat.shares(op.point, caches.size());
+            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 4);
             Node node = offer.next();
+            // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
+            // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
+            int spread = Math.min(caches.size(), (int) Math.ceil(shares / HOT));
+            for (int skip = spread > 1 && first == null ? chance.nextInt(spread) : 0; skip > 0; skip--) {
+                Node next = offer.next();
+                node = next == null ? node : next;
+            }
             if (node == null) {
                 post(desk, new Note(What.STUCK, op));
             } else {
