--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -25,6 +25,7 @@
     private static final double EPSILON = 0.25;
     private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5;
+    private static final double WELL = 0.9;
     private static final double LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
@@ -36,7 +37,7 @@
     private final ArrayDeque<Part> ready = new ArrayDeque<>();
     private final Map<Long, Wake> wakes = new HashMap<>();
     private final Map<NodeId, Node> nodes = new TreeMap<>(Comparator.comparingLong(NodeId::value));
-    private final Ring ring = new Ring();
+    private final Ring ring;
     private final Origin origin;
     private final Admission admission;
     private final OpDesk desk;
@@ -48,6 +49,7 @@
         this.host = host;
         this.now = clock;
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.ring = new Ring(settings);
         this.gate = new Gate(settings);
         this.origin = new Origin(settings);
         this.admission = new Admission(settings);
@@ -156,6 +158,8 @@
         private int at;
         private int left;
         private boolean begun;
+        private boolean near;
+        private int nearLeft;
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
@@ -166,6 +170,10 @@
             this.average = average;
             this.trusting = trusting;
             this.hot = hot;
+            // Where crossing zones has a price, a key asked for often is kept in every zone: its walk takes one
+            // lap over the zone's own caches that answer in time before the ordinary one.
+            near = hot && ring.zoneWellCount > 0;
+            nearLeft = ring.zoneWellCount;
             seen = new boolean[ring.caches.size()];
             left = ring.points.length;
             at = ring.indexOf(op.point);
@@ -180,9 +188,17 @@
                 }
             }
             for (; left > 0; left--) {
+                if (near && (left == 1 || nearLeft == 0)) {
+                    near = false;
+                    left = ring.points.length;
+                }
                 int here = at;
                 at = at + 1 == ring.points.length ? 0 : at + 1;
                 Node node = ring.owners[here];
+                if (near && (seen[node.slot] || !node.zone.equals(ring.zone) || node.share < WELL)) {
+                    continue;
+                }
+                nearLeft -= near ? 1 : 0;
                 // A cold node's keys come back as it warms: points above its openness belong to the next.
                 if (!seen[node.slot] && ring.ranks[here] <= node.openness) {
                     seen[node.slot] = true;
@@ -208,6 +224,14 @@
         private int suspects;
         private int beats;
         private final Heat heat = new Heat();
+        private final ZoneId zone;
+        private final boolean crossingCosts;
+        private int zoneWellCount;
+
+        Ring(Settings settings) {
+            zone = settings.zone();
+            crossingCosts = settings.prices().crossZone() > 0;
+        }
 
         @Override
         void take(Note note) {
@@ -224,7 +248,9 @@
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
             weights = 0;
+            zoneWellCount = 0;
             for (Node node : caches) {
+                zoneWellCount += crossingCosts && node.zone.equals(zone) && node.share >= WELL ? 1 : 0;
                 weights += node.weight * node.open();
                 post(node, new Note(What.BEAT, 0));
             }
@@ -239,7 +265,7 @@
             // Guards against condemning the fleet for what is the path's or the origin's fault.
             boolean trusting = suspects * 2 <= caches.size();
             double shares = heat.shares(op.point, caches.size());
-            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 4);
+            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 2);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
