--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -26,6 +26,7 @@
     private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5;
     private static final double WELL = 0.9;
+    private static final double CALM = 1.8;
     private static final double LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
@@ -170,8 +171,8 @@
             this.average = average;
             this.trusting = trusting;
             this.hot = hot;
-            // Where crossing zones has a price, a key asked for often is kept in every zone: its walk takes one
-            // lap over the zone's own caches that answer in time before the ordinary one.
+            // Where crossing zones has a price and all is calm, a key asked for often is kept in every zone:
+            // its walk takes a lap over the zone's own caches that answer in time before the ordinary one.
             near = hot && ring.zoneWellCount > 0;
             nearLeft = ring.zoneWellCount;
             seen = new boolean[ring.caches.size()];
@@ -249,8 +250,9 @@
             smoothed += (inFlight - smoothed) * 0.2;
             weights = 0;
             zoneWellCount = 0;
+            boolean mayStayNear = crossingCosts && admission.stretch < CALM && origin.queue.isEmpty();
             for (Node node : caches) {
-                zoneWellCount += crossingCosts && node.zone.equals(zone) && node.share >= WELL ? 1 : 0;
+                zoneWellCount += mayStayNear && node.zone.equals(zone) && node.share >= WELL ? 1 : 0;
                 weights += node.weight * node.open();
                 post(node, new Note(What.BEAT, 0));
             }
