--- a/src/main/java/cairnbridge/adapter/WireSettings.java
+++ b/src/main/java/cairnbridge/adapter/WireSettings.java
@@ -46,7 +46,8 @@
                 down(limits, "max-retry-after-s", 0), number(root, "excess-benefit", 1),
                 flag(map(root, "callers"), "marks-retry"),
                 new Prices(number(prices, "cross-zone", 0), number(prices, "waste", 0),
-                        number(prices, "probe", 0), number(prices, "peer", 0), number(prices, "late-fail", 0)),
+                        number(prices, "probe", 0), number(prices, "peer", 0),
+                        number(prices, "late-fail", 0)),
                 columns(), categories(), tenants());
     }
 
--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -33,7 +33,7 @@
         this.plan = plan;
         key = event.key();
         tenant = event.tenant().value();
-        point = Router.mix(key == null ? id.value() : key.value());
+        point = mix(key == null ? id.value() : key.value());
         arrived = now;
         expires = event.expires();
         useful = plan.lateCounts ? expires : Math.min(expires, now + plan.target);
@@ -41,6 +41,22 @@
         benefit = plan.benefit();
     }
 
+    static long mix(long value) {
+        long z = value + 0x9E3779B97F4A7C15L;
+        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+
+    boolean mayHaveRun() {
+        for (Push push : pushes) {
+            if (push.mayHaveRun) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean triedAt(Node node) {
         for (Push push : pushes) {
             if (push.node == node) {
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -30,8 +30,8 @@
     private static final double LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
-    private static final double COPY_SHARE = 0.1;
-    private static final double COPY_BURST = 10;
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_BURST = 10;
 
     private final Host host;
     private final RandomGenerator chance;
@@ -76,7 +76,6 @@
         }
     }
 
-    // ---- notes ----
 
     private record Wake(Part to, Note note) { }
 
@@ -90,7 +89,6 @@
         host.timer(Math.max(1, in), new TimerId(lastTimer));
     }
 
-    // ---- small measures ----
 
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
@@ -117,50 +115,15 @@
         }
     }
 
-    /** Counts of lately asked keys in a few slots, halved now and then. */
-    private static final class Heat {
-        private static final int SLOTS = 4096;
-        private static final int FEW = 4;
-        private final int[] counts = new int[SLOTS];
-        private int total;
-
-        /** How many times a cache's fair share of the traffic this key alone makes up; 0 while unclear. */
-        double shares(long point, int caches) {
-            total++;
-            int count = ++counts[(int) (point & SLOTS - 1)];
-            return count < FEW ? 0 : (double) count * caches / total;
-        }
-
-        void halve() {
-            total = 0;
-            for (int i = 0; i < SLOTS; i++) {
-                total += counts[i] /= 2;
-            }
-        }
-    }
-
-    static long mix(long value) {
-        long z = value + 0x9E3779B97F4A7C15L;
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return z ^ z >>> 31;
-    }
-
-    // ---- the ring ----
-
     /** One walk clockwise over the distinct nodes, carrying the cap and the least loaded node seen. */
     private static final class Offer extends Note {
         final double average;
-        final boolean trusting;
-        final boolean hot;
+        final boolean trusting, hot;
         private final Ring ring;
         private final Node first;
         private final boolean[] seen;
-        private int at;
-        private int left;
-        private boolean begun;
-        private boolean near;
-        private int nearLeft;
+        private int at, left, nearLeft;
+        private boolean begun, near;
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
@@ -219,11 +182,8 @@
         private long[] points = {};
         private Node[] owners = {};
         private float[] ranks = {};
-        private double weights;
-        private int inFlight;
-        private double smoothed;
-        private int suspects;
-        private int beats;
+        private double weights, smoothed;
+        private int inFlight, suspects, beats;
         private final Heat heat = new Heat();
         private final ZoneId zone;
         private final boolean crossingCosts;
@@ -234,8 +194,7 @@
             crossingCosts = settings.prices().crossZone() > 0;
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
                 case LOAD -> inFlight += note.number;
@@ -331,7 +290,7 @@
                 // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
                 int count = (int) Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size)));
                 for (int i = 0; i < count; i++) {
-                    marks.add(new long[] {mix(mix(node.id.value()) + i), slot, i, count});
+                    marks.add(new long[] {Op.mix(Op.mix(node.id.value()) + i), slot, i, count});
                 }
             }
             marks.sort(Comparator.<long[]>comparingLong(m -> m[0]).thenComparingLong(m -> m[1]));
@@ -350,7 +309,6 @@
         }
     }
 
-    // ---- caches ----
 
     /** One server: its count in flight, its health and its warmth. */
     final class Node extends Part {
@@ -360,14 +318,10 @@
         MachineKind kind;
         ZoneId zone;
         CellId cell;
-        double size = 1;
-        double weight = 1;
+        double size = 1, weight = 1, openness = 1;
         long started;
-        double openness = 1;
         int slot = -1;
-        private int inFlight;
-        private int ghosts;
-        private int badRun;
+        private int inFlight, ghosts, badRun;
         /** The part of what it is offered that the node takes; falls while its ends are late. */
         private double share = 1;
         private int sentInWindow;
@@ -410,8 +364,7 @@
             return inFlight + (trusting ? ghosts : 0);
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             switch (note.what) {
                 case OFFER -> weigh((Offer) note);
                 case FALLBACK -> accept(note.op);
@@ -497,7 +450,6 @@
         }
     }
 
-    // ---- the origin ----
 
     /** The shared store behind the caches: off the ring, with its own limit and a short queue. */
     private final class Origin extends Part {
@@ -530,8 +482,7 @@
             return key != null && fetches.containsKey(key);
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             switch (note.what) {
                 case WANT -> want(note.op);
                 case ENDED -> ended(note.op, (Event.PushEnded) note.event);
@@ -645,15 +596,13 @@
         }
     }
 
-    // ---- admission ----
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         private static final double[] LEAST_LEVEL = {2, 0};
         private static final double MOST_TIMES = 8;
         private static final double[] JAMMED = {4, 2.2};
-        private final double[] quotas;
-        private final double[] tokens;
+        private final double[] quotas, tokens;
         private final double excessBenefit;
         private final long advice;
         /** Bounds on ops in flight, of all and of excess ones; how many times its usual span a push takes. */
@@ -674,8 +623,7 @@
             filledAt = now;
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             if (note.what == What.ASK) {
                 ask(note.op);
                 return;
@@ -728,16 +676,14 @@
         }
     }
 
-    // ---- the life of an op ----
 
     /** Owns every op from its arrival to the end of its last push. */
     private final class OpDesk extends Part {
         private final Plan[] plans;
         private final Map<OpId, Op> ops = new HashMap<>();
-        private final boolean secondCopies;
-        private final boolean mustSubscribe;
+        private final boolean secondCopies, mustSubscribe;
         private final long margin;
-        private double copies = COPY_BURST;
+        private double retries = RETRY_BURST;
         private boolean begun;
 
         OpDesk(Settings settings) {
@@ -748,12 +694,11 @@
         }
 
         private static Plan plan(Category c) {
-            boolean lateCounts = c.lateBenefit() > 0;
-            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(), lateCounts, new Spans());
+            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(),
+                    c.lateBenefit() > 0, new Spans());
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             Op op = note.op;
             switch (note.what) {
                 case EVENT -> told(note.event);
@@ -804,6 +749,7 @@
             int category = event.category().value();
             Op op = new Op(event, plans[Math.max(0, Math.min(plans.length - 1, category))], now);
             ops.put(op.id, op);
+            retries = Math.min(RETRY_BURST, retries + RETRY_SHARE);
             if (op.expires - now <= margin) {
                 post(gate, new Note(What.GIVE_UP, op));
                 return;
@@ -817,12 +763,11 @@
             post(toOrigin ? origin : ring, new Note(toOrigin ? What.WANT : What.PLACE, op));
         }
 
-        /** A push is out: when it outlasts nearly all others of its category, a second copy may go. */
+        /** When a push outlasts nearly all others of its category, a second copy may go elsewhere. */
         private void sent(Op op, Push push) {
             if (push.fetch || !secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
                 return;
             }
-            copies = Math.min(COPY_BURST, copies + COPY_SHARE);
             long patience = 2 * op.plan.hits().quantile(0.95, op.plan.target() / 4);
             if (op.expires - now > patience + op.plan.hits().quantile(0.5, 0)) {
                 wake(this, patience, new Note(What.IMPATIENT, op, push.node, push, null, 0));
@@ -830,8 +775,8 @@
         }
 
         private void impatient(Op op, Push push) {
-            if (!op.over && !op.streaming && op.open == 1 && push.open && copies >= 1) {
-                copies--;
+            if (!op.over && !op.streaming && op.open == 1 && push.open && retries >= 1) {
+                retries--;
                 post(ring, new Note(What.PLACE, op));
             }
         }
@@ -872,8 +817,8 @@
                 return;
             }
             boolean time = op.expires - now - margin > op.plan.hits().quantile(0.25, 0);
-            if (time && copies >= 1 && gate.mayPush(op)) {
-                copies--;
+            if (time && retries >= 1 && gate.mayPush(op)) {
+                retries--;
                 post(push.fetch ? origin : ring, new Note(push.fetch ? What.WANT : What.PLACE, op));
             } else {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, BEAT));
@@ -892,20 +837,15 @@
         }
     }
 
-    // ---- the gate ----
 
     /** The four rules. Every push and every final answer passes here, and nowhere else are they made. */
     private final class Gate extends Part {
         private final int mostPushes;
-        private final boolean secondCopies;
-        private final boolean mayCancel;
-        private final boolean mayAdvise;
-        private final long maxAdvice;
-        private final long tick;
-        private final double coldFrom;
-        private final long warmUp;
-        private final double coldBudget;
-        private final long fallSpan;
+        private final boolean secondCopies, mayCancel, mayAdvise;
+        private final long maxAdvice, tick, warmUp, fallSpan;
+        private final double coldFrom, coldBudget;
+        private double warmRate, warmSends;
+        private long warmSince;
 
         Gate(Settings settings) {
             mostPushes = settings.mostPushes();
@@ -920,8 +860,7 @@
             fallSpan = Math.max(1, settings.fallSpan());
         }
 
-        @Override
-        void take(Note note) {
+        @Override void take(Note note) {
             if (note.what == What.SEND) {
                 send(note.op, note.node, note.number == 1);
             } else {
@@ -952,7 +891,7 @@
                     || !secondCopies && op.open > 0) {
                 return false;
             }
-            return op.plan.effect() != Effect.AT_MOST_ONCE || !mayHaveRun(op);
+            return op.plan.effect() != Effect.AT_MOST_ONCE || !op.mayHaveRun();
         }
 
         /** Rule 2 for deduplicated ops (group and span), rule 3 (drains), rule 4 (cold nodes). */
@@ -976,26 +915,16 @@
             return true;
         }
 
-        private boolean mayHaveRun(Op op) {
-            for (Push push : op.pushes) {
-                if (push.mayHaveRun) {
-                    return true;
-                }
-            }
-            return false;
-        }
-
         /** The one place of final answers; a nack is made only where a repeat is harmless. */
         private void answer(Op op, boolean nack, long retryAfter) {
-            if (op.over) {
-                return;
-            }
             boolean harmless = switch (op.plan.effect()) {
                 case REDELIVERABLE -> true;
-                case DEDUPLICATED -> op.plan.group() == Group.ALL || !mayHaveRun(op);
-                case AT_MOST_ONCE -> !mayHaveRun(op);
+                case DEDUPLICATED -> op.plan.group() == Group.ALL || !op.mayHaveRun();
+                case AT_MOST_ONCE -> !op.mayHaveRun();
             };
-            if (nack && harmless) {
+            if (op.over) {
+                return;
+            } else if (nack && harmless) {
                 host.nack(op.id, mayAdvise ? Math.min(maxAdvice, retryAfter) : 0);
             } else {
                 host.deadLetter(op.id);
@@ -1032,10 +961,6 @@
             return node.sentInWindow < Math.max(1, coldBudget * warmth * sentToWarm() * node.weight);
         }
 
-        private double warmRate;
-        private double warmSends;
-        private long warmSince;
-
         private double sentToWarm() {
             if (now - warmSince >= fallSpan) {
                 double each = warmSends / Math.max(1, ring.weights) * fallSpan / (now - warmSince);
--- a/src/test/java/cairnbridge/adapter/AdapterTest.java
+++ b/src/test/java/cairnbridge/adapter/AdapterTest.java
@@ -13,7 +13,8 @@
 
 class AdapterTest {
     private static final String START = "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,"
-            + "{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},\"new\":[1]}],"
+            + "{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},"
+            + "\"new\":[1]}],"
             + "[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
 
     private static String answer(String input) throws Exception {
@@ -24,7 +25,8 @@
 
     @Test
     void anOpIsSentAndAnEmptyBatchAnsweredEmpty() throws Exception {
-        String order = "{\"clock-s\":10.00525,\"events\":[[\"ORDER\",3,2025963407446468,0,0,\"91f03b7c55d20a64\",10.5]]}\n";
+        String order = "{\"clock-s\":10.00525,\"events\":[[\"ORDER\",3,2025963407446468,0,0,"
+                + "\"91f03b7c55d20a64\",10.5]]}\n";
         String[] lines = answer("{\"clock-s\":9,\"events\":[]}\n" + START + order).split("\n");
         assertEquals("{\"do\":[]}", lines[0]);
         assertTrue(lines[2].contains("[\"ATTEMPT\",3,2025963407446468,77,"), lines[2]);
@@ -39,7 +41,7 @@
         "{\"clock-s\":1,\"events\":[ | not valid JSON"})
     void malformedInputNamesTheLineAndTheFault(String line, String fault) {
         Malformed e = assertThrows(Malformed.class, () -> answer(START + line + "\n"));
-        assertTrue(e.getMessage().startsWith("line 2: ") || e.getMessage().startsWith("line 3: "), e.getMessage());
+        assertTrue(e.getMessage().matches("(?s)line [23]: .*"), e.getMessage());
         assertTrue(e.getMessage().contains(fault), e.getMessage());
         assertEquals(1, e.getMessage().lines().count());
     }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -99,6 +99,51 @@
         assertEquals(1, host.pushes.size());
     }
 
+    @Test
+    void aKeyHotterThanACacheSpreadsThoughNoCapIsReached() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8);
+        Set<Long> used = new HashSet<>();
+        for (long op = 0; op < 400; op++) {
+            host.op(op, op % 2 == 0 ? 5 : op, SECOND);
+            if (op % 2 == 0 && op > 200) {
+                used.add(host.lastNode());
+            }
+            host.ends(Ending.ACKED, 20);
+        }
+        assertTrue(used.size() >= 4, "one key is half the traffic of eight caches, yet met " + used);
+    }
+
+    @Test
+    void aCrowdOfLateAnswersIsMetByPromptNacks() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
+        long op = 0;
+        for (; op < 200; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, 30);
+        }
+        for (; op < 300; op++) {
+            host.op(op, op, SECOND);
+            if (op % 5 == 0) {
+                host.ends(Ending.ACKED, SECOND / 4);
+            }
+        }
+        assertTrue(host.answers.stream().anyMatch(a -> a.startsWith("nack")), "the bound has fallen");
+    }
+
+    @Test
+    void anOpThatCannotMakeItInTheOriginsQueueIsAnsweredAtOnce() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
+        host.write = true;
+        long op = 0;
+        for (; op < 40; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, 2000);
+        }
+        host.answers.clear();
+        for (; op < 240; op++) {
+            host.op(op, op, SECOND);
+        }
+        assertTrue(host.answers.size() > 100, "only " + host.answers.size() + " of 200 answered at once");
+    }
+
     @Test
     void aDrainingNodeGetsNothingNew() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
