--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -600,6 +600,8 @@
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         private static final double[] LEAST_LEVEL = {2, 0};
+        private static final double[] RELIEVED = {4, 1.1};
+        private static final double UNEVEN = 1.3;
         private static final double MOST_TIMES = 8;
         private static final double[] JAMMED = {4, 2.2};
         private final double[] quotas, tokens;
@@ -608,6 +610,7 @@
         /** Bounds on ops in flight, of all and of excess ones; how many times its usual span a push takes. */
         private final double[] levels = {200, 200};
         private double stretch;
+        private final boolean[] jammed = new boolean[2];
         private long filledAt;
 
         Admission(Settings settings) {
@@ -615,7 +618,7 @@
             tokens = new double[quotas.length];
             for (int i = 0; i < quotas.length; i++) {
                 Tenant tenant = settings.tenants().get(i);
-                quotas[i] = tenant.quota() / Math.max(1, settings.proxies()) / SECOND;
+                quotas[i] = UNEVEN * tenant.quota() / Math.max(1, settings.proxies()) / SECOND;
                 tokens[i] = quotas[i] * SECOND;
             }
             excessBenefit = settings.excessBenefit();
@@ -640,7 +643,9 @@
                 return;
             }
             for (int i = 0; i < levels.length; i++) {
-                if (stretch > JAMMED[i]) {
+                // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
+                jammed[i] = stretch > (jammed[i] ? RELIEVED[i] : JAMMED[i]);
+                if (jammed[i]) {
                     levels[i] = Math.max(LEAST_LEVEL[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += Math.max(0.5, levels[i] * 0.04);
