--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -6,8 +6,7 @@
 import cairnbridge.decision.Op.*;
 import cairnbridge.decision.Settings.*;
 import java.util.*;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
+import java.util.random.*;
 
 /**
  * The decision module of one proxy. Make one with its settings, seed, clock and Host, then call handle for
@@ -93,16 +92,11 @@
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
-        private final double least;
-        private double level;
+        private static final double LEAST = 2;
+        private double level = 16;
         private double late;
         private long cutAt;
 
-        Limit(double start, double least) {
-            this.level = start;
-            this.least = least;
-        }
-
         /** One late end proves nothing where work is uneven, so a smoothed share of them decides. */
         void ended(boolean wasLate, int inFlight) {
             late += ((wasLate ? 1 : 0) - late) / 16;
@@ -110,7 +104,7 @@
                 level += 1 / level;
             } else if (late >= LATE_SHARE && wasLate && now - cutAt >= BEAT) {
                 cutAt = now;
-                level = Math.max(least, Math.min(level, inFlight + 1) * 0.9);
+                level = Math.max(LEAST, Math.min(level, inFlight + 1) * 0.9);
             }
         }
     }
@@ -460,17 +454,17 @@
 
         private final boolean aside;
         private final MachineKind kind;
-        private final Limit limit;
+        private final Limit limit = new Limit();
         private final Spans times = new Spans();
         private final List<Op> queue = new ArrayList<>();
         private final Map<KeyId, Fetch> fetches = new HashMap<>();
         private List<Node> members = List.of();
+        private double typical;
         private int inFlight;
 
         Origin(Settings settings) {
             aside = settings.aside();
             kind = settings.originKind();
-            limit = new Limit(16, 2);
         }
 
         boolean is(Node node) {
@@ -495,8 +489,7 @@
                     members = new ArrayList<>(nodes.values());
                     members.removeIf(node -> node.state != State.READY || !is(node));
                 }
-                default -> {
-                }
+                default -> typical -= inFlight == 0 ? typical * 0.05 : 0;
             }
             pump();
         }
@@ -517,8 +510,7 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            long typical = times.quantile(0.5, 0);
-            if (op.useful - now <= typical + Math.round(ahead * typical / limit.level)) {
+            if (op.useful - now <= typical * (1 + ahead / limit.level)) {
                 drop(op);
             } else {
                 queue.add(op);
@@ -527,7 +519,6 @@
 
         /** Sends from the queue while the limit allows, dearest first; those that cannot make it give up. */
         private void pump() {
-            long typical = times.quantile(0.5, 0);
             for (int i = queue.size() - 1; i >= 0; i--) {
                 Op op = queue.get(i);
                 if (op.useful - now <= typical) {
@@ -566,6 +557,10 @@
             if (acked) {
                 times.add(ended.took());
             }
+            // Guards against feeding a slowed origin ops that run out of time there: time-outs count too.
+            if (acked || ended.ending() == Ending.TIMED_OUT) {
+                typical += (ended.took() - typical) / 8.0;
+            }
             if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
                 limit.ended(!acked || ended.took() > op.plan.target() / 2, inFlight);
             }
