--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -17,9 +17,8 @@
  * point and the first node under its cap takes it; the gate pushes it. All times are tenths of a millisecond.
  */
 public final class Router {
-    private static final long MS = 10;
-    private static final long SECOND = 1000 * MS;
-    private static final long BEAT = 100 * MS;
+    private static final long SECOND = 10_000;
+    private static final long BEAT = SECOND / 10;
     private static final int POINTS = 256;
     private static final double EPSILON = 0.25;
     private static final int CAP_FLOOR = 2;
@@ -42,8 +41,7 @@
     private final Admission admission;
     private final OpDesk desk;
     private final Gate gate;
-    private long now;
-    private long lastTimer;
+    private long now, lastTimer;
 
     public Router(Settings settings, long seed, long clock, Host host) {
         this.host = host;
@@ -93,8 +91,7 @@
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
         private static final double LEAST = 2;
-        private double level = 16;
-        private double late;
+        private double level = 16, late;
         private long cutAt;
 
         /** One late end proves nothing where work is uneven, so a smoothed share of them decides. */
@@ -629,9 +626,12 @@
             int used = ring.inFlight;
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
-                boolean lost = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL;
-                double times = lost ? MOST_TIMES
-                        : Math.min(MOST_TIMES, (double) ended.took() / note.op.plan.hits().floor());
+                // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
+                // and an op that ran out of its TTL with the push still out counts most.
+                boolean lost = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL
+                        || ended.ending() == Ending.CALLED_OFF && note.op.expires - now <= SECOND / 50;
+                double base = Math.min(note.op.plan.hits().floor(), note.op.plan.target() / 6.0);
+                double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, ended.took() / base);
                 if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS) {
                     stretch += (times - stretch) / 24;
                 }
