--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -643,7 +643,7 @@
                 if (jammed[i]) {
                     levels[i] = Math.max(LEAST_LEVEL[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
-                    levels[i] += Math.max(0.5, levels[i] * 0.04);
+                    levels[i] += 0.1 + levels[i] * 0.05;
                 }
             }
         }
