--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -592,10 +592,11 @@
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         private static final double[] LEAST_LEVEL = {2, 0};
-        private static final double[] RELIEVED = {4, 1.1};
+        private static final double[] RELIEVED = {3, 1.1};
+        private static final double[] EASE = {3, 0};
         private static final double UNEVEN = 1.3;
         private static final double MOST_TIMES = 8;
-        private static final double[] JAMMED = {4, 2.2};
+        private static final double[] JAMMED = {3, 2.2};
         private final double[] quotas, tokens;
         private final double excessBenefit;
         private final long advice;
@@ -639,7 +640,9 @@
             }
             for (int i = 0; i < levels.length; i++) {
                 // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
-                jammed[i] = stretch > (jammed[i] ? RELIEVED[i] : JAMMED[i]);
+                // A small bound bears more, so that proxies which share a jam come to share the room too.
+                double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
+                jammed[i] = stretch > mark;
                 if (jammed[i]) {
                     levels[i] = Math.max(LEAST_LEVEL[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
