--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -69,6 +69,11 @@
     /** What decisions use of a category. */
     record Plan(Effect effect, Group group, long span, long target, double benefit, boolean lateCounts,
                 Spans hits) {
+        static Plan of(Settings.Category c) {
+            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(),
+                    c.lateBenefit() > 0, new Spans());
+        }
+
         /** A hit that took longer than this waited behind others: some times the usual, within the target. */
         long late() {
             return Math.max(target / 5, Math.min(target * 3 / 5, 5 * hits.floor()));
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -73,7 +73,6 @@
         }
     }
 
-
     private record Wake(Part to, Note note) { }
 
     private void post(Part to, Note note) {
@@ -86,7 +85,6 @@
         host.timer(Math.max(1, in), new TimerId(lastTimer));
     }
 
-
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
@@ -300,7 +298,6 @@
         }
     }
 
-
     /** One server: its count in flight, its health and its warmth. */
     final class Node extends Part {
         final NodeId id;
@@ -441,7 +438,6 @@
         }
     }
 
-
     /** The shared store behind the caches: off the ring, with its own limit and a short queue. */
     private final class Origin extends Part {
         private static final class Fetch {
@@ -588,7 +584,6 @@
         }
     }
 
-
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         private static final double[] LEAST_LEVEL = {2, 0};
@@ -679,7 +674,6 @@
         }
     }
 
-
     /** Owns every op from its arrival to the end of its last push. */
     private final class OpDesk extends Part {
         private final Plan[] plans;
@@ -690,17 +684,12 @@
         private boolean begun;
 
         OpDesk(Settings settings) {
-            plans = settings.categories().stream().map(OpDesk::plan).toArray(Plan[]::new);
+            plans = settings.categories().stream().map(Plan::of).toArray(Plan[]::new);
             secondCopies = settings.maySecondCopy();
             mustSubscribe = settings.mustSubscribe();
             margin = 2 * settings.tick();
         }
 
-        private static Plan plan(Category c) {
-            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(),
-                    c.lateBenefit() > 0, new Spans());
-        }
-
         @Override void take(Note note) {
             Op op = note.op;
             switch (note.what) {
@@ -840,7 +829,6 @@
         }
     }
 
-
     /** The four rules. Every push and every final answer passes here, and nowhere else are they made. */
     private final class Gate extends Part {
         private final int mostPushes;
