--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -20,7 +20,7 @@
     private static final long SECOND = 10_000;
     private static final long BEAT = SECOND / 10;
     private static final int POINTS = 256;
-    private static final double EPSILON = 0.25;
+    private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5;
     private static final double WELL = 0.9;
