--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -541,7 +541,7 @@
         private void drop(Op op) {
             op.waiting = false;
             settle(op, false);
-            post(desk, new Note(What.GIVE_UP, op, null, null, null, times.quantile(0.9, BEAT)));
+            post(desk, new Note(What.GIVE_UP, op, null, null, null, SECOND));
         }
 
         private void ended(Op op, Event.PushEnded ended) {
@@ -652,7 +652,7 @@
                 op.benefit *= excessBenefit;
             }
             if (ring.inFlight >= levels[excess ? 1 : 0]) {
-                post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.min(advice, op.plan.target())));
+                post(gate, new Note(What.GIVE_UP, op, null, null, null, advice));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
             }
