Ops at their TTL are nacked with a retry-after where coming back later is harmless

A deduplicated op that may have run is nacked only if the advised return lies within the span it is remembered.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -832,7 +832,7 @@
     /** The four rules. Every push and every final answer passes here, and nowhere else are they made. */
     private final class Gate extends Part {
         private final int mostPushes;
-        private final boolean secondCopies, mayCancel, mayAdvise;
+        private final boolean secondCopies, mayCancel;
         private final long maxAdvice, tick, warmUp, fallSpan;
         private final double coldFrom, coldBudget;
         private double warmRate, warmSends;
@@ -842,8 +842,7 @@
             mostPushes = settings.mostPushes();
             secondCopies = settings.maySecondCopy();
             mayCancel = settings.mayCancel();
-            mayAdvise = settings.mayAdviseRetry();
-            maxAdvice = settings.maxRetryAfter();
+            maxAdvice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
             tick = settings.tick();
             coldFrom = settings.coldFrom();
             warmUp = settings.warmUp();
@@ -855,7 +854,7 @@
             if (note.what == What.SEND) {
                 send(note.op, note.node, note.number == 1);
             } else {
-                answer(note.op, note.what == What.GIVE_UP, note.number);
+                answer(note.op, note.what == What.EXPIRE ? maxAdvice : note.number);
             }
         }
 
@@ -907,16 +906,18 @@
         }
 
         /** The one place of final answers; a nack is made only where a repeat is harmless. */
-        private void answer(Op op, boolean nack, long retryAfter) {
+        private void answer(Op op, long wanted) {
+            long retryAfter = Math.min(maxAdvice, wanted);
             boolean harmless = switch (op.plan.effect()) {
                 case REDELIVERABLE -> true;
-                case DEDUPLICATED -> op.plan.group() == Group.ALL || !op.mayHaveRun();
+                case DEDUPLICATED -> !op.mayHaveRun() || op.plan.group() == Group.ALL
+                        && now + retryAfter < op.pushes.get(0).sent + op.plan.span();
                 case AT_MOST_ONCE -> !op.mayHaveRun();
             };
             if (op.over) {
                 return;
-            } else if (nack && harmless) {
-                host.nack(op.id, mayAdvise ? Math.min(maxAdvice, retryAfter) : 0);
+            } else if (harmless) {
+                host.nack(op.id, retryAfter);
             } else {
                 host.deadLetter(op.id);
             }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -69,6 +69,14 @@
         assertEquals(sent, host.pushes.size(), "nothing is sent after the answer");
     }
 
+    @ParameterizedTest
+    @CsvSource({"REDELIVERABLE, nack 1", "DEDUPLICATED, dead 1", "AT_MOST_ONCE, dead 1"})
+    void anOpOutAtItsTtlIsNackedOnlyWhereComingBackLaterIsHarmless(Effect effect, String answer) {
+        FakeHost host = new FakeHost(effect).listed(3);
+        host.op(1, 5, SECOND).pass(SECOND);
+        assertEquals(List.of(answer), host.answers, "advised to come back after a repeat may be forgotten");
+    }
+
     @ParameterizedTest
     @CsvSource({
         "AT_MOST_ONCE, ERROR, false", "AT_MOST_ONCE, BROKEN, false", "AT_MOST_ONCE, TIMED_OUT, false",
