--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -215,7 +215,7 @@
             // Guards against condemning the fleet for what is the path's or the origin's fault.
             boolean trusting = suspects * 2 <= caches.size();
             double shares = heat.shares(op.point, caches.size());
-            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 2);
+            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 5);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
