--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -586,16 +586,13 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        private static final double[] LEAST_LEVEL = {2, 0};
-        private static final double[] RELIEVED = {3, 1.1};
-        private static final double[] EASE = {3, 0};
-        private static final double UNEVEN = 1.3;
-        private static final double MOST_TIMES = 8;
-        private static final double[] JAMMED = {3, 2.2};
+        /** Of all and of excess: least bound, mark of a jam and of its end, ease of a small bound. */
+        private static final double[] LEAST = {2, 0}, JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
+        private static final double UNEVEN = 1.3, MOST_TIMES = 8;
         private final double[] quotas, tokens;
         private final double excessBenefit;
         private final long advice;
-        /** Bounds on ops in flight, of all and of excess ones; how many times its usual span a push takes. */
+        /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
         private final double[] levels = {200, 200};
         private double stretch;
         private final boolean[] jammed = new boolean[2];
@@ -639,9 +636,11 @@
                 double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
-                    levels[i] = Math.max(LEAST_LEVEL[i], Math.min(levels[i], used + 1) * 0.9);
+                    levels[i] = Math.max(LEAST[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 + levels[i] * 0.05;
+                } else if (levels[i] > Math.max(6 * used, 4 * ring.caches.size())) {
+                    levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
         }
