Parts change one another only by notes; odd settings tested

A read of the module as an auditor would: the gate's and the origin's direct changes are notes now, rule 4 no longer holds back a restarted origin, settings without categories are taken as at-most-once.

--- a/src/main/java/cairnbridge/adapter/WireSettings.java
+++ b/src/main/java/cairnbridge/adapter/WireSettings.java
@@ -78,6 +78,10 @@
                     tenths(number(c, "target-latency-s", ttl)), number(c, "aim-stretch", 0), tenths(ttl),
                     number(c, "benefit", 1), number(c, "overdue-benefit", 0), flag(c, "stream")));
         }
+        if (result.isEmpty()) {
+            long ttl = tenths(TTL_DEFAULT_S);
+            result.add(new Category(Effect.AT_MOST_ONCE, Group.CELL, 0, ttl, 0, ttl, 1, 0, false));
+        }
         return result;
     }
 
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -15,6 +15,7 @@
  *
  * <p>Ordinary path: the desk asks the ring to place an op; an Offer walks the ring clockwise from the key's
  * point and the first node under its cap takes it; the gate pushes it. All times are tenths of a millisecond.
+ * Parts read one another's figures, but change them only by notes.
  */
 public final class Router {
     private static final long SECOND = 10_000;
@@ -22,14 +23,10 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
-    private static final double HOT = 0.5;
-    private static final double WELL = 0.9;
-    private static final double CALM = 1.8;
-    private static final double LEAST_SHARE = 0.05;
+    private static final double HOT = 0.5, WELL = 0.9, CALM = 1.8, LEAST_SHARE = 0.05;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
-    private static final double RETRY_SHARE = 0.1;
-    private static final double RETRY_BURST = 10;
+    private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
 
     private final Host host;
     private final RandomGenerator chance;
@@ -355,7 +352,7 @@
         @Override void take(Note note) {
             switch (note.what) {
                 case OFFER -> weigh((Offer) note);
-                case FALLBACK -> accept(note.op);
+                case TAKE -> accept(note.op);
                 case BEAT -> share = Math.min(1, share * 1.005 + 0.001);
                 case GHOST_GONE -> ghosts = Math.max(0, ghosts - 1);
                 default -> {
@@ -388,7 +385,7 @@
             if (next != null) {
                 post(next, offer);
             } else if (offer.least != null) {
-                post(offer.least, new Note(What.FALLBACK, offer.op));
+                post(offer.least, new Note(What.TAKE, offer.op));
             } else {
                 post(desk, new Note(What.STUCK, offer.op));
             }
@@ -396,7 +393,7 @@
 
         private void accept(Op op) {
             count(1);
-            post(gate, new Note(What.SEND, op, this, null, null, 0));
+            post(gate, new Note(What.SEND, op, this, null, null, origin.is(this) ? 1 : 0));
         }
 
         private void count(int change) {
@@ -533,8 +530,7 @@
                 }
                 inFlight++;
                 op.waiting = false;
-                node.inFlight++;
-                post(gate, new Note(What.SEND, op, node, null, null, 1));
+                post(node, new Note(What.TAKE, op));
             }
         }
 
@@ -696,6 +692,7 @@
                 case ADMITTED -> route(op);
                 case SENT -> sent(op, note.push);
                 case IMPATIENT -> impatient(op, note.push);
+                case FINISH -> finish(op);
                 case STUCK, GIVE_UP -> {
                     if (op.open == 0) {
                         post(gate, new Note(What.GIVE_UP, op, null, null, null, Math.max(BEAT, note.number)));
@@ -816,7 +813,7 @@
             }
         }
 
-        void finish(Op op) {
+        private void finish(Op op) {
             op.over = true;
             if (op.waiting) {
                 post(origin, new Note(What.FORGET, op));
@@ -824,7 +821,7 @@
             if (op.open == 0) {
                 ops.remove(op.id);
             }
-            gate.callOff(op);
+            post(gate, new Note(What.CALL_OFF, op));
         }
     }
 
@@ -850,10 +847,10 @@
         }
 
         @Override void take(Note note) {
-            if (note.what == What.SEND) {
-                send(note.op, note.node, note.number == 1);
-            } else {
-                answer(note.op, note.what == What.EXPIRE ? maxAdvice : note.number);
+            switch (note.what) {
+                case SEND -> send(note.op, note.node, note.number == 1);
+                case CALL_OFF -> callOff(note.op);
+                default -> answer(note.op, note.what == What.EXPIRE ? maxAdvice : note.number);
             }
         }
 
@@ -885,7 +882,7 @@
 
         /** Rule 2 for deduplicated ops (group and span), rule 3 (drains), rule 4 (cold nodes). */
         private boolean mayPushTo(Op op, Node node) {
-            if (node.state != State.READY || !coldRoom(node)) {
+            if (node.state != State.READY || !origin.is(node) && !coldRoom(node)) {
                 return false;
             }
             if (op.plan.effect() != Effect.DEDUPLICATED) {
@@ -920,10 +917,11 @@
             } else {
                 host.deadLetter(op.id);
             }
-            desk.finish(op);
+            op.over = true;
+            post(desk, new Note(What.FINISH, op));
         }
 
-        void callOff(Op op) {
+        private void callOff(Op op) {
             for (int i = 0; mayCancel && op.open > 0 && i < op.pushes.size(); i++) {
                 // An at-most-once op may still be carried out: calling it off would help nobody.
                 if (op.pushes.get(i).open && op.plan.effect() == Effect.REDELIVERABLE) {
--- a/src/test/java/cairnbridge/adapter/AdapterTest.java
+++ b/src/test/java/cairnbridge/adapter/AdapterTest.java
@@ -32,6 +32,16 @@
         assertTrue(lines[2].contains("[\"ATTEMPT\",3,2025963407446468,77,"), lines[2]);
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"{}", "{\"domain\":{\"mode\":\"aside\"}}",
+        "{\"registry-mode\":\"subscribe\",\"tenants\":[{}],\"rules\":{\"cold-from\":0,\"warm-up-s\":99}}"})
+    void oddSettingsGiveAnAnswerAndNoFault(String params) throws Exception {
+        String reply = answer("{\"clock-s\":1,\"events\":[[\"START\",0,1," + params + "],[\"POOL\",0,[]],"
+                + "[\"MEMBERSHIP\",0,0,1,0],[\"ORDER\",0,5,0,0,null,1.5,null,null,null,true]]}\n");
+        assertTrue(reply.contains("[\"PUSH_BACK\",0,5,"), reply);
+        assertEquals(params.contains("subscribe"), reply.contains("[\"TAIL\",0,true]"), reply);
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "{\"clock-s\":1,\"events\":[[\"HELLO\",1]]} | unknown message HELLO",
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -11,6 +11,7 @@
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Event.State;
 import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Settings.Effect;
 import cairnbridge.decision.Settings.Group;
@@ -226,6 +227,7 @@
         FakeHost host = new FakeHost(Effect.AT_MOST_ONCE).listed(2);
         host.tell(new Event.TimerFired(new TimerId(12345)));
         host.tell(new Event.OpDropped(new OpId(99)));
+        host.tell(new Event.PeerSaid(new PeerId(7), new byte[] {1, 2, 3}));
         host.op(1, 5, SECOND).ends(Ending.ACKED, 5);
         host.ends(host.pushes.get(0), Ending.ERROR, 5);
         host.tell(new Event.OpDropped(new OpId(1)));
