--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -307,6 +307,7 @@
         long started;
         int slot = -1;
         private int inFlight, ghosts, badRun;
+        private boolean counted;
         /** The part of what it is offered that the node takes; falls while its ends are late. */
         private double share = 1;
         private int sentInWindow;
@@ -332,10 +333,7 @@
 
         /** A new start forgets what the old process did wrong. */
         private void clear() {
-            if (badRun >= SUSPECT_AFTER) {
-                post(ring, new Note(What.SUSPECTS, -1));
-            }
-            badRun = 0;
+            well();
             ghosts = 0;
         }
 
@@ -409,19 +407,17 @@
                 share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share * 1.03);
             }
             switch (ended.ending()) {
-                case ACKED, MISS -> {
-                    if (badRun >= SUSPECT_AFTER) {
-                        post(ring, new Note(What.SUSPECTS, -1));
-                    }
-                    badRun = 0;
-                }
+                case ACKED, MISS -> well();
                 case CALLED_OFF -> haunt(Math.max(ended.took(), BEAT / 2));
                 case NEVER_SENT -> {
                 }
                 default -> {
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
-                    if (++badRun == SUSPECT_AFTER) {
+                    badRun++;
+                    // Guards against a cut network: no connection speaks for itself and calls for no distrust.
+                    if (badRun >= SUSPECT_AFTER && !counted && ended.ending() != Ending.NO_CONNECTION) {
+                        counted = true;
                         post(ring, new Note(What.SUSPECTS, 1));
                     }
                     haunt((BEAT / 2) << Math.min(badRun, MOST_DOUBLINGS));
@@ -429,6 +425,14 @@
             }
         }
 
+        private void well() {
+            if (counted) {
+                post(ring, new Note(What.SUSPECTS, -1));
+            }
+            counted = false;
+            badRun = 0;
+        }
+
         private void haunt(long spell) {
             ghosts++;
             wake(this, spell, new Note(What.GHOST_GONE, 0));
@@ -795,18 +799,18 @@
                 op.missedAt = op.missedAt == null ? push.node : op.missedAt;
                 post(origin, new Note(What.WANT, op));
             } else {
-                again(op, push);
+                again(op, push, event.ending() == Ending.NO_CONNECTION ? 0 : 1);
             }
         }
 
-        /** A push ended without an answer: try elsewhere if the rules and the time allow, else say so. */
-        private void again(Op op, Push push) {
+        /** A push ended without an answer: try elsewhere if rules, time and budget allow, else say so. */
+        private void again(Op op, Push push, int cost) {
             if (op.open > 0 || op.waiting) {
                 return;
             }
             boolean time = op.expires - now - margin > op.plan.hits().quantile(0.25, 0);
-            if (time && retries >= 1 && gate.mayPush(op)) {
-                retries--;
+            if (time && retries >= cost && gate.mayPush(op)) {
+                retries -= cost;
                 post(push.fetch ? origin : ring, new Note(push.fetch ? What.WANT : What.PLACE, op));
             } else {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, BEAT));
