--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -213,6 +213,22 @@
         assertEquals(home, host.op(op, 5, SECOND).lastNode(), "one trial op");
     }
 
+    @Test
+    void aCutNetworkIsRoutedAroundThoughItTakesMostCaches() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(5);
+        long op = 0;
+        for (; op < 150; op++) {
+            host.op(op, op, SECOND);
+            while (host.lastNode() > 2 && host.answers.isEmpty()) {
+                host.ends(Ending.NO_CONNECTION, 20);
+            }
+            host.ends(Ending.ACKED, 20);
+        }
+        assertTrue(host.answers.isEmpty(), "each op found one of the two caches within reach");
+        long lost = host.pushes.stream().filter(p -> p.node() > 2).count();
+        assertTrue(lost < 60, lost + " pushes were sent to caches out of reach");
+    }
+
     @Test
     void aGivenUpOpIsAnsweredInTheSameBreath() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE);
