--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -20,6 +20,8 @@
 public final class Router {
     private static final long SECOND = 10_000;
     private static final long BEAT = SECOND / 10;
+    /** The longest retry-after that the settings allow; the gate cuts it to that. */
+    private static final long LONGEST = Long.MAX_VALUE;
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
@@ -312,7 +314,6 @@
         private double share = 1;
         private int sentInWindow;
         private long windowEnds;
-        private double sendRate;
 
         Node(NodeId id) {
             this.id = id;
@@ -391,12 +392,12 @@
 
         private void accept(Op op) {
             count(1);
-            post(gate, new Note(What.SEND, op, this, null, null, origin.is(this) ? 1 : 0));
+            post(gate, new Note(What.SEND, op, this, null, null, 0));
         }
 
         private void count(int change) {
             inFlight += change;
-            if (slot >= 0 || !origin.is(this)) {
+            if (!origin.is(this)) {
                 post(ring, new Note(What.LOAD, change));
             }
         }
@@ -415,7 +416,7 @@
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
                     badRun++;
-                    // Guards against a cut network: no connection speaks for itself and calls for no distrust.
+                    // Guards against a cut network: no connection is proof enough and calls for no distrust.
                     if (badRun >= SUSPECT_AFTER && !counted && ended.ending() != Ending.NO_CONNECTION) {
                         counted = true;
                         post(ring, new Note(What.SUSPECTS, 1));
@@ -449,7 +450,6 @@
         private final boolean aside;
         private final MachineKind kind;
         private final Limit limit = new Limit();
-        private final Spans times = new Spans();
         private final List<Op> queue = new ArrayList<>();
         private final Map<KeyId, Fetch> fetches = new HashMap<>();
         private List<Node> members = List.of();
@@ -521,17 +521,9 @@
                 }
             }
             while (inFlight < Math.floor(limit.level) && !queue.isEmpty() && !members.isEmpty()) {
-                int best = 0;
-                for (int i = 1; i < queue.size(); i++) {
-                    if (queue.get(i).benefit > queue.get(best).benefit) {
-                        best = i;
-                    }
-                }
-                Op op = queue.remove(best);
-                Node node = members.get(0);
-                for (Node other : members) {
-                    node = other.inFlight < node.inFlight ? other : node;
-                }
+                Op op = Collections.max(queue, Comparator.comparingDouble(each -> each.benefit));
+                queue.remove(op);
+                Node node = Collections.min(members, Comparator.comparingInt(each -> each.inFlight));
                 inFlight++;
                 op.waiting = false;
                 post(node, new Note(What.TAKE, op));
@@ -547,9 +539,6 @@
         private void ended(Op op, Event.PushEnded ended) {
             inFlight--;
             boolean acked = ended.ending() == Ending.ACKED;
-            if (acked) {
-                times.add(ended.took());
-            }
             // Guards against feeding a slowed origin ops that run out of time there: time-outs count too.
             if (acked || ended.ending() == Ending.TIMED_OUT) {
                 typical += (ended.took() - typical) / 8.0;
@@ -591,7 +580,6 @@
         private static final double UNEVEN = 1.3, MOST_TIMES = 8;
         private final double[] quotas, tokens;
         private final double excessBenefit;
-        private final long advice;
         /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
         private final double[] levels = {200, 200};
         private double stretch;
@@ -607,7 +595,6 @@
                 tokens[i] = quotas[i] * SECOND;
             }
             excessBenefit = settings.excessBenefit();
-            advice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
             filledAt = now;
         }
 
@@ -651,7 +638,7 @@
                 op.benefit *= excessBenefit;
             }
             if (ring.inFlight >= levels[excess ? 1 : 0]) {
-                post(gate, new Note(What.GIVE_UP, op, null, null, null, advice));
+                post(gate, new Note(What.GIVE_UP, op, null, null, null, LONGEST));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
             }
@@ -677,14 +664,13 @@
     private final class OpDesk extends Part {
         private final Plan[] plans;
         private final Map<OpId, Op> ops = new HashMap<>();
-        private final boolean secondCopies, mustSubscribe;
+        private final boolean mustSubscribe;
         private final long margin;
         private double retries = RETRY_BURST;
         private boolean begun;
 
         OpDesk(Settings settings) {
             plans = settings.categories().stream().map(Plan::of).toArray(Plan[]::new);
-            secondCopies = settings.maySecondCopy();
             mustSubscribe = settings.mustSubscribe();
             margin = 2 * settings.tick();
         }
@@ -746,7 +732,7 @@
                 post(gate, new Note(What.GIVE_UP, op));
                 return;
             }
-            wake(this, op.expires - now - margin, new Note(What.EXPIRE, op));
+            wake(this, op.expires - now - margin, new Note(What.EXPIRE, op, null, null, null, LONGEST));
             post(admission, new Note(What.ASK, op));
         }
 
@@ -757,7 +743,7 @@
 
         /** When a push outlasts nearly all others of its category, a second copy may go elsewhere. */
         private void sent(Op op, Push push) {
-            if (push.fetch || !secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
+            if (push.fetch || !gate.secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
                 return;
             }
             long patience = 2 * op.plan.hits().quantile(0.95, op.plan.target() / 4);
@@ -852,13 +838,14 @@
 
         @Override void take(Note note) {
             switch (note.what) {
-                case SEND -> send(note.op, note.node, note.number == 1);
+                case SEND -> send(note.op, note.node);
                 case CALL_OFF -> callOff(note.op);
-                default -> answer(note.op, note.what == What.EXPIRE ? maxAdvice : note.number);
+                default -> answer(note.op, note.number);
             }
         }
 
-        private void send(Op op, Node node, boolean fetch) {
+        private void send(Op op, Node node) {
+            boolean fetch = origin.is(node);
             if (!mayPush(op) || !mayPushTo(op, node)) {
                 post(node, new Note(What.VETOED, op));
                 if (fetch) {
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -98,6 +98,14 @@
         return this;
     }
 
+    /** Ops from one id up to another, each for a key of its own and acked after the same span. */
+    FakeHost acks(long from, long to, long took) {
+        for (long id = from; id < to; id++) {
+            op(id, id, SECOND).ends(Ending.ACKED, took);
+        }
+        return this;
+    }
+
     FakeHost pass(long span) {
         long end = clock + span;
         while (!timers.isEmpty() && timers.keySet().iterator().next() <= end) {
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -124,12 +124,8 @@
 
     @Test
     void aCrowdOfLateAnswersIsMetByPromptNacks() {
-        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
-        long op = 0;
-        for (; op < 200; op++) {
-            host.op(op, op, SECOND).ends(Ending.ACKED, 30);
-        }
-        for (; op < 300; op++) {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4).acks(0, 200, 30);
+        for (long op = 200; op < 300; op++) {
             host.op(op, op, SECOND);
             if (op % 5 == 0) {
                 host.ends(Ending.ACKED, SECOND / 4);
@@ -142,12 +138,8 @@
     void anOpThatCannotMakeItInTheOriginsQueueIsAnsweredAtOnce() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
         host.write = true;
-        long op = 0;
-        for (; op < 40; op++) {
-            host.op(op, op, SECOND).ends(Ending.ACKED, 2000);
-        }
-        host.answers.clear();
-        for (; op < 240; op++) {
+        host.acks(0, 40, 2000).answers.clear();
+        for (long op = 40; op < 240; op++) {
             host.op(op, op, SECOND);
         }
         assertTrue(host.answers.size() > 100, "only " + host.answers.size() + " of 200 answered at once");
@@ -163,16 +155,9 @@
 
     @Test
     void aColdNodeGetsAShareOfWhatWarmOnesGet() {
-        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(3);
-        int op = 0;
-        for (; op < 600; op++) {
-            host.op(op, op, SECOND).ends(Ending.ACKED, 50);
-        }
-        host.changed(entry(4, State.READY, host.clock));
-        host.pushes.clear();
-        for (; op < 800; op++) {
-            host.op(op, op, SECOND).ends(Ending.ACKED, 50);
-        }
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(3).acks(0, 600, 50);
+        host.changed(entry(4, State.READY, host.clock)).pushes.clear();
+        host.acks(600, 800, 50);
         long cold = host.pushes.stream().filter(p -> p.node() == 4).count();
         assertTrue(cold > 0 && cold < 25, "got " + cold + " of 200");
     }
