--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -92,4 +92,10 @@
             this.fetch = fetch;
         }
     }
+
+    /** One fetch of a key from the origin: who leads it, and who waits for what it brings. */
+    static final class Fetch {
+        final List<Op> followers = new ArrayList<>(2);
+        Op leader;
+    }
 }
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -109,8 +109,8 @@
         final boolean trusting, hot;
         private final Ring ring;
         private final Node first;
-        private final boolean[] seen;
-        private int at, left, nearLeft;
+        private final BitSet seen;
+        private int at, left, nearLeft, unseen;
         private boolean begun, near;
         Node least;
         double leastLoad = Double.MAX_VALUE;
@@ -126,34 +126,35 @@
             // its walk takes a lap over the zone's own caches that answer in time before the ordinary one.
             near = hot && ring.zoneWellCount > 0;
             nearLeft = ring.zoneWellCount;
-            seen = new boolean[ring.caches.size()];
-            left = ring.points.length;
-            at = ring.indexOf(op.point);
+            seen = new BitSet(ring.owners.size());
+            left = ring.points.size();
+            unseen = ring.caches;
+            at = ring.points.indexOf(op.point);
         }
 
         Node next() {
             if (!begun) {
                 begun = true;
                 if (first != null && first.slot >= 0 && first.state == State.READY) {
-                    seen[first.slot] = true;
+                    see(first);
                     return first;
                 }
             }
-            for (; left > 0; left--) {
+            for (; left > 0 && unseen > 0; left--) {
                 if (near && (left == 1 || nearLeft == 0)) {
                     near = false;
-                    left = ring.points.length;
+                    left = ring.points.size();
                 }
                 int here = at;
-                at = at + 1 == ring.points.length ? 0 : at + 1;
-                Node node = ring.owners[here];
-                if (near && (seen[node.slot] || !node.zone.equals(ring.zone) || node.share < WELL)) {
+                at = at + 1 == ring.points.size() ? 0 : at + 1;
+                Node node = ring.owners.get(ring.points.slot(here));
+                if (near && (seen.get(node.slot) || !node.zone.equals(ring.zone) || node.share < WELL)) {
                     continue;
                 }
                 nearLeft -= near ? 1 : 0;
                 // A cold node's keys come back as it warms: points above its openness belong to the next.
-                if (!seen[node.slot] && ring.ranks[here] <= node.openness) {
-                    seen[node.slot] = true;
+                if (!seen.get(node.slot) && ring.points.rank(here) <= node.openness * node.points) {
+                    see(node);
                     if (!op.triedAt(node)) {
                         left--;
                         return node;
@@ -162,16 +163,22 @@
             }
             return null;
         }
+
+        private void see(Node node) {
+            seen.set(node.slot);
+            unseen--;
+        }
     }
 
     /** The points of all ready caches, the count in flight over them, and the members list. */
     private final class Ring extends Part {
-        private List<Node> caches = List.of();
-        private long[] points = {};
-        private Node[] owners = {};
-        private float[] ranks = {};
-        private double weights, smoothed;
-        private int inFlight, suspects, beats;
+        private final Points points = new Points();
+        /** By slot; a slot that fell free is used again. */
+        private final List<Node> owners = new ArrayList<>();
+        /** The caches that are cold or lately answered late: only they change from beat to beat. */
+        private final List<Node> restless = new ArrayList<>();
+        private double allWeights, weights, smoothed;
+        private int caches, zoneCaches, inFlight, suspects, beats;
         private final Heat heat = new Heat();
         private final ZoneId zone;
         private final boolean crossingCosts;
@@ -187,6 +194,7 @@
                 case PLACE -> place(note.op, note.node);
                 case LOAD -> inFlight += note.number;
                 case SUSPECTS -> suspects += note.number;
+                case RESTLESS -> restless.add(note.node);
                 case LISTED -> list((Event.Roster) note.event);
                 case SUBSCRIBE -> host.subscribe(true);
                 default -> beat();
@@ -195,13 +203,20 @@
 
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
-            weights = 0;
-            zoneWellCount = 0;
+            // Work at a beat must not grow with the fleet: many proxies see few ops each.
             boolean mayStayNear = crossingCosts && admission.stretch < CALM && origin.queue.isEmpty();
-            for (Node node : caches) {
-                zoneWellCount += mayStayNear && node.zone.equals(zone) && node.share >= WELL ? 1 : 0;
-                weights += node.weight * node.open();
-                post(node, new Note(What.BEAT, 0));
+            zoneWellCount = mayStayNear ? zoneCaches : 0;
+            weights = allWeights;
+            for (int i = restless.size() - 1; i >= 0; i--) {
+                Node node = restless.get(i);
+                node.restless = node.slot >= 0 && (node.open() < 1 || node.share < 1);
+                if (node.restless) {
+                    weights -= node.weight * (1 - node.openness);
+                    zoneWellCount -= mayStayNear && node.zone.equals(zone) && node.share < WELL ? 1 : 0;
+                    post(node, new Note(What.BEAT, 0));
+                } else {
+                    restless.remove(i);
+                }
             }
             post(admission, new Note(What.BEAT, inFlight));
             if (++beats % 40 == 0) {
@@ -212,13 +227,13 @@
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             // Guards against condemning the fleet for what is the path's or the origin's fault.
-            boolean trusting = suspects * 2 <= caches.size();
-            double shares = heat.shares(op.point, caches.size());
+            boolean trusting = suspects * 2 <= caches;
+            double shares = heat.shares(op.point, caches);
             Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 5);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
-            int spread = Math.min(caches.size(), (int) Math.ceil(shares / HOT));
+            int spread = Math.min(caches, (int) Math.ceil(shares / HOT));
             for (int skip = spread > 1 && first == null ? chance.nextInt(spread) : 0; skip > 0; skip--) {
                 Node next = offer.next();
                 node = next == null ? node : next;
@@ -230,15 +245,8 @@
             }
         }
 
-        int indexOf(long point) {
-            int found = Arrays.binarySearch(points, point);
-            int at = found >= 0 ? found : -found - 1;
-            return at >= points.length ? 0 : at;
-        }
-
         private void list(Event.Roster roster) {
             if (roster.scope() == Scope.FAILED) {
-                // A spread of waits, so that all proxies do not ask a struggling registry at once.
                 wake(this, BEAT + chance.nextLong(SECOND), new Note(What.SUBSCRIBE, 0));
                 return;
             }
@@ -258,40 +266,45 @@
             build();
         }
 
+        /** Brings points, slots and weights in line with the list; nodes that stay keep their points. */
         private void build() {
-            List<Node> found = new ArrayList<>();
+            BitSet gone = new BitSet();
             double sizes = 0;
+            caches = 0;
+            zoneCaches = 0;
+            int fresh = 0;
             for (Node node : nodes.values()) {
-                node.slot = -1;
-                if (node.state == State.READY && !origin.is(node)) {
-                    found.add(node);
-                    sizes += node.size;
+                boolean on = node.state == State.READY && !origin.is(node);
+                // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
+                int wanted = on ? (int) Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size))) : 0;
+                if (wanted != node.points && node.slot >= 0) {
+                    gone.set(node.slot);
+                    owners.set(node.slot, null);
+                    node.slot = -1;
                 }
+                fresh += node.slot < 0 ? wanted : 0;
+                node.points = wanted;
+                sizes += on ? node.size : 0;
+                caches += on ? 1 : 0;
+                zoneCaches += on && node.zone.equals(zone) ? 1 : 0;
             }
-            List<long[]> marks = new ArrayList<>();
-            for (Node node : found) {
-                node.weight = sizes > 0 ? node.size * found.size() / sizes : 1;
-            }
-            for (int slot = 0; slot < found.size(); slot++) {
-                Node node = found.get(slot);
-                node.slot = slot;
-                // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
-                int count = (int) Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size)));
-                for (int i = 0; i < count; i++) {
-                    marks.add(new long[] {Op.mix(Op.mix(node.id.value()) + i), slot, i, count});
+            long[] marks = new long[fresh];
+            for (Node node : nodes.values()) {
+                node.weight = sizes > 0 ? node.size * caches / sizes : 1;
+                if (node.points > 0 && node.slot < 0) {
+                    if (!owners.contains(null)) {
+                        owners.add(null);
+                    }
+                    node.slot = owners.indexOf(null);
+                    owners.set(node.slot, node);
+                    for (int i = 0; i < node.points; i++) {
+                        marks[--fresh] = Points.mark(Op.mix(Op.mix(node.id.value()) + i), node.slot, i);
+                    }
+                    node.stir();
                 }
             }
-            marks.sort(Comparator.<long[]>comparingLong(m -> m[0]).thenComparingLong(m -> m[1]));
-            points = new long[marks.size()];
-            owners = new Node[marks.size()];
-            ranks = new float[marks.size()];
-            for (int i = 0; i < points.length; i++) {
-                long[] mark = marks.get(i);
-                points[i] = mark[0];
-                owners[i] = found.get((int) mark[1]);
-                ranks[i] = (float) mark[2] / mark[3];
-            }
-            caches = found;
+            points.change(gone, marks);
+            allWeights = caches;
             post(origin, new Note(What.MEMBERS, 0));
             beat();
         }
@@ -307,7 +320,8 @@
         CellId cell;
         double size = 1, weight = 1, openness = 1;
         long started;
-        int slot = -1;
+        int slot = -1, points;
+        boolean restless;
         private int inFlight, ghosts, badRun;
         private boolean counted;
         /** The part of what it is offered that the node takes; falls while its ends are late. */
@@ -328,16 +342,12 @@
             size = entry.size() > 0 ? entry.size() : 1;
             if (entry.started() != started) {
                 started = entry.started();
-                clear();
+                well(); // A new start forgets what the old process did wrong.
+                ghosts = 0;
+                stir();
             }
         }
 
-        /** A new start forgets what the old process did wrong. */
-        private void clear() {
-            well();
-            ghosts = 0;
-        }
-
         /** The share of its capacity that a node is sure to have by now, from 0 to 1. */
         double open() {
             openness = gate.warmth(this);
@@ -363,6 +373,13 @@
             }
         }
 
+        private void stir() {
+            if (!restless && slot >= 0) {
+                restless = true;
+                post(ring, new Note(What.RESTLESS, null, this, null, null, 0));
+            }
+        }
+
         private void weigh(Offer offer) {
             boolean suspect = offer.trusting && badRun >= SUSPECT_AFTER;
             double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
@@ -406,12 +423,12 @@
             if (ended.ending() != Ending.NEVER_SENT) {
                 boolean late = ended.took() > op.plan.late() || ended.ending() == Ending.FULL;
                 share = late ? Math.max(LEAST_SHARE, share * 0.85) : Math.min(1, share * 1.03);
+                stir();
             }
             switch (ended.ending()) {
                 case ACKED, MISS -> well();
                 case CALLED_OFF -> haunt(Math.max(ended.took(), BEAT / 2));
-                case NEVER_SENT -> {
-                }
+                case NEVER_SENT -> { }
                 default -> {
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
@@ -442,11 +459,6 @@
 
     /** The shared store behind the caches: off the ring, with its own limit and a short queue. */
     private final class Origin extends Part {
-        private static final class Fetch {
-            final List<Op> followers = new ArrayList<>(2);
-            Op leader;
-        }
-
         private final boolean aside;
         private final MachineKind kind;
         private final Limit limit = new Limit();
@@ -626,7 +638,7 @@
                     levels[i] = Math.max(LEAST[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 + levels[i] * 0.05;
-                } else if (levels[i] > Math.max(6 * used, 4 * ring.caches.size())) {
+                } else if (levels[i] > Math.max(6 * used, 4 * ring.caches)) {
                     levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -15,6 +15,7 @@
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Settings.Effect;
 import cairnbridge.decision.Settings.Group;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +59,26 @@
         }
     }
 
+    @Test
+    void aFleetThatDoublesHalvesAndComesBackKeepsItsHomes() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(300);
+        List<Long> before = homes(host, 0);
+        host.listed(600);
+        List<Long> grown = homes(host, 1000);
+        assertTrue(grown.stream().allMatch(n -> n > 300 || before.contains(n)));
+        host.listed(300);
+        assertEquals(before, homes(host, 2000), "points of nodes that stay do not move");
+    }
+
+    private static List<Long> homes(FakeHost host, long firstOp) {
+        List<Long> homes = new ArrayList<>();
+        for (long key = 0; key < 100; key++) {
+            homes.add(host.op(firstOp + key, key, SECOND).lastNode());
+            host.ends(Ending.ACKED, 1);
+        }
+        return homes;
+    }
+
     @ParameterizedTest
     @EnumSource(Effect.class)
     void anOpNobodyAnswersIsAnsweredOnceBeforeItsTtl(Effect effect) {
