--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -326,7 +326,7 @@
         private boolean counted;
         /** The part of what it is offered that the node takes; falls while its ends are late. */
         private double share = 1;
-        private int sentInWindow;
+        private int coldLeft;
         private long windowEnds;
 
         Node(NodeId id) {
@@ -940,7 +940,7 @@
             return coldFrom + (1 - coldFrom) * Math.max(0, now - node.started) / warmUp;
         }
 
-        /** Rule 4: within one span a cold node gets no more than its share of what a warm one is sent. */
+        /** Rule 4: a cold node gets no more than its share of a warm one's; part of an op is a chance. */
         boolean coldRoom(Node node) {
             double warmth = warmth(node);
             if (warmth >= 1) {
@@ -948,9 +948,9 @@
             }
             if (now >= node.windowEnds) {
                 node.windowEnds = now + fallSpan;
-                node.sentInWindow = 0;
+                node.coldLeft = (int) (coldBudget * warmth * sentToWarm() * node.weight + chance.nextDouble());
             }
-            return node.sentInWindow < Math.max(1, coldBudget * warmth * sentToWarm() * node.weight);
+            return node.coldLeft > 0;
         }
 
         private double sentToWarm() {
@@ -964,7 +964,7 @@
         }
 
         private void spend(Node node) {
-            node.sentInWindow++;
+            node.coldLeft--;
             if (node.slot >= 0 && warmth(node) >= 1) {
                 warmSends++;
             }
