Sparse proxies: bounds under one are chances, old samples give way, a tenant's bucket holds five ops

Cause: with hundreds of proxies every least of a proxy summed up, averages lagged by many seconds, small tenants never reached one token and hot keys were never seen.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -32,18 +32,18 @@
 
     private final Host host;
     private final RandomGenerator chance;
-    private final ArrayDeque<Part> ready = new ArrayDeque<>();
-    private final Map<Long, Wake> wakes = new HashMap<>();
+    private final Loop loop;
     private final Map<NodeId, Node> nodes = new TreeMap<>(Comparator.comparingLong(NodeId::value));
     private final Ring ring;
     private final Origin origin;
     private final Admission admission;
     private final OpDesk desk;
     private final Gate gate;
-    private long now, lastTimer;
+    private long now;
 
     public Router(Settings settings, long seed, long clock, Host host) {
         this.host = host;
+        this.loop = new Loop(host);
         this.now = clock;
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.ring = new Ring(settings);
@@ -51,56 +51,72 @@
         this.origin = new Origin(settings);
         this.admission = new Admission(settings);
         this.desk = new OpDesk(settings);
+        wake(desk, BEAT, new Note(What.BEAT, 0));
+        if (settings.mustSubscribe()) {
+            host.subscribe(true);
+        }
     }
 
     /** The one loop: an event becomes notes, and notes are handed out until every inbox is empty. */
     public void handle(long clock, Event event) {
         now = Math.max(now, clock);
-        desk.begin();
         if (event instanceof Event.TimerFired fired) {
-            Wake wake = wakes.remove(fired.timer().value());
-            if (wake != null) {
-                post(wake.to, wake.note);
-            }
+            loop.fired(fired.timer());
         } else if (event instanceof Event.Roster) {
             post(ring, new Note(What.LISTED, event));
         } else {
             post(desk, new Note(What.EVENT, event));
         }
-        for (Part part = ready.poll(); part != null; part = ready.poll()) {
-            part.take(part.inbox.poll());
-        }
+        loop.empty();
     }
 
-    private record Wake(Part to, Note note) { }
-
     private void post(Part to, Note note) {
-        to.inbox.add(note);
-        ready.add(to);
+        loop.post(to, note);
     }
 
     private void wake(Part to, long in, Note note) {
-        wakes.put(++lastTimer, new Wake(to, note));
-        host.timer(Math.max(1, in), new TimerId(lastTimer));
+        loop.wake(to, in, note);
+    }
+
+    /** The part that a new sample has in an average of so many: more, where the one before is old. */
+    private static double freshness(long gap, double samples) {
+        return Math.min(0.5, Math.max(1 / samples, (double) gap / SECOND));
     }
 
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
-        private static final double LEAST = 2;
+        private final double least;
         private double level = 16, late;
-        private long cutAt;
+        private long cutAt, endedAt;
+
+        Limit(double least) {
+            this.least = least;
+        }
 
         /** One late end proves nothing where work is uneven, so a smoothed share of them decides. */
         void ended(boolean wasLate, int inFlight) {
-            late += ((wasLate ? 1 : 0) - late) / 16;
+            long gap = now - endedAt;
+            endedAt = now;
+            late += ((wasLate ? 1 : 0) - late) * freshness(gap, 16);
             if (late < LATE_SHARE && !wasLate && inFlight + 2 > level) {
-                level += 1 / level;
+                level += Math.min(1 / level, 0.1 + level / 2);
             } else if (late >= LATE_SHARE && wasLate && now - cutAt >= BEAT) {
+                // Guards against many proxies that each see a fetch now and then: each must cut further.
+                double beats = Math.max(1, Math.min(6, gap / BEAT));
                 cutAt = now;
-                level = Math.max(LEAST, Math.min(level, inFlight + 1) * 0.9);
+                level = Math.max(least, Math.min(level, inFlight + 1) * Math.pow(0.9, beats));
             }
         }
+
+        /** Under one at a time the level is a chance; it rises by itself, as few ends would show it. */
+        boolean lets() {
+            return level >= 1 || chance.nextDouble() < level;
+        }
+
+        void beat() {
+            level += level < 1 ? 0.005 : 0;
+        }
     }
 
     /** One walk clockwise over the distinct nodes, carrying the cap and the least loaded node seen. */
@@ -148,7 +164,7 @@
                 int here = at;
                 at = at + 1 == ring.points.size() ? 0 : at + 1;
                 Node node = ring.owners.get(ring.points.slot(here));
-                if (near && (seen.get(node.slot) || !node.zone.equals(ring.zone) || node.share < WELL)) {
+                if (near && (seen.get(node.slot) || !node.entry.zone().equals(ring.zone) || node.share < WELL)) {
                     continue;
                 }
                 nearLeft -= near ? 1 : 0;
@@ -177,8 +193,8 @@
         private final List<Node> owners = new ArrayList<>();
         /** The caches that are cold or lately answered late: only they change from beat to beat. */
         private final List<Node> restless = new ArrayList<>();
-        private double allWeights, weights, smoothed;
-        private int caches, zoneCaches, inFlight, suspects, beats;
+        private double weights, smoothed;
+        private int caches, zoneCaches, inFlight, suspects;
         private final Heat heat = new Heat();
         private final ZoneId zone;
         private final boolean crossingCosts;
@@ -206,22 +222,19 @@
             // Work at a beat must not grow with the fleet: many proxies see few ops each.
             boolean mayStayNear = crossingCosts && admission.stretch < CALM && origin.queue.isEmpty();
             zoneWellCount = mayStayNear ? zoneCaches : 0;
-            weights = allWeights;
+            weights = caches;
             for (int i = restless.size() - 1; i >= 0; i--) {
                 Node node = restless.get(i);
                 node.restless = node.slot >= 0 && (node.open() < 1 || node.share < 1);
                 if (node.restless) {
                     weights -= node.weight * (1 - node.openness);
-                    zoneWellCount -= mayStayNear && node.zone.equals(zone) && node.share < WELL ? 1 : 0;
+                    zoneWellCount -= mayStayNear && node.entry.zone().equals(zone) && node.share < WELL ? 1 : 0;
                     post(node, new Note(What.BEAT, 0));
                 } else {
                     restless.remove(i);
                 }
             }
             post(admission, new Note(What.BEAT, inFlight));
-            if (++beats % 40 == 0) {
-                heat.halve();
-            }
         }
 
         private void place(Op op, Node first) {
@@ -252,17 +265,12 @@
             }
             if (roster.scope() != Scope.CHANGES) {
                 for (Node node : nodes.values()) {
-                    node.listed = false;
+                    node.state = State.GONE;
                 }
             }
             for (Entry entry : roster.entries()) {
                 nodes.computeIfAbsent(entry.node(), Node::new).enter(entry);
             }
-            for (Node node : nodes.values()) {
-                if (!node.listed) {
-                    node.state = State.GONE;
-                }
-            }
             build();
         }
 
@@ -286,7 +294,7 @@
                 node.points = wanted;
                 sizes += on ? node.size : 0;
                 caches += on ? 1 : 0;
-                zoneCaches += on && node.zone.equals(zone) ? 1 : 0;
+                zoneCaches += on && node.entry.zone().equals(zone) ? 1 : 0;
             }
             long[] marks = new long[fresh];
             for (Node node : nodes.values()) {
@@ -304,7 +312,6 @@
                 }
             }
             points.change(gone, marks);
-            allWeights = caches;
             post(origin, new Note(What.MEMBERS, 0));
             beat();
         }
@@ -314,10 +321,7 @@
     final class Node extends Part {
         final NodeId id;
         State state = State.GONE;
-        boolean listed;
-        MachineKind kind;
-        ZoneId zone;
-        CellId cell;
+        Entry entry;
         double size = 1, weight = 1, openness = 1;
         long started;
         int slot = -1, points;
@@ -334,11 +338,8 @@
         }
 
         void enter(Entry entry) {
-            listed = true;
+            this.entry = entry;
             state = entry.state();
-            kind = entry.kind();
-            zone = entry.zone();
-            cell = entry.cell();
             size = entry.size() > 0 ? entry.size() : 1;
             if (entry.started() != started) {
                 started = entry.started();
@@ -354,10 +355,6 @@
             return openness;
         }
 
-        double load(boolean trusting) {
-            return inFlight + (trusting ? ghosts : 0);
-        }
-
         @Override void take(Note note) {
             switch (note.what) {
                 case OFFER -> weigh((Offer) note);
@@ -383,7 +380,7 @@
         private void weigh(Offer offer) {
             boolean suspect = offer.trusting && badRun >= SUSPECT_AFTER;
             double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
-            double load = load(offer.trusting);
+            double load = inFlight + (offer.trusting ? ghosts : 0);
             boolean room = suspect ? load == 0 && offer.op.plan.effect() == Effect.REDELIVERABLE : load < cap;
             // Guards against a hot key met by many proxies: each has too few in flight to reach its cap, so a
             // node that answers late also declines by chance, hot keys first, and they go on clockwise.
@@ -461,7 +458,7 @@
     private final class Origin extends Part {
         private final boolean aside;
         private final MachineKind kind;
-        private final Limit limit = new Limit();
+        private final Limit limit;
         private final List<Op> queue = new ArrayList<>();
         private final Map<KeyId, Fetch> fetches = new HashMap<>();
         private List<Node> members = List.of();
@@ -469,12 +466,13 @@
         private int inFlight;
 
         Origin(Settings settings) {
+            limit = new Limit(Math.min(2, 6.0 / Math.max(1, settings.proxies())));
             aside = settings.aside();
             kind = settings.originKind();
         }
 
         boolean is(Node node) {
-            return aside && node.kind.equals(kind);
+            return aside && node.entry.kind().equals(kind);
         }
 
         /** A key being fetched is not asked for again meanwhile. */
@@ -495,7 +493,10 @@
                     members = new ArrayList<>(nodes.values());
                     members.removeIf(node -> node.state != State.READY || !is(node));
                 }
-                default -> typical -= inFlight == 0 ? typical * 0.05 : 0;
+                default -> {
+                    typical -= inFlight == 0 ? typical * 0.05 : 0;
+                    limit.beat();
+                }
             }
             pump();
         }
@@ -516,7 +517,7 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            if (op.useful - now <= typical * (1 + ahead / limit.level)) {
+            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets()) {
                 drop(op);
             } else {
                 queue.add(op);
@@ -532,7 +533,7 @@
                     drop(op);
                 }
             }
-            while (inFlight < Math.floor(limit.level) && !queue.isEmpty() && !members.isEmpty()) {
+            while (inFlight < Math.max(1, Math.floor(limit.level)) && !queue.isEmpty() && !members.isEmpty()) {
                 Op op = Collections.max(queue, Comparator.comparingDouble(each -> each.benefit));
                 queue.remove(op);
                 Node node = Collections.min(members, Comparator.comparingInt(each -> each.inFlight));
@@ -553,7 +554,7 @@
             boolean acked = ended.ending() == Ending.ACKED;
             // Guards against feeding a slowed origin ops that run out of time there: time-outs count too.
             if (acked || ended.ending() == Ending.TIMED_OUT) {
-                typical += (ended.took() - typical) / 8.0;
+                typical += (ended.took() - typical) * freshness(now - limit.endedAt, 8);
             }
             if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
                 limit.ended(!acked || ended.took() > op.plan.target() / 2, inFlight);
@@ -588,23 +589,26 @@
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         /** Of all and of excess: least bound, mark of a jam and of its end, ease of a small bound. */
-        private static final double[] LEAST = {2, 0}, JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
-        private static final double UNEVEN = 1.3, MOST_TIMES = 8;
+        private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
+        private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
         private final double[] quotas, tokens;
         private final double excessBenefit;
         /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
-        private final double[] levels = {200, 200};
+        private final double[] levels = {200, 200}, least = {2, 0};
+        private final double proxies;
         private double stretch;
+        private long judgedAt;
         private final boolean[] jammed = new boolean[2];
         private long filledAt;
 
         Admission(Settings settings) {
+            proxies = Math.max(1, settings.proxies());
             quotas = new double[settings.tenants().size()];
             tokens = new double[quotas.length];
             for (int i = 0; i < quotas.length; i++) {
                 Tenant tenant = settings.tenants().get(i);
-                quotas[i] = UNEVEN * tenant.quota() / Math.max(1, settings.proxies()) / SECOND;
-                tokens[i] = quotas[i] * SECOND;
+                quotas[i] = UNEVEN * tenant.quota() / proxies / SECOND;
+                tokens[i] = depth(i);
             }
             excessBenefit = settings.excessBenefit();
             filledAt = now;
@@ -616,6 +620,8 @@
                 return;
             }
             int used = ring.inFlight;
+            // Guards against a least that crowds the caches, as many proxies each let it through.
+            least[0] = Math.min(2, 0.5 * ring.caches / proxies);
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
@@ -625,7 +631,8 @@
                 double base = Math.min(note.op.plan.hits().floor(), note.op.plan.target() / 6.0);
                 double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, ended.took() / base);
                 if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS) {
-                    stretch += (times - stretch) / 24;
+                    stretch += (times - stretch) * freshness(now - judgedAt, 24);
+                    judgedAt = now;
                 }
                 return;
             }
@@ -635,10 +642,10 @@
                 double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
-                    levels[i] = Math.max(LEAST[i], Math.min(levels[i], used + 1) * 0.9);
+                    levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 + levels[i] * 0.05;
-                } else if (levels[i] > Math.max(6 * used, 4 * ring.caches)) {
+                } else if (levels[i] > Math.max(6 * used, 16 * ring.caches / proxies)) {
                     levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
@@ -649,19 +656,25 @@
             if (excess) {
                 op.benefit *= excessBenefit;
             }
-            if (ring.inFlight >= levels[excess ? 1 : 0]) {
+            // Where the room is under one op a proxy, its fraction is a chance.
+            double level = levels[excess ? 1 : 0];
+            if (ring.inFlight >= Math.max(1, level) || level < 1 && level <= chance.nextDouble()) {
                 post(gate, new Note(What.GIVE_UP, op, null, null, null, LONGEST));
             } else {
                 post(desk, new Note(What.ADMITTED, op));
             }
         }
 
+        /** Guards against one proxy of many taking chance for excess: few ops a second come in small crowds. */
+        private double depth(int tenant) {
+            return Math.max(FEW_OPS, quotas[tenant] * SECOND);
+        }
         private boolean excess(int tenant) {
             if (tenant >= quotas.length || quotas[tenant] <= 0) {
                 return false;
             }
             for (int i = 0; i < tokens.length; i++) {
-                tokens[i] = Math.min(quotas[i] * SECOND, tokens[i] + quotas[i] * (now - filledAt));
+                tokens[i] = Math.min(depth(i), tokens[i] + quotas[i] * (now - filledAt));
             }
             filledAt = now;
             if (tokens[tenant] < 1) {
@@ -676,14 +689,11 @@
     private final class OpDesk extends Part {
         private final Plan[] plans;
         private final Map<OpId, Op> ops = new HashMap<>();
-        private final boolean mustSubscribe;
         private final long margin;
         private double retries = RETRY_BURST;
-        private boolean begun;
 
         OpDesk(Settings settings) {
             plans = settings.categories().stream().map(Plan::of).toArray(Plan[]::new);
-            mustSubscribe = settings.mustSubscribe();
             margin = 2 * settings.tick();
         }
 
@@ -713,16 +723,6 @@
             }
         }
 
-        void begin() {
-            if (!begun) {
-                begun = true;
-                post(this, new Note(What.BEAT, 0));
-                if (mustSubscribe) {
-                    post(ring, new Note(What.SUBSCRIBE, 0));
-                }
-            }
-        }
-
         private void told(Event event) {
             if (event instanceof Event.OpArrived arrived) {
                 arrived(arrived);
@@ -894,8 +894,8 @@
             for (Push push : op.pushes) {
                 boolean same = switch (op.plan.group()) {
                     case ALL -> true;
-                    case ZONE -> push.node.zone.equals(node.zone);
-                    case CELL -> push.node.cell.equals(node.cell);
+                    case ZONE -> push.node.entry.zone().equals(node.entry.zone());
+                    case CELL -> push.node.entry.cell().equals(node.entry.cell());
                 };
                 if (push.mayHaveRun && (!same || now - push.sent >= op.plan.span() - tick)) {
                     return false;
@@ -940,13 +940,14 @@
             return coldFrom + (1 - coldFrom) * Math.max(0, now - node.started) / warmUp;
         }
 
-        /** Rule 4: a cold node gets no more than its share of a warm one's; part of an op is a chance. */
+        /** Rule 4: within one span a cold node gets no more than its share of what a warm one is sent. */
         boolean coldRoom(Node node) {
             double warmth = warmth(node);
             if (warmth >= 1) {
                 return true;
             }
             if (now >= node.windowEnds) {
+                // Guards against hundreds of proxies with a least of one each: part of an op is a chance.
                 node.windowEnds = now + fallSpan;
                 node.coldLeft = (int) (coldBudget * warmth * sentToWarm() * node.weight + chance.nextDouble());
             }
--- a/src/main/java/cairnbridge/decision/Spans.java
+++ b/src/main/java/cairnbridge/decision/Spans.java
@@ -11,7 +11,7 @@
     void add(long span) {
         int bin = (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
         bins[bin]++;
-        if (++total % 32 == 0) {
+        if (++total % 32 == 0 || total == 8 || total == 16) {
             floor = Math.min(floor * 1.02, quantile(0.5, Long.MAX_VALUE));
         }
         if (total >= ENOUGH) {
