--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -589,7 +589,7 @@
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         /** Of all and of excess: least bound, mark of a jam and of its end, ease of a small bound. */
-        private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
+        private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {0.75, 0};
         private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
         private final double[] quotas, tokens;
         private final double excessBenefit;
@@ -621,7 +621,8 @@
             }
             int used = ring.inFlight;
             // Guards against a least that crowds the caches, as many proxies each let it through.
-            least[0] = Math.min(2, 0.5 * ring.caches / proxies);
+            double fair = ring.caches / proxies;
+            least[0] = Math.min(2, 0.5 * fair);
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
@@ -639,13 +640,13 @@
             for (int i = 0; i < levels.length; i++) {
                 // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
                 // A small bound bears more, so that proxies which share a jam come to share the room too.
-                double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
+                double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] * fair / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
                     levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 + levels[i] * 0.05;
-                } else if (levels[i] > Math.max(6 * used, 16 * ring.caches / proxies)) {
+                } else if (levels[i] > Math.max(6 * used, 16 * fair)) {
                     levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
