--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -589,7 +589,7 @@
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
         /** Of all and of excess: least bound, mark of a jam and of its end, ease of a small bound. */
-        private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {0.75, 0};
+        private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
         private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
         private final double[] quotas, tokens;
         private final double excessBenefit;
@@ -640,7 +640,7 @@
             for (int i = 0; i < levels.length; i++) {
                 // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
                 // A small bound bears more, so that proxies which share a jam come to share the room too.
-                double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] * fair / levels[i]);
+                double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
                     levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
