--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -25,7 +25,7 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
-    private static final double HOT = 0.5, WELL = 0.9, CALM = 1.8, LEAST_SHARE = 0.05, MOST_ENDS = 6;
+    private static final double HOT = 0.5, WELL = 0.9, CALM = 1.8, LEAST_SHARE = 0.05, MOST_ENDS = 12;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
@@ -421,7 +421,7 @@
                 boolean late = ended.took() > op.plan.late() || ended.ending() == Ending.FULL;
                 // Guards against many proxies that each see an end at this node now and then: each end of a
                 // proxy that sees few stands for those that others saw meanwhile.
-                double ends = Math.max(1, Math.min(MOST_ENDS, (now - judgedAt) * 2.0 / SECOND));
+                double ends = Math.max(1, Math.min(MOST_ENDS, (now - judgedAt) * 4.0 / SECOND));
                 judgedAt = now;
                 share = Math.max(LEAST_SHARE, Math.min(1, share * Math.pow(late ? 0.85 : 1.03, ends)));
                 stir();
