--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -763,7 +763,7 @@
             if (push.fetch || !gate.secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
                 return;
             }
-            long most = admission.stretch < CALM ? op.plan.target() / 2 : Long.MAX_VALUE;
+            long most = Math.max(op.plan.target() / 2, 5 * op.plan.hits().floor());
             long patience = Math.min(most, 2 * op.plan.hits().quantile(0.95, op.plan.target() / 4));
             if (op.expires - now > patience + op.plan.hits().quantile(0.5, 0)) {
                 wake(this, patience, new Note(What.IMPATIENT, op, push.node, push, null, 0));
