--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -110,8 +110,8 @@
         }
 
         /** Under one at a time the level is a chance; it rises by itself, as few ends would show it. */
-        boolean lets() {
-            return level >= 1 || chance.nextDouble() < level;
+        boolean lets(double worth) {
+            return level >= 1 || chance.nextDouble() < level * worth;
         }
 
         void beat() {
@@ -466,7 +466,7 @@
         private final List<Op> queue = new ArrayList<>();
         private final Map<KeyId, Fetch> fetches = new HashMap<>();
         private List<Node> members = List.of();
-        private double typical;
+        private double typical, usual = 1;
         private int inFlight;
 
         Origin(Settings settings) {
@@ -511,6 +511,7 @@
                 return;
             }
             op.waiting = true;
+            usual += (op.benefit - usual) / 16;
             if (!op.write && op.key != null) {
                 Fetch fetch = fetches.computeIfAbsent(op.key, k -> new Fetch());
                 if (fetch.leader != null && fetch.leader != op) {
@@ -521,7 +522,7 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets()) {
+            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(op.benefit / usual)) {
                 drop(op);
             } else {
                 queue.add(op);
@@ -561,7 +562,7 @@
                 typical += (ended.took() - typical) * freshness(now - limit.endedAt, 8);
             }
             if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
-                limit.ended(!acked || ended.took() > op.plan.target() / 2, inFlight);
+                limit.ended(!acked || ended.took() > op.plan.target(), inFlight);
             }
             settle(op, acked);
         }
