--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -15,6 +15,7 @@
     final KeyId key;
     final int tenant;
     final long point;
+    final long arrived;
     final long expires;
     /** An answer after this is worth nothing. */
     final long useful;
@@ -33,6 +34,7 @@
         key = event.key();
         tenant = event.tenant().value();
         point = mix(key == null ? id.value() : key.value());
+        arrived = now;
         expires = event.expires();
         useful = plan.lateCounts ? expires : Math.min(expires, now + plan.target);
         write = event.write();
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -562,7 +562,7 @@
                 typical += (ended.took() - typical) * freshness(now - limit.endedAt, 8);
             }
             if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
-                limit.ended(!acked || ended.took() > op.plan.target(), inFlight);
+                limit.ended(!acked || ended.took() > (op.useful - op.arrived) / 2, inFlight);
             }
             settle(op, acked);
         }
