--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -522,7 +522,7 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(op.benefit / usual)) {
+            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(1)) {
                 drop(op);
             } else {
                 queue.add(op);
