--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -25,7 +25,7 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
-    private static final double HOT = 0.5, WELL = 0.9, CALM = 1.8, LEAST_SHARE = 0.05, MOST_ENDS = 12;
+    private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
     private static final int SUSPECT_AFTER = 3;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
@@ -46,7 +46,7 @@
         this.loop = new Loop(host);
         this.now = clock;
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        this.ring = new Ring(settings);
+        this.ring = new Ring();
         this.gate = new Gate(settings);
         this.origin = new Origin(settings);
         this.admission = new Admission(settings);
@@ -126,8 +126,8 @@
         private final Ring ring;
         private final Node first;
         private final BitSet seen;
-        private int at, left, nearLeft, unseen;
-        private boolean begun, near;
+        private int at, left, unseen;
+        private boolean begun;
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
@@ -138,10 +138,6 @@
             this.average = average;
             this.trusting = trusting;
             this.hot = hot;
-            // Where crossing zones has a price and all is calm, a key asked for often is kept in every zone:
-            // its walk takes a lap over the zone's own caches that answer in time before the ordinary one.
-            near = hot && ring.zoneWellCount > 0;
-            nearLeft = ring.zoneWellCount;
             seen = new BitSet(ring.owners.size());
             left = ring.points.size();
             unseen = ring.caches;
@@ -157,17 +153,9 @@
                 }
             }
             for (; left > 0 && unseen > 0; left--) {
-                if (near && (left == 1 || nearLeft == 0)) {
-                    near = false;
-                    left = ring.points.size();
-                }
                 int here = at;
                 at = at + 1 == ring.points.size() ? 0 : at + 1;
                 Node node = ring.owners.get(ring.points.slot(here));
-                if (near && (seen.get(node.slot) || !node.entry.zone().equals(ring.zone) || node.share < WELL)) {
-                    continue;
-                }
-                nearLeft -= near ? 1 : 0;
                 // A cold node's keys come back as it warms: points above its openness belong to the next.
                 if (!seen.get(node.slot) && ring.points.rank(here) <= node.openness * node.points) {
                     see(node);
@@ -194,17 +182,8 @@
         /** The caches that are cold or lately answered late: only they change from beat to beat. */
         private final List<Node> restless = new ArrayList<>();
         private double weights, smoothed;
-        private int caches, zoneCaches, inFlight, suspects;
+        private int caches, inFlight, suspects;
         private final Heat heat = new Heat();
-        private final ZoneId zone;
-        private final boolean crossingCosts;
-        private int zoneWellCount;
-
-        Ring(Settings settings) {
-            zone = settings.zone();
-            crossingCosts = settings.prices().crossZone() > 0;
-        }
-
         @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
@@ -220,15 +199,12 @@
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
             // Work at a beat must not grow with the fleet: many proxies see few ops each.
-            boolean mayStayNear = crossingCosts && admission.stretch < CALM && origin.queue.isEmpty();
-            zoneWellCount = mayStayNear ? zoneCaches : 0;
             weights = caches;
             for (int i = restless.size() - 1; i >= 0; i--) {
                 Node node = restless.get(i);
                 node.restless = node.slot >= 0 && (node.open() < 1 || node.share < 1);
                 if (node.restless) {
                     weights -= node.weight * (1 - node.openness);
-                    zoneWellCount -= mayStayNear && node.entry.zone().equals(zone) && node.share < WELL ? 1 : 0;
                     post(node, new Note(What.BEAT, 0));
                 } else {
                     restless.remove(i);
@@ -279,7 +255,6 @@
             BitSet gone = new BitSet();
             double sizes = 0;
             caches = 0;
-            zoneCaches = 0;
             int fresh = 0;
             for (Node node : nodes.values()) {
                 boolean on = node.state == State.READY && !origin.is(node);
@@ -294,7 +269,6 @@
                 node.points = wanted;
                 sizes += on ? node.size : 0;
                 caches += on ? 1 : 0;
-                zoneCaches += on && node.entry.zone().equals(zone) ? 1 : 0;
             }
             long[] marks = new long[fresh];
             for (Node node : nodes.values()) {
@@ -522,7 +496,7 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(1)) {
+            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(op.benefit / usual)) {
                 drop(op);
             } else {
                 queue.add(op);
