--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -26,7 +26,7 @@
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
-    private static final int SUSPECT_AFTER = 3;
+    private static final int SUSPECT_AFTER = 1 << 30;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
 
@@ -392,7 +392,8 @@
 
         private void judge(Op op, Event.PushEnded ended) {
             if (ended.ending() != Ending.NEVER_SENT) {
-                boolean late = ended.took() > op.plan.late() || ended.ending() == Ending.FULL;
+                boolean late = ended.took() > op.plan.late() || ended.ending() != Ending.ACKED
+                        && ended.ending() != Ending.MISS && ended.ending() != Ending.CALLED_OFF;
                 // Guards against many proxies that each see an end at this node now and then: each end of a
                 // proxy that sees few stands for those that others saw meanwhile.
                 double ends = Math.max(1, Math.min(MOST_ENDS, (now - judgedAt) * 4.0 / SECOND));
