--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -26,7 +26,6 @@
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
-    private static final int SUSPECT_AFTER = 1 << 30;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
 
@@ -122,7 +121,7 @@
     /** One walk clockwise over the distinct nodes, carrying the cap and the least loaded node seen. */
     private static final class Offer extends Note {
         final double average;
-        final boolean trusting, hot;
+        final boolean hot;
         private final Ring ring;
         private final Node first;
         private final BitSet seen;
@@ -131,12 +130,11 @@
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
-        Offer(Op op, Ring ring, Node first, double average, boolean trusting, boolean hot) {
+        Offer(Op op, Ring ring, Node first, double average, boolean hot) {
             super(What.OFFER, op);
             this.ring = ring;
             this.first = first;
             this.average = average;
-            this.trusting = trusting;
             this.hot = hot;
             seen = new BitSet(ring.owners.size());
             left = ring.points.size();
@@ -182,13 +180,12 @@
         /** The caches that are cold or lately answered late: only they change from beat to beat. */
         private final List<Node> restless = new ArrayList<>();
         private double weights, smoothed;
-        private int caches, inFlight, suspects;
+        private int caches, inFlight;
         private final Heat heat = new Heat();
         @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
                 case LOAD -> inFlight += note.number;
-                case SUSPECTS -> suspects += note.number;
                 case RESTLESS -> restless.add(note.node);
                 case LISTED -> list((Event.Roster) note.event);
                 case SUBSCRIBE -> host.subscribe(true);
@@ -215,10 +212,8 @@
 
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
-            // Guards against condemning the fleet for what is the path's or the origin's fault.
-            boolean trusting = suspects * 2 <= caches;
             double shares = heat.shares(op.point, caches);
-            Offer offer = new Offer(op, this, first, average, trusting, shares > HOT / 5);
+            Offer offer = new Offer(op, this, first, average, shares > HOT / 5);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
@@ -301,7 +296,6 @@
         int slot = -1, points;
         boolean restless;
         private int inFlight, ghosts, badRun;
-        private boolean counted;
         /** The part of what it is offered that the node takes; falls while its ends are late. */
         private double share = 1;
         private int coldLeft;
@@ -317,8 +311,9 @@
             size = entry.size() > 0 ? entry.size() : 1;
             if (entry.started() != started) {
                 started = entry.started();
-                well(); // A new start forgets what the old process did wrong.
+                badRun = 0; // A new start forgets what the old process did wrong.
                 ghosts = 0;
+                share = 1;
                 stir();
             }
         }
@@ -352,18 +347,16 @@
         }
 
         private void weigh(Offer offer) {
-            boolean suspect = offer.trusting && badRun >= SUSPECT_AFTER;
             double cap = Math.max(CAP_FLOOR, Math.ceil((1 + EPSILON) * offer.average * weight * openness));
-            double load = inFlight + (offer.trusting ? ghosts : 0);
-            boolean room = suspect ? load == 0 && offer.op.plan.effect() == Effect.REDELIVERABLE : load < cap;
+            int load = inFlight + ghosts;
             // Guards against a hot key met by many proxies: each has too few in flight to reach its cap, so a
             // node that answers late also declines by chance, hot keys first, and they go on clockwise.
             double takes = offer.hot ? share : 2 * share;
-            if (room && gate.coldRoom(this) && (takes >= 1 || chance.nextDouble() < takes)) {
+            if (load < cap && gate.coldRoom(this) && (takes >= 1 || chance.nextDouble() < takes)) {
                 accept(offer.op);
                 return;
             }
-            double burden = (load + 1 + (suspect ? cap : 0)) / weight / share;
+            double burden = (load + 1) / weight / share;
             if (burden < offer.leastLoad && gate.coldRoom(this)) {
                 offer.least = this;
                 offer.leastLoad = burden;
@@ -402,31 +395,18 @@
                 stir();
             }
             switch (ended.ending()) {
-                case ACKED, MISS -> well();
+                case ACKED, MISS -> badRun = 0;
                 case CALLED_OFF -> haunt(Math.max(ended.took(), BEAT / 2));
                 case NEVER_SENT -> { }
                 default -> {
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
                     badRun++;
-                    // Guards against a cut network: no connection is proof enough and calls for no distrust.
-                    if (badRun >= SUSPECT_AFTER && !counted && ended.ending() != Ending.NO_CONNECTION) {
-                        counted = true;
-                        post(ring, new Note(What.SUSPECTS, 1));
-                    }
                     haunt((BEAT / 2) << Math.min(badRun, MOST_DOUBLINGS));
                 }
             }
         }
 
-        private void well() {
-            if (counted) {
-                post(ring, new Note(What.SUSPECTS, -1));
-            }
-            counted = false;
-            badRun = 0;
-        }
-
         private void haunt(long spell) {
             ghosts++;
             wake(this, spell, new Note(What.GHOST_GONE, 0));
