--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -254,14 +254,14 @@
             for (Node node : nodes.values()) {
                 boolean on = node.state == State.READY && !origin.is(node);
                 // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
-                int wanted = on ? (int) Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size))) : 0;
+                long wanted = on ? Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size))) : 0;
                 if (wanted != node.points && node.slot >= 0) {
                     gone.set(node.slot);
                     owners.set(node.slot, null);
                     node.slot = -1;
                 }
-                fresh += node.slot < 0 ? wanted : 0;
-                node.points = wanted;
+                node.points = (int) wanted;
+                fresh += node.slot < 0 ? node.points : 0;
                 sizes += on ? node.size : 0;
                 caches += on ? 1 : 0;
             }
@@ -477,7 +477,8 @@
             }
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
-            if (op.useful - now <= typical * (1 + ahead / Math.max(1, limit.level)) || !limit.lets(op.benefit / usual)) {
+            double wait = typical * (1 + ahead / Math.max(1, limit.level));
+            if (op.useful - now <= wait || !limit.lets(op.benefit / usual)) {
                 drop(op);
             } else {
                 queue.add(op);
@@ -493,7 +494,8 @@
                     drop(op);
                 }
             }
-            while (inFlight < Math.max(1, Math.floor(limit.level)) && !queue.isEmpty() && !members.isEmpty()) {
+            double most = Math.max(1, Math.floor(limit.level));
+            while (inFlight < most && !queue.isEmpty() && !members.isEmpty()) {
                 Op op = Collections.max(queue, Comparator.comparingDouble(each -> each.benefit));
                 queue.remove(op);
                 Node node = Collections.min(members, Comparator.comparingInt(each -> each.inFlight));
@@ -605,7 +607,7 @@
                 if (jammed[i]) {
                     levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
-                    levels[i] += 0.1 + levels[i] * 0.05;
+                    levels[i] += 0.1 * Math.min(1, fair / 3) + levels[i] * 0.05;
                 } else if (levels[i] > Math.max(6 * used, 16 * fair)) {
                     levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
@@ -626,7 +628,7 @@
             }
         }
 
-        /** Guards against one proxy of many taking chance for excess: few ops a second come in small crowds. */
+        /** Guards against one proxy of many taking chance for excess: a few ops come in small crowds. */
         private double depth(int tenant) {
             return Math.max(FEW_OPS, quotas[tenant] * SECOND);
         }
@@ -911,7 +913,8 @@
             if (now >= node.windowEnds) {
                 // Guards against hundreds of proxies with a least of one each: part of an op is a chance.
                 node.windowEnds = now + fallSpan;
-                node.coldLeft = (int) (coldBudget * warmth * sentToWarm() * node.weight + chance.nextDouble());
+                double budget = coldBudget * warmth * sentToWarm() * node.weight;
+                node.coldLeft = (int) (budget + chance.nextDouble());
             }
             return node.coldLeft > 0;
         }
