--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -43,18 +43,27 @@
     boolean write;
 
     FakeHost(Effect effect, Group group, boolean aside, Tenant... tenants) {
+        this(effect, group, aside, 1, 1, tenants);
+    }
+
+    FakeHost(Effect effect, Group group, boolean aside, int proxies, long seed, Tenant... tenants) {
         this.effect = effect;
         Category category = new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
-        router = new Router(new Settings(new PeerId(0), 1, new ZoneId(0), aside,
+        router = new Router(new Settings(new PeerId(0), proxies, new ZoneId(0), aside,
                 new MachineKind(aside ? 9 : -1), 3, SECOND, false, 0, 10, 100, 0.25, 10 * SECOND, 2, SECOND, 6,
                 true, true, false, true, true, SECOND, 0.1, false, new Settings.Prices(0, 0, 0, 0, 0),
-                List.of(), List.of(category), List.of(tenants)), 1, clock, this);
+                List.of(), List.of(category), List.of(tenants)), seed, clock, this);
     }
 
     FakeHost(Effect effect) {
         this(effect, Group.ALL, true);
     }
 
+    /** One of many proxies, told apart by its seed. */
+    static FakeHost oneOf(int proxies, long seed, Tenant... tenants) {
+        return new FakeHost(Effect.REDELIVERABLE, Group.ALL, true, proxies, seed, tenants);
+    }
+
     static Entry entry(long node, State state, long started) {
         boolean origin = node == ORIGIN;
         return new Entry(new NodeId(node), state, new MachineKind(origin ? 9 : 0), 1, started,
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -15,6 +15,7 @@
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Settings.Effect;
 import cairnbridge.decision.Settings.Group;
+import cairnbridge.decision.Settings.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -183,6 +184,85 @@
         assertTrue(cold > 0 && cold < 25, "got " + cold + " of 200");
     }
 
+    @Test
+    void manyProxiesTogetherKeepAColdNodeWithinItsBudget() {
+        long cold = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            FakeHost host = FakeHost.oneOf(100, seed).listed(20);
+            host.acks(0, 40, SECOND / 4);
+            host.changed(entry(21, State.READY, host.clock)).pushes.clear();
+            host.acks(100 + 40 * seed, 140 + 40 * seed, SECOND / 50);
+            cold += host.pushes.stream().filter(p -> p.node() == 21).count();
+        }
+        assertTrue(cold > 0 && cold < 20, "4,000 ops of 100 proxies met the one cold cache of 21 " + cold + " times");
+    }
+
+    @Test
+    void aSmallShareOfOneProxyOfManyIsNotTakenForExcess() {
+        FakeHost host = FakeHost.oneOf(300, 1, new Tenant(90, 1)).listed(60);
+        for (long op = 0; op < 40; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, op < 20 ? 200 : SECOND / 10).pass(SECOND * 4);
+        }
+        assertEquals(List.of(), host.answers, "a third of an op a second is due, a quarter came, all crowded");
+    }
+
+    @Test
+    void aLateEndAtACacheSeenSeldomSendsItsNextOpsElsewhereMoreOftenThanOneOfMany() {
+        int spilledSeldom = 0;
+        int spilledOften = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            spilledSeldom += spilled(seed, 6 * SECOND);
+            spilledOften += spilled(seed, SECOND / 20);
+        }
+        assertTrue(spilledSeldom > 20, "spilled " + spilledSeldom + " of 40");
+        assertTrue(spilledOften < 10, "spilled " + spilledOften + " of 40");
+    }
+
+    private static int spilled(int seed, long gap) {
+        FakeHost host = FakeHost.oneOf(300, seed).listed(60);
+        long home = host.op(1, 77, SECOND).lastNode();
+        host.ends(Ending.ACKED, 20).pass(gap).op(2, 77, 2 * SECOND);
+        host.ends(host.pushes.get(host.pushes.size() - 1), Ending.ACKED, SECOND / 2 - 1);
+        return host.op(3, 77, SECOND).lastNode() == home ? 0 : 1;
+    }
+
+    @Test
+    void anOpStuckAtAJammedCacheGetsASecondCopyByHalfItsTarget() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8).acks(0, 40, SECOND / 5);
+        int sent = host.op(100, 100, 2 * SECOND).pushes.size();
+        host.pass(SECOND / 2);
+        assertTrue(host.pushes.size() > sent, "a fifth of a second is usual, the target is half of one");
+    }
+
+    @Test
+    void aSlowOriginBehindManyProxiesGetsAPartOfTheFetches() {
+        int fetched = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            FakeHost host = FakeHost.oneOf(500, seed).listed(60);
+            host.write = true;
+            for (long op = 0; op < 12; op++) {
+                int before = host.pushes.size();
+                if (host.op(op, op, SECOND).pushes.size() > before) {
+                    host.ends(Ending.TIMED_OUT, SECOND - 100);
+                    fetched += op < 6 ? 0 : 1;
+                }
+            }
+        }
+        assertTrue(fetched > 0 && fetched < 80, fetched + " of 120 were sent to an origin that answers none");
+    }
+
+    @Test
+    void aProxyThatSawNothingForLongServesAtOnceThoughItsListWasStale() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(3);
+        host.pass(60 * SECOND).op(1, 5, SECOND);
+        host.ends(Ending.NO_CONNECTION, 10);
+        assertEquals(2, host.pushes.stream().map(FakeHost.Pushed::node).distinct().count());
+        host.changed(entry(1, State.GONE, 0), entry(2, State.GONE, 0), entry(3, State.GONE, 0));
+        host.op(2, 6, SECOND).changed(entry(2, State.READY, host.clock - 30 * SECOND));
+        assertEquals(2, host.op(3, 6, SECOND).lastNode(), "an id that came back");
+        assertEquals(List.of("nack 2"), host.answers);
+    }
+
     @Test
     void aMissGoesToTheOriginAndItsFollowersWaitForIt() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
