--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -114,7 +114,7 @@
         }
 
         void beat() {
-            level += level < 1 ? 0.005 : 0;
+            level += level < 1 ? 0.02 : 0;
         }
     }
 
