--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -588,12 +588,14 @@
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
-                // and an op that ran out of its TTL with the push still out counts most.
-                boolean lost = ended.ending() == Ending.TIMED_OUT || ended.ending() == Ending.FULL
+                // and an op that ran out of its TTL with the push still out counts most. A full queue speaks
+                // of its own cache alone.
+                boolean lost = ended.ending() == Ending.TIMED_OUT
                         || ended.ending() == Ending.CALLED_OFF && note.op.expires - now <= SECOND / 50;
                 double base = Math.min(note.op.plan.hits().floor(), note.op.plan.target() / 6.0);
                 double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, ended.took() / base);
-                if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS) {
+                if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS
+                        && ended.ending() != Ending.FULL) {
                     stretch += (times - stretch) * freshness(now - judgedAt, 24);
                     judgedAt = now;
                 }
@@ -608,7 +610,7 @@
                     levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 * Math.min(1, fair / 3) + levels[i] * 0.05;
-                } else if (levels[i] > Math.max(6 * used, 16 * fair)) {
+                } else if (levels[i] > Math.max(Math.max(2, 6 * used), 16 * fair)) {
                     levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -156,6 +156,18 @@
         assertTrue(host.answers.stream().anyMatch(a -> a.startsWith("nack")), "the bound has fallen");
     }
 
+    @Test
+    void opsTurnedAwayUnseenByOneCacheDoNotShedThoseOfOthers() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8);
+        for (long op = 0; op < 7; op++) {
+            host.op(op, op, SECOND).ends(Ending.FULL, SECOND / 5).ends(Ending.ACKED, 50);
+        }
+        for (long op = 10; op < 16; op++) {
+            host.op(op, op, SECOND);
+        }
+        assertEquals(List.of(), host.answers, "what was answered came in time");
+    }
+
     @Test
     void anOpThatCannotMakeItInTheOriginsQueueIsAnsweredAtOnce() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
