--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -470,7 +470,12 @@
             if (!op.write && op.key != null) {
                 Fetch fetch = fetches.computeIfAbsent(op.key, k -> new Fetch());
                 if (fetch.leader != null && fetch.leader != op) {
-                    fetch.followers.add(op);
+                    // Guards against ops held until their TTL for a fetch that takes longer than they have.
+                    if (op.useful - now <= typical) {
+                        drop(op);
+                    } else {
+                        fetch.followers.add(op);
+                    }
                     return;
                 }
                 fetch.leader = op;
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -179,6 +179,16 @@
         assertTrue(host.answers.size() > 100, "only " + host.answers.size() + " of 200 answered at once");
     }
 
+    @Test
+    void anOpThatCannotOutlastAnothersFetchIsAnsweredAtOnce() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
+        host.write = true;
+        host.acks(0, 40, 2000).answers.clear();
+        host.write = false;
+        host.op(50, 5, SECOND).ends(Ending.MISS, 10).op(51, 5, SECOND / 10);
+        assertEquals(List.of("nack 51"), host.answers, "fetches take twice as long as it has");
+    }
+
     @Test
     void aDrainingNodeGetsNothingNew() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
