Clean-up: derived state, a repeated search and idle notes taken out; actions unchanged

The least of a bound is worked out where it is used instead of kept and renewed at every note; a cache that answers well is no longer noted as restless at each end; a free slot is searched for once; the most points a node can have stands in one place.

--- a/src/main/java/cairnbridge/decision/Points.java
+++ b/src/main/java/cairnbridge/decision/Points.java
@@ -8,8 +8,8 @@
  * owns the point and the point's rank among that node's own. Changed in place: a list change costs one pass.
  */
 final class Points {
-    static final int MOST_RANKS = 1 << 10;
     private static final int RANK_BITS = 10, LOW_BITS = 26;
+    static final int MOST_RANKS = 1 << RANK_BITS;
     private static final long PLACE = -1L << LOW_BITS;
     private long[] marks = {};
     private int size;
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -182,6 +182,7 @@
         private double weights, smoothed;
         private int caches, inFlight;
         private final Heat heat = new Heat();
+
         @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
@@ -207,7 +208,7 @@
                     restless.remove(i);
                 }
             }
-            post(admission, new Note(What.BEAT, inFlight));
+            post(admission, new Note(What.BEAT, 0));
         }
 
         private void place(Op op, Node first) {
@@ -254,7 +255,8 @@
             for (Node node : nodes.values()) {
                 boolean on = node.state == State.READY && !origin.is(node);
                 // Points follow the node's own size, not the fleet's mean, so that others' points stay put.
-                long wanted = on ? Math.max(1, Math.min(4L * POINTS, Math.round(POINTS * node.size))) : 0;
+                long count = Math.min(Points.MOST_RANKS, Math.round(POINTS * node.size));
+                long wanted = on ? Math.max(1, count) : 0;
                 if (wanted != node.points && node.slot >= 0) {
                     gone.set(node.slot);
                     owners.set(node.slot, null);
@@ -269,11 +271,13 @@
             for (Node node : nodes.values()) {
                 node.weight = sizes > 0 ? node.size * caches / sizes : 1;
                 if (node.points > 0 && node.slot < 0) {
-                    if (!owners.contains(null)) {
-                        owners.add(null);
+                    int free = owners.indexOf(null);
+                    node.slot = free < 0 ? owners.size() : free;
+                    if (free < 0) {
+                        owners.add(node);
+                    } else {
+                        owners.set(free, node);
                     }
-                    node.slot = owners.indexOf(null);
-                    owners.set(node.slot, node);
                     for (int i = 0; i < node.points; i++) {
                         marks[--fresh] = Points.mark(Op.mix(Op.mix(node.id.value()) + i), node.slot, i);
                     }
@@ -392,7 +396,9 @@
                 double ends = Math.max(1, Math.min(MOST_ENDS, (now - judgedAt) * 4.0 / SECOND));
                 judgedAt = now;
                 share = Math.max(LEAST_SHARE, Math.min(1, share * Math.pow(late ? 0.85 : 1.03, ends)));
-                stir();
+                if (share < 1) {
+                    stir();
+                }
             }
             switch (ended.ending()) {
                 case ACKED, MISS -> badRun = 0;
@@ -555,13 +561,13 @@
 
     /** Tells ops within a tenant's share from those beyond it, and sheds while the fleet runs late. */
     private final class Admission extends Part {
-        /** Of all and of excess: least bound, mark of a jam and of its end, ease of a small bound. */
+        /** Of all and of excess: mark of a jam and of its end, ease of a small bound. */
         private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
         private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
         private final double[] quotas, tokens;
         private final double excessBenefit;
         /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
-        private final double[] levels = {200, 200}, least = {2, 0};
+        private final double[] levels = {200, 200};
         private final double proxies;
         private double stretch;
         private long judgedAt;
@@ -586,10 +592,6 @@
                 ask(note.op);
                 return;
             }
-            int used = ring.inFlight;
-            // Guards against a least that crowds the caches, as many proxies each let it through.
-            double fair = ring.caches / proxies;
-            least[0] = Math.min(2, 0.5 * fair);
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
@@ -606,13 +608,17 @@
                 }
                 return;
             }
+            int used = ring.inFlight;
+            double fair = ring.caches / proxies;
             for (int i = 0; i < levels.length; i++) {
+                // Guards against a least that crowds the caches, as many proxies each let it through.
+                double least = i == 0 ? Math.min(2, 0.5 * fair) : 0;
                 // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
                 // A small bound bears more, so that proxies which share a jam come to share the room too.
                 double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
-                    levels[i] = Math.max(least[i], Math.min(levels[i], used + 1) * 0.9);
+                    levels[i] = Math.max(least, Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 * Math.min(1, fair / 3) + levels[i] * 0.05;
                 } else if (levels[i] > Math.max(Math.max(2, 6 * used), 16 * fair)) {
@@ -639,6 +645,7 @@
         private double depth(int tenant) {
             return Math.max(FEW_OPS, quotas[tenant] * SECOND);
         }
+
         private boolean excess(int tenant) {
             if (tenant >= quotas.length || quotas[tenant] <= 0) {
                 return false;
