--- a/src/main/java/cairnbridge/adapter/Adapter.java
+++ b/src/main/java/cairnbridge/adapter/Adapter.java
@@ -1,7 +1,10 @@
 package cairnbridge.adapter;
 
-import static cairnbridge.adapter.WireSettings.tenths;
+import static cairnbridge.config.SettingsReader.tenths;
 
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.SettingsReader;
+import cairnbridge.config.Tree;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Event.Entry;
@@ -18,6 +21,7 @@
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Ids.ZoneId;
 import cairnbridge.decision.Router;
+import cairnbridge.decision.Settings;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -32,12 +36,12 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** Speaks the bench's JSON wire: one batch a line in, one reply a line out, one Router an instance. */
 public final class Adapter {
-    private static final Logger LOG = LoggerFactory.getLogger(Adapter.class);
+    private static final Logger LOG = Logger.getLogger(Adapter.class.getName());
     private static final int TABLES = 16;
     private static final int KEY_DIGITS = 16;
 
@@ -152,9 +156,14 @@
 
     private void start(int id) throws IOException {
         long seed = reader.whole("prng");
-        Object params = reader.tree("params");
+        Tree params = reader.tree("params");
         WireHost host = new WireHost(out, id);
-        var settings = WireSettings.read(params);
+        Settings settings;
+        try {
+            settings = SettingsReader.read(params);
+        } catch (ConfigFault e) {
+            throw reader.fault(e.getMessage());
+        }
         instances.put(id, new Instance(new Router(settings, seed, clock, host), host,
                 settings.reportColumns().size()));
     }
@@ -167,7 +176,7 @@
         try {
             instance.router.handle(clock, event);
         } catch (RuntimeException e) {
-            LOG.error("instance {} failed on {}", id, event, e);
+            LOG.log(Level.SEVERE, e, () -> "instance " + id + " failed on " + event);
             instance.host.fault(e.getClass().getSimpleName() + ": " + e.getMessage());
         }
     }
@@ -197,7 +206,7 @@
                 return new KeyId(Long.parseUnsignedLong(digits, 16));
             }
         } catch (NumberFormatException e) {
-            LOG.debug("key {} is not hex", digits);
+            LOG.fine(() -> "key is not hex: " + digits);
         }
         throw reader.fault("target-key is not a key of " + KEY_DIGITS + " hex digits");
     }
--- a/src/main/java/cairnbridge/adapter/WireReader.java
+++ b/src/main/java/cairnbridge/adapter/WireReader.java
@@ -1,10 +1,9 @@
 package cairnbridge.adapter;
 
+import cairnbridge.config.Tree;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.Map;
 
 /** Reads the positional values of one message; a value that is null or left out takes its default. */
 final class WireReader {
@@ -146,48 +145,12 @@
         return values;
     }
 
-    /** The settings object as nested maps, lists, texts, numbers and flags; null values are left out. */
-    Object tree(String name) throws IOException {
+    /** The settings object. */
+    Tree tree(String name) throws IOException {
         JsonToken token = next();
         if (token != JsonToken.START_OBJECT) {
             throw fault(name + " is not an object");
         }
-        return subtree();
-    }
-
-    private Object subtree() throws IOException {
-        switch (parser.currentToken()) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new HashMap<>();
-                while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String field = parser.currentName();
-                    parser.nextToken();
-                    Object value = subtree();
-                    if (value != null) {
-                        map.put(field, value);
-                    }
-                }
-                return map;
-            }
-            case START_ARRAY -> {
-                var list = new java.util.ArrayList<Object>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(subtree());
-                }
-                return list;
-            }
-            case VALUE_STRING -> {
-                return parser.getText();
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
-                return parser.getDoubleValue();
-            }
-            case VALUE_TRUE, VALUE_FALSE -> {
-                return parser.getBooleanValue();
-            }
-            default -> {
-                return null;
-            }
-        }
+        return Tree.read(parser, name);
     }
 }
--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -2,6 +2,10 @@
 
 import cairnbridge.adapter.Adapter;
 import cairnbridge.adapter.Malformed;
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.proxy.Serve;
+import java.io.IOException;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -10,12 +14,16 @@
 
 /** The command line of the service. */
 @Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
-        description = "Routes ops to a fleet of cache servers.", subcommands = Main.AdapterCommand.class)
+        description = "Routes ops to a fleet of cache servers.", 
+        subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
+    private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
+
     public static void main(String[] args) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
         System.exit(new CommandLine(new Main()).execute(args));
     }
 
@@ -40,4 +48,27 @@
             }
         }
     }
+
+    @Command(name = "serve", description = "Runs one proxy on sockets, as its environment says.")
+    static final class ServeCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            try {
+                Serve serve = new Serve(ProxyConfig.read(System.getenv()));
+                Runtime.getRuntime().addShutdownHook(new Thread(serve::drain, "drain"));
+                serve.start();
+                Thread.currentThread().join();
+                return 0;
+            } catch (ConfigFault e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return 2;
+            } catch (IOException e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return 1;
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -0,0 +1,99 @@
+package cairnbridge.config;
+
+import cairnbridge.decision.Settings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/** All that one proxy is told at its start; the only place that reads variables and the file they name. */
+public record ProxyConfig(
+        String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        List<String> categories, List<String> kinds, List<String> zones, boolean reports,
+        long dialTimeOut, long idleLimit, Settings settings, Tree known) {
+    private static final String FILE = "LB_CONFIG";
+    private static final int LEAST_SOCKETS = 64, DEFAULT_SOCKETS = 1024;
+    private static final double DIAL_S = 0.25, IDLE_S = 15;
+
+    public static ProxyConfig read(Map<String, String> variables) {
+        String file = variables.get(FILE);
+        if (file == null || file.isEmpty()) {
+            throw new ConfigFault(FILE, "is not set; it names the configuration file");
+        }
+        try {
+            return of(Tree.parse(Files.readString(Path.of(file)), FILE), variables);
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigFault(FILE, "cannot be read: " + file);
+        }
+    }
+
+    /** The file's figures; a variable of its own stands for a name or an address that the file lacks. */
+    static ProxyConfig of(Tree root, Map<String, String> variables) {
+        Tree settings = root.map("settings");
+        Tree limits = settings.map("limits");
+        long dial = positive(limits, "dial-timeout-s", DIAL_S);
+        long idle = positive(limits, "keepalive-s", IDLE_S);
+        int sockets = (int) root.map("limits").number("sockets", DEFAULT_SOCKETS);
+        if (sockets < LEAST_SOCKETS) {
+            throw root.map("limits").fault("sockets", "is under " + LEAST_SOCKETS);
+        }
+        List<String> categories = settings.trees("categories").stream().map(c -> c.text("name", "")).toList();
+        if (categories.isEmpty() || categories.contains("")) {
+            throw settings.fault("categories", "needs at least one, each with a name");
+        }
+        return new ProxyConfig(
+                root.text("name", variables.getOrDefault("LB_NAME", "proxy")),
+                address(root, "listen", variables.get("LB_LISTEN")),
+                address(root, "discovery", variables.get("LB_DISCOVERY")), seed(root), sockets, categories,
+                settings.texts("host-types"), settings.texts("azs"),
+                !settings.map("load-info").text("how", "none").equals("none"),
+                dial, idle, SettingsReader.read(settings), root.map("known"));
+    }
+
+    private static long positive(Tree tree, String key, double absent) {
+        double seconds = tree.number(key, absent);
+        if (!(seconds > 0)) {
+            throw tree.fault(key, "is not above 0");
+        }
+        return Math.max(1, SettingsReader.tenths(seconds));
+    }
+
+    private static long seed(Tree root) {
+        try {
+            return Long.parseUnsignedLong(root.text("seed", "0"), 16);
+        } catch (NumberFormatException e) {
+            throw root.fault("seed", "is not a number of up to 16 hex digits");
+        }
+    }
+
+    private static InetSocketAddress address(Tree root, String key, String absent) {
+        String text = root.text(key, absent);
+        if (text == null) {
+            throw root.fault(key, "is not set");
+        }
+        InetSocketAddress address = address(text);
+        if (address == null) {
+            throw root.fault(key, "is not an address and a port: " + text);
+        }
+        return address;
+    }
+
+    /** An IP address and a port, or null; names are not looked up, as there is no DNS to ask. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            if (colon > 0 && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+                int port = Integer.parseInt(text.substring(colon + 1));
+                return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
+            }
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            return null;
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -0,0 +1,86 @@
+package cairnbridge.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+
+/** One connection that the proxy opens, from the dial to its end; carries one exchange at a time. */
+final class Connection implements FutureCallback<IOSession> {
+    final InetSocketAddress address;
+    private final Sockets sockets;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final AsyncClientExchangeHandler first;
+    private volatile IOSession session;
+    private volatile Future<IOSession> dial;
+    private volatile boolean unwanted;
+    long idleSince;
+
+    /** first is sent as soon as the connection is up, and told of its failure where it never comes up. */
+    Connection(InetSocketAddress address, Sockets sockets, AsyncClientExchangeHandler first) {
+        this.address = address;
+        this.sockets = sockets;
+        this.first = first;
+    }
+
+    void dialed(Future<IOSession> future) {
+        dial = future;
+    }
+
+    boolean isOpen() {
+        IOSession up = session;
+        return !unwanted && up != null && up.isOpen();
+    }
+
+    void send(AsyncClientExchangeHandler exchange) {
+        session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()),
+                Command.Priority.NORMAL);
+    }
+
+    /** Closes at once; a dial still under way is given up. */
+    void close() {
+        unwanted = true;
+        IOSession up = session;
+        Future<IOSession> dialing = dial;
+        if (up != null) {
+            up.close(CloseMode.IMMEDIATE);
+        } else if (dialing != null) {
+            dialing.cancel(true);
+        }
+    }
+
+    @Override
+    public void completed(IOSession up) {
+        session = up;
+        if (unwanted) {
+            first.failed(new java.io.IOException("no longer wanted"));
+            up.close(CloseMode.IMMEDIATE);
+        } else {
+            send(first);
+        }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        ended();
+        first.failed(cause);
+    }
+
+    @Override
+    public void cancelled() {
+        failed(new java.io.IOException("dial given up"));
+    }
+
+    /** The socket is gone, whichever side closed it. */
+    void ended() {
+        if (ended.compareAndSet(false, true)) {
+            sockets.closed(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -0,0 +1,300 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Host;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
+import cairnbridge.decision.Ids.TenantId;
+import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.decision.Router;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The owner thread: empties the inbox into the module, keeps its timers, and does what it asks for. */
+final class Decide implements Host, Runnable {
+    private static final Logger LOG = Logger.getLogger(Decide.class.getName());
+    private static final int BATCH = 64;
+    private static final long SWEEP = Clock.SECOND;
+    /** The time that an idle process is given before it looks round again. */
+    private static final long REST_NANOS = 50_000_000;
+
+    /** An op from its arrival until it is answered and its last push has ended. */
+    private static final class Live {
+        final Exchange client;
+        final long expires;
+        final List<PushCall> pushes = new ArrayList<>(2);
+        boolean answered;
+        int open;
+
+        Live(Exchange client, long expires) {
+            this.client = client;
+            this.expires = expires;
+        }
+    }
+
+    /** A time at which the module, or else one push, is to be told. */
+    private record Timer(long due, long rank, TimerId timer, PushCall push) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            return due != other.due ? Long.compare(due, other.due) : Long.compare(rank, other.rank);
+        }
+    }
+
+    private final Inbox inbox;
+    private final Clock clock;
+    private final Push push;
+    private final Probe probe;
+    private final Sockets sockets;
+    private final Router router;
+    private final Holds holds = new Holds();
+    private final Map<OpId, Live> ops = new HashMap<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    /** What the owner thread tells itself; the module is never called from within its own calls. */
+    private final ArrayDeque<Notice> later = new ArrayDeque<>();
+    private RosterWatch watch;
+    private long lastOp, lastRank, sweptAt;
+    private volatile boolean stopped;
+    private volatile int live;
+    private boolean draining;
+
+    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets) {
+        this.inbox = inbox;
+        this.clock = clock;
+        this.sockets = sockets;
+        push = new Push(sockets, config.dialTimeOut(), config.idleLimit());
+        probe = new Probe(sockets, inbox, clock, config);
+        router = new Router(config.settings(), config.seed(), clock.now(), this);
+    }
+
+    void watchWith(RosterWatch roster) {
+        watch = roster;
+    }
+
+    /** Ops taken and not yet answered. */
+    int live() {
+        return live;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public void run() {
+        while (!stopped) {
+            try {
+                turn();
+            } catch (InterruptedException e) {
+                stopped = true;
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "a notice failed", e);
+            }
+        }
+    }
+
+    private void turn() throws InterruptedException {
+        long wait = REST_NANOS;
+        if (!timers.isEmpty()) {
+            wait = Math.max(0, Math.min(wait, clock.nanosUntil(timers.peek().due)));
+        }
+        Notice notice = later.isEmpty() ? wait == 0 ? inbox.poll() : inbox.poll(wait) : later.poll();
+        for (int i = 0; notice != null; i++) {
+            take(notice);
+            notice = !later.isEmpty() ? later.poll() : i < BATCH ? inbox.poll() : null;
+        }
+        long now = clock.now();
+        while (!timers.isEmpty() && timers.peek().due <= now) {
+            fire(timers.poll(), now);
+        }
+        if (now - sweptAt >= SWEEP) {
+            sweptAt = now;
+            push.dropIdle(now);
+            if (draining) {
+                sockets.closeIdleClients();
+            }
+        }
+    }
+
+    private void fire(Timer timer, long now) {
+        if (timer.push == null) {
+            router.handle(now, new Event.TimerFired(timer.timer));
+        } else {
+            abandon(timer.push, Ending.TIMED_OUT);
+        }
+    }
+
+    private void take(Notice notice) {
+        if (notice instanceof Notice.Arrived arrived) {
+            arrived(arrived);
+        } else if (notice instanceof Notice.PushOver over) {
+            ended(over);
+        } else if (notice instanceof Notice.Left left) {
+            left(left.client());
+        } else if (notice instanceof Notice.ConnectionClosed closed) {
+            push.closed(closed.connection());
+        } else if (notice instanceof Notice.Listed listed) {
+            push.listed(listed.addresses(), listed.roster().scope() != Scope.CHANGES
+                    && listed.roster().scope() != Scope.FAILED);
+            router.handle(clock.now(), listed.roster());
+        } else if (notice instanceof Notice.Probed probed) {
+            router.handle(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
+                    probed.report()));
+        } else if (notice instanceof Notice.Drain) {
+            draining = true;
+            sockets.stopListening();
+        }
+    }
+
+    private void arrived(Notice.Arrived arrived) {
+        Exchange client = arrived.client();
+        client.op = new OpId(++lastOp);
+        if (client.isOver()) {
+            return;
+        }
+        ops.put(client.op, new Live(client, arrived.expires()));
+        live++;
+        router.handle(clock.now(), new Event.OpArrived(client.op, client.category, new TenantId(0), client.key,
+                arrived.expires(), 0, -1, client.repeat, client.write));
+    }
+
+    private void left(Exchange client) {
+        Live op = client.op == null ? null : ops.get(client.op);
+        if (op != null && !op.answered) {
+            answered(op);
+            router.handle(clock.now(), new Event.OpDropped(client.op));
+        }
+    }
+
+    private void ended(Notice.PushOver over) {
+        PushCall call = over.call();
+        OpId id = call.client.op;
+        Live op = ops.get(id);
+        push.done(call, over.ending() == Ending.ACKED || over.ending() == Ending.MISS
+                || over.ending() == Ending.FULL || over.ending() == Ending.ERROR, clock.now());
+        if (!holds.that(op != null && op.open > 0, "a push ends once, while its op is kept")) {
+            return;
+        }
+        op.open--;
+        boolean isOver = op.answered;
+        if (over.ending() == Ending.ACKED && !op.answered) {
+            call.client.ack(over.body());
+            answered(op);
+            isOver = true;
+        }
+        router.handle(clock.now(), new Event.PushEnded(id, call.number, call.node, over.ending(), over.note(),
+                Math.max(0, over.ended() - call.sent), isOver, null));
+        forget(id, op);
+    }
+
+    private void answered(Live op) {
+        op.answered = true;
+        live--;
+        forget(op.client.op, op);
+    }
+
+    private void forget(OpId id, Live op) {
+        if (op.answered && op.open == 0) {
+            ops.remove(id);
+        }
+    }
+
+    private void abandon(PushCall call, Ending ending) {
+        Ending real = call.abandon(ending);
+        if (real != null) {
+            if (call.connection != null) {
+                call.connection.close();
+            }
+            later.add(new Notice.PushOver(call, real, 0, null, clock.now()));
+        }
+    }
+
+    @Override
+    public void push(OpId id, NodeId node, long timeOut) {
+        Live op = ops.get(id);
+        if (!holds.that(op != null && !op.answered, "nothing is sent for an op after its answer")) {
+            return;
+        }
+        long now = clock.now();
+        PushCall call = new PushCall(op.client, node, op.pushes.size(), op.expires, inbox, clock);
+        op.pushes.add(call);
+        op.open++;
+        long due = timeOut > 0 ? Math.min(op.expires, now + timeOut) : op.expires;
+        if (due <= now) {
+            call.abandon(Ending.NEVER_SENT);
+            later.add(new Notice.PushOver(call, Ending.NEVER_SENT, 0, null, now));
+        } else if (push.start(call)) {
+            timers.add(new Timer(due, ++lastRank, null, call));
+        } else {
+            call.abandon(Ending.NO_CONNECTION);
+            later.add(new Notice.PushOver(call, Ending.NO_CONNECTION, 0, null, now));
+        }
+    }
+
+    @Override
+    public void cancel(OpId id, int number) {
+        Live op = ops.get(id);
+        if (op != null && number < op.pushes.size()) {
+            abandon(op.pushes.get(number), Ending.CALLED_OFF);
+        }
+    }
+
+    @Override
+    public void nack(OpId id, long retryAfter) {
+        Live op = ops.get(id);
+        if (holds.that(op != null && !op.answered, "an op has one final answer")) {
+            op.client.nack(retryAfter);
+            answered(op);
+        }
+    }
+
+    @Override
+    public void deadLetter(OpId id) {
+        Live op = ops.get(id);
+        if (holds.that(op != null && !op.answered, "an op has one final answer")) {
+            op.client.deadLetter();
+            answered(op);
+        }
+    }
+
+    @Override
+    public void timer(long in, TimerId timer) {
+        timers.add(new Timer(clock.now() + in, ++lastRank, timer, null));
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        probe.start(node, push.address(node));
+    }
+
+    @Override
+    public void tellPeer(PeerId peer, byte[] body) {
+        holds.that(false, "the settings allow no messages to peers");
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        if (watch != null) {
+            watch.subscribe(on);
+        }
+    }
+
+    @Override
+    public void fetchRoster() {
+        watch.fetch();
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -0,0 +1,208 @@
+package cairnbridge.proxy;
+
+import cairnbridge.decision.Ids.CategoryId;
+import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.OpId;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** One request of a client and its one answer: read on the reactor, answered by the owner thread. */
+final class Exchange implements AsyncServerExchangeHandler {
+    private static final String ID = "X-Trace-Id", TTL = "X-Expires-In", REPEAT = "X-Second-Try";
+    private static final int OK = 200, MALFORMED = 400, NOT_FOUND = 404, DEAD_LETTER = 502, NACK = 503;
+
+    private final Listen listen;
+    private final Inbox inbox;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private volatile boolean taken;
+    private ResponseChannel channel;
+    private HttpContext context;
+    private ByteArrayOutputStream body;
+    private long expires;
+    private ByteBuffer rest;
+
+    String method, target, trace, mark;
+    CategoryId category;
+    KeyId key;
+    boolean write, repeat;
+    byte[] value;
+    /** Set by the owner thread. */
+    OpId op;
+
+    Exchange(Listen listen, Inbox inbox) {
+        this.listen = listen;
+        this.inbox = inbox;
+    }
+
+    boolean isOver() {
+        return over.get();
+    }
+
+    @Override
+    public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel response,
+            HttpContext httpContext) throws HttpException, IOException {
+        long now = listen.clock.now();
+        channel = response;
+        context = httpContext;
+        method = request.getMethod();
+        target = request.getRequestUri();
+        if (target.startsWith("/-/")) {
+            boolean known = target.equals("/-/ready");
+            send(!known ? NOT_FOUND : listen.ready ? OK : NACK, new byte[0], 0, entity != null);
+            return;
+        }
+        String fault = read(request, entity, now);
+        if (fault != null) {
+            send(MALFORMED, fault.getBytes(java.nio.charset.StandardCharsets.US_ASCII), 0, entity != null);
+        } else if (entity == null) {
+            take();
+        } else {
+            body = new ByteArrayOutputStream((int) Math.max(0, entity.getContentLength()));
+            if (request.containsHeader("Expect")) {
+                channel.sendInformation(new BasicHttpResponse(100), context);
+            }
+        }
+    }
+
+    /** Takes out the fields that decisions need; the rest goes on as it came. Returns what is malformed. */
+    private String read(HttpRequest request, EntityDetails entity, long now) {
+        trace = header(request, ID);
+        if (trace == null || trace.isEmpty()) {
+            return ID + " is missing";
+        }
+        long ttl = Listen.ttl(header(request, TTL));
+        if (ttl <= 0) {
+            return TTL + " is missing or no span";
+        }
+        expires = now + ttl;
+        write = method.equals("PUT");
+        if (!write && !method.equals("GET")) {
+            return "method is neither GET nor PUT";
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        int slash = path.indexOf('/', 1);
+        Integer number = path.startsWith("/") ? listen.category(path.substring(1, slash < 0 ? path.length() : slash)) : null;
+        if (number == null) {
+            return "unknown category";
+        }
+        category = new CategoryId(number);
+        String last = slash < 0 ? "" : path.substring(path.lastIndexOf('/') + 1);
+        key = last.isEmpty() ? null : new KeyId(Listen.hash(last));
+        repeat = "1".equals(header(request, REPEAT));
+        mark = header(request, PushCall.MARK);
+        return entity != null && entity.getContentLength() > Listen.MOST_BODY ? "body is over 64 KiB" : null;
+    }
+
+    private static String header(HttpRequest request, String name) {
+        Header header = request.getFirstHeader(name);
+        return header == null ? null : header.getValue();
+    }
+
+    private void take() {
+        value = body == null ? null : body.toByteArray();
+        body = null;
+        taken = true;
+        inbox.post(new Notice.Arrived(this, expires));
+    }
+
+    @Override
+    public void consume(ByteBuffer src) throws IOException {
+        if (body == null || over.get()) {
+            return;
+        }
+        byte[] part = new byte[src.remaining()];
+        src.get(part);
+        if (body.size() + part.length > Listen.MOST_BODY) {
+            send(MALFORMED, new byte[0], 0, true);
+        } else {
+            body.write(part);
+        }
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        if (body != null && !over.get()) {
+            take();
+        }
+    }
+
+    /** The cache's answer, byte for byte. */
+    void ack(byte[] bytes) {
+        send(OK, bytes, 0, false);
+    }
+
+    void nack(long retryAfter) {
+        send(NACK, new byte[0], retryAfter, false);
+    }
+
+    void deadLetter() {
+        send(DEAD_LETTER, new byte[0], 0, false);
+    }
+
+    private void send(int code, byte[] bytes, long retryAfter, boolean close) {
+        if (!over.compareAndSet(false, true)) {
+            return;
+        }
+        HttpResponse response = new BasicHttpResponse(code);
+        if (retryAfter > 0) {
+            response.addHeader("Retry-After", String.format(Locale.ROOT, "%.4f", (double) retryAfter / Clock.SECOND));
+        }
+        if (close || listen.draining) {
+            response.addHeader("Connection", "close");
+        }
+        rest = ByteBuffer.wrap(bytes);
+        try {
+            channel.sendResponse(response, bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null), context);
+        } catch (HttpException | IOException e) {
+            // The client's connection broke under the answer: nothing is owed to it any more.
+            channel.terminateExchange();
+        }
+    }
+
+    @Override
+    public int available() {
+        return rest == null ? 0 : rest.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel out) throws IOException {
+        out.write(rest);
+        if (!rest.hasRemaining()) {
+            out.endStream();
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Listen.MOST_BODY);
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        if (over.compareAndSet(false, true) && taken) {
+            inbox.post(new Notice.Left(this));
+        }
+    }
+
+    @Override
+    public void releaseResources() {
+        body = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -0,0 +1,123 @@
+package cairnbridge.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** A request of the proxy's own, to discovery or as a probe; its answer comes line by line. */
+abstract class Get implements AsyncClientExchangeHandler {
+    private static final int MOST_LINE = 8 << 20;
+    private final String host, target;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
+    private boolean over;
+
+    Get(InetSocketAddress address, String target) {
+        this.host = address.getHostString() + ":" + address.getPort();
+        this.target = target;
+    }
+
+    abstract void begun(int code);
+
+    abstract void line(String text);
+
+    /** Once: whole where the answer came to its end, else the connection failed before. */
+    abstract void over(boolean whole);
+
+    private void end(boolean whole) {
+        if (!over) {
+            over = true;
+            over(whole);
+        }
+    }
+
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        BasicHttpRequest request = new BasicHttpRequest("GET", target);
+        request.addHeader("Host", host);
+        channel.sendRequest(request, null, context);
+    }
+
+    @Override
+    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+        begun(response.getCode());
+        if (entity == null) {
+            end(true);
+        }
+    }
+
+    @Override
+    public void consume(ByteBuffer src) throws IOException {
+        while (src.hasRemaining()) {
+            byte b = src.get();
+            if (b == '\n') {
+                flush();
+            } else if (line.size() < MOST_LINE) {
+                line.write(b);
+            } else {
+                throw new IOException("line is too long");
+            }
+        }
+    }
+
+    private void flush() {
+        String text = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        line(text);
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        if (line.size() > 0) {
+            flush();
+        }
+        end(true);
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        end(false);
+    }
+
+    @Override
+    public void cancel() {
+        end(false);
+    }
+
+    @Override
+    public int available() {
+        return 0;
+    }
+
+    @Override
+    public void produce(DataStreamChannel channel) {
+        // There is no body to send.
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(MOST_LINE);
+    }
+
+    @Override
+    public void consumeInformation(HttpResponse response, HttpContext context) {
+        // A 1xx answer is not the answer.
+    }
+
+    @Override
+    public void releaseResources() {
+        // All state goes with the object.
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -0,0 +1,53 @@
+package cairnbridge.proxy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What is read off every request, and whether the proxy takes ops yet or is about to end. */
+final class Listen {
+    static final int MOST_BODY = 64 * 1024;
+    final Clock clock;
+    private final Map<String, Integer> categories = new HashMap<>();
+    volatile boolean ready, draining;
+
+    Listen(Clock clock, List<String> names) {
+        this.clock = clock;
+        names.forEach(name -> categories.putIfAbsent(name, categories.size()));
+    }
+
+    /** A category's number by its name, or null. */
+    Integer category(String name) {
+        return categories.get(name);
+    }
+
+    /** A number and a unit, m for milliseconds or u for microseconds, in tenths; 0 where it is none. */
+    static long ttl(String text) {
+        int last = text == null ? 0 : text.length() - 1;
+        if (last < 1 || last > 12) {
+            return 0;
+        }
+        long number = 0;
+        for (int i = 0; i < last; i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit > 9) {
+                return 0;
+            }
+            number = number * 10 + digit;
+        }
+        return switch (text.charAt(last)) {
+            case 'm' -> number * Clock.MILLI;
+            case 'u' -> number / (1000 / Clock.MILLI);
+            default -> 0;
+        };
+    }
+
+    /** The same number for a text at every proxy and after every start. */
+    static long hash(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -0,0 +1,34 @@
+package cairnbridge.proxy;
+
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Ids.NodeId;
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/** What socket code tells the owner thread, through its queue and no other way. */
+sealed interface Notice {
+    record Arrived(Exchange client, long expires) implements Notice {
+    }
+
+    record Left(Exchange client) implements Notice {
+    }
+
+    /** body is the answer's bytes where the ending is ACKED; ended is the time of its last byte. */
+    record PushOver(PushCall call, Ending ending, int note, byte[] body, long ended) implements Notice {
+    }
+
+    record ConnectionClosed(Connection connection) implements Notice {
+    }
+
+    record Listed(Event.Roster roster, Map<NodeId, InetSocketAddress> addresses) implements Notice {
+    }
+
+    record Probed(NodeId node, Ending ending, long took, double[] report) implements Notice {
+    }
+
+    /** The process is to end: idle connections go, and what was taken is finished. */
+    record Drain() implements Notice {
+    }
+
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Probe.java
@@ -0,0 +1,69 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Ids.NodeId;
+import java.net.InetSocketAddress;
+
+/** Asks a node how it fares, on a connection of its own, when the module wants to know. */
+final class Probe {
+    private static final int OK = 200;
+    private final Sockets sockets;
+    private final Inbox inbox;
+    private final Clock clock;
+    private final long dialTimeOut;
+    private final String target;
+
+    Probe(Sockets sockets, Inbox inbox, Clock clock, ProxyConfig config) {
+        this.sockets = sockets;
+        this.inbox = inbox;
+        this.clock = clock;
+        dialTimeOut = config.dialTimeOut();
+        target = config.reports() ? "/-/load" : "/-/healthy";
+    }
+
+    /** address is null for a node that no list has named. */
+    void start(NodeId node, InetSocketAddress address) {
+        long sent = clock.now();
+        Asked asked = address == null ? null : new Asked(node, address, sent);
+        asked = asked == null || (asked.connection = sockets.dial(address, dialTimeOut, asked)) == null
+                ? null : asked;
+        if (asked == null) {
+            inbox.post(new Notice.Probed(node, Ending.NO_CONNECTION, 0, null));
+        }
+    }
+
+    private final class Asked extends Get {
+        private final NodeId node;
+        private final long sent;
+        private int code;
+        private volatile Connection connection;
+
+        Asked(NodeId node, InetSocketAddress address, long sent) {
+            super(address, target);
+            this.node = node;
+            this.sent = sent;
+        }
+
+        @Override
+        void begun(int status) {
+            code = status;
+        }
+
+        @Override
+        void line(String text) {
+            // The form of reports is not told yet: the module is given none.
+        }
+
+        @Override
+        void over(boolean whole) {
+            Ending ending = code == OK ? Ending.ACKED : code > 0 ? Ending.ERROR
+                    : whole ? Ending.BROKEN : Ending.NO_CONNECTION;
+            inbox.post(new Notice.Probed(node, ending, clock.now() - sent, null));
+            Connection used = connection;
+            if (used != null) {
+                used.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -0,0 +1,108 @@
+package cairnbridge.proxy;
+
+import cairnbridge.decision.Ids.NodeId;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread only. */
+final class Push {
+    /** A node closes an idle connection at its limit; ours goes before that, with this part of it passed. */
+    private static final double IDLE_PART = 0.7;
+
+    private final Sockets sockets;
+    private final long dialTimeOut, idleLimit;
+    private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
+    private Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
+
+    Push(Sockets sockets, long dialTimeOut, long idleLimit) {
+        this.sockets = sockets;
+        this.dialTimeOut = dialTimeOut;
+        this.idleLimit = (long) (idleLimit * IDLE_PART);
+    }
+
+    /** Learns where the nodes are; idle connections to addresses that are no longer named go. */
+    void listed(Map<NodeId, InetSocketAddress> named, boolean whole) {
+        if (whole) {
+            addresses = new HashMap<>(named);
+        } else {
+            addresses.putAll(named);
+        }
+        idle.forEach((address, kept) -> {
+            if (!addresses.containsValue(address)) {
+                kept.forEach(Connection::close);
+                kept.clear();
+            }
+        });
+    }
+
+    InetSocketAddress address(NodeId node) {
+        return addresses.get(node);
+    }
+
+    /** Sends a push over a kept connection or a new one; false where there is none to be had. */
+    boolean start(PushCall call) {
+        InetSocketAddress address = addresses.get(call.node);
+        if (address == null) {
+            return false;
+        }
+        call.host = address.getHostString();
+        ArrayDeque<Connection> kept = idle.get(address);
+        // The one used last is the least likely to be closed by the node.
+        for (Connection c = kept == null ? null : kept.pollLast(); c != null; c = kept.pollLast()) {
+            if (c.isOpen()) {
+                call.connection = c;
+                c.send(call);
+                return true;
+            }
+        }
+        if (sockets.isFull()) {
+            closeOldest();
+        }
+        call.connection = sockets.dial(address, dialTimeOut, call);
+        return call.connection != null;
+    }
+
+    /** The push is over: its connection is kept if the exchange left it whole. */
+    void done(PushCall call, boolean whole, long now) {
+        Connection connection = call.connection;
+        if (connection == null) {
+            return;
+        }
+        if (!whole || !addresses.containsValue(connection.address)) {
+            connection.close();
+        } else if (connection.isOpen()) {
+            connection.idleSince = now;
+            idle.computeIfAbsent(connection.address, a -> new ArrayDeque<>()).addLast(connection);
+        }
+    }
+
+    void closed(Connection connection) {
+        ArrayDeque<Connection> kept = idle.get(connection.address);
+        if (kept != null) {
+            kept.remove(connection);
+        }
+    }
+
+    /** Guards against a push written to a connection that the node is just closing: ours go first. */
+    void dropIdle(long now) {
+        for (ArrayDeque<Connection> kept : idle.values()) {
+            while (!kept.isEmpty() && now - kept.peekFirst().idleSince >= idleLimit) {
+                kept.pollFirst().close();
+            }
+        }
+    }
+
+    private void closeOldest() {
+        ArrayDeque<Connection> oldest = null;
+        for (ArrayDeque<Connection> kept : idle.values()) {
+            if (!kept.isEmpty() && (oldest == null || kept.peekFirst().idleSince < oldest.peekFirst().idleSince)) {
+                oldest = kept;
+            }
+        }
+        if (oldest != null) {
+            oldest.pollFirst().close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -0,0 +1,168 @@
+package cairnbridge.proxy;
+
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Ids.NodeId;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** One push on the wire: its request, its answer, and its one ending. */
+final class PushCall implements AsyncClientExchangeHandler {
+    static final String MARK = "Idempotency-Key";
+    private static final int MOST_ANSWER = 1 << 20;
+
+    /** HANDED: bytes may have gone out, so that from then on the op may have run. */
+    private enum Stage { WAITING, HANDED, ENDED }
+
+    final Exchange client;
+    final NodeId node;
+    final int number;
+    final long sent;
+    private final long expires;
+    private final Inbox inbox;
+    private final Clock clock;
+    private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
+    /** Set by the owner thread, the host before anything is sent. */
+    Connection connection;
+    String host;
+    private ByteBuffer rest;
+    private int code, note;
+    private boolean neverRan;
+    private ByteArrayOutputStream answer;
+
+    PushCall(Exchange client, NodeId node, int number, long expires, Inbox inbox, Clock clock) {
+        this.client = client;
+        this.node = node;
+        this.number = number;
+        this.expires = expires;
+        this.inbox = inbox;
+        this.clock = clock;
+        sent = clock.now();
+    }
+
+    /** Gives the push up: its ending, or null where it had ended by itself. The caller closes the connection. */
+    Ending abandon(Ending ending) {
+        Stage before = stage.getAndSet(Stage.ENDED);
+        if (before == Stage.ENDED) {
+            return null;
+        }
+        return before == Stage.WAITING && ending == Ending.TIMED_OUT ? Ending.NO_CONNECTION : ending;
+    }
+
+    private void end(Ending ending, byte[] body) {
+        if (stage.getAndSet(Stage.ENDED) != Stage.ENDED) {
+            over(ending, body);
+        }
+    }
+
+    private void over(Ending ending, byte[] body) {
+        inbox.post(new Notice.PushOver(this, ending, note, body, clock.now()));
+    }
+
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        if (!stage.compareAndSet(Stage.WAITING, Stage.HANDED)) {
+            throw new IOException("push given up");
+        }
+        BasicHttpRequest request = new BasicHttpRequest(client.method, client.target);
+        request.addHeader("Host", host);
+        request.addHeader("X-Trace-Id", client.trace);
+        request.addHeader("X-Expires-In", Math.max(1, expires - clock.now()) * (1000 / Clock.MILLI) + "u");
+        if (client.mark != null) {
+            request.addHeader(MARK, client.mark);
+        }
+        rest = client.value == null ? null : ByteBuffer.wrap(client.value);
+        boolean bare = rest == null || !rest.hasRemaining();
+        channel.sendRequest(request, bare ? null : new BasicEntityDetails(rest.remaining(), null), context);
+    }
+
+    @Override
+    public int available() {
+        return rest == null ? 0 : rest.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel out) throws IOException {
+        out.write(rest);
+        if (!rest.hasRemaining()) {
+            out.endStream();
+        }
+    }
+
+    @Override
+    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+        code = response.getCode();
+        neverRan = response.containsHeader("X-Never-Ran");
+        Header store = response.getFirstHeader("X-Store");
+        note = store == null ? 0 : switch (store.getValue()) {
+            case "hit" -> 1;
+            case "miss" -> 2;
+            case "pending" -> 3;
+            default -> 0;
+        };
+        answer = new ByteArrayOutputStream(entity == null ? 0 : (int) Math.max(32, Math.min(MOST_ANSWER, entity.getContentLength())));
+        if (entity == null) {
+            streamEnd(List.of());
+        }
+    }
+
+    @Override
+    public void consume(ByteBuffer src) throws IOException {
+        byte[] part = new byte[src.remaining()];
+        src.get(part);
+        if (answer.size() + part.length > MOST_ANSWER) {
+            throw new IOException("answer is too long");
+        }
+        answer.write(part);
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        switch (code) {
+            case 200 -> end(Ending.ACKED, answer.toByteArray());
+            case 404 -> end(Ending.MISS, null);
+            default -> end(neverRan && (code == 503 || code == 504) ? Ending.FULL : Ending.ERROR, null);
+        }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        Stage before = stage.getAndSet(Stage.ENDED);
+        if (before != Stage.ENDED) {
+            over(before == Stage.WAITING ? Ending.NO_CONNECTION : Ending.BROKEN, null);
+        }
+    }
+
+    @Override
+    public void cancel() {
+        failed(null);
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(MOST_ANSWER);
+    }
+
+    @Override
+    public void consumeInformation(HttpResponse response, HttpContext context) {
+        // A 1xx answer tells nothing of the op.
+    }
+
+    @Override
+    public void releaseResources() {
+        // All state goes with the object.
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -0,0 +1,201 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.config.Tree;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Entry;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.CellId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.ZoneId;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+
+/** Follows discovery's list: a watch that is opened again whenever it ends or falls silent. */
+final class RosterWatch {
+    private static final Logger LOG = Logger.getLogger(RosterWatch.class.getName());
+    private static final String LIST = "/api/targets";
+    private static final long BEAT_MILLIS = 2000, SILENCE_MILLIS = 5 * BEAT_MILLIS / 2;
+    private static final long LEAST_WAIT_MILLIS = 50, MOST_WAIT_MILLIS = 2000;
+    private static final int OK = 200, UNKNOWN = 1 << 20;
+
+    private final ProxyConfig config;
+    private final Sockets sockets;
+    private final Inbox inbox;
+    /** One thread, idle nearly always: it dials again after a wait and notices silence. */
+    private final ScheduledExecutorService timer;
+    private Watching watching;
+    private long version, waitMillis = LEAST_WAIT_MILLIS;
+    private boolean wanted, listed;
+
+    RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer) {
+        this.config = config;
+        this.sockets = sockets;
+        this.inbox = inbox;
+        this.timer = timer;
+    }
+
+    /** The list as this proxy last had it, then the watch, unless the module has to ask for it. */
+    void start() {
+        if (config.known().has("targets")) {
+            tell(config.known(), Scope.CACHED);
+        }
+        if (!config.settings().mustSubscribe()) {
+            subscribe(true);
+        }
+        timer.scheduleWithFixedDelay(this::look, BEAT_MILLIS / 4, BEAT_MILLIS / 4, TimeUnit.MILLISECONDS);
+    }
+
+    void subscribe(boolean on) {
+        timer.execute(() -> {
+            wanted = on;
+            if (on && watching == null) {
+                open();
+            } else if (!on && watching != null) {
+                watching.give();
+            }
+        });
+    }
+
+    /** The whole list, once. */
+    void fetch() {
+        timer.execute(() -> dial(new Watching(LIST, false)));
+    }
+
+    private void open() {
+        String after = listed ? "&after=" + version : "";
+        watching = new Watching(LIST + "?watch=1" + after, true);
+        dial(watching);
+    }
+
+    private void dial(Watching call) {
+        call.connection = sockets.dial(config.discovery(), config.dialTimeOut(), call);
+        if (call.connection == null) {
+            call.failed(null);
+        }
+    }
+
+    /** Guards against a watch that is open but dead: discovery writes at least a beat's empty line. */
+    private void look() {
+        if (watching != null && System.nanoTime() - watching.heard > TimeUnit.MILLISECONDS.toNanos(SILENCE_MILLIS)) {
+            LOG.warning("roster: the watch is silent, dialling again");
+            watching.give();
+        }
+    }
+
+    private void ended(Watching call) {
+        if (watching != call) {
+            return;
+        }
+        watching = null;
+        if (config.settings().mustSubscribe()) {
+            wanted = false;
+            inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, version, List.of()), Map.of()));
+        } else if (wanted) {
+            timer.schedule(() -> {
+                if (wanted && watching == null) {
+                    open();
+                }
+            }, waitMillis, TimeUnit.MILLISECONDS);
+            waitMillis = Math.min(MOST_WAIT_MILLIS, waitMillis * 2);
+        }
+    }
+
+    private void heard(String text) {
+        try {
+            Tree tree = Tree.parse(text, "roster");
+            tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
+            waitMillis = LEAST_WAIT_MILLIS;
+        } catch (ConfigFault e) {
+            LOG.warning("roster: line ignored, " + e.getMessage());
+        }
+    }
+
+    private void tell(Tree tree, Scope scope) {
+        List<Entry> entries = new ArrayList<>();
+        Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
+        for (Tree each : tree.trees("targets")) {
+            String uid = each.text("uid", "");
+            InetSocketAddress address = ProxyConfig.address(each.text("endpoint", ""));
+            State state = switch (each.text("state", "")) {
+                case "Ready" -> State.READY;
+                case "Terminating" -> State.DRAINING;
+                case "Gone" -> State.GONE;
+                default -> null;
+            };
+            if (uid.isEmpty() || state == null || address == null && state != State.GONE) {
+                LOG.warning("roster: entry ignored, uid '" + uid + "' state '" + each.text("state", "") + "'");
+                continue;
+            }
+            NodeId node = new NodeId(Listen.hash(uid));
+            if (address != null) {
+                addresses.put(node, address);
+            }
+            entries.add(new Entry(node, state, new MachineKind(index(config.kinds(), each.text("model", ""))),
+                    each.number("capacity_hint", 1), Clock.ofUnixMillis((long) each.number("boot_ms", 0)),
+                    new CellId((int) each.number("pod_group", 0)),
+                    new ZoneId(index(config.zones(), each.text("az", "")))));
+        }
+        version = (long) tree.number("rev", version);
+        listed = true;
+        inbox.post(new Notice.Listed(new Event.Roster(scope, version, entries), addresses));
+    }
+
+    private static int index(List<String> names, String name) {
+        int at = names.indexOf(name);
+        return at < 0 ? UNKNOWN : at;
+    }
+
+    /** One call to discovery: the standing watch, or a list asked for once. */
+    private final class Watching extends Get {
+        private final boolean standing;
+        private volatile Connection connection;
+        private volatile long heard = System.nanoTime();
+        private volatile int code;
+
+        Watching(String target, boolean standing) {
+            super(config.discovery(), target);
+            this.standing = standing;
+        }
+
+        void give() {
+            Connection open = connection;
+            if (open != null) {
+                open.close();
+            }
+        }
+
+        @Override
+        void begun(int status) {
+            code = status;
+            heard = System.nanoTime();
+        }
+
+        @Override
+        void line(String text) {
+            heard = System.nanoTime();
+            if (code == OK && !text.isBlank()) {
+                timer.execute(() -> heard(text));
+            }
+        }
+
+        @Override
+        void over(boolean whole) {
+            give();
+            if (standing) {
+                timer.execute(() -> ended(this));
+            } else if (code != OK) {
+                inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, 0, List.of()), Map.of()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -0,0 +1,85 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.logging.Logger;
+
+/** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
+public final class Serve {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+    private static final long STILL_ACCEPTS_MILLIS = 500, STEP_MILLIS = 10;
+    /** Each connection has a few notices out at most, so that this queue is never full in practice. */
+    private static final int NOTICES_PER_SOCKET = 8;
+
+    private final ProxyConfig config;
+    private final Listen listen;
+    private final Sockets sockets;
+    private final Inbox inbox;
+    private final Decide decide;
+    private final RosterWatch watch;
+    private final ScheduledExecutorService timer;
+    private final Thread owner;
+
+    public Serve(ProxyConfig config) {
+        this.config = config;
+        Clock clock = new Clock();
+        inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
+        listen = new Listen(clock, config.categories());
+        sockets = new Sockets(config, inbox, listen);
+        decide = new Decide(config, inbox, clock, sockets);
+        timer = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "roster");
+            thread.setDaemon(true);
+            return thread;
+        });
+        watch = new RosterWatch(config, sockets, inbox, timer);
+        decide.watchWith(watch);
+        owner = new Thread(decide, "owner");
+    }
+
+    /** Listens, learns the list, and says that it is ready. */
+    public void start() throws IOException, InterruptedException {
+        owner.start();
+        sockets.start(config.listen());
+        watch.start();
+        listen.ready = true;
+        LOG.info(config.name() + " serves on " + config.listen());
+    }
+
+    public InetSocketAddress address() {
+        return sockets.address();
+    }
+
+    /** A planned end: takes new ops for a while, finishes what it has, and stops. */
+    public void drain() {
+        LOG.info(config.name() + " drains, " + decide.live() + " ops under way");
+        listen.draining = true;
+        long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
+        try {
+            Thread.sleep(STILL_ACCEPTS_MILLIS);
+            inbox.post(new Notice.Drain());
+            long until = System.nanoTime() + longest * 100_000;
+            do {
+                Thread.sleep(STEP_MILLIS);
+            } while (decide.live() > 0 && System.nanoTime() < until);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info(config.name() + " ends, " + decide.live() + " ops under way");
+        stop();
+    }
+
+    public void stop() {
+        decide.stop();
+        timer.shutdownNow();
+        sockets.stop();
+        try {
+            owner.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -0,0 +1,240 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.ResponseConnControl;
+import org.apache.hc.core5.http.protocol.ResponseContent;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/** The one reactor, its connections both ways, and the budget of sockets that they share. */
+final class Sockets {
+    private static final Logger LOG = Logger.getLogger(Sockets.class.getName());
+    /** Descriptors that the process needs for itself: files, selectors, listener, watch. */
+    private static final int RESERVE = 48;
+    private static final int BUFFER = 2048;
+    private static final long CHECK_MILLIS = 20;
+
+    private final Http1Config http = Http1Config.custom().setBufferSize(BUFFER).setChunkSizeHint(BUFFER).build();
+    private final HttpProcessor answers = new DefaultHttpProcessor(ResponseContent.INSTANCE, ResponseConnControl.INSTANCE);
+    private final ClientHttp1StreamDuplexerFactory outgoing =
+            new ClientHttp1StreamDuplexerFactory(new DefaultHttpProcessor(RequestContent.INSTANCE), http, null);
+    private final DefaultListeningIOReactor reactor;
+    private final AtomicInteger open = new AtomicInteger();
+    private final Set<Incoming> clients = ConcurrentHashMap.newKeySet();
+    private final Inbox inbox;
+    private final int most;
+    private final Listen listen;
+    private ListenerEndpoint endpoint;
+
+    Sockets(ProxyConfig config, Inbox inbox, Listen listen) {
+        this.inbox = inbox;
+        this.listen = listen;
+        most = config.sockets() - RESERVE;
+        IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+                .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED).setBacklogSize(config.sockets())
+                .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
+        reactor = new DefaultListeningIOReactor(this::handler, io, null, null, null,
+                e -> LOG.log(Level.WARNING, "reactor: {0}", e.toString()), null, null);
+    }
+
+    void start(InetSocketAddress address) throws IOException, InterruptedException {
+        reactor.start();
+        try {
+            endpoint = reactor.listen(address).get();
+        } catch (ExecutionException e) {
+            throw new IOException("cannot listen on " + address + ": " + e.getCause().getMessage(), e);
+        }
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) endpoint.getAddress();
+    }
+
+    /** Opens a connection for an exchange; null where the budget has no socket left. */
+    Connection dial(InetSocketAddress address, long timeOut, AsyncClientExchangeHandler first) {
+        if (open.get() >= most && !closeIdleClient()) {
+            return null;
+        }
+        open.incrementAndGet();
+        Connection connection = new Connection(address, this, first);
+        connection.dialed(reactor.connect(new HttpHost(address.getAddress(), address.getPort()), address, null,
+                Timeout.ofMilliseconds(Math.max(1, timeOut / Clock.MILLI)), connection, connection));
+        return connection;
+    }
+
+    boolean isFull() {
+        return open.get() >= most;
+    }
+
+    void closed(Connection connection) {
+        open.decrementAndGet();
+        inbox.post(new Notice.ConnectionClosed(connection));
+    }
+
+    private boolean closeIdleClient() {
+        for (Incoming client : clients) {
+            if (client.isIdle()) {
+                client.finish();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** No new connections; those that stand idle are closed, the others after their answer. */
+    void stopListening() {
+        endpoint.close(CloseMode.GRACEFUL);
+        closeIdleClients();
+    }
+
+    void closeIdleClients() {
+        clients.forEach(client -> {
+            if (client.isIdle()) {
+                client.finish();
+            }
+        });
+    }
+
+    void stop() {
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+
+    private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
+        if (attachment instanceof Connection connection) {
+            return new Outgoing(new ClientHttp1IOEventHandler(outgoing.create(session)), connection);
+        }
+        return new Incoming(session);
+    }
+
+    /** Hands everything on to the library's handler; the two kinds of connection add what they must know. */
+    private abstract static class Wrapped implements IOEventHandler {
+        private IOEventHandler inner;
+
+        void wrap(IOEventHandler handler) {
+            inner = handler;
+        }
+
+        @Override
+        public void connected(IOSession session) throws IOException {
+            inner.connected(session);
+        }
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer src) throws IOException {
+            inner.inputReady(session, src);
+        }
+
+        @Override
+        public void outputReady(IOSession session) throws IOException {
+            inner.outputReady(session);
+        }
+
+        @Override
+        public void timeout(IOSession session, Timeout timeout) throws IOException {
+            inner.timeout(session, timeout);
+        }
+
+        @Override
+        public void exception(IOSession session, Exception cause) {
+            inner.exception(session, cause);
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            inner.disconnected(session);
+        }
+    }
+
+    private static final class Outgoing extends Wrapped {
+        private final Connection connection;
+
+        Outgoing(IOEventHandler handler, Connection connection) {
+            wrap(handler);
+            this.connection = connection;
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            super.disconnected(session);
+            connection.ended();
+        }
+    }
+
+    /** A client's connection. The library goes on after a client's close; this ends the exchange instead. */
+    private final class Incoming extends Wrapped {
+        private final IOSession session;
+        private final ServerHttp1StreamDuplexer duplexer;
+        private volatile Exchange exchange;
+
+        Incoming(ProtocolIOSession session) {
+            this.session = session;
+            duplexer = new ServerHttp1StreamDuplexerFactory(answers, (request, context) -> {
+                exchange = new Exchange(listen, inbox);
+                return exchange;
+            }, http, null, null, null).create("http", session);
+            wrap(new ServerHttp1IOEventHandler(duplexer));
+        }
+
+        boolean isIdle() {
+            Exchange last = exchange;
+            return last == null || last.isOver();
+        }
+
+        void finish() {
+            session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+        }
+
+        @Override
+        public void connected(IOSession up) throws IOException {
+            open.incrementAndGet();
+            clients.add(this);
+            super.connected(up);
+        }
+
+        @Override
+        public void inputReady(IOSession up, ByteBuffer src) throws IOException {
+            super.inputReady(up, src);
+            // Guards against ops worked on for a client that has closed its connection.
+            if (!duplexer.isOpen() && !isIdle()) {
+                up.close(CloseMode.IMMEDIATE);
+            }
+        }
+
+        @Override
+        public void disconnected(IOSession up) {
+            super.disconnected(up);
+            if (clients.remove(this)) {
+                open.decrementAndGet();
+            }
+        }
+    }
+}
