Stories of the proxy on loopback sockets; class archive, warm-up, socket budget, stalls

Built: a class archive from the build, 400 ops through the own listener before /-/ready, one socket budget with idle connections closed first, idle node connections dropped at 0.7 of the limit, TTLs cut by a seen stall of the process. Found by the stories and mended: the roster thread rejected work during the stop; the same odd roster entry was logged at every reconnect. A warm-up op that comes late is nacked by itself: handed to the module it would reach a cache under an id that no client sent.

--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -15,7 +15,7 @@
 /** The command line of the service. */
 @Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
         description = "Routes ops to a fleet of cache servers.", 
-        subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class})
+        subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -71,4 +71,16 @@
             }
         }
     }
+
+    @Command(name = "rehearse", hidden = true,
+            description = "Starts a proxy, warms it and ends: the build records the classes that a start needs.")
+    static final class RehearseCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            Serve serve = new Serve(ProxyConfig.rehearsal());
+            serve.start();
+            serve.stop();
+            return 0;
+        }
+    }
 }
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -32,6 +32,16 @@
         }
     }
 
+    /** A small configuration on the loopback address, for the start that the build rehearses. */
+    public static ProxyConfig rehearsal() {
+        return of(Tree.parse("""
+                {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "known": {"all": true, "targets": []},
+                 "settings": {"categories": [{"name": "read", "effect": "repeatable"}],
+                              "domain": {"mode": "aside", "origin-kind": 1}, "host-types": ["cache", "origin"],
+                              "limits": {"most-pushes": 2, "cancel": true, "second-copies": true}}}
+                """, "rehearsal"), Map.of());
+    }
+
     /** The file's figures; a variable of its own stands for a name or an address that the file lacks. */
     static ProxyConfig of(Tree root, Map<String, String> variables) {
         Tree settings = root.map("settings");
--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -59,7 +60,7 @@
     public void completed(IOSession up) {
         session = up;
         if (unwanted) {
-            first.failed(new java.io.IOException("no longer wanted"));
+            first.failed(new IOException("no longer wanted"));
             up.close(CloseMode.IMMEDIATE);
         } else {
             send(first);
@@ -74,7 +75,7 @@
 
     @Override
     public void cancelled() {
-        failed(new java.io.IOException("dial given up"));
+        failed(new IOException("dial given up"));
     }
 
     /** The socket is gone, whichever side closed it. */
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -24,9 +24,10 @@
 final class Decide implements Host, Runnable {
     private static final Logger LOG = Logger.getLogger(Decide.class.getName());
     private static final int BATCH = 64;
-    private static final long SWEEP = Clock.SECOND;
-    /** The time that an idle process is given before it looks round again. */
-    private static final long REST_NANOS = 50_000_000;
+    private static final long MOST_SWEEP = Clock.SECOND / 2;
+    /** An idle process looks round this often, so that it notices when it was held up. */
+    private static final long REST_NANOS = 20_000_000;
+    private static final long HELD_UP = 5 * Clock.MILLI;
 
     /** An op from its arrival until it is answered and its last push has ended. */
     private static final class Live {
@@ -62,7 +63,8 @@
     /** What the owner thread tells itself; the module is never called from within its own calls. */
     private final ArrayDeque<Notice> later = new ArrayDeque<>();
     private RosterWatch watch;
-    private long lastOp, lastRank, sweptAt;
+    private long lastOp, lastRank, sweptAt, stall;
+    private final long sweep;
     private volatile boolean stopped;
     private volatile int live;
     private boolean draining;
@@ -72,6 +74,7 @@
         this.clock = clock;
         this.sockets = sockets;
         push = new Push(sockets, config.dialTimeOut(), config.idleLimit());
+        sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
         router = new Router(config.settings(), config.seed(), clock.now(), this);
     }
@@ -89,6 +92,11 @@
         stopped = true;
     }
 
+    /** Stops once the inbox is empty. */
+    void finish() {
+        inbox.post(new Notice.Last());
+    }
+
     @Override
     public void run() {
         while (!stopped) {
@@ -107,7 +115,11 @@
         if (!timers.isEmpty()) {
             wait = Math.max(0, Math.min(wait, clock.nanosUntil(timers.peek().due)));
         }
+        long before = clock.now();
         Notice notice = later.isEmpty() ? wait == 0 ? inbox.poll() : inbox.poll(wait) : later.poll();
+        // Guards against a stall of the whole process: what is read after it came during it, and its TTL ran.
+        long late = clock.now() - before - wait / 100_000;
+        stall = late > HELD_UP ? late + REST_NANOS / 100_000 : 0;
         for (int i = 0; notice != null; i++) {
             take(notice);
             notice = !later.isEmpty() ? later.poll() : i < BATCH ? inbox.poll() : null;
@@ -116,7 +128,7 @@
         while (!timers.isEmpty() && timers.peek().due <= now) {
             fire(timers.poll(), now);
         }
-        if (now - sweptAt >= SWEEP) {
+        if (now - sweptAt >= sweep) {
             sweptAt = now;
             push.dropIdle(now);
             if (draining) {
@@ -149,6 +161,10 @@
         } else if (notice instanceof Notice.Probed probed) {
             router.handle(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
                     probed.report()));
+        } else if (notice instanceof Notice.Last) {
+            stopped = true;
+        } else if (notice instanceof Notice.Crowded) {
+            push.closeOldest();
         } else if (notice instanceof Notice.Drain) {
             draining = true;
             sockets.stopListening();
@@ -161,15 +177,16 @@
         if (client.isOver()) {
             return;
         }
-        ops.put(client.op, new Live(client, arrived.expires()));
+        long expires = arrived.expires() - stall;
+        ops.put(client.op, new Live(client, expires));
         live++;
         router.handle(clock.now(), new Event.OpArrived(client.op, client.category, new TenantId(0), client.key,
-                arrived.expires(), 0, -1, client.repeat, client.write));
+                expires, 0, -1, client.repeat, client.write));
     }
 
     private void left(Exchange client) {
         Live op = client.op == null ? null : ops.get(client.op);
-        if (op != null && !op.answered) {
+        if (op != null && op.client == client && !op.answered) {
             answered(op);
             router.handle(clock.now(), new Event.OpDropped(client.op));
         }
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -69,7 +70,7 @@
         }
         String fault = read(request, entity, now);
         if (fault != null) {
-            send(MALFORMED, fault.getBytes(java.nio.charset.StandardCharsets.US_ASCII), 0, entity != null);
+            send(MALFORMED, fault.getBytes(StandardCharsets.US_ASCII), 0, entity != null);
         } else if (entity == null) {
             take();
         } else {
@@ -119,7 +120,12 @@
         value = body == null ? null : body.toByteArray();
         body = null;
         taken = true;
-        inbox.post(new Notice.Arrived(this, expires));
+        Warm warm = listen.warm;
+        if (warm != null && warm.owns(trace)) {
+            warm.take(this, expires);
+        } else {
+            inbox.post(new Notice.Arrived(this, expires));
+        }
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -29,6 +29,11 @@
         this.target = target;
     }
 
+    /** Adds what further headers the request needs. */
+    void dress(BasicHttpRequest request) {
+        // Host is enough for most.
+    }
+
     abstract void begun(int code);
 
     abstract void line(String text);
@@ -47,6 +52,7 @@
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
         BasicHttpRequest request = new BasicHttpRequest("GET", target);
         request.addHeader("Host", host);
+        dress(request);
         channel.sendRequest(request, null, context);
     }
 
--- a/src/main/java/cairnbridge/proxy/Listen.java
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -10,6 +10,8 @@
     final Clock clock;
     private final Map<String, Integer> categories = new HashMap<>();
     volatile boolean ready, draining;
+    /** Its requests are none of the clients'; it stays, to know them. */
+    volatile Warm warm;
 
     Listen(Clock clock, List<String> names) {
         this.clock = clock;
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -27,6 +27,14 @@
     record Probed(NodeId node, Ending ending, long took, double[] report) implements Notice {
     }
 
+    /** The socket budget is spent: an idle connection to a node makes room. */
+    record Crowded() implements Notice {
+    }
+
+    /** The owner thread is to end here. */
+    record Last() implements Notice {
+    }
+
     /** The process is to end: idle connections go, and what was taken is finished. */
     record Drain() implements Notice {
     }
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -9,7 +9,7 @@
 /** Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread only. */
 final class Push {
     /** A node closes an idle connection at its limit; ours goes before that, with this part of it passed. */
-    private static final double IDLE_PART = 0.7;
+    private static final double IDLE_PART = 0.7, SWEEP_PART = 0.1;
 
     private final Sockets sockets;
     private final long dialTimeOut, idleLimit;
@@ -85,6 +85,11 @@
         }
     }
 
+    /** How often idle connections must be looked at, to be gone in time. */
+    long sweep() {
+        return Math.max(1, (long) (idleLimit * SWEEP_PART));
+    }
+
     /** Guards against a push written to a connection that the node is just closing: ours go first. */
     void dropIdle(long now) {
         for (ArrayDeque<Connection> kept : idle.values()) {
@@ -94,7 +99,8 @@
         }
     }
 
-    private void closeOldest() {
+    /** Of the kept connections the one idle longest makes room for another. */
+    void closeOldest() {
         ArrayDeque<Connection> oldest = null;
         for (ArrayDeque<Connection> kept : idle.values()) {
             if (!kept.isEmpty() && (oldest == null || kept.peekFirst().idleSince < oldest.peekFirst().idleSince)) {
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -14,8 +14,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
@@ -26,7 +28,7 @@
     private static final String LIST = "/api/targets";
     private static final long BEAT_MILLIS = 2000, SILENCE_MILLIS = 5 * BEAT_MILLIS / 2;
     private static final long LEAST_WAIT_MILLIS = 50, MOST_WAIT_MILLIS = 2000;
-    private static final int OK = 200, UNKNOWN = 1 << 20;
+    private static final int OK = 200, UNKNOWN = 1 << 20, MOST_ODD = 20;
 
     private final ProxyConfig config;
     private final Sockets sockets;
@@ -36,6 +38,7 @@
     private Watching watching;
     private long version, waitMillis = LEAST_WAIT_MILLIS;
     private boolean wanted, listed;
+    private final Set<String> odd = new HashSet<>();
 
     RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer) {
         this.config = config;
@@ -116,7 +119,7 @@
             tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
             waitMillis = LEAST_WAIT_MILLIS;
         } catch (ConfigFault e) {
-            LOG.warning("roster: line ignored, " + e.getMessage());
+            odd("line ignored, " + e.getMessage());
         }
     }
 
@@ -133,7 +136,7 @@
                 default -> null;
             };
             if (uid.isEmpty() || state == null || address == null && state != State.GONE) {
-                LOG.warning("roster: entry ignored, uid '" + uid + "' state '" + each.text("state", "") + "'");
+                odd("entry ignored, uid '" + uid + "' state '" + each.text("state", "") + "'");
                 continue;
             }
             NodeId node = new NodeId(Listen.hash(uid));
@@ -150,6 +153,13 @@
         inbox.post(new Notice.Listed(new Event.Roster(scope, version, entries), addresses));
     }
 
+    /** Says each oddity once, and not more than some. */
+    private void odd(String what) {
+        if (odd.size() < MOST_ODD && odd.add(what)) {
+            LOG.warning("roster: " + what);
+        }
+    }
+
     private static int index(List<String> names, String name) {
         int at = names.indexOf(name);
         return at < 0 ? UNKNOWN : at;
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -3,8 +3,9 @@
 import cairnbridge.config.ProxyConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.logging.Logger;
 
 /** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
@@ -30,11 +31,11 @@
         listen = new Listen(clock, config.categories());
         sockets = new Sockets(config, inbox, listen);
         decide = new Decide(config, inbox, clock, sockets);
-        timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        timer = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "roster");
             thread.setDaemon(true);
             return thread;
-        });
+        }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer);
         decide.watchWith(watch);
         owner = new Thread(decide, "owner");
@@ -45,6 +46,7 @@
         owner.start();
         sockets.start(config.listen());
         watch.start();
+        new Warm(config, sockets, listen).run();
         listen.ready = true;
         LOG.info(config.name() + " serves on " + config.listen());
     }
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -63,7 +64,13 @@
                 .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED).setBacklogSize(config.sockets())
                 .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
         reactor = new DefaultListeningIOReactor(this::handler, io, null, null, null,
-                e -> LOG.log(Level.WARNING, "reactor: {0}", e.toString()), null, null);
+                this::failed, null, null);
+    }
+
+    private void failed(Exception cause) {
+        if (!(cause instanceof ClosedSelectorException)) {
+            LOG.log(Level.WARNING, "reactor: {0}", cause.toString());
+        }
     }
 
     void start(InetSocketAddress address) throws IOException, InterruptedException {
@@ -100,14 +107,40 @@
         inbox.post(new Notice.ConnectionClosed(connection));
     }
 
+    /** The client's connection that has stood idle longest makes room for another. */
     private boolean closeIdleClient() {
+        Incoming oldest = null;
         for (Incoming client : clients) {
-            if (client.isIdle()) {
-                client.finish();
-                return true;
+            if (client.isIdle() && (oldest == null || client.idleSince() < oldest.idleSince())) {
+                oldest = client;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.finish();
+        return true;
+    }
+
+    /** Guards against running out of descriptors: at the budget's end new clients wait in the backlog. */
+    private void crowded() {
+        if (open.get() > most) {
+            closeIdleClient();
+            inbox.post(new Notice.Crowded());
+        }
+        pace();
+    }
+
+    private void pace() {
+        try {
+            if (open.get() >= most + RESERVE / 2) {
+                reactor.pause();
+            } else if (open.get() < most + RESERVE / 4) {
+                reactor.resume();
             }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "listener: {0}", e.toString());
         }
-        return false;
     }
 
     /** No new connections; those that stand idle are closed, the others after their answer. */
@@ -209,6 +242,10 @@
             return last == null || last.isOver();
         }
 
+        long idleSince() {
+            return session.getLastEventTime();
+        }
+
         void finish() {
             session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
         }
@@ -216,6 +253,7 @@
         @Override
         public void connected(IOSession up) throws IOException {
             open.incrementAndGet();
+            crowded();
             clients.add(this);
             super.connected(up);
         }
@@ -234,6 +272,7 @@
             super.disconnected(up);
             if (clients.remove(this)) {
                 open.decrementAndGet();
+                pace();
             }
         }
     }
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -0,0 +1,153 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Entry;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.CellId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.ZoneId;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+
+/**
+ * Runs the whole path of an op some hundred times before the proxy says that it is ready, so that the first
+ * clients do not pay for cold code. It has an owner and a module of its own: client and cache are this proxy
+ * itself, over its own listener, told from real requests by a name that no client can know.
+ */
+final class Warm {
+    private static final int OPS = 400, LANES = 4;
+    private static final long MOST_MILLIS = 1000;
+    private static final byte[] VALUE = new byte[64];
+
+    private final Sockets sockets;
+    private final Listen listen;
+    private final ProxyConfig config;
+    private final Inbox inbox = new Inbox(8 * OPS);
+    private final Set<String> seen = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger left = new AtomicInteger(OPS);
+    private final CountDownLatch done = new CountDownLatch(LANES);
+    private volatile boolean finished;
+    private final String secret = "warm-" + Long.toHexString(System.nanoTime()) + "-";
+
+    Warm(ProxyConfig config, Sockets sockets, Listen listen) {
+        this.config = config;
+        this.sockets = sockets;
+        this.listen = listen;
+    }
+
+    void run() throws InterruptedException {
+        Decide decide = new Decide(config, inbox, listen.clock, sockets);
+        Thread owner = new Thread(decide, "warm");
+        owner.start();
+        MachineKind origin = config.settings().originKind();
+        InetSocketAddress here = sockets.address();
+        NodeId cache = new NodeId(1), store = new NodeId(2);
+        tell(List.of(entry(cache, new MachineKind(origin.value() + 1)), entry(store, origin)),
+                Map.of(cache, here, store, here));
+        listen.warm = this;
+        for (int i = 0; i < LANES; i++) {
+            new Lane(here).next();
+        }
+        done.await(MOST_MILLIS, TimeUnit.MILLISECONDS);
+        left.set(0);
+        finished = true;
+        tell(List.of(), Map.of());
+        decide.finish();
+        owner.join();
+    }
+
+    private static Entry entry(NodeId node, MachineKind kind) {
+        return new Entry(node, State.READY, kind, 1, 0, new CellId(0), new ZoneId(0));
+    }
+
+    private void tell(List<Entry> entries, Map<NodeId, InetSocketAddress> addresses) {
+        inbox.post(new Notice.Listed(new Event.Roster(Scope.FULL, 1, entries), addresses));
+    }
+
+    boolean owns(String trace) {
+        return trace.startsWith(secret);
+    }
+
+    /** The first time an op comes from the client, the second time from the push. */
+    void take(Exchange exchange, long expires) {
+        // Guards against a late one being taken for a client's: no cache may ever see it.
+        if (finished) {
+            exchange.nack(0);
+        } else if (seen.add(exchange.trace)) {
+            inbox.post(new Notice.Arrived(exchange, expires));
+        } else {
+            exchange.ack(VALUE);
+        }
+    }
+
+    /** One client, with one op at a time. */
+    private final class Lane {
+        private final InetSocketAddress here;
+        private Connection connection;
+
+        Lane(InetSocketAddress here) {
+            this.here = here;
+        }
+
+        void next() {
+            int number = left.getAndDecrement();
+            Ask ask = number > 0 ? new Ask(number) : null;
+            if (ask != null && connection != null && connection.isOpen()) {
+                connection.send(ask);
+            } else if (ask == null || (connection = sockets.dial(here, config.dialTimeOut(), ask)) == null) {
+                end();
+            }
+        }
+
+        private void end() {
+            done.countDown();
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        private final class Ask extends Get {
+            private final String trace;
+
+            Ask(int number) {
+                super(here, "/" + config.categories().get(0) + "/" + Integer.toHexString(number));
+                trace = secret + number;
+            }
+
+            @Override
+            void dress(BasicHttpRequest request) {
+                request.addHeader("X-Trace-Id", trace);
+                request.addHeader("X-Expires-In", MOST_MILLIS + "m");
+            }
+
+            @Override
+            void begun(int code) {
+                // Whatever the answer, its path has been run.
+            }
+
+            @Override
+            void line(String text) {
+                // The value says nothing.
+            }
+
+            @Override
+            void over(boolean whole) {
+                if (whole) {
+                    next();
+                } else {
+                    end();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -0,0 +1,461 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.ProxyConfig;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Stories of one proxy on real sockets, among stand-ins for caches, origin, discovery and clients. */
+@Timeout(20)
+class ProxyTest {
+    private static final String HIT = "200 OK|X-Store: hit|kept", MISS = "404 Not Found|X-Store: miss|",
+            RESET = "reset", SILENT = "silent", EMPTY = "200 OK||{\"rev\":1,\"all\":false,\"targets\":[]}\n";
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Function<String, String> cacheDoes = request -> HIT, originDoes = request -> "200 OK||fetched",
+            discoveryDoes = request -> SILENT;
+    private int sockets = 256;
+    private double idleSeconds = 60;
+    private StandIn cache, origin, discovery;
+    private Serve proxy;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+    }
+
+    /** What a server of the fleet sees and does: each request as one text, its answer as status|header|body. */
+    private final class StandIn implements AutoCloseable {
+        final List<String> seen = new CopyOnWriteArrayList<>();
+        final List<Socket> connections = new CopyOnWriteArrayList<>();
+        final AtomicInteger ended = new AtomicInteger();
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final Function<String, String> does;
+
+        StandIn(Function<String, String> does) throws IOException {
+            this.does = does;
+            opened.add(this);
+            daemon(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    connections.add(socket);
+                    daemon(() -> {
+                        try {
+                            return serve(socket);
+                        } finally {
+                            ended.incrementAndGet();
+                        }
+                    });
+                }
+            });
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        private Void serve(Socket socket) throws IOException {
+            for (String request = message(socket); request != null; request = message(socket)) {
+                seen.add(request);
+                String answer = does.apply(request);
+                if (answer.equals(RESET)) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    return null;
+                } else if (!answer.equals(SILENT)) {
+                    String[] part = answer.split("\\|", 3);
+                    socket.getOutputStream().write(("HTTP/1.1 " + part[0] + "\r\n" + (part[1].isEmpty() ? "" : part[1] + "\r\n")
+                            + "Content-Length: " + part[2].length() + "\r\n\r\n" + part[2])
+                            .getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+            return null;
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket each : connections) {
+                each.close();
+            }
+        }
+    }
+
+    private interface Work {
+        Object run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The story is over, or the other side has closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One whole message, head and body, or null where the connection ends before. */
+    private static String message(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String text = "";
+        int length = -1;
+        for (int b = in.read(); b >= 0; b = in.read()) {
+            bytes.write(b);
+            if (length < 0 && b == '\n' && (text = bytes.toString(StandardCharsets.ISO_8859_1)).endsWith("\r\n\r\n")) {
+                String lower = text.toLowerCase();
+                int at = lower.indexOf("content-length: ");
+                length = text.length() + (at < 0 ? 0
+                        : Integer.parseInt(lower.substring(at + 16, lower.indexOf("\r\n", at))));
+            }
+            if (bytes.size() == length) {
+                return bytes.toString(StandardCharsets.ISO_8859_1);
+            }
+        }
+        return null;
+    }
+
+    private static String target(String uid, String address, String kind, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address + "\",\"az\":\"a\",\"model\":\"" + kind
+                + "\",\"pod_group\":1,\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0,\"news\":[1]}";
+    }
+
+    private static String list(int version, boolean whole, String... targets) {
+        return "{\"rev\":" + version + ",\"all\":" + whole + ",\"targets\":[" + String.join(",", targets) + "]}";
+    }
+
+    private ProxyConfig config(String known, String discoveryAddress) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"p","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","known":%s,
+                 "limits":{"sockets":%d},
+                 "settings":{"azs":["a"],"host-types":["cache","origin"],"granularity-s":0.005,
+                  "domain":{"mode":"aside","origin-kind":1},
+                  "categories":[
+                   {"name":"view","effect":"repeatable","group":"all","ttl-s":1,"target-latency-s":0.3,"benefit":5,
+                    "overdue-benefit":0.2},
+                   {"name":"loan","effect":"once","group":"all","ttl-s":1,"benefit":5,"overdue-benefit":0.2}],
+                  "limits":{"cancel":true,"most-pushes":4,"second-copies":false,"retry-after":true,
+                   "max-retry-after-s":2,"dial-timeout-s":0.2,"keepalive-s":%s}}}
+                """.formatted(discoveryAddress, known, sockets, idleSeconds));
+        return ProxyConfig.read(Map.of("LB_CONFIG", file.toString()));
+    }
+
+    private void start(String... more) throws Exception {
+        cache = new StandIn(request -> cacheDoes.apply(request));
+        origin = new StandIn(request -> originDoes.apply(request));
+        discovery = new StandIn(request -> discoveryDoes.apply(request));
+        List<String> targets = new ArrayList<>(List.of(target("c", cache.address(), "cache", "Ready"),
+                target("o", origin.address(), "origin", "Ready")));
+        targets.addAll(List.of(more));
+        proxy = serve(list(1, true, targets.toArray(String[]::new)));
+    }
+
+    private Serve serve(String known) throws Exception {
+        Serve made = new Serve(config(known, discovery.address()));
+        opened.add(made::stop);
+        made.start();
+        return made;
+    }
+
+    private Socket client() throws IOException {
+        InetSocketAddress address = proxy.address();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        opened.add(socket);
+        return socket;
+    }
+
+    private static void send(Socket socket, String line, String headers, String body) throws IOException {
+        socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: app.svc\r\n" + headers
+                + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body)
+                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String ttl(int millis) {
+        return "X-Trace-Id: 9b1f\r\nX-Expires-In: " + millis + "m\r\n";
+    }
+
+    private String ask(String line, String headers, String body) throws IOException {
+        Socket socket = client();
+        send(socket, line, headers, body);
+        return message(socket);
+    }
+
+    private static void until(BooleanSupplier what) throws InterruptedException {
+        while (!what.getAsBoolean()) {
+            Thread.sleep(2);
+        }
+    }
+
+    private static int code(String answer) {
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    private static String body(String message) {
+        return message.substring(message.indexOf("\r\n\r\n") + 4);
+    }
+
+    @Test
+    void aReadGoesOnAsItCameAndItsAnswerComesBackUnchanged() throws Exception {
+        start();
+        String answer = ask("GET /view/7f3a?size=2", ttl(800), "");
+        assertEquals(200, code(answer));
+        assertEquals("kept", body(answer));
+        assertEquals(1, cache.seen.size());
+        assertTrue(cache.seen.get(0).startsWith("GET /view/7f3a?size=2 HTTP/1.1\r\n"), cache.seen.get(0));
+        assertTrue(cache.seen.get(0).contains("X-Trace-Id: 9b1f\r\n"), cache.seen.get(0));
+        assertTrue(cache.seen.get(0).matches("(?s).*X-Expires-In: [1-7]\\d{5}u\r\n.*"), cache.seen.get(0));
+    }
+
+    @Test
+    void aMissIsFetchedFromTheOrigin() throws Exception {
+        cacheDoes = request -> MISS;
+        start();
+        assertEquals("fetched", body(ask("GET /view/7f3a", ttl(800), "")));
+        assertEquals(List.of(1, 1), List.of(cache.seen.size(), origin.seen.size()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5000, 64 * 1024})
+    void aWriteCarriesItsBodyAndItsMarkToTheOrigin(int size) throws Exception {
+        start();
+        String value = IntStream.range(0, size).mapToObj(i -> String.valueOf((char) (i % 256)))
+                .collect(Collectors.joining());
+        assertEquals(200, code(ask("PUT /loan/7f3a", ttl(800) + "Idempotency-Key: k1\r\n", value)));
+        assertEquals(value, body(origin.seen.get(0)));
+        assertTrue(origin.seen.get(0).contains("Idempotency-Key: k1\r\n"));
+        assertEquals(0, cache.seen.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"GET /view/1 | X-Expires-In: 500m | 0", "GET /view/1 | X-Trace-Id: 1 | 0",
+        "GET /view/1 | X-Trace-Id: 1;X-Expires-In: soon | 0", "GET /view/1 | X-Trace-Id: 1;X-Expires-In: -5m | 0",
+        "GET /view/1 | X-Trace-Id: 1;X-Expires-In: 99999999999999999m | 0",
+        "GET /other/1 | X-Trace-Id: 1;X-Expires-In: 500m | 0", "DELETE /view/1 | X-Trace-Id: 1;X-Expires-In: 500m | 0",
+        "PUT /loan/1 | X-Trace-Id: 1;X-Expires-In: 500m | 65537", "nonsense | X-Trace-Id: 1 | 0"})
+    void aMalformedRequestIsAnswered400AndNothingIsPushed(String line, String headers, int size) throws Exception {
+        start();
+        assertEquals(400, code(ask(line, headers.replace(";", "\r\n") + "\r\n", "x".repeat(size))));
+        assertEquals(200, code(ask("GET /view/1", ttl(800), "")));
+        assertEquals(List.of(1, 0), List.of(cache.seen.size(), origin.seen.size()));
+    }
+
+    @Test
+    void aRefusedConnectionProvesThatTheOpNeverRan() throws Exception {
+        StandIn gone = new StandIn(request -> HIT);
+        gone.close();
+        start(target("gone", gone.address(), "cache", "Ready"));
+        for (int key = 0; key < 20; key++) {
+            assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
+        }
+        assertEquals(20, cache.seen.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {"reset; 502; 1", "500 Oops||; 502; 1", "503 Busy||; 502; 1",
+        "429 Busy||; 502; 1", "503 Full|X-Never-Ran: 1|; 503; 2"})
+    void anAtMostOnceOpIsPushedAgainOrNackedOnlyWithProof(String does, int code, int least) throws Exception {
+        originDoes = request -> does;
+        start();
+        assertEquals(code, code(ask("PUT /loan/1", ttl(500), "v")));
+        assertTrue(least == 1 ? origin.seen.size() == 1 : origin.seen.size() >= least, "" + origin.seen.size());
+    }
+
+    @Test
+    void aBrokenReadIsPushedAgain() throws Exception {
+        AtomicInteger pushes = new AtomicInteger();
+        cacheDoes = request -> pushes.incrementAndGet() == 1 ? RESET : HIT;
+        StandIn second = new StandIn(cacheDoes);
+        start(target("second", second.address(), "cache", "Ready"));
+        assertEquals(200, code(ask("GET /view/1", ttl(900), "")));
+        assertEquals(List.of(1, 1), List.of(cache.seen.size(), second.seen.size()));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET /view/1, 503", "PUT /loan/1, 502"})
+    void aSilentServerCostsItsConnectionAndTheClientIsAnsweredInTime(String line, int code) throws Exception {
+        cacheDoes = request -> SILENT;
+        originDoes = request -> SILENT;
+        start();
+        long sent = System.nanoTime();
+        assertEquals(code, code(ask(line, ttl(300), line.startsWith("PUT") ? "v" : "")));
+        long millis = (System.nanoTime() - sent) / 1_000_000;
+        assertTrue(millis < 370, "answered after " + millis);
+        until(() -> cache.ended.get() + origin.ended.get() == 1);
+    }
+
+    @Test
+    void aClientThatClosesTakesItsPushWithIt() throws Exception {
+        cacheDoes = request -> SILENT;
+        start();
+        Socket leaving = client();
+        send(leaving, "GET /view/1", ttl(60_000), "");
+        until(() -> cache.seen.size() == 1);
+        leaving.close();
+        until(() -> cache.ended.get() == 1);
+    }
+
+    @Test
+    void connectionsAreKeptOnBothSides() throws Exception {
+        start();
+        Socket keeping = client();
+        for (int i = 0; i < 5; i++) {
+            send(keeping, "GET /view/1", ttl(800), "");
+            assertEquals(200, code(message(keeping)));
+        }
+        assertEquals(1, cache.connections.size());
+    }
+
+    @Test
+    void anIdleConnectionGoesBeforeTheNodeWouldCloseIt() throws Exception {
+        idleSeconds = 0.3;
+        start();
+        ask("GET /view/1", ttl(800), "");
+        long answered = System.nanoTime();
+        until(() -> cache.ended.get() == 1);
+        assertTrue(System.nanoTime() - answered < 300_000_000L);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Terminating", "Gone"})
+    void aNodeThatDrainsOrIsGoneGetsNothingNew(String state) throws Exception {
+        StandIn leaving = new StandIn(request -> HIT);
+        discoveryDoes = request -> "200 OK||" + list(2, false, target("l", leaving.address(), "cache", state),
+                target("odd", "nowhere", "cache", "Ready"), target("x", leaving.address(), "cache", "Resting")) + "\n";
+        start(target("l", leaving.address(), "cache", "Ready"));
+        until(() -> discovery.seen.size() >= 2);
+        for (int key = 0; key < 20; key++) {
+            assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
+        }
+        assertEquals(List.of(20, 0), List.of(cache.seen.size(), leaving.seen.size()));
+    }
+
+    @Test
+    void aWatchThatEndsIsOpenedAgainAfterTheLastVersion() throws Exception {
+        discoveryDoes = request -> discovery.seen.size() == 1 ? RESET : discovery.seen.size() == 2
+                ? EMPTY.replace("\"rev\":1", "\"rev\":7") : SILENT;
+        start();
+        until(() -> discovery.seen.size() == 3);
+        assertTrue(discovery.seen.get(1).startsWith("GET /api/targets?watch=1&after=1 "), discovery.seen.get(1));
+        assertTrue(discovery.seen.get(2).startsWith("GET /api/targets?watch=1&after=7 "), discovery.seen.get(2));
+    }
+
+    @Test
+    void aSilentWatchIsGivenUp() throws Exception {
+        start();
+        until(() -> discovery.seen.size() == 2);
+        until(() -> discovery.ended.get() == 1);
+    }
+
+    @Test
+    void everyProxySendsAKeyToTheSameNodeWhateverItsAddress() throws Exception {
+        start();
+        Map<String, StandIn> fleet = Map.of("a", new StandIn(r -> HIT), "b", new StandIn(r -> HIT), "c", new StandIn(r -> HIT));
+        List<List<Integer>> shares = new ArrayList<>();
+        for (int turn = 0; turn < 2; turn++) {
+            fleet.values().forEach(each -> each.seen.clear());
+            proxy = serve(list(1, true, fleet.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                    .map(e -> target(e.getKey(), e.getValue().address(), "cache", "Ready")).toArray(String[]::new)));
+            for (int key = 0; key < 30; key++) {
+                ask("GET /view/" + key, ttl(800), "");
+            }
+            shares.add(fleet.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                    .map(e -> e.getValue().seen.size()).toList());
+        }
+        assertEquals(shares.get(0), shares.get(1));
+        assertNotEquals(0, shares.get(0).get(0));
+    }
+
+    @Test
+    void idleClientsMakeRoomWhenSocketsRunOut() throws Exception {
+        sockets = 64;
+        start();
+        List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            idle.add(client());
+            send(idle.get(i), "GET /view/1", ttl(900), "");
+            assertEquals(200, code(message(idle.get(i))), "client " + i);
+        }
+        assertEquals(-1, idle.get(0).getInputStream().read());
+    }
+
+    @Test
+    void aPlannedEndFinishesWhatWasTakenAndTakesNoMore() throws Exception {
+        cacheDoes = request -> {
+            while (proxy != null && !request.contains("/quick") && cache.connections.size() < 2) {
+                Thread.onSpinWait();
+            }
+            return HIT;
+        };
+        start();
+        Socket early = client(), late = client(), idle = client();
+        send(early, "GET /view/1", ttl(5000), "");
+        until(() -> cache.seen.size() == 1);
+        Thread drain = new Thread(proxy::drain);
+        drain.start();
+        until(() -> {
+            try {
+                return ask("GET /-/ready", "", "").contains("Connection: close");
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        send(late, "GET /view/quick", ttl(900), "");
+        String last = message(late);
+        assertEquals(200, code(last));
+        assertTrue(last.contains("Connection: close"), last);
+        assertEquals(200, code(message(early)));
+        assertEquals(-1, idle.getInputStream().read());
+        drain.join();
+        assertThrows(IOException.class, this::client);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"{} | settings.categories: needs", "[] | LB_CONFIG: is not a JSON object",
+        "{\"settings\":{\"categories\":[{\"name\":\"v\",\"ttl-s\":\"1\"}]},\"listen\":\"127.0.0.1:1\"} | discovery: is not set",
+        "{\"settings\":{\"rules\":{\"fall-s\":\"2\"},\"categories\":[{\"name\":\"v\"}]},\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:1\"} | rules.fall-s: is not a number",
+        "{\"limits\":{\"sockets\":5}} | limits.sockets: is under", "{\"seed\":1,\"settings\":{\"categories\":[{\"name\":\"v\"}]},\"listen\":\"a:b\"} | listen: is not an address"})
+    void faultyConfigurationIsNamedByItsKey(String text, String fault) throws Exception {
+        Path file = folder.resolve("faulty.json");
+        Files.writeString(file, text);
+        ConfigFault e = assertThrows(ConfigFault.class, () -> ProxyConfig.read(Map.of("LB_CONFIG", file.toString())));
+        assertTrue(e.getMessage().contains(fault), e.getMessage());
+        assertTrue(assertThrows(ConfigFault.class, () -> ProxyConfig.read(Map.of())).getMessage().startsWith("LB_CONFIG"));
+    }
+}
