--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -64,7 +64,7 @@
     /** What the owner thread tells itself; the module is never called from within its own calls. */
     private final ArrayDeque<Notice> later = new ArrayDeque<>();
     private RosterWatch watch;
-    private long lastOp, lastRank, sweptAt, stall, stallOver;
+    private long lastOp, lastRank, sweptAt, stall, stallOver, wokeLast;
     private final long sweep;
     private volatile boolean stopped;
     private volatile int live;
@@ -89,6 +89,11 @@
         return live;
     }
 
+    /** What did not hold, and how often; to be read once the thread has ended. */
+    Map<String, Integer> broken() {
+        return holds.broken();
+    }
+
     void stop() {
         stopped = true;
     }
@@ -100,6 +105,7 @@
 
     @Override
     public void run() {
+        wokeLast = clock.now();
         while (!stopped) {
             try {
                 turn();
@@ -116,11 +122,11 @@
         if (!timers.isEmpty()) {
             wait = Math.max(0, Math.min(wait, clock.nanosUntil(timers.peek().due)));
         }
-        long before = clock.now();
         Notice notice = later.isEmpty() ? wait == 0 ? inbox.poll() : inbox.poll(wait) : later.poll();
         // Guards against a stall of the whole process: what is read after it came during it, and its TTL ran.
         long woke = clock.now();
-        long late = woke - before - wait / Clock.NANOS;
+        long late = woke - wokeLast - wait / Clock.NANOS;
+        wokeLast = woke;
         if (late > HELD_UP) {
             stall = late + REST_NANOS / Clock.NANOS;
             stallOver = woke + REST_NANOS / Clock.NANOS;
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -37,7 +37,7 @@
     private final ScheduledExecutorService timer;
     private Watching watching;
     private long version, waitMillis = LEAST_WAIT_MILLIS;
-    private boolean wanted, listed;
+    private boolean wanted, listed, lost;
     private final Set<String> odd = new HashSet<>();
 
     RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer) {
@@ -104,6 +104,10 @@
             wanted = false;
             inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, version, List.of()), Map.of()));
         } else if (wanted) {
+            if (!lost) {
+                lost = true;
+                LOG.warning("roster: the watch is lost, version " + version + " stays");
+            }
             timer.schedule(() -> {
                 if (wanted && watching == null) {
                     open();
@@ -118,6 +122,10 @@
             Tree tree = Tree.parse(text, "roster");
             tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
             waitMillis = LEAST_WAIT_MILLIS;
+            if (lost) {
+                lost = false;
+                LOG.info("roster: the watch is back, version " + version);
+            }
         } catch (ConfigFault e) {
             odd("line ignored, " + e.getMessage());
         }
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -71,8 +71,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.info(config.name() + " ends, " + decide.live() + " ops under way");
         stop();
+        LOG.info(config.name() + " ends, " + decide.live() + " ops under way, broken: " + decide.broken());
     }
 
     public void stop() {
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -496,7 +496,7 @@
         assertTrue(millis < 470, "answered after " + millis);
         signal(process, "TERM");
         assertTrue(log.readLine().contains("drains"));
-        assertTrue(log.readLine().contains("ends, 0 ops"));
+        assertTrue(log.readLine().endsWith("ends, 0 ops under way, broken: {}"));
         process.waitFor();
     }
 
