--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedSelectorException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -58,6 +57,7 @@
     private final int most;
     private final Listen listen;
     private ListenerEndpoint endpoint;
+    private volatile boolean stopping;
 
     Sockets(ProxyConfig config, Inbox inbox, Listen listen) {
         this.inbox = inbox;
@@ -71,7 +71,8 @@
     }
 
     private void failed(Exception cause) {
-        if (!(cause instanceof ClosedSelectorException)) {
+        // A stop from outside breaks into the reactor's loop, which then complains of what it was asked for.
+        if (!stopping) {
             LOG.log(Level.WARNING, "reactor: {0}", cause.toString());
         }
     }
@@ -167,6 +168,7 @@
     }
 
     void stop() {
+        stopping = true;
         reactor.close(CloseMode.IMMEDIATE);
     }
 
