Connections to nodes that drain or are gone are closed; probes end in time; stories for both

Seen on rereading: Push.listed closed idle connections only when a whole list came, so that those to a node named Terminating or Gone in a change stayed open until the idle limit; and a probe of a silent node never ended, as its connection had no time-out. Checked by stories that fail without the change (the node's connections end; TIMED_OUT).

--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -11,11 +11,13 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
 
 /** One connection that the proxy opens, from the dial to its end; carries one exchange at a time. */
 final class Connection implements FutureCallback<IOSession> {
     final InetSocketAddress address;
     private final Sockets sockets;
+    private final Timeout silence;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AsyncClientExchangeHandler first;
     private volatile IOSession session;
@@ -24,9 +26,11 @@
     long idleSince;
 
     /** first is sent as soon as the connection is up, and told of its failure where it never comes up. */
-    Connection(InetSocketAddress address, Sockets sockets, AsyncClientExchangeHandler first) {
+    Connection(InetSocketAddress address, Sockets sockets, Timeout silence,
+            AsyncClientExchangeHandler first) {
         this.address = address;
         this.sockets = sockets;
+        this.silence = silence;
         this.first = first;
     }
 
@@ -59,6 +63,7 @@
     @Override
     public void completed(IOSession up) {
         session = up;
+        up.setSocketTimeout(silence);
         if (unwanted) {
             first.failed(new IOException("no longer wanted"));
             up.close(CloseMode.IMMEDIATE);
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -3,7 +3,6 @@
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
-import cairnbridge.decision.Event.Scope;
 import cairnbridge.decision.Host;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.OpId;
@@ -168,8 +167,7 @@
         } else if (notice instanceof Notice.ConnectionClosed closed) {
             push.closed(closed.connection());
         } else if (notice instanceof Notice.Listed listed) {
-            push.listed(listed.addresses(), listed.roster().scope() != Scope.CHANGES
-                    && listed.roster().scope() != Scope.FAILED);
+            push.listed(listed.roster(), listed.addresses());
             router.handle(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
             router.handle(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
@@ -320,7 +318,9 @@
 
     @Override
     public void fetchRoster() {
-        watch.fetch();
+        if (watch != null) {
+            watch.fetch();
+        }
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -1,8 +1,10 @@
 package cairnbridge.proxy;
 
+import cairnbridge.decision.Event.Ending;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -22,7 +24,7 @@
     private static final int MOST_LINE = 8 << 20;
     private final String host, target;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
-    private boolean over;
+    private boolean over, sent;
 
     Get(InetSocketAddress address, String target) {
         this.host = address.getHostString() + ":" + address.getPort();
@@ -38,19 +40,20 @@
 
     abstract void line(String text);
 
-    /** Once: whole where the answer came to its end, else the connection failed before. */
-    abstract void over(boolean whole);
+    /** Once: ACKED where the answer came to its end, whatever its status, else how the connection failed. */
+    abstract void over(Ending how);
 
-    private void end(boolean whole) {
+    private void end(Ending how) {
         if (!over) {
             over = true;
-            over(whole);
+            over(how);
         }
     }
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
+        sent = true;
         BasicHttpRequest request = new BasicHttpRequest("GET", target);
         request.addHeader("Host", host);
         dress(request);
@@ -61,7 +64,7 @@
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         begun(response.getCode());
         if (entity == null) {
-            end(true);
+            end(Ending.ACKED);
         }
     }
 
@@ -90,17 +93,18 @@
         if (line.size() > 0) {
             flush();
         }
-        end(true);
+        end(Ending.ACKED);
     }
 
     @Override
     public void failed(Exception cause) {
-        end(false);
+        Ending late = cause instanceof SocketTimeoutException ? Ending.TIMED_OUT : Ending.BROKEN;
+        end(sent ? late : Ending.NO_CONNECTION);
     }
 
     @Override
     public void cancel() {
-        end(false);
+        failed(null);
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/Probe.java
+++ b/src/main/java/cairnbridge/proxy/Probe.java
@@ -5,20 +5,20 @@
 import cairnbridge.decision.Ids.NodeId;
 import java.net.InetSocketAddress;
 
-/** Asks a node how it fares, on a connection of its own, when the module wants to know. */
+/** Asks a node how it fares, on a connection of its own; to dial and to answer it has the same time. */
 final class Probe {
     private static final int OK = 200;
     private final Sockets sockets;
     private final Inbox inbox;
     private final Clock clock;
-    private final long dialTimeOut;
+    private final long timeOut;
     private final String target;
 
     Probe(Sockets sockets, Inbox inbox, Clock clock, ProxyConfig config) {
         this.sockets = sockets;
         this.inbox = inbox;
         this.clock = clock;
-        dialTimeOut = config.dialTimeOut();
+        timeOut = config.dialTimeOut();
         target = config.reports() ? "/-/load" : "/-/healthy";
     }
 
@@ -26,7 +26,7 @@
     void start(NodeId node, InetSocketAddress address) {
         long sent = clock.now();
         Asked asked = address == null ? null : new Asked(node, address, sent);
-        asked = asked == null || (asked.connection = sockets.dial(address, dialTimeOut, asked)) == null
+        asked = asked == null || (asked.connection = sockets.dial(address, timeOut, timeOut, asked)) == null
                 ? null : asked;
         if (asked == null) {
             inbox.post(new Notice.Probed(node, Ending.NO_CONNECTION, 0, null));
@@ -56,9 +56,8 @@
         }
 
         @Override
-        void over(boolean whole) {
-            Ending ending = code == OK ? Ending.ACKED : code > 0 ? Ending.ERROR
-                    : whole ? Ending.BROKEN : Ending.NO_CONNECTION;
+        void over(Ending how) {
+            Ending ending = how == Ending.ACKED && code != OK ? Ending.ERROR : how;
             inbox.post(new Notice.Probed(node, ending, clock.now() - sent, null));
             Connection used = connection;
             if (used != null) {
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -1,10 +1,16 @@
 package cairnbridge.proxy;
 
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Entry;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Event.State;
 import cairnbridge.decision.Ids.NodeId;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread only. */
 final class Push {
@@ -14,7 +20,8 @@
     private final Sockets sockets;
     private final long dialTimeOut, idleLimit;
     private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
-    private Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
+    private final Set<InetSocketAddress> named = new HashSet<>();
 
     Push(Sockets sockets, long dialTimeOut, long idleLimit) {
         this.sockets = sockets;
@@ -22,15 +29,21 @@
         this.idleLimit = (long) (idleLimit * IDLE_PART);
     }
 
-    /** Learns where the nodes are; idle connections to addresses that are no longer named go. */
-    void listed(Map<NodeId, InetSocketAddress> named, boolean whole) {
-        if (whole) {
-            addresses = new HashMap<>(named);
-        } else {
-            addresses.putAll(named);
+    /** Learns where the nodes are. Kept connections to a node that is no longer ready, or not named, go. */
+    void listed(Event.Roster roster, Map<NodeId, InetSocketAddress> fresh) {
+        if (roster.scope() == Scope.CACHED || roster.scope() == Scope.FULL) {
+            addresses.clear();
         }
+        addresses.putAll(fresh);
+        for (Entry entry : roster.entries()) {
+            if (entry.state() != State.READY) {
+                addresses.remove(entry.node());
+            }
+        }
+        named.clear();
+        named.addAll(addresses.values());
         idle.forEach((address, kept) -> {
-            if (!addresses.containsValue(address)) {
+            if (!named.contains(address)) {
                 kept.forEach(Connection::close);
                 kept.clear();
             }
@@ -70,7 +83,7 @@
         if (connection == null) {
             return;
         }
-        if (!whole || !addresses.containsValue(connection.address)) {
+        if (!whole || !named.contains(connection.address)) {
             connection.close();
         } else if (connection.isOpen()) {
             connection.idleSince = now;
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -4,6 +4,7 @@
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.config.Tree;
 import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Event.Entry;
 import cairnbridge.decision.Event.Scope;
 import cairnbridge.decision.Event.State;
@@ -207,7 +208,7 @@
         }
 
         @Override
-        void over(boolean whole) {
+        void over(Ending how) {
             give();
             if (standing) {
                 timer.execute(() -> ended(this));
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -92,17 +92,25 @@
 
     /** Opens a connection for an exchange; null where the budget has no socket left. */
     Connection dial(InetSocketAddress address, long timeOut, AsyncClientExchangeHandler first) {
+        return dial(address, timeOut, 0, first);
+    }
+
+    /** The same for a connection that fails after some time of silence; 0 is for ever. */
+    Connection dial(InetSocketAddress address, long timeOut, long silence, AsyncClientExchangeHandler first) {
         if (open.get() >= most && !closeIdleClient()) {
             return null;
         }
         open.incrementAndGet();
-        Connection connection = new Connection(address, this, first);
+        Connection connection = new Connection(address, this, timeOut(silence), first);
         HttpHost host = new HttpHost(address.getAddress(), address.getPort());
-        connection.dialed(reactor.connect(host, address, null,
-                Timeout.ofMilliseconds(Math.max(1, timeOut / Clock.MILLI)), connection, connection));
+        connection.dialed(reactor.connect(host, address, null, timeOut(timeOut), connection, connection));
         return connection;
     }
 
+    private static Timeout timeOut(long tenths) {
+        return tenths == 0 ? Timeout.DISABLED : Timeout.ofMilliseconds(Math.max(1, tenths / Clock.MILLI));
+    }
+
     /** Connections of clients that are open. */
     int clients() {
         return clients.size();
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -2,6 +2,7 @@
 
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Event.Entry;
 import cairnbridge.decision.Event.Scope;
 import cairnbridge.decision.Event.State;
@@ -141,8 +142,8 @@
             }
 
             @Override
-            void over(boolean whole) {
-                if (whole) {
+            void over(Ending how) {
+                if (how == Ending.ACKED) {
                     next();
                 } else {
                     end();
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -7,6 +7,8 @@
 
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Ids.NodeId;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -24,9 +26,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -46,7 +48,7 @@
     @TempDir
     Path folder;
     private final List<AutoCloseable> opened = new ArrayList<>();
-    private Function<String, String> cacheDoes = request -> HIT, originDoes = request -> "200 OK||fetched",
+    private Does cacheDoes = request -> HIT, originDoes = request -> "200 OK||fetched",
             discoveryDoes = request -> SILENT;
     private int sockets = 256;
     private double idleSeconds = 60;
@@ -66,9 +68,9 @@
         final List<Socket> connections = new CopyOnWriteArrayList<>();
         final AtomicInteger ended = new AtomicInteger();
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final Function<String, String> does;
+        private final Does does;
 
-        StandIn(Function<String, String> does) throws IOException {
+        StandIn(Does does) throws IOException {
             this.does = does;
             opened.add(this);
             daemon(() -> {
@@ -90,7 +92,7 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
-        private Void serve(Socket socket) throws IOException {
+        private Void serve(Socket socket) throws IOException, InterruptedException {
             for (String request = message(socket); request != null; request = message(socket)) {
                 seen.add(request);
                 String answer = does.apply(request);
@@ -118,15 +120,19 @@
         }
     }
 
+    private interface Does {
+        String apply(String request) throws InterruptedException;
+    }
+
     private interface Work {
-        Object run() throws IOException;
+        Object run() throws IOException, InterruptedException;
     }
 
     private static void daemon(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 // The story is over, or the other side has closed.
             }
         });
@@ -371,15 +377,46 @@
     @ValueSource(strings = {"Terminating", "Gone"})
     void aNodeThatDrainsOrIsGoneGetsNothingNew(String state) throws Exception {
         StandIn leaving = new StandIn(request -> HIT);
-        discoveryDoes = request -> "200 OK||" + list(2, false, target("l", leaving.address(), "cache", state),
-                target("odd", "nowhere", "cache", "Ready"),
-                target("x", leaving.address(), "cache", "Resting")) + "\n";
+        CountDownLatch change = new CountDownLatch(1);
+        discoveryDoes = request -> {
+            change.await();
+            return "200 OK||" + list(2, false, target("l", leaving.address(), "cache", state),
+                    target("odd", "nowhere", "cache", "Ready"),
+                    target("x", leaving.address(), "cache", "Resting")) + "\n";
+        };
         start(target("l", leaving.address(), "cache", "Ready"));
-        until(() -> discovery.seen.size() >= 2);
+        for (int key = 0; leaving.seen.isEmpty(); key++) {
+            assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
+        }
+        change.countDown();
+        until(() -> leaving.ended.get() == leaving.connections.size());
         for (int key = 0; key < 20; key++) {
             assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
         }
-        assertEquals(List.of(20, 0), List.of(cache.seen.size(), leaving.seen.size()));
+        assertEquals(1, leaving.seen.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {"200 OK||; ACKED", "503 Ill||; ERROR", "reset; BROKEN",
+        "silent; TIMED_OUT", "; NO_CONNECTION"})
+    void aProbeTellsHowItWent(String does, Ending ending) throws Exception {
+        StandIn node = new StandIn(request -> does);
+        ProxyConfig config = config(list(1, true), node.address());
+        Inbox inbox = new Inbox(9);
+        Clock clock = new Clock();
+        Sockets ours = new Sockets(config, inbox, new Listen(clock, config.categories()));
+        opened.add(ours::stop);
+        ours.start(config.listen());
+        if (does == null) {
+            node.close();
+        }
+        new Probe(ours, inbox, clock, config).start(new NodeId(7), ProxyConfig.address(node.address()));
+        Notice told = inbox.poll(9_000_000_000L);
+        while (!(told instanceof Notice.Probed)) {
+            told = inbox.poll(9_000_000_000L);
+        }
+        assertEquals(ending, ((Notice.Probed) told).ending());
+        assertTrue(node.seen.stream().allMatch(request -> request.startsWith("GET /-/healthy ")));
     }
 
     @Test
