Calls of the proxy share one base and one body writer

A dial that never came up is no longer told to the pool. X-Never-Ran proves only with the value 1, as the protocol words it.

--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Call.java
@@ -0,0 +1,48 @@
+package cairnbridge.proxy;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/** What all requests that the proxy sends have alike: one body at most, and an answer read as it comes. */
+abstract class Call implements AsyncClientExchangeHandler {
+    private static final int WINDOW = 1 << 20;
+    private Rest body = new Rest(null);
+
+    void body(Rest bytes) {
+        body = bytes;
+    }
+
+    @Override
+    public int available() {
+        return body.left();
+    }
+
+    @Override
+    public void produce(DataStreamChannel out) throws IOException {
+        body.write(out);
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(WINDOW);
+    }
+
+    @Override
+    public void consumeInformation(HttpResponse response, HttpContext context) {
+        // A 1xx answer is not the answer.
+    }
+
+    @Override
+    public void cancel() {
+        failed(null);
+    }
+
+    @Override
+    public void releaseResources() {
+        // All state goes with the object.
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -86,7 +86,7 @@
     /** The socket is gone, whichever side closed it. */
     void ended() {
         if (ended.compareAndSet(false, true)) {
-            sockets.closed(this);
+            sockets.closed(this, session != null);
         }
     }
 }
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -36,7 +36,7 @@
     private HttpContext context;
     private ByteArrayOutputStream body;
     private long expires;
-    private ByteBuffer rest;
+    private Rest rest = new Rest(null);
 
     String method, target, trace, mark;
     CategoryId category;
@@ -175,7 +175,7 @@
         if (close || listen.draining) {
             response.addHeader("Connection", "close");
         }
-        rest = ByteBuffer.wrap(bytes);
+        rest = new Rest(bytes);
         try {
             EntityDetails entity = bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null);
             channel.sendResponse(response, entity, context);
@@ -187,15 +187,12 @@
 
     @Override
     public int available() {
-        return rest == null ? 0 : rest.remaining();
+        return rest.left();
     }
 
     @Override
     public void produce(DataStreamChannel out) throws IOException {
-        out.write(rest);
-        if (!rest.hasRemaining()) {
-            out.endStream();
-        }
+        rest.write(out);
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -13,14 +13,11 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
-import org.apache.hc.core5.http.nio.CapacityChannel;
-import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
 /** A request of the proxy's own, to discovery or as a probe; its answer comes line by line. */
-abstract class Get implements AsyncClientExchangeHandler {
+abstract class Get extends Call {
     private static final int MOST_LINE = 8 << 20;
     private final String host, target;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
@@ -101,34 +98,4 @@
         Ending late = cause instanceof SocketTimeoutException ? Ending.TIMED_OUT : Ending.BROKEN;
         end(sent ? late : Ending.NO_CONNECTION);
     }
-
-    @Override
-    public void cancel() {
-        failed(null);
-    }
-
-    @Override
-    public int available() {
-        return 0;
-    }
-
-    @Override
-    public void produce(DataStreamChannel channel) {
-        // There is no body to send.
-    }
-
-    @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(MOST_LINE);
-    }
-
-    @Override
-    public void consumeInformation(HttpResponse response, HttpContext context) {
-        // A 1xx answer is not the answer.
-    }
-
-    @Override
-    public void releaseResources() {
-        // All state goes with the object.
-    }
 }
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -13,14 +13,11 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
-import org.apache.hc.core5.http.nio.CapacityChannel;
-import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
 /** One push on the wire: its request, its answer, and its one ending. */
-final class PushCall implements AsyncClientExchangeHandler {
+final class PushCall extends Call {
     static final String MARK = "Idempotency-Key";
     private static final int MOST_ANSWER = 64 * 1024, LEAST_ANSWER = 32;
 
@@ -38,7 +35,6 @@
     /** Set by the owner thread, the host before anything is sent. */
     Connection connection;
     String host;
-    private ByteBuffer rest;
     private int code, note;
     private boolean neverRan;
     private ByteArrayOutputStream answer;
@@ -85,28 +81,17 @@
         if (client.mark != null) {
             request.addHeader(MARK, client.mark);
         }
-        rest = client.value == null ? null : ByteBuffer.wrap(client.value);
-        boolean bare = rest == null || !rest.hasRemaining();
-        channel.sendRequest(request, bare ? null : new BasicEntityDetails(rest.remaining(), null), context);
-    }
-
-    @Override
-    public int available() {
-        return rest == null ? 0 : rest.remaining();
-    }
-
-    @Override
-    public void produce(DataStreamChannel out) throws IOException {
-        out.write(rest);
-        if (!rest.hasRemaining()) {
-            out.endStream();
-        }
+        Rest value = new Rest(client.value);
+        body(value);
+        channel.sendRequest(request, value.left() == 0 ? null : new BasicEntityDetails(value.left(), null),
+                context);
     }
 
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         code = response.getCode();
-        neverRan = response.containsHeader("X-Never-Ran");
+        Header proof = response.getFirstHeader("X-Never-Ran");
+        neverRan = proof != null && proof.getValue().equals("1");
         Header store = response.getFirstHeader("X-Store");
         note = store == null ? 0 : switch (store.getValue()) {
             case "hit" -> 1;
@@ -147,24 +132,4 @@
             over(before == Stage.WAITING ? Ending.NO_CONNECTION : Ending.BROKEN, null);
         }
     }
-
-    @Override
-    public void cancel() {
-        failed(null);
-    }
-
-    @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(MOST_ANSWER);
-    }
-
-    @Override
-    public void consumeInformation(HttpResponse response, HttpContext context) {
-        // A 1xx answer tells nothing of the op.
-    }
-
-    @Override
-    public void releaseResources() {
-        // All state goes with the object.
-    }
 }
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Rest.java
@@ -0,0 +1,26 @@
+package cairnbridge.proxy;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+
+/** The bytes of a body that are still to be written. */
+final class Rest {
+    private final ByteBuffer bytes;
+
+    /** body is null where there is none. */
+    Rest(byte[] body) {
+        bytes = ByteBuffer.wrap(body == null ? new byte[0] : body);
+    }
+
+    int left() {
+        return bytes.remaining();
+    }
+
+    void write(DataStreamChannel out) throws IOException {
+        out.write(bytes);
+        if (!bytes.hasRemaining()) {
+            out.endStream();
+        }
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -120,9 +120,12 @@
         return open.get() >= most;
     }
 
-    void closed(Connection connection) {
+    /** One that never came up is in nobody's pool: there is nothing to tell. */
+    void closed(Connection connection, boolean wasUp) {
         open.decrementAndGet();
-        inbox.post(new Notice.ConnectionClosed(connection));
+        if (wasUp) {
+            inbox.post(new Notice.ConnectionClosed(connection));
+        }
     }
 
     /** The client's connection that has stood idle longest makes room for another. */
