A full socket budget no longer closes the listener: answers close connections instead

Checked in the library: DefaultListeningIOReactor.pause closes the listening socket, backlog and all, and an accept under way then throws and ends the accepting thread for good. Ruled out: the limit itself, 111 of 128 descriptors were in use. At fault: Sockets.pace, and closeIdleClient, which took a fresh connection whose request had come but was not read for an idle one. Now: from 0.6 of the budget on every answer closes its connection, from 0.75 on none is opened to a node and what has been quiet for 150 ms goes, at the end new clients are refused; the listener stays. A planned end uses the same rule.

--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -55,7 +55,6 @@
     private final Clock clock;
     private final Push push;
     private final Probe probe;
-    private final Sockets sockets;
     private final Router router;
     private final Holds holds = new Holds();
     private final Map<OpId, Live> ops = new HashMap<>();
@@ -67,12 +66,10 @@
     private final long sweep;
     private volatile boolean stopped;
     private volatile int live;
-    private boolean draining;
 
     Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets) {
         this.inbox = inbox;
         this.clock = clock;
-        this.sockets = sockets;
         push = new Push(sockets, config.dialTimeOut(), config.idleLimit());
         sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
@@ -143,9 +140,6 @@
         if (now - sweptAt >= sweep) {
             sweptAt = now;
             push.dropIdle(now);
-            if (draining) {
-                sockets.closeIdleClients();
-            }
         }
     }
 
@@ -176,9 +170,6 @@
             stopped = true;
         } else if (notice instanceof Notice.Crowded) {
             push.closeOldest();
-        } else if (notice instanceof Notice.Drain) {
-            draining = true;
-            sockets.stopListening();
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -172,7 +172,7 @@
             double seconds = (double) retryAfter / Clock.SECOND;
             response.addHeader("Retry-After", String.format(Locale.ROOT, "%.4f", seconds));
         }
-        if (close || listen.draining) {
+        if (close || listen.draining || listen.crowded) {
             response.addHeader("Connection", "close");
         }
         rest = new Rest(bytes);
--- a/src/main/java/cairnbridge/proxy/Listen.java
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -9,7 +9,7 @@
     static final int MOST_BODY = 64 * 1024;
     final Clock clock;
     private final Map<String, Integer> categories = new HashMap<>();
-    volatile boolean ready, draining;
+    volatile boolean ready, draining, crowded;
     /** Its requests are none of the clients'; it stays, to know them. */
     volatile Warm warm;
 
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -34,9 +34,4 @@
     /** The owner thread is to end here. */
     record Last() implements Notice {
     }
-
-    /** The process is to end: idle connections go, and what was taken is finished. */
-    record Drain() implements Notice {
-    }
-
 }
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -62,9 +62,10 @@
         long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
         try {
             Thread.sleep(STILL_ACCEPTS_MILLIS);
-            inbox.post(new Notice.Drain());
+            sockets.stopListening();
             long until = System.nanoTime() + longest * Clock.NANOS;
             do {
+                sockets.closeIdleClients();
                 Thread.sleep(STEP_MILLIS);
                 // Guards against an answer cut short: its connection goes when its last byte is written.
             } while ((decide.live() > 0 || sockets.clients() > 0) && System.nanoTime() < until);
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -39,7 +39,15 @@
 final class Sockets {
     private static final Logger LOG = Logger.getLogger(Sockets.class.getName());
     /** Descriptors that the process needs for itself: files, selectors, listener, watch. */
-    private static final int RESERVE = 48;
+    private static final int OWN = 24;
+    /**
+     * Parts of what is left: from the first on clients' connections end with their answer, from the second on
+     * none is opened to a node and idle ones go, from the third on new clients are not served.
+     */
+    private static final double CROWDED = 0.6, FULL = 0.75, LAST = 0.9;
+    private static final int BACKLOG_PART = 8;
+    /** A connection this long without a byte has no request on its way, as far as can be known. */
+    private static final long QUIET_MILLIS = 150;
     private static final int BUFFER = 2048;
     private static final long CHECK_MILLIS = 20;
 
@@ -54,7 +62,7 @@
     private final AtomicInteger open = new AtomicInteger();
     private final Set<Incoming> clients = ConcurrentHashMap.newKeySet();
     private final Inbox inbox;
-    private final int most;
+    private final int crowded, most, last;
     private final Listen listen;
     private ListenerEndpoint endpoint;
     private volatile boolean stopping;
@@ -62,9 +70,13 @@
     Sockets(ProxyConfig config, Inbox inbox, Listen listen) {
         this.inbox = inbox;
         this.listen = listen;
-        most = config.sockets() - RESERVE;
+        int left = config.sockets() - OWN;
+        crowded = (int) (CROWDED * left);
+        most = (int) (FULL * left);
+        last = (int) (LAST * left);
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED).setBacklogSize(config.sockets())
+                .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED)
+                .setBacklogSize(config.sockets() / BACKLOG_PART)
                 .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
         reactor = new DefaultListeningIOReactor(this::handler, io, null, null, null,
                 this::failed, null, null);
@@ -97,7 +109,7 @@
 
     /** The same for a connection that fails after some time of silence; 0 is for ever. */
     Connection dial(InetSocketAddress address, long timeOut, long silence, AsyncClientExchangeHandler first) {
-        if (open.get() >= most && !closeIdleClient()) {
+        if (isFull()) {
             return null;
         }
         open.incrementAndGet();
@@ -129,50 +141,41 @@
     }
 
     /** The client's connection that has stood idle longest makes room for another. */
-    private boolean closeIdleClient() {
+    private void closeIdleClient() {
         Incoming oldest = null;
         for (Incoming client : clients) {
-            if (client.isIdle() && (oldest == null || client.idleSince() < oldest.idleSince())) {
+            if (client.mayGo() && (oldest == null || client.idleSince() < oldest.idleSince())) {
                 oldest = client;
             }
         }
-        if (oldest == null) {
-            return false;
+        if (oldest != null) {
+            oldest.finish();
         }
-        oldest.finish();
-        return true;
     }
 
-    /** Guards against running out of descriptors: at the budget's end new clients wait in the backlog. */
-    private void crowded() {
-        if (open.get() > most) {
+    /** Guards against running out of descriptors, the dearest step last. */
+    private void paced(Incoming client) {
+        int held = open.get();
+        listen.crowded = held >= crowded;
+        if (held >= most) {
             closeIdleClient();
             inbox.post(new Notice.Crowded());
         }
-        pace();
-    }
-
-    private void pace() {
-        try {
-            if (open.get() >= most + RESERVE / 2) {
-                reactor.pause();
-            } else if (open.get() < most + RESERVE / 4) {
-                reactor.resume();
-            }
-        } catch (IOException e) {
-            LOG.log(Level.WARNING, "listener: {0}", e.toString());
+        if (held >= last) {
+            client.refuse();
         }
     }
 
-    /** No new connections; those that stand idle are closed, the others after their answer. */
+    /** No new connections from now on. */
     void stopListening() {
+        stopping = true;
         endpoint.close(CloseMode.GRACEFUL);
-        closeIdleClients();
     }
 
+    /** For the planned end: those that stand idle go, the others after their answer. */
     void closeIdleClients() {
         clients.forEach(client -> {
-            if (client.isIdle()) {
+            if (client.mayGo()) {
                 client.finish();
             }
         });
@@ -260,8 +263,17 @@
         }
 
         boolean isIdle() {
-            Exchange last = exchange;
-            return last == null || last.isOver();
+            Exchange latest = exchange;
+            return latest == null || latest.isOver();
+        }
+
+        /** Guards against closing on a request that has come and is not read, as on a fresh connection. */
+        boolean mayGo() {
+            return isIdle() && System.currentTimeMillis() - idleSince() >= QUIET_MILLIS;
+        }
+
+        void refuse() {
+            session.close(CloseMode.IMMEDIATE);
         }
 
         long idleSince() {
@@ -275,9 +287,9 @@
         @Override
         public void connected(IOSession up) throws IOException {
             open.incrementAndGet();
-            crowded();
             clients.add(this);
             super.connected(up);
+            paced(this);
         }
 
         @Override
@@ -293,8 +305,7 @@
         public void disconnected(IOSession up) {
             super.disconnected(up);
             if (clients.remove(this)) {
-                open.decrementAndGet();
-                pace();
+                listen.crowded = open.decrementAndGet() >= crowded;
             }
         }
     }
