--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -44,7 +44,7 @@
      * Parts of what is left: from the first on clients' connections end with their answer, from the second on
      * none is opened to a node and idle ones go, from the third on new clients are not served.
      */
-    private static final double CROWDED = 0.6, FULL = 0.75, LAST = 0.9;
+    private static final double CROWDED = 0.6, FULL = 0.75, LAST = 1;
     private static final int BACKLOG_PART = 8;
     /** A connection this long without a byte has no request on its way, as far as can be known. */
     private static final long QUIET_MILLIS = 150;
