--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -20,6 +20,8 @@
     @Spec
     private CommandSpec spec;
 
+    /** The exit status of a proxy that cannot go on; the platform starts it again. */
+    private static final int BROKEN = 4;
     private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
 
     public static void main(String[] args) {
@@ -28,6 +30,10 @@
         System.exit(new CommandLine(new Main()).execute(args));
     }
 
+    private static void end() {
+        Runtime.getRuntime().halt(BROKEN);
+    }
+
     @Override
     public Integer call() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
@@ -58,7 +64,7 @@
         @Override
         public Integer call() throws InterruptedException {
             try {
-                Serve serve = new Serve(ProxyConfig.read(System.getenv()));
+                Serve serve = new Serve(ProxyConfig.read(System.getenv()), Main::end);
                 Runtime.getRuntime().addShutdownHook(new Thread(serve::drain, "drain"));
                 serve.start();
                 Thread.currentThread().join();
@@ -78,7 +84,7 @@
     static final class RehearseCommand implements Callable<Integer> {
         @Override
         public Integer call() throws IOException, InterruptedException {
-            Serve serve = new Serve(ProxyConfig.rehearsal());
+            Serve serve = new Serve(ProxyConfig.rehearsal(), Main::end);
             serve.start();
             serve.stop();
             return 0;
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -23,13 +23,17 @@
     private final RosterWatch watch;
     private final ScheduledExecutorService timer;
     private final Thread owner;
+    private final Runnable whenBroken;
+    private volatile boolean stopping;
 
-    public Serve(ProxyConfig config) {
+    /** whenBroken is run if a thread that the proxy cannot do without ends before its time. */
+    public Serve(ProxyConfig config, Runnable whenBroken) {
         this.config = config;
+        this.whenBroken = whenBroken;
         Clock clock = new Clock();
         inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
         listen = new Listen(clock, config.categories());
-        sockets = new Sockets(config, inbox, listen);
+        sockets = new Sockets(config, inbox, listen, this::vital);
         decide = new Decide(config, inbox, clock, sockets);
         timer = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "roster");
@@ -38,7 +42,23 @@
         }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer);
         decide.watchWith(watch);
-        owner = new Thread(decide, "owner");
+        owner = vital(decide);
+    }
+
+    /** Guards against a proxy that stands but serves nobody: the library ends a thread on some faults. */
+    private Thread vital(Runnable task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } finally {
+                if (!stopping) {
+                    LOG.severe(config.name() + " cannot go on, a thread has ended");
+                    whenBroken.run();
+                }
+            }
+        });
+        thread.setDaemon(true);
+        return thread;
     }
 
     /** Listens, learns the list, and says that it is ready. */
@@ -62,6 +82,7 @@
         long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
         try {
             Thread.sleep(STILL_ACCEPTS_MILLIS);
+            stopping = true;
             sockets.stopListening();
             long until = System.nanoTime() + longest * Clock.NANOS;
             do {
@@ -77,6 +98,7 @@
     }
 
     public void stop() {
+        stopping = true;
         decide.stop();
         timer.shutdownNow();
         sockets.stop();
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -67,7 +68,7 @@
     private ListenerEndpoint endpoint;
     private volatile boolean stopping;
 
-    Sockets(ProxyConfig config, Inbox inbox, Listen listen) {
+    Sockets(ProxyConfig config, Inbox inbox, Listen listen, ThreadFactory threads) {
         this.inbox = inbox;
         this.listen = listen;
         int left = config.sockets() - OWN;
@@ -78,7 +79,7 @@
                 .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED)
                 .setBacklogSize(config.sockets() / BACKLOG_PART)
                 .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
-        reactor = new DefaultListeningIOReactor(this::handler, io, null, null, null,
+        reactor = new DefaultListeningIOReactor(this::handler, io, threads, threads, null,
                 this::failed, null, null);
     }
 
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -1,6 +1,7 @@
 package cairnbridge.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -52,11 +53,13 @@
             discoveryDoes = request -> SILENT;
     private int sockets = 256;
     private double idleSeconds = 60;
+    private volatile boolean broken;
     private StandIn cache, origin, discovery;
     private Serve proxy;
 
     @AfterEach
     void close() throws Exception {
+        assertFalse(broken, "a thread of the proxy has ended");
         for (AutoCloseable each : opened) {
             each.close();
         }
@@ -201,7 +204,7 @@
     }
 
     private Serve serve(String known) throws Exception {
-        Serve made = new Serve(config(known, discovery.address()));
+        Serve made = new Serve(config(known, discovery.address()), () -> broken = true);
         opened.add(made::stop);
         made.start();
         return made;
@@ -404,7 +407,7 @@
         ProxyConfig config = config(list(1, true), node.address());
         Inbox inbox = new Inbox(9);
         Clock clock = new Clock();
-        Sockets ours = new Sockets(config, inbox, new Listen(clock, config.categories()));
+        Sockets ours = new Sockets(config, inbox, new Listen(clock, config.categories()), Thread::new);
         opened.add(ours::stop);
         ours.start(config.listen());
         if (does == null) {
