--- a/src/main/java/cairnbridge/proxy/Call.java
+++ b/src/main/java/cairnbridge/proxy/Call.java
@@ -11,6 +11,8 @@
 abstract class Call implements AsyncClientExchangeHandler {
     private static final int WINDOW = 1 << 20;
     private Rest body = new Rest(null);
+    /** Set before anything is sent on it; null as long as there is none. */
+    volatile Connection connection;
 
     void body(Rest bytes) {
         body = bytes;
--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
@@ -19,19 +18,19 @@
     private final Sockets sockets;
     private final Timeout silence;
     private final AtomicBoolean ended = new AtomicBoolean();
-    private final AsyncClientExchangeHandler first;
+    private final Call first;
     private volatile IOSession session;
     private volatile Future<IOSession> dial;
     private volatile boolean unwanted;
     long idleSince;
 
     /** first is sent as soon as the connection is up, and told of its failure where it never comes up. */
-    Connection(InetSocketAddress address, Sockets sockets, Timeout silence,
-            AsyncClientExchangeHandler first) {
+    Connection(InetSocketAddress address, Sockets sockets, Timeout silence, Call first) {
         this.address = address;
         this.sockets = sockets;
         this.silence = silence;
         this.first = first;
+        first.connection = this;
     }
 
     void dialed(Future<IOSession> future) {
@@ -43,9 +42,9 @@
         return !unwanted && up != null && up.isOpen();
     }
 
-    void send(AsyncClientExchangeHandler exchange) {
-        session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()),
-                Command.Priority.NORMAL);
+    void send(Call call) {
+        call.connection = this;
+        session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
     /** Closes at once; a dial still under way is given up. */
--- a/src/main/java/cairnbridge/proxy/Probe.java
+++ b/src/main/java/cairnbridge/proxy/Probe.java
@@ -24,12 +24,10 @@
 
     /** address is null for a node that no list has named. */
     void start(NodeId node, InetSocketAddress address) {
-        long sent = clock.now();
-        Asked asked = address == null ? null : new Asked(node, address, sent);
-        asked = asked == null || (asked.connection = sockets.dial(address, timeOut, timeOut, asked)) == null
-                ? null : asked;
-        if (asked == null) {
+        if (address == null || sockets.isFull()) {
             inbox.post(new Notice.Probed(node, Ending.NO_CONNECTION, 0, null));
+        } else {
+            sockets.dial(address, timeOut, timeOut, new Asked(node, address, clock.now()));
         }
     }
 
@@ -37,7 +35,6 @@
         private final NodeId node;
         private final long sent;
         private int code;
-        private volatile Connection connection;
 
         Asked(NodeId node, InetSocketAddress address, long sent) {
             super(address, target);
@@ -59,10 +56,7 @@
         void over(Ending how) {
             Ending ending = how == Ending.ACKED && code != OK ? Ending.ERROR : how;
             inbox.post(new Notice.Probed(node, ending, clock.now() - sent, null));
-            Connection used = connection;
-            if (used != null) {
-                used.close();
-            }
+            connection.close();
         }
     }
 }
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -65,16 +65,15 @@
         // The one used last is the least likely to be closed by the node.
         for (Connection c = kept == null ? null : kept.pollLast(); c != null; c = kept.pollLast()) {
             if (c.isOpen()) {
-                call.connection = c;
                 c.send(call);
                 return true;
             }
         }
-        if (sockets.isFull()) {
-            closeOldest();
+        if (sockets.isFull() && !closeOldest()) {
+            return false;
         }
-        call.connection = sockets.dial(address, dialTimeOut, call);
-        return call.connection != null;
+        sockets.dial(address, dialTimeOut, call);
+        return true;
     }
 
     /** The push is over: its connection is kept if the exchange left it whole. */
@@ -112,8 +111,8 @@
         }
     }
 
-    /** Of the kept connections the one idle longest makes room for another. */
-    void closeOldest() {
+    /** Of the kept connections the one idle longest makes room for another; false where none is idle. */
+    boolean closeOldest() {
         ArrayDeque<Connection> oldest = null;
         for (ArrayDeque<Connection> kept : idle.values()) {
             if (!kept.isEmpty()
@@ -124,5 +123,6 @@
         if (oldest != null) {
             oldest.pollFirst().close();
         }
+        return oldest != null;
     }
 }
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -32,8 +32,7 @@
     private final Inbox inbox;
     private final Clock clock;
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
-    /** Set by the owner thread, the host before anything is sent. */
-    Connection connection;
+    /** Set by the owner thread before anything is sent. */
     String host;
     private int code, note;
     private boolean neverRan;
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -72,20 +72,13 @@
 
     /** The whole list, once. */
     void fetch() {
-        timer.execute(() -> dial(new Watching(LIST, false)));
+        sockets.dial(config.discovery(), config.dialTimeOut(), new Watching(LIST, false));
     }
 
     private void open() {
         String after = listed ? "&after=" + version : "";
         watching = new Watching(LIST + "?watch=1" + after, true);
-        dial(watching);
-    }
-
-    private void dial(Watching call) {
-        call.connection = sockets.dial(config.discovery(), config.dialTimeOut(), call);
-        if (call.connection == null) {
-            call.failed(null);
-        }
+        sockets.dial(config.discovery(), config.dialTimeOut(), watching);
     }
 
     /** Guards against a watch that is open but dead: discovery writes at least a beat's empty line. */
@@ -177,7 +170,6 @@
     /** One call to discovery: the standing watch, or a list asked for once. */
     private final class Watching extends Get {
         private final boolean standing;
-        private volatile Connection connection;
         private volatile long heard = System.nanoTime();
         private volatile int code;
 
@@ -187,10 +179,7 @@
         }
 
         void give() {
-            Connection open = connection;
-            if (open != null) {
-                open.close();
-            }
+            connection.close();
         }
 
         @Override
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -103,21 +102,18 @@
         return (InetSocketAddress) endpoint.getAddress();
     }
 
-    /** Opens a connection for an exchange; null where the budget has no socket left. */
-    Connection dial(InetSocketAddress address, long timeOut, AsyncClientExchangeHandler first) {
-        return dial(address, timeOut, 0, first);
+    /** Opens a connection for an exchange, whatever the budget: who can do without asks isFull first. */
+    void dial(InetSocketAddress address, long timeOut, Call first) {
+        dial(address, timeOut, 0, first);
     }
 
     /** The same for a connection that fails after some time of silence; 0 is for ever. */
-    Connection dial(InetSocketAddress address, long timeOut, long silence, AsyncClientExchangeHandler first) {
-        if (isFull()) {
-            return null;
-        }
+    void dial(InetSocketAddress address, long timeOut, long silence, Call first) {
         open.incrementAndGet();
         Connection connection = new Connection(address, this, timeOut(silence), first);
-        HttpHost host = new HttpHost(address.getAddress(), address.getPort());
+        // By its digits: the library would else look up the address's name, and there is no DNS to ask.
+        HttpHost host = new HttpHost(address.getHostString(), address.getPort());
         connection.dialed(reactor.connect(host, address, null, timeOut(timeOut), connection, connection));
-        return connection;
     }
 
     private static Timeout timeOut(long tenths) {
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -94,7 +94,7 @@
     /** One client, with one op at a time. */
     private final class Lane {
         private final InetSocketAddress here;
-        private Connection connection;
+        private Ask latest;
 
         Lane(InetSocketAddress here) {
             this.here = here;
@@ -103,17 +103,23 @@
         void next() {
             int number = left.getAndDecrement();
             Ask ask = number > 0 ? new Ask(number) : null;
-            if (ask != null && connection != null && connection.isOpen()) {
-                connection.send(ask);
-            } else if (ask == null || (connection = sockets.dial(here, config.dialTimeOut(), ask)) == null) {
+            Connection kept = latest == null ? null : latest.connection;
+            if (ask == null) {
                 end();
+                return;
+            }
+            latest = ask;
+            if (kept != null && kept.isOpen()) {
+                kept.send(ask);
+            } else {
+                sockets.dial(here, config.dialTimeOut(), ask);
             }
         }
 
         private void end() {
             done.countDown();
-            if (connection != null) {
-                connection.close();
+            if (latest != null) {
+                latest.connection.close();
             }
         }
 
