--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -43,8 +43,9 @@
         }
     }
 
-    /** A time at which the module, or else one push, is to be told. */
-    private record Timer(long due, long rank, TimerId timer, PushCall push) implements Comparable<Timer> {
+    /** A time at which the module or one push is to be told, or at which one op must have been answered. */
+    private record Timer(long due, long rank, TimerId timer, PushCall push, OpId op)
+            implements Comparable<Timer> {
         @Override
         public int compareTo(Timer other) {
             return due != other.due ? Long.compare(due, other.due) : Long.compare(rank, other.rank);
@@ -144,10 +145,21 @@
     }
 
     private void fire(Timer timer, long now) {
-        if (timer.push == null) {
-            router.handle(now, new Event.TimerFired(timer.timer));
-        } else {
+        if (timer.op != null) {
+            expired(ops.get(timer.op));
+        } else if (timer.push != null) {
             abandon(timer.push, Ending.TIMED_OUT);
+        } else {
+            router.handle(now, new Event.TimerFired(timer.timer));
+        }
+    }
+
+    /** Guards against a defect in the module that leaves an op without an answer. */
+    private void expired(Live op) {
+        if (!holds.that(op == null || op.answered, "an op is answered before its TTL")) {
+            op.client.deadLetter();
+            answered(op);
+            router.handle(clock.now(), new Event.OpDropped(op.client.op));
         }
     }
 
@@ -181,6 +193,7 @@
         }
         long expires = arrived.expires() - stall;
         ops.put(client.op, new Live(client, expires));
+        timers.add(new Timer(expires, ++lastRank, null, null, client.op));
         live++;
         router.handle(clock.now(), new Event.OpArrived(client.op, client.category, NO_TENANT, client.key,
                 expires, 0, -1, client.repeat, client.write));
@@ -252,7 +265,7 @@
             call.abandon(Ending.NEVER_SENT);
             later.add(new Notice.PushOver(call, Ending.NEVER_SENT, 0, null, now));
         } else if (push.start(call)) {
-            timers.add(new Timer(due, ++lastRank, null, call));
+            timers.add(new Timer(due, ++lastRank, null, call, null));
         } else {
             call.abandon(Ending.NO_CONNECTION);
             later.add(new Notice.PushOver(call, Ending.NO_CONNECTION, 0, null, now));
@@ -287,7 +300,7 @@
 
     @Override
     public void timer(long in, TimerId timer) {
-        timers.add(new Timer(clock.now() + in, ++lastRank, timer, null));
+        timers.add(new Timer(clock.now() + in, ++lastRank, timer, null, null));
     }
 
     @Override
