--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -10,11 +10,12 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.Spec;
 
 /** The command line of the service. */
 @Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
-        description = "Routes ops to a fleet of cache servers.", 
+        description = "Routes ops to a fleet of cache servers.",
         subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
@@ -27,7 +28,16 @@
     public static void main(String[] args) {
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
-        System.exit(new CommandLine(new Main()).execute(args));
+        System.exit(new CommandLine(new Main()).setExecutionExceptionHandler(Main::faulty).execute(args));
+    }
+
+    /** What cannot be used is said in one line; any other exception is the library's to show. */
+    private static int faulty(Exception e, CommandLine command, ParseResult parsed) throws Exception {
+        if (!(e instanceof Malformed || e instanceof ConfigFault)) {
+            throw e;
+        }
+        command.getErr().println(e.getMessage());
+        return 2;
     }
 
     private static void end() {
@@ -41,18 +51,10 @@
 
     @Command(name = "adapter", description = "Speaks the bench's wire on standard input and output.")
     static final class AdapterCommand implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
         @Override
-        public Integer call() throws Exception {
-            try {
-                new Adapter(System.in, System.out).run();
-                return 0;
-            } catch (Malformed e) {
-                spec.commandLine().getErr().println(e.getMessage());
-                return 2;
-            }
+        public Integer call() throws IOException {
+            new Adapter(System.in, System.out).run();
+            return 0;
         }
     }
 
@@ -69,9 +71,6 @@
                 serve.start();
                 Thread.currentThread().join();
                 return 0;
-            } catch (ConfigFault e) {
-                spec.commandLine().getErr().println(e.getMessage());
-                return 2;
             } catch (IOException e) {
                 spec.commandLine().getErr().println(e.getMessage());
                 return 1;
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -26,7 +27,7 @@
     private static final TenantId NO_TENANT = new TenantId(0);
     private static final long MOST_SWEEP = Clock.SECOND / 2;
     /** An idle process looks round this often, so that it notices when it was held up. */
-    private static final long REST_NANOS = 20_000_000;
+    private static final long REST = 20 * Clock.MILLI;
     private static final long HELD_UP = 5 * Clock.MILLI;
 
     /** An op from its arrival until it is answered and its last push has ended. */
@@ -115,7 +116,7 @@
     }
 
     private void turn() throws InterruptedException {
-        long wait = REST_NANOS;
+        long wait = REST * Clock.NANOS;
         if (!timers.isEmpty()) {
             wait = Math.max(0, Math.min(wait, clock.nanosUntil(timers.peek().due)));
         }
@@ -125,8 +126,8 @@
         long late = woke - wokeLast - wait / Clock.NANOS;
         wokeLast = woke;
         if (late > HELD_UP) {
-            stall = late + REST_NANOS / Clock.NANOS;
-            stallOver = woke + REST_NANOS / Clock.NANOS;
+            stall = late + REST;
+            stallOver = woke + REST;
         } else if (woke > stallOver) {
             stall = 0;
         }
@@ -177,7 +178,7 @@
             router.handle(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
             router.handle(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
-                    probed.report()));
+                    null));
         } else if (notice instanceof Notice.Last) {
             stopped = true;
         } else if (notice instanceof Notice.Crowded) {
@@ -217,14 +218,12 @@
             return;
         }
         op.open--;
-        boolean isOver = op.answered;
         if (over.ending() == Ending.ACKED && !op.answered) {
             call.client.ack(over.body());
             answered(op);
-            isOver = true;
         }
         router.handle(clock.now(), new Event.PushEnded(id, call.number, call.node, over.ending(), over.note(),
-                Math.max(0, over.ended() - call.sent), isOver, null));
+                Math.max(0, over.ended() - call.sent), op.answered, null));
         forget(id, op);
     }
 
@@ -262,13 +261,11 @@
         op.open++;
         long due = timeOut > 0 ? Math.min(op.expires, now + timeOut) : op.expires;
         if (due <= now) {
-            call.abandon(Ending.NEVER_SENT);
-            later.add(new Notice.PushOver(call, Ending.NEVER_SENT, 0, null, now));
+            abandon(call, Ending.NEVER_SENT);
         } else if (push.start(call)) {
             timers.add(new Timer(due, ++lastRank, null, call, null));
         } else {
-            call.abandon(Ending.NO_CONNECTION);
-            later.add(new Notice.PushOver(call, Ending.NO_CONNECTION, 0, null, now));
+            abandon(call, Ending.NO_CONNECTION);
         }
     }
 
@@ -282,18 +279,18 @@
 
     @Override
     public void nack(OpId id, long retryAfter) {
-        Live op = ops.get(id);
-        if (holds.that(op != null && !op.answered, "an op has one final answer")) {
-            op.client.nack(retryAfter);
-            answered(op);
-        }
+        answer(id, client -> client.nack(retryAfter));
     }
 
     @Override
     public void deadLetter(OpId id) {
+        answer(id, Exchange::deadLetter);
+    }
+
+    private void answer(OpId id, Consumer<Exchange> how) {
         Live op = ops.get(id);
         if (holds.that(op != null && !op.answered, "an op has one final answer")) {
-            op.client.deadLetter();
+            how.accept(op.client);
             answered(op);
         }
     }
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -3,7 +3,6 @@
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.decision.Ids.KeyId;
 import cairnbridge.decision.Ids.OpId;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -15,7 +14,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -25,7 +23,8 @@
 
 /** One request of a client and its one answer: read on the reactor, answered by the owner thread. */
 final class Exchange implements AsyncServerExchangeHandler {
-    private static final String ID = "X-Trace-Id", TTL = "X-Expires-In", REPEAT = "X-Second-Try";
+    static final String ID = "X-Trace-Id", TTL = "X-Expires-In", MARK = "Idempotency-Key";
+    private static final String REPEAT = "X-Second-Try";
     private static final int OK = 200, MALFORMED = 400, NOT_FOUND = 404, DEAD_LETTER = 502, NACK = 503;
 
     private final Listen listen;
@@ -34,7 +33,7 @@
     private volatile boolean taken;
     private ResponseChannel channel;
     private HttpContext context;
-    private ByteArrayOutputStream body;
+    private Gathered body;
     private long expires;
     private Rest rest = new Rest(null);
 
@@ -74,7 +73,7 @@
         } else if (entity == null) {
             take();
         } else {
-            body = new ByteArrayOutputStream((int) Math.max(0, entity.getContentLength()));
+            body = new Gathered(entity);
             if (request.containsHeader("Expect")) {
                 channel.sendInformation(new BasicHttpResponse(100), context);
             }
@@ -108,8 +107,8 @@
         String last = slash < 0 ? "" : path.substring(path.lastIndexOf('/') + 1);
         key = last.isEmpty() ? null : new KeyId(Listen.hash(last));
         repeat = "1".equals(header(request, REPEAT));
-        mark = header(request, PushCall.MARK);
-        return entity != null && entity.getContentLength() > Listen.MOST_BODY ? "body is over 64 KiB" : null;
+        mark = header(request, MARK);
+        return entity != null && entity.getContentLength() > Gathered.MOST ? "body is over 64 KiB" : null;
     }
 
     private static String header(HttpRequest request, String name) {
@@ -118,7 +117,7 @@
     }
 
     private void take() {
-        value = body == null ? null : body.toByteArray();
+        value = body == null ? null : body.all();
         body = null;
         taken = true;
         Warm warm = listen.warm;
@@ -134,12 +133,8 @@
         if (body == null || over.get()) {
             return;
         }
-        byte[] part = new byte[src.remaining()];
-        src.get(part);
-        if (body.size() + part.length > Listen.MOST_BODY) {
+        if (!body.add(src)) {
             send(MALFORMED, new byte[0], 0, true);
-        } else {
-            body.write(part);
         }
     }
 
@@ -177,8 +172,7 @@
         }
         rest = new Rest(bytes);
         try {
-            EntityDetails entity = bytes.length == 0 ? null : new BasicEntityDetails(bytes.length, null);
-            channel.sendResponse(response, entity, context);
+            channel.sendResponse(response, rest.entity(), context);
         } catch (HttpException | IOException e) {
             // The client's connection broke under the answer: nothing is owed to it any more.
             channel.terminateExchange();
@@ -197,7 +191,7 @@
 
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Listen.MOST_BODY);
+        capacity.update(Gathered.MOST);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Gathered.java
@@ -0,0 +1,32 @@
+package cairnbridge.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.EntityDetails;
+
+/** The bytes of a body that have come so far, up to the most that the protocol allows. */
+final class Gathered {
+    static final int MOST = 64 * 1024;
+    private final ByteArrayOutputStream bytes;
+
+    /** entity is null where there is no body. */
+    Gathered(EntityDetails entity) {
+        long told = entity == null ? 0 : entity.getContentLength();
+        bytes = new ByteArrayOutputStream((int) Math.max(0, Math.min(MOST, told)));
+    }
+
+    /** Takes in all that is there; false, and nothing kept, where the body grows too long. */
+    boolean add(ByteBuffer src) {
+        byte[] part = new byte[src.remaining()];
+        src.get(part);
+        boolean fits = bytes.size() + part.length <= MOST;
+        if (fits) {
+            bytes.write(part, 0, part.length);
+        }
+        return fits;
+    }
+
+    byte[] all() {
+        return bytes.toByteArray();
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Listen.java
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -6,7 +6,6 @@
 
 /** What is read off every request, and whether the proxy takes ops yet or is about to end. */
 final class Listen {
-    static final int MOST_BODY = 64 * 1024;
     final Clock clock;
     private final Map<String, Integer> categories = new HashMap<>();
     volatile boolean ready, draining, crowded;
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -24,7 +24,7 @@
     record Listed(Event.Roster roster, Map<NodeId, InetSocketAddress> addresses) implements Notice {
     }
 
-    record Probed(NodeId node, Ending ending, long took, double[] report) implements Notice {
+    record Probed(NodeId node, Ending ending, long took) implements Notice {
     }
 
     /** The socket budget is spent: an idle connection to a node makes room. */
--- a/src/main/java/cairnbridge/proxy/Probe.java
+++ b/src/main/java/cairnbridge/proxy/Probe.java
@@ -25,7 +25,7 @@
     /** address is null for a node that no list has named. */
     void start(NodeId node, InetSocketAddress address) {
         if (address == null || sockets.isFull()) {
-            inbox.post(new Notice.Probed(node, Ending.NO_CONNECTION, 0, null));
+            inbox.post(new Notice.Probed(node, Ending.NO_CONNECTION, 0));
         } else {
             sockets.dial(address, timeOut, timeOut, new Asked(node, address, clock.now()));
         }
@@ -55,7 +55,7 @@
         @Override
         void over(Ending how) {
             Ending ending = how == Ending.ACKED && code != OK ? Ending.ERROR : how;
-            inbox.post(new Notice.Probed(node, ending, clock.now() - sent, null));
+            inbox.post(new Notice.Probed(node, ending, clock.now() - sent));
             connection.close();
         }
     }
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -60,7 +60,6 @@
         if (address == null) {
             return false;
         }
-        call.host = address.getHostString();
         ArrayDeque<Connection> kept = idle.get(address);
         // The one used last is the least likely to be closed by the node.
         for (Connection c = kept == null ? null : kept.pollLast(); c != null; c = kept.pollLast()) {
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -2,7 +2,6 @@
 
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Ids.NodeId;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -11,16 +10,12 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
 /** One push on the wire: its request, its answer, and its one ending. */
 final class PushCall extends Call {
-    static final String MARK = "Idempotency-Key";
-    private static final int MOST_ANSWER = 64 * 1024, LEAST_ANSWER = 32;
-
     /** HANDED: bytes may have gone out, so that from then on the op may have run. */
     private enum Stage { WAITING, HANDED, ENDED }
 
@@ -32,11 +27,9 @@
     private final Inbox inbox;
     private final Clock clock;
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
-    /** Set by the owner thread before anything is sent. */
-    String host;
     private int code, note;
     private boolean neverRan;
-    private ByteArrayOutputStream answer;
+    private Gathered answer;
 
     PushCall(Exchange client, NodeId node, int number, long expires, Inbox inbox, Clock clock) {
         this.client = client;
@@ -74,16 +67,16 @@
             throw new IOException("push given up");
         }
         BasicHttpRequest request = new BasicHttpRequest(client.method, client.target);
-        request.addHeader("Host", host);
-        request.addHeader("X-Trace-Id", client.trace);
-        request.addHeader("X-Expires-In", Math.max(1, expires - clock.now()) * (1000 / Clock.MILLI) + "u");
+        request.addHeader("Host", connection.address.getHostString());
+        request.addHeader(Exchange.ID, client.trace);
+        long left = Math.max(1, expires - clock.now());
+        request.addHeader(Exchange.TTL, left * (1000 / Clock.MILLI) + "u");
         if (client.mark != null) {
-            request.addHeader(MARK, client.mark);
+            request.addHeader(Exchange.MARK, client.mark);
         }
         Rest value = new Rest(client.value);
         body(value);
-        channel.sendRequest(request, value.left() == 0 ? null : new BasicEntityDetails(value.left(), null),
-                context);
+        channel.sendRequest(request, value.entity(), context);
     }
 
     @Override
@@ -98,8 +91,7 @@
             case "pending" -> 3;
             default -> 0;
         };
-        long length = entity == null ? 0 : Math.min(MOST_ANSWER, entity.getContentLength());
-        answer = new ByteArrayOutputStream((int) Math.max(LEAST_ANSWER, length));
+        answer = new Gathered(entity);
         if (entity == null) {
             streamEnd(List.of());
         }
@@ -107,18 +99,15 @@
 
     @Override
     public void consume(ByteBuffer src) throws IOException {
-        byte[] part = new byte[src.remaining()];
-        src.get(part);
-        if (answer.size() + part.length > MOST_ANSWER) {
+        if (!answer.add(src)) {
             throw new IOException("answer is too long");
         }
-        answer.write(part);
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
         switch (code) {
-            case 200 -> end(Ending.ACKED, answer.toByteArray());
+            case 200 -> end(Ending.ACKED, answer.all());
             case 404 -> end(Ending.MISS, null);
             default -> end(neverRan && (code == 503 || code == 504) ? Ending.FULL : Ending.ERROR, null);
         }
--- a/src/main/java/cairnbridge/proxy/Rest.java
+++ b/src/main/java/cairnbridge/proxy/Rest.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 
 /** The bytes of a body that are still to be written. */
@@ -17,6 +19,11 @@
         return bytes.remaining();
     }
 
+    /** What the message's head says of the body; null where there is none. */
+    EntityDetails entity() {
+        return left() == 0 ? null : new BasicEntityDetails(left(), null);
+    }
+
     void write(DataStreamChannel out) throws IOException {
         out.write(bytes);
         if (!bytes.hasRemaining()) {
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -65,7 +65,7 @@
             if (on && watching == null) {
                 open();
             } else if (!on && watching != null) {
-                watching.give();
+                watching.connection.close();
             }
         });
     }
@@ -85,7 +85,7 @@
     private void look() {
         if (watching != null && System.nanoTime() - watching.heard > SILENCE_NANOS) {
             LOG.warning("roster: the watch is silent, dialling again");
-            watching.give();
+            watching.connection.close();
         }
     }
 
@@ -178,10 +178,6 @@
             this.standing = standing;
         }
 
-        void give() {
-            connection.close();
-        }
-
         @Override
         void begun(int status) {
             code = status;
@@ -198,7 +194,7 @@
 
         @Override
         void over(Ending how) {
-            give();
+            connection.close();
             if (standing) {
                 timer.execute(() -> ended(this));
             } else if (code != OK) {
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -18,7 +18,6 @@
     private final ProxyConfig config;
     private final Listen listen;
     private final Sockets sockets;
-    private final Inbox inbox;
     private final Decide decide;
     private final RosterWatch watch;
     private final ScheduledExecutorService timer;
@@ -31,7 +30,7 @@
         this.config = config;
         this.whenBroken = whenBroken;
         Clock clock = new Clock();
-        inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
+        Inbox inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
         listen = new Listen(clock, config.categories());
         sockets = new Sockets(config, inbox, listen, this::vital);
         decide = new Decide(config, inbox, clock, sockets);
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -12,14 +12,19 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.ResponseConnControl;
@@ -185,82 +190,52 @@
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof Connection connection) {
-            return new Outgoing(new ClientHttp1IOEventHandler(outgoing.create(session)), connection);
+            return new Outgoing(outgoing.create(session), connection);
         }
-        return new Incoming(session);
+        Exchanges exchanges = new Exchanges();
+        return new Incoming(session, new ServerHttp1StreamDuplexerFactory(
+                answers, exchanges, http, null, null, null).create("http", session), exchanges);
     }
 
-    /** Hands everything on to the library's handler; the two kinds of connection add what they must know. */
-    private abstract static class Wrapped implements IOEventHandler {
-        private IOEventHandler inner;
-
-        void wrap(IOEventHandler handler) {
-            inner = handler;
-        }
-
-        @Override
-        public void connected(IOSession session) throws IOException {
-            inner.connected(session);
-        }
-
-        @Override
-        public void inputReady(IOSession session, ByteBuffer src) throws IOException {
-            inner.inputReady(session, src);
-        }
-
-        @Override
-        public void outputReady(IOSession session) throws IOException {
-            inner.outputReady(session);
-        }
-
-        @Override
-        public void timeout(IOSession session, Timeout timeout) throws IOException {
-            inner.timeout(session, timeout);
-        }
+    private static final class Outgoing extends ClientHttp1IOEventHandler {
+        private final Connection connection;
 
-        @Override
-        public void exception(IOSession session, Exception cause) {
-            inner.exception(session, cause);
+        Outgoing(ClientHttp1StreamDuplexer duplexer, Connection connection) {
+            super(duplexer);
+            this.connection = connection;
         }
 
         @Override
         public void disconnected(IOSession session) {
-            inner.disconnected(session);
+            super.disconnected(session);
+            connection.ended();
         }
     }
 
-    private static final class Outgoing extends Wrapped {
-        private final Connection connection;
-
-        Outgoing(IOEventHandler handler, Connection connection) {
-            wrap(handler);
-            this.connection = connection;
-        }
+    /** Makes a connection's exchanges and knows the latest. */
+    private final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
+        private volatile Exchange latest;
 
         @Override
-        public void disconnected(IOSession session) {
-            super.disconnected(session);
-            connection.ended();
+        public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
+            latest = new Exchange(listen, inbox);
+            return latest;
         }
     }
 
     /** A client's connection. The library goes on after a client's close; this ends the exchange instead. */
-    private final class Incoming extends Wrapped {
+    private final class Incoming extends ServerHttp1IOEventHandler {
         private final IOSession session;
-        private final ServerHttp1StreamDuplexer duplexer;
-        private volatile Exchange exchange;
+        private final Exchanges exchanges;
 
-        Incoming(ProtocolIOSession session) {
+        Incoming(IOSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
+            super(duplexer);
             this.session = session;
-            duplexer = new ServerHttp1StreamDuplexerFactory(answers, (request, context) -> {
-                exchange = new Exchange(listen, inbox);
-                return exchange;
-            }, http, null, null, null).create("http", session);
-            wrap(new ServerHttp1IOEventHandler(duplexer));
+            this.exchanges = exchanges;
         }
 
         boolean isIdle() {
-            Exchange latest = exchange;
+            Exchange latest = exchanges.latest;
             return latest == null || latest.isOver();
         }
 
@@ -293,7 +268,7 @@
         public void inputReady(IOSession up, ByteBuffer src) throws IOException {
             super.inputReady(up, src);
             // Guards against ops worked on for a client that has closed its connection.
-            if (!duplexer.isOpen() && !isIdle()) {
+            if (!isOpen() && !isIdle()) {
                 up.close(CloseMode.IMMEDIATE);
             }
         }
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -133,8 +133,8 @@
 
             @Override
             void dress(BasicHttpRequest request) {
-                request.addHeader("X-Trace-Id", trace);
-                request.addHeader("X-Expires-In", MOST_MILLIS + "m");
+                request.addHeader(Exchange.ID, trace);
+                request.addHeader(Exchange.TTL, MOST_MILLIS + "m");
             }
 
             @Override
