--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -12,6 +12,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.Spec;
+import sun.misc.Signal;
 
 /** The command line of the service. */
 @Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
@@ -67,6 +68,9 @@
         public Integer call() throws InterruptedException {
             try {
                 Serve serve = new Serve(ProxyConfig.read(System.getenv()), Main::end);
+                // Guards against the machine's own answer to a hang-up, which is to end.
+                Signal.handle(new Signal("HUP"),
+                        signal -> serve.reload(() -> ProxyConfig.read(System.getenv())));
                 Runtime.getRuntime().addShutdownHook(new Thread(serve::drain, "drain"));
                 serve.start();
                 Thread.currentThread().join();
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -30,7 +30,7 @@
     private final Listen listen;
     private final Inbox inbox;
     private final AtomicBoolean over = new AtomicBoolean();
-    private volatile boolean taken;
+    private volatile boolean taken, last;
     private ResponseChannel channel;
     private HttpContext context;
     private Gathered body;
@@ -54,6 +54,11 @@
         return over.get();
     }
 
+    /** The connection ends with this one's answer. */
+    boolean isLast() {
+        return last;
+    }
+
     @Override
     public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel response,
             HttpContext httpContext) throws HttpException, IOException {
@@ -67,9 +72,9 @@
             send(!known ? NOT_FOUND : listen.ready ? OK : NACK, new byte[0], 0, entity != null);
             return;
         }
-        String fault = read(request, entity, now);
+        String fault = read(request, now);
         if (fault != null) {
-            send(MALFORMED, fault.getBytes(StandardCharsets.US_ASCII), 0, entity != null);
+            send(MALFORMED, fault.getBytes(StandardCharsets.US_ASCII), 0, true);
         } else if (entity == null) {
             take();
         } else {
@@ -81,7 +86,7 @@
     }
 
     /** Takes out the fields that decisions need; the rest goes on as it came. Returns what is malformed. */
-    private String read(HttpRequest request, EntityDetails entity, long now) {
+    private String read(HttpRequest request, long now) {
         trace = header(request, ID);
         if (trace == null || trace.isEmpty()) {
             return ID + " is missing";
@@ -108,7 +113,7 @@
         key = last.isEmpty() ? null : new KeyId(Listen.hash(last));
         repeat = "1".equals(header(request, REPEAT));
         mark = header(request, MARK);
-        return entity != null && entity.getContentLength() > Gathered.MOST ? "body is over 64 KiB" : null;
+        return null;
     }
 
     private static String header(HttpRequest request, String name) {
@@ -168,6 +173,7 @@
             response.addHeader("Retry-After", String.format(Locale.ROOT, "%.4f", seconds));
         }
         if (close || listen.draining || listen.crowded) {
+            last = true;
             response.addHeader("Connection", "close");
         }
         rest = new Rest(bytes);
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/RequestHead.java
@@ -0,0 +1,59 @@
+package cairnbridge.proxy;
+
+import java.io.IOException;
+import java.util.function.BooleanSupplier;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/** Reads the heads of one client's requests and lets none pass whose end could be read in two ways. */
+final class RequestHead extends DefaultHttpRequestParser<HttpRequest> {
+    private static final String LENGTH = "Content-Length", CODING = "Transfer-Encoding";
+    private static final int MOST_DIGITS = 7;
+
+    private final BooleanSupplier busy;
+
+    /** busy tells that a request is open on this connection, or that its last answer has been given. */
+    RequestHead(Http1Config http, BooleanSupplier busy) {
+        super(http, DefaultHttpRequestFactory.INSTANCE);
+        this.busy = busy;
+    }
+
+    /** What it throws is answered with its status, and the connection ends with that answer. */
+    @Override
+    public HttpRequest parse(SessionInputBuffer buffer, boolean ended) throws IOException, HttpException {
+        // Guards against hundreds of requests at once, and against what follows one that was malformed.
+        if (buffer.hasData() && busy.getAsBoolean()) {
+            throw new ProtocolException("one request at a time");
+        }
+        // Guards against a head that breaks off: the library takes what has come for the whole of it.
+        HttpRequest request = super.parse(buffer, false);
+        if (request == null && ended && buffer.hasData()) {
+            throw new ProtocolException("head broke off");
+        } else if (request != null) {
+            check(request);
+        }
+        return request;
+    }
+
+    /** Guards against a request that hides in the body of another: two lengths, or one of many readings. */
+    private static void check(HttpRequest request) throws ProtocolException {
+        Header[] lengths = request.getHeaders(LENGTH);
+        int codings = request.countHeaders(CODING);
+        boolean plain = lengths.length + codings == 0;
+        boolean chunked = lengths.length == 0 && codings == 1
+                && request.getFirstHeader(CODING).getValue().equalsIgnoreCase("chunked");
+        boolean told = codings == 0 && lengths.length == 1
+                && lengths[0].getValue().matches("[0-9]{1," + MOST_DIGITS + "}");
+        if (!plain && !chunked && !told) {
+            throw new ProtocolException("body without one clear length");
+        } else if (told && Integer.parseInt(lengths[0].getValue()) > Gathered.MOST) {
+            throw new ProtocolException("body is over 64 KiB");
+        }
+    }
+}
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -36,6 +36,7 @@
     private final Inbox inbox;
     /** One thread, idle nearly always: it dials again after a wait and notices silence. */
     private final ScheduledExecutorService timer;
+    private volatile InetSocketAddress discovery;
     private Watching watching;
     private long version, waitMillis = LEAST_WAIT_MILLIS;
     private boolean wanted, listed, lost;
@@ -43,6 +44,7 @@
 
     RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer) {
         this.config = config;
+        this.discovery = config.discovery();
         this.sockets = sockets;
         this.inbox = inbox;
         this.timer = timer;
@@ -72,13 +74,33 @@
 
     /** The whole list, once. */
     void fetch() {
-        sockets.dial(config.discovery(), config.dialTimeOut(), new Watching(LIST, false));
+        InetSocketAddress asked = discovery;
+        sockets.dial(asked, config.dialTimeOut(), new Watching(asked, LIST, false));
     }
 
     private void open() {
         String after = listed ? "&after=" + version : "";
-        watching = new Watching(LIST + "?watch=1" + after, true);
-        sockets.dial(config.discovery(), config.dialTimeOut(), watching);
+        watching = new Watching(discovery, LIST + "?watch=1" + after, true);
+        sockets.dial(discovery, config.dialTimeOut(), watching);
+    }
+
+    /** Discovery is elsewhere from now on: its whole list counts, and the watch at the old place goes. */
+    void move(InetSocketAddress there) {
+        timer.execute(() -> {
+            if (there.equals(discovery)) {
+                return;
+            }
+            discovery = there;
+            listed = false;
+            waitMillis = LEAST_WAIT_MILLIS;
+            Watching old = watching;
+            if (wanted) {
+                open();
+            }
+            if (old != null) {
+                old.connection.close();
+            }
+        });
     }
 
     /** Guards against a watch that is open but dead: discovery writes at least a beat's empty line. */
@@ -111,7 +133,11 @@
         }
     }
 
-    private void heard(String text) {
+    private void heard(Watching call, String text) {
+        // Guards against the last words of a discovery that has moved: its versions say nothing any more.
+        if (!call.address.equals(discovery)) {
+            return;
+        }
         try {
             Tree tree = Tree.parse(text, "roster");
             tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
@@ -169,12 +195,14 @@
 
     /** One call to discovery: the standing watch, or a list asked for once. */
     private final class Watching extends Get {
+        private final InetSocketAddress address;
         private final boolean standing;
         private volatile long heard = System.nanoTime();
         private volatile int code;
 
-        Watching(String target, boolean standing) {
-            super(config.discovery(), target);
+        Watching(InetSocketAddress address, String target, boolean standing) {
+            super(address, target);
+            this.address = address;
             this.standing = standing;
         }
 
@@ -188,7 +216,7 @@
         void line(String text) {
             heard = System.nanoTime();
             if (code == OK && !text.isBlank()) {
-                timer.execute(() -> heard(text));
+                timer.execute(() -> heard(this, text));
             }
         }
 
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -1,11 +1,13 @@
 package cairnbridge.proxy;
 
+import cairnbridge.config.ConfigFault;
 import cairnbridge.config.ProxyConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
@@ -74,6 +76,17 @@
         return sockets.address();
     }
 
+    /** Reads the configuration again; only where discovery is counts before the next start. */
+    public void reload(Supplier<ProxyConfig> configuration) {
+        try {
+            ProxyConfig fresh = configuration.get();
+            watch.move(fresh.discovery());
+            LOG.info(config.name() + " has reloaded, discovery is " + fresh.discovery());
+        } catch (ConfigFault e) {
+            LOG.severe(config.name() + " keeps its configuration: " + e.getMessage());
+        }
+    }
+
     /** A planned end: takes new ops for a while, finishes what it has, and stops. */
     public void drain() {
         LOG.info(config.name() + " drains, " + decide.live() + " ops under way");
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -54,10 +54,13 @@
     /** A connection this long without a byte has no request on its way, as far as can be known. */
     private static final long QUIET_MILLIS = 150;
     private static final int BUFFER = 2048;
+    /** Of a head, in bytes and in fields: more is no request and no answer of this protocol. */
+    private static final int MOST_LINE = 4096, MOST_FIELDS = 40;
     private static final long CHECK_MILLIS = 20;
 
     private final Http1Config http = Http1Config.custom()
-            .setBufferSize(BUFFER).setChunkSizeHint(BUFFER).build();
+            .setBufferSize(BUFFER).setChunkSizeHint(BUFFER)
+            .setMaxLineLength(MOST_LINE).setMaxHeaderCount(MOST_FIELDS).build();
     private final HttpProcessor answers =
             new DefaultHttpProcessor(ResponseContent.INSTANCE, ResponseConnControl.INSTANCE);
     private final ClientHttp1StreamDuplexerFactory outgoing =
@@ -193,8 +196,9 @@
             return new Outgoing(outgoing.create(session), connection);
         }
         Exchanges exchanges = new Exchanges();
-        return new Incoming(session, new ServerHttp1StreamDuplexerFactory(
-                answers, exchanges, http, null, null, null).create("http", session), exchanges);
+        ServerHttp1StreamDuplexerFactory incoming = new ServerHttp1StreamDuplexerFactory(answers, exchanges,
+                http, null, null, () -> new RequestHead(http, exchanges::isBusy), null, null, null);
+        return new Incoming(session, incoming.create("http", session), exchanges);
     }
 
     private static final class Outgoing extends ClientHttp1IOEventHandler {
@@ -216,6 +220,11 @@
     private final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
         private volatile Exchange latest;
 
+        boolean isBusy() {
+            Exchange last = latest;
+            return last != null && (!last.isOver() || last.isLast());
+        }
+
         @Override
         public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
             latest = new Exchange(listen, inbox);
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -210,6 +210,25 @@
         return made;
     }
 
+    /** The program as the platform starts it, with the configuration written last. */
+    private Process process() throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
+                "cairnbridge.cli.Main", "serve");
+        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
+        Process process = builder.start();
+        opened.add(process::destroyForcibly);
+        return process;
+    }
+
+    private static BufferedReader log(Process process) {
+        return new BufferedReader(new InputStreamReader(process.getErrorStream()));
+    }
+
+    private static int port(String line) {
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
     private Socket client() throws IOException {
         InetSocketAddress address = proxy.address();
         Socket socket = new Socket(address.getAddress(), address.getPort());
@@ -523,15 +542,9 @@
         start();
         String known = list(1, true, target("o", origin.address(), "origin", "Ready"));
         config(known, discovery.address());
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                "cairnbridge.cli.Main", "serve");
-        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
-        Process process = builder.start();
-        opened.add(process::destroyForcibly);
-        BufferedReader log = new BufferedReader(new InputStreamReader(process.getErrorStream()));
-        String first = log.readLine();
-        int port = Integer.parseInt(first.substring(first.lastIndexOf(':') + 1));
+        Process process = process();
+        BufferedReader log = log(process);
+        int port = port(log.readLine());
         Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
         opened.add(client);
         send(client, "PUT /loan/1", ttl(50), "v");
@@ -550,6 +563,66 @@
         process.waitFor();
     }
 
+    @Test
+    void aHangUpMovesTheWatchAndAFaultyFileChangesNothing() throws Exception {
+        start();
+        CountDownLatch whole = new CountDownLatch(1);
+        StandIn moved = new StandIn(request -> {
+            whole.await();
+            return "200 OK||" + list(1, true, target("m", cache.address(), "cache", "Ready")) + "\n";
+        });
+        config(list(1, true), discovery.address());
+        Process process = process();
+        BufferedReader log = log(process);
+        int port = port(log.readLine());
+        until(() -> discovery.seen.size() == 2);
+        config(list(1, true), moved.address());
+        signal(process, "HUP");
+        assertTrue(log.readLine().endsWith("discovery is /" + moved.address()));
+        until(() -> !moved.seen.isEmpty() && discovery.ended.get() == 1);
+        assertTrue(moved.seen.get(0).startsWith("GET /api/targets?watch=1 "), moved.seen.get(0));
+        Files.writeString(folder.resolve("config.json"), "{}");
+        signal(process, "HUP");
+        String line = log.readLine();
+        assertTrue(line.contains("keeps its configuration: LB_CONFIG.settings.categories: needs"), line);
+        whole.countDown();
+        for (int code = 0; code != 200;) {
+            Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
+            opened.add(client);
+            send(client, "GET /view/1", ttl(800), "");
+            code = code(message(client));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 45;Transfer-Encoding: chunked;;0;;GET /view/2 HTTP/1.1;HEAD;;",
+        "Content-Length: 1;Content-Length: 1;;x", "Content-Length: -1;;", "Content-Length: +1;;x",
+        "Content-Length: 99999999999999999999;;x", "Transfer-Encoding: gzip, chunked;;0;;",
+        "Transfer-Encoding: chunked;Transfer-Encoding: chunked;;0;;", "Host", "LONG", "MANY"})
+    void aRequestWithoutOneClearEndIsRefusedAndNothingIsPushed(String rest) throws Exception {
+        start();
+        Socket rude = client();
+        String head = ttl(900).trim();
+        rude.getOutputStream().write(("GET /view/1 HTTP/1.1\r\n" + head + "\r\n" + rest.replace("HEAD", head)
+                .replace("LONG", "x".repeat(5000)).replace("MANY", "A: b;".repeat(50)).replace(";", "\r\n"))
+                .getBytes(StandardCharsets.ISO_8859_1));
+        rude.shutdownOutput();
+        String answer = message(rude);
+        assertTrue(answer.matches("(?s)HTTP/1.1 (4..|501) .*Connection: close.*"), answer);
+        assertEquals(-1, rude.getInputStream().read());
+        assertEquals(0, cache.seen.size());
+    }
+
+    @Test
+    void aSecondRequestBeforeTheAnswerEndsTheConnectionAfterTheFirst() throws Exception {
+        start();
+        Socket rude = client();
+        send(rude, "GET /view/1 HTTP/1.1\r\n" + ttl(900) + "\r\nGET /view/2", ttl(900), "");
+        assertEquals(200, code(message(rude)));
+        assertEquals(400, code(message(rude)));
+        assertEquals(1, cache.seen.size());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"[] | LB_CONFIG: is not a JSON object",
         "{ | LB_CONFIG: is not valid JSON",
