Pools by node, answers checked before they count, reading in time, accepting at the reactor's pace

Memory still had maps that only grew.

The library asks an IOWorkerSelector for a reactor for every connection, on that thread: it now waits there while eight connections have not been seen (Sockets.paced).

At fault and changed: Push (pools by address: a successor inherited connections; now by node, emptied when a node or its address goes); AnswerHead (no or two lengths, heads that break off, bytes nobody asked for); Connection.begins (a kept connection is read once before a push goes out on it; if the node closed it or said more, the push waits for another, not a byte having gone out); Decide (an id that is open is refused 409; a push that waits for its connection ends with the answer); Sockets (2.2 s from connecting or the first byte to the last, 5 s idle after an answer); Exchange (the latest of a connection is let go); Router.build (nodes that are gone are forgotten).

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -285,6 +285,8 @@
                 }
             }
             points.change(gone, marks);
+            // Guards against memory that grows with every node that ever was, as nodes come and go all day.
+            nodes.values().removeIf(node -> node.state == State.GONE && node.inFlight == 0);
             post(origin, new Note(What.MEMBERS, 0));
             beat();
         }
--- a/src/main/java/cairnbridge/proxy/Call.java
+++ b/src/main/java/cairnbridge/proxy/Call.java
@@ -14,6 +14,16 @@
     /** Set before anything is sent on it; null as long as there is none. */
     volatile Connection connection;
 
+    /** On the reactor, as its bytes go out: from now on an answer is waited for. */
+    void begins() throws IOException {
+        connection.begins();
+    }
+
+    /** On the reactor: the answer has come to its end. */
+    void answered() {
+        connection.answered();
+    }
+
     void body(Rest bytes) {
         body = bytes;
     }
--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -1,7 +1,9 @@
 package cairnbridge.proxy;
 
+import cairnbridge.decision.Ids.NodeId;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -22,6 +24,11 @@
     private volatile IOSession session;
     private volatile Future<IOSession> dial;
     private volatile boolean unwanted;
+    /** Reactor thread only: a request is out and its answer has not come to its end. */
+    private boolean asked;
+    /** Owner thread only: whose it is, where it is pooled, and since when nothing is out on it. */
+    NodeId node;
+    boolean used;
     long idleSince;
 
     /** first is sent as soon as the connection is up, and told of its failure where it never comes up. */
@@ -42,6 +49,22 @@
         return !unwanted && up != null && up.isOpen();
     }
 
+    /** Guards against a connection that the node has closed, or on which it has said more than was asked. */
+    void begins() throws IOException {
+        if (session.read(ByteBuffer.allocate(1)) != 0) {
+            throw new IOException("connection is stale");
+        }
+        asked = true;
+    }
+
+    void answered() {
+        asked = false;
+    }
+
+    boolean isAsked() {
+        return asked;
+    }
+
     void send(Call call) {
         call.connection = this;
         session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -13,9 +13,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -60,6 +62,7 @@
     private final Router router;
     private final Holds holds = new Holds();
     private final Map<OpId, Live> ops = new HashMap<>();
+    private final Set<String> open = new HashSet<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     /** What the owner thread tells itself; the module is never called from within its own calls. */
     private final ArrayDeque<Notice> later = new ArrayDeque<>();
@@ -171,6 +174,8 @@
             ended(over);
         } else if (notice instanceof Notice.Left left) {
             left(left.client());
+        } else if (notice instanceof Notice.Unsent unsent) {
+            unsent(unsent.call());
         } else if (notice instanceof Notice.ConnectionClosed closed) {
             push.closed(closed.connection());
         } else if (notice instanceof Notice.Listed listed) {
@@ -192,6 +197,11 @@
         if (client.isOver()) {
             return;
         }
+        // Guards against a stranger who takes the id of an op that is open.
+        if (!open.add(client.trace)) {
+            client.refuse();
+            return;
+        }
         long expires = arrived.expires() - stall;
         ops.put(client.op, new Live(client, expires));
         timers.add(new Timer(expires, ++lastRank, null, null, client.op));
@@ -227,9 +237,23 @@
         forget(id, op);
     }
 
+    private void unsent(PushCall call) {
+        call.connection.close();
+        if (call.isWaiting() && !push.start(call)) {
+            abandon(call, Ending.NO_CONNECTION);
+        }
+    }
+
     private void answered(Live op) {
         op.answered = true;
         live--;
+        open.remove(op.client.trace);
+        // Guards against a push that goes out after the answer, as its connection comes up.
+        for (PushCall call : op.pushes) {
+            if (call.isWaiting()) {
+                abandon(call, Ending.NEVER_SENT);
+            }
+        }
         forget(op.client.op, op);
     }
 
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -25,10 +26,14 @@
 final class Exchange implements AsyncServerExchangeHandler {
     static final String ID = "X-Trace-Id", TTL = "X-Expires-In", MARK = "Idempotency-Key";
     private static final String REPEAT = "X-Second-Try";
-    private static final int OK = 200, MALFORMED = 400, NOT_FOUND = 404, DEAD_LETTER = 502, NACK = 503;
+    /** No op is kept longer, whatever its client says: an hour of patience would be an hour of memory. */
+    private static final long LONGEST = 60 * Clock.SECOND;
+    private static final int OK = 200, MALFORMED = 400, NOT_FOUND = 404, CONFLICT = 409;
+    private static final int DEAD_LETTER = 502, NACK = 503;
 
     private final Listen listen;
     private final Inbox inbox;
+    private final Consumer<Exchange> released;
     private final AtomicBoolean over = new AtomicBoolean();
     private volatile boolean taken, last;
     private ResponseChannel channel;
@@ -45,9 +50,16 @@
     /** Set by the owner thread. */
     OpId op;
 
-    Exchange(Listen listen, Inbox inbox) {
+    /** released is told when the library is done with it. */
+    Exchange(Listen listen, Inbox inbox, Consumer<Exchange> released) {
         this.listen = listen;
         this.inbox = inbox;
+        this.released = released;
+    }
+
+    /** The request has been read to its last byte and goes its way. */
+    boolean isTaken() {
+        return taken;
     }
 
     boolean isOver() {
@@ -95,7 +107,7 @@
         if (ttl <= 0) {
             return TTL + " is missing or no span";
         }
-        expires = now + ttl;
+        expires = now + Math.min(ttl, LONGEST);
         write = method.equals("PUT");
         if (!write && !method.equals("GET")) {
             return "method is neither GET nor PUT";
@@ -150,6 +162,11 @@
         }
     }
 
+    /** The id is that of an op that is open. */
+    void refuse() {
+        send(CONFLICT, new byte[0], 0, true);
+    }
+
     /** The cache's answer, byte for byte. */
     void ack(byte[] bytes) {
         send(OK, bytes, 0, false);
@@ -210,5 +227,6 @@
     @Override
     public void releaseResources() {
         body = null;
+        released.accept(this);
     }
 }
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Framing.java
@@ -0,0 +1,32 @@
+package cairnbridge.proxy;
+
+import org.apache.hc.core5.http.HttpMessage;
+
+/** Where a message's body ends, by its own fields; the library takes some that can be read in two ways. */
+final class Framing {
+    private static final String LENGTH = "Content-Length", CODING = "Transfer-Encoding";
+    private static final String UNCLEAR = "body without one clear length";
+    private static final int MOST_DIGITS = 8;
+
+    private Framing() {
+    }
+
+    /** What is wrong with it, or null. unframed: a message that says nothing of a body is in order. */
+    static String fault(HttpMessage message, boolean unframed) {
+        int lengths = message.countHeaders(LENGTH), codings = message.countHeaders(CODING);
+        if (lengths + codings == 0 && unframed) {
+            return null;
+        } else if (lengths + codings != 1) {
+            return UNCLEAR;
+        } else if (codings == 1) {
+            return message.getFirstHeader(CODING).getValue().equalsIgnoreCase("chunked") ? null : UNCLEAR;
+        }
+        String text = message.getFirstHeader(LENGTH).getValue();
+        int length = text.isEmpty() || text.length() > MOST_DIGITS ? -1 : 0;
+        for (int i = 0; i < text.length() && length >= 0; i++) {
+            int digit = text.charAt(i) - '0';
+            length = digit < 0 || digit > 9 ? -1 : length * 10 + digit;
+        }
+        return length < 0 ? UNCLEAR : length > Gathered.MOST ? "body is over 64 KiB" : null;
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -51,6 +51,7 @@
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
         sent = true;
+        begins();
         BasicHttpRequest request = new BasicHttpRequest("GET", target);
         request.addHeader("Host", host);
         dress(request);
@@ -61,6 +62,7 @@
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         begun(response.getCode());
         if (entity == null) {
+            answered();
             end(Ending.ACKED);
         }
     }
@@ -90,6 +92,7 @@
         if (line.size() > 0) {
             flush();
         }
+        answered();
         end(Ending.ACKED);
     }
 
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -18,6 +18,10 @@
     record PushOver(PushCall call, Ending ending, int note, byte[] body, long ended) implements Notice {
     }
 
+    /** The kept connection that was to carry the push was of no use; the push waits for another. */
+    record Unsent(PushCall call) implements Notice {
+    }
+
     record ConnectionClosed(Connection connection) implements Notice {
     }
 
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -8,9 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread only. */
 final class Push {
@@ -19,9 +17,8 @@
 
     private final Sockets sockets;
     private final long dialTimeOut, idleLimit;
-    private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
+    private final Map<NodeId, ArrayDeque<Connection>> idle = new HashMap<>();
     private final Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
-    private final Set<InetSocketAddress> named = new HashSet<>();
 
     Push(Sockets sockets, long dialTimeOut, long idleLimit) {
         this.sockets = sockets;
@@ -40,16 +37,23 @@
                 addresses.remove(entry.node());
             }
         }
-        named.clear();
-        named.addAll(addresses.values());
-        idle.forEach((address, kept) -> {
-            if (!named.contains(address)) {
-                kept.forEach(Connection::close);
-                kept.clear();
-            }
+        idle.entrySet().removeIf(each -> {
+            // Guards against a successor at the address of a node that is gone: pools go by node.
+            each.getValue().removeIf(kept -> {
+                boolean goes = !isNamed(kept);
+                if (goes) {
+                    kept.close();
+                }
+                return goes;
+            });
+            return each.getValue().isEmpty();
         });
     }
 
+    private boolean isNamed(Connection connection) {
+        return connection.address.equals(addresses.get(connection.node));
+    }
+
     InetSocketAddress address(NodeId node) {
         return addresses.get(node);
     }
@@ -60,10 +64,11 @@
         if (address == null) {
             return false;
         }
-        ArrayDeque<Connection> kept = idle.get(address);
+        ArrayDeque<Connection> kept = idle.get(call.node);
         // The one used last is the least likely to be closed by the node.
         for (Connection c = kept == null ? null : kept.pollLast(); c != null; c = kept.pollLast()) {
             if (c.isOpen()) {
+                c.used = true;
                 c.send(call);
                 return true;
             }
@@ -71,7 +76,7 @@
         if (sockets.isFull() && !closeOldest()) {
             return false;
         }
-        sockets.dial(address, dialTimeOut, call);
+        sockets.dial(address, dialTimeOut, call).node = call.node;
         return true;
     }
 
@@ -81,18 +86,18 @@
         if (connection == null) {
             return;
         }
-        if (!whole || !named.contains(connection.address)) {
+        if (!whole || !isNamed(connection)) {
             connection.close();
         } else if (connection.isOpen()) {
             connection.idleSince = now;
-            idle.computeIfAbsent(connection.address, a -> new ArrayDeque<>()).addLast(connection);
+            idle.computeIfAbsent(connection.node, n -> new ArrayDeque<>()).addLast(connection);
         }
     }
 
     void closed(Connection connection) {
-        ArrayDeque<Connection> kept = idle.get(connection.address);
-        if (kept != null) {
-            kept.remove(connection);
+        ArrayDeque<Connection> kept = idle.get(connection.node);
+        if (kept != null && kept.remove(connection) && kept.isEmpty()) {
+            idle.remove(connection.node);
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -23,6 +23,7 @@
     final NodeId node;
     final int number;
     final long sent;
+    private final byte[] value;
     private final long expires;
     private final Inbox inbox;
     private final Clock clock;
@@ -33,6 +34,7 @@
 
     PushCall(Exchange client, NodeId node, int number, long expires, Inbox inbox, Clock clock) {
         this.client = client;
+        this.value = client.value;
         this.node = node;
         this.number = number;
         this.expires = expires;
@@ -50,6 +52,11 @@
         return before == Stage.WAITING && ending == Ending.TIMED_OUT ? Ending.NO_CONNECTION : ending;
     }
 
+    /** Not a byte has gone out, and none has been promised to. */
+    boolean isWaiting() {
+        return stage.get() == Stage.WAITING;
+    }
+
     private void end(Ending ending, byte[] body) {
         if (stage.getAndSet(Stage.ENDED) != Stage.ENDED) {
             over(ending, body);
@@ -63,6 +70,10 @@
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
+        if (!isWaiting()) {
+            throw new IOException("push given up");
+        }
+        begins();
         if (!stage.compareAndSet(Stage.WAITING, Stage.HANDED)) {
             throw new IOException("push given up");
         }
@@ -74,9 +85,9 @@
         if (client.mark != null) {
             request.addHeader(Exchange.MARK, client.mark);
         }
-        Rest value = new Rest(client.value);
-        body(value);
-        channel.sendRequest(request, value.entity(), context);
+        Rest rest = new Rest(value);
+        body(rest);
+        channel.sendRequest(request, rest.entity(), context);
     }
 
     @Override
@@ -106,6 +117,7 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
+        answered();
         switch (code) {
             case 200 -> end(Ending.ACKED, answer.all());
             case 404 -> end(Ending.MISS, null);
@@ -115,6 +127,11 @@
 
     @Override
     public void failed(Exception cause) {
+        // Guards against a kept connection that the node has closed: not a byte of the push has gone out.
+        if (connection.used && isWaiting()) {
+            inbox.post(new Notice.Unsent(this));
+            return;
+        }
         Stage before = stage.getAndSet(Stage.ENDED);
         if (before != Stage.ENDED) {
             over(before == Stage.WAITING ? Ending.NO_CONNECTION : Ending.BROKEN, null);
--- a/src/main/java/cairnbridge/proxy/RequestHead.java
+++ b/src/main/java/cairnbridge/proxy/RequestHead.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.function.BooleanSupplier;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.ProtocolException;
@@ -13,9 +12,6 @@
 
 /** Reads the heads of one client's requests and lets none pass whose end could be read in two ways. */
 final class RequestHead extends DefaultHttpRequestParser<HttpRequest> {
-    private static final String LENGTH = "Content-Length", CODING = "Transfer-Encoding";
-    private static final int MOST_DIGITS = 7;
-
     private final BooleanSupplier busy;
 
     /** busy tells that a request is open on this connection, or that its last answer has been given. */
@@ -35,25 +31,12 @@
         HttpRequest request = super.parse(buffer, false);
         if (request == null && ended && buffer.hasData()) {
             throw new ProtocolException("head broke off");
-        } else if (request != null) {
-            check(request);
         }
-        return request;
-    }
-
-    /** Guards against a request that hides in the body of another: two lengths, or one of many readings. */
-    private static void check(HttpRequest request) throws ProtocolException {
-        Header[] lengths = request.getHeaders(LENGTH);
-        int codings = request.countHeaders(CODING);
-        boolean plain = lengths.length + codings == 0;
-        boolean chunked = lengths.length == 0 && codings == 1
-                && request.getFirstHeader(CODING).getValue().equalsIgnoreCase("chunked");
-        boolean told = codings == 0 && lengths.length == 1
-                && lengths[0].getValue().matches("[0-9]{1," + MOST_DIGITS + "}");
-        if (!plain && !chunked && !told) {
-            throw new ProtocolException("body without one clear length");
-        } else if (told && Integer.parseInt(lengths[0].getValue()) > Gathered.MOST) {
-            throw new ProtocolException("body is over 64 KiB");
+        // Guards against a request that hides in the body of another.
+        String fault = request == null ? null : Framing.fault(request, true);
+        if (fault != null) {
+            throw new ProtocolException(fault);
         }
+        return request;
     }
 }
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -7,13 +7,14 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
 public final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    private static final long STILL_ACCEPTS_MILLIS = 500, STEP_MILLIS = 10;
+    private static final long STILL_ACCEPTS_MILLIS = 500, STEP_MILLIS = 10, LOOK_MILLIS = 200;
     /** Each connection has a few notices out at most, so that this queue is never full in practice. */
     private static final int NOTICES_PER_SOCKET = 8;
 
@@ -67,6 +68,7 @@
         owner.start();
         sockets.start(config.listen());
         watch.start();
+        timer.scheduleWithFixedDelay(sockets::closeOverdue, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
         new Warm(config, sockets, listen).run();
         listen.ready = true;
         LOG.info(config.name() + " serves on " + sockets.address());
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.hc.core5.http.HttpHost;
@@ -35,6 +36,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOWorkerStats;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -50,9 +52,11 @@
      * none is opened to a node and idle ones go, from the third on new clients are not served.
      */
     private static final double CROWDED = 0.6, FULL = 0.75, LAST = 1;
-    private static final int BACKLOG_PART = 8;
+    private static final int MOST_ACCEPTED = 8, PACE_NANOS = 200_000;
     /** A connection this long without a byte has no request on its way, as far as can be known. */
     private static final long QUIET_MILLIS = 150;
+    /** To read one request, or for the first to come; and for the next to come on a kept connection. */
+    private static final long READ_MILLIS = 2200, KEEP_MILLIS = 5000;
     private static final int BUFFER = 2048;
     /** Of a head, in bytes and in fields: more is no request and no answer of this protocol. */
     private static final int MOST_LINE = 4096, MOST_FIELDS = 40;
@@ -63,16 +67,17 @@
             .setMaxLineLength(MOST_LINE).setMaxHeaderCount(MOST_FIELDS).build();
     private final HttpProcessor answers =
             new DefaultHttpProcessor(ResponseContent.INSTANCE, ResponseConnControl.INSTANCE);
-    private final ClientHttp1StreamDuplexerFactory outgoing =
-            new ClientHttp1StreamDuplexerFactory(
-                    new DefaultHttpProcessor(RequestContent.INSTANCE), http, null);
+    private final HttpProcessor requests = new DefaultHttpProcessor(RequestContent.INSTANCE);
     private final DefaultListeningIOReactor reactor;
     private final AtomicInteger open = new AtomicInteger();
+    /** Connections of clients that have been accepted and not yet been seen by the reactor. */
+    private final AtomicInteger accepted = new AtomicInteger();
     private final Set<Incoming> clients = ConcurrentHashMap.newKeySet();
     private final Inbox inbox;
     private final int crowded, most, last;
     private final Listen listen;
     private ListenerEndpoint endpoint;
+    private volatile Thread acceptor;
     private volatile boolean stopping;
 
     Sockets(ProxyConfig config, Inbox inbox, Listen listen, ThreadFactory threads) {
@@ -84,10 +89,30 @@
         last = (int) (LAST * left);
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
                 .setSoReuseAddress(true).setSoTimeout(Timeout.DISABLED)
-                .setBacklogSize(config.sockets() / BACKLOG_PART)
+                .setBacklogSize(config.sockets())
                 .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
-        reactor = new DefaultListeningIOReactor(this::handler, io, threads, threads, null,
-                this::failed, null, null);
+        ThreadFactory accepting = task -> {
+            acceptor = threads.newThread(task);
+            return acceptor;
+        };
+        reactor = new DefaultListeningIOReactor(this::handler, io, threads, accepting, null,
+                this::failed, null, null, null, this::paced);
+    }
+
+    /**
+     * Is asked for the one reactor's number for each connection, those of clients on the thread that accepts.
+     * Guards against a crowd at a busy reactor: what is accepted and not yet counted holds descriptors, and
+     * where they run out the library's thread ends. Who waits in the system's queue meanwhile holds none.
+     */
+    private int paced(IOWorkerStats[] reactors) {
+        while (Thread.currentThread() == acceptor && !stopping
+                && accepted.get() >= MOST_ACCEPTED) {
+            LockSupport.parkNanos(PACE_NANOS);
+        }
+        if (Thread.currentThread() == acceptor) {
+            accepted.incrementAndGet();
+        }
+        return 0;
     }
 
     private void failed(Exception cause) {
@@ -111,17 +136,18 @@
     }
 
     /** Opens a connection for an exchange, whatever the budget: who can do without asks isFull first. */
-    void dial(InetSocketAddress address, long timeOut, Call first) {
-        dial(address, timeOut, 0, first);
+    Connection dial(InetSocketAddress address, long timeOut, Call first) {
+        return dial(address, timeOut, 0, first);
     }
 
     /** The same for a connection that fails after some time of silence; 0 is for ever. */
-    void dial(InetSocketAddress address, long timeOut, long silence, Call first) {
+    Connection dial(InetSocketAddress address, long timeOut, long silence, Call first) {
         open.incrementAndGet();
         Connection connection = new Connection(address, this, timeOut(silence), first);
         // By its digits: the library would else look up the address's name, and there is no DNS to ask.
         HttpHost host = new HttpHost(address.getHostString(), address.getPort());
         connection.dialed(reactor.connect(host, address, null, timeOut(timeOut), connection, connection));
+        return connection;
     }
 
     private static Timeout timeOut(long tenths) {
@@ -171,6 +197,16 @@
         }
     }
 
+    /** Looks at every client's connection; to be called a few times a second. */
+    void closeOverdue() {
+        long now = System.nanoTime();
+        clients.forEach(client -> {
+            if (client.isOverdue(now)) {
+                client.refuse();
+            }
+        });
+    }
+
     /** No new connections from now on. */
     void stopListening() {
         stopping = true;
@@ -193,8 +229,10 @@
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof Connection connection) {
-            return new Outgoing(outgoing.create(session), connection);
+            return new Outgoing(new ClientHttp1StreamDuplexerFactory(requests, http, null, null,
+                    () -> new AnswerHead(http, connection::isAsked), null, null).create(session), connection);
         }
+        accepted.decrementAndGet();
         Exchanges exchanges = new Exchanges();
         ServerHttp1StreamDuplexerFactory incoming = new ServerHttp1StreamDuplexerFactory(answers, exchanges,
                 http, null, null, () -> new RequestHead(http, exchanges::isBusy), null, null, null);
@@ -209,6 +247,16 @@
             this.connection = connection;
         }
 
+        @Override
+        public void inputReady(IOSession session, ByteBuffer src) throws IOException {
+            if (connection.isAsked()) {
+                super.inputReady(session, src);
+            } else {
+                // Guards against bytes on an idle connection; its end comes this way, too.
+                session.close(CloseMode.IMMEDIATE);
+            }
+        }
+
         @Override
         public void disconnected(IOSession session) {
             super.disconnected(session);
@@ -219,6 +267,20 @@
     /** Makes a connection's exchanges and knows the latest. */
     private final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
         private volatile Exchange latest;
+        private volatile int made;
+
+        /** Guards against bodies kept for as long as a connection stands idle. */
+        private void released(Exchange done) {
+            if (latest == done && !done.isLast()) {
+                latest = null;
+            }
+        }
+
+        /** A request has begun and its last byte has not come; before: how many had been made till then. */
+        boolean isReading(int before) {
+            Exchange last = latest;
+            return last == null || last.isOver() ? made == before : !last.isTaken();
+        }
 
         boolean isBusy() {
             Exchange last = latest;
@@ -227,7 +289,8 @@
 
         @Override
         public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
-            latest = new Exchange(listen, inbox);
+            made++;
+            latest = new Exchange(listen, inbox, this::released);
             return latest;
         }
     }
@@ -236,6 +299,7 @@
     private final class Incoming extends ServerHttp1IOEventHandler {
         private final IOSession session;
         private final Exchanges exchanges;
+        private volatile long begunAt;
 
         Incoming(IOSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
             super(duplexer);
@@ -243,6 +307,15 @@
             this.exchanges = exchanges;
         }
 
+        /** Guards against those who connect and say nothing, or never come to the end of what they say. */
+        boolean isOverdue(long now) {
+            if (begunAt != 0) {
+                return now - begunAt >= READ_MILLIS * 1_000_000;
+            }
+            return isIdle() && System.currentTimeMillis() - idleSince()
+                    >= (exchanges.made == 0 ? READ_MILLIS : KEEP_MILLIS);
+        }
+
         boolean isIdle() {
             Exchange latest = exchanges.latest;
             return latest == null || latest.isOver();
@@ -275,7 +348,9 @@
 
         @Override
         public void inputReady(IOSession up, ByteBuffer src) throws IOException {
+            int before = exchanges.made;
             super.inputReady(up, src);
+            begunAt = !exchanges.isReading(before) ? 0 : begunAt == 0 ? System.nanoTime() : begunAt;
             // Guards against ops worked on for a client that has closed its connection.
             if (!isOpen() && !isIdle()) {
                 up.close(CloseMode.IMMEDIATE);
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -18,6 +18,7 @@
 import cairnbridge.decision.Settings.Effect;
 import cairnbridge.decision.Settings.Group;
 import cairnbridge.decision.Settings.Tenant;
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -70,6 +71,14 @@
                 new CellId((int) node % 2), new ZoneId((int) node % 2));
     }
 
+    /** A node that is ready for a moment; what is left of its id shows whether anybody remembers it. */
+    WeakReference<Object> comesAndGoes(long node) {
+        Entry ready = entry(node, State.READY, 0);
+        changed(ready);
+        changed(entry(node, State.GONE, 0));
+        return new WeakReference<>(ready.node());
+    }
+
     FakeHost listed(int caches) {
         List<Entry> entries = new ArrayList<>();
         for (long n = 1; n <= caches; n++) {
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cairnbridge.decision.Event.Ending;
@@ -16,6 +17,7 @@
 import cairnbridge.decision.Settings.Effect;
 import cairnbridge.decision.Settings.Group;
 import cairnbridge.decision.Settings.Tenant;
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,6 +42,17 @@
         assertEquals(home, host.op(4, 77, SECOND).lastNode());
     }
 
+    @Test
+    void aNodeThatIsGoneIsForgotten() throws InterruptedException {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2);
+        WeakReference<Object> id = host.comesAndGoes(5000);
+        for (int turn = 0; id.get() != null && turn < 50; turn++) {
+            System.gc();
+            Thread.sleep(10);
+        }
+        assertNull(id.get());
+    }
+
     @Test
     void aLostNodeMovesOnlyItsOwnKeys() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(6);
