A proxy told to end serves on while an op can still be answered before it must be gone

Checked in the logs: the platform starts a proxy again at the same time whether it ended early or not, so ending early gains nothing. At fault: Serve.drain (half a second for every fleet). Now a drain lasts the longest TTL and 0.6 s, 0.1 s under what the platform grants; no op is kept beyond it (Listen.expires), and connections close in the last 0.6 s.

--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -26,8 +26,6 @@
 final class Exchange implements AsyncServerExchangeHandler {
     static final String ID = "X-Trace-Id", TTL = "X-Expires-In", MARK = "Idempotency-Key";
     private static final String REPEAT = "X-Second-Try";
-    /** No op is kept longer, whatever its client says: an hour of patience would be an hour of memory. */
-    private static final long LONGEST = 60 * Clock.SECOND;
     private static final int OK = 200, MALFORMED = 400, NOT_FOUND = 404, CONFLICT = 409;
     private static final int DEAD_LETTER = 502, NACK = 503;
 
@@ -107,7 +105,7 @@
         if (ttl <= 0) {
             return TTL + " is missing or no span";
         }
-        expires = now + Math.min(ttl, LONGEST);
+        expires = listen.expires(now, ttl);
         write = method.equals("PUT");
         if (!write && !method.equals("GET")) {
             return "method is neither GET nor PUT";
--- a/src/main/java/cairnbridge/proxy/Listen.java
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -6,7 +6,10 @@
 
 /** What is read off every request, and whether the proxy takes ops yet or is about to end. */
 final class Listen {
+    /** No op is kept longer, whatever its client says: an hour of patience would be an hour of memory. */
+    private static final long LONGEST = 60 * Clock.SECOND;
     final Clock clock;
+    private volatile long latest = Long.MAX_VALUE;
     private final Map<String, Integer> categories = new HashMap<>();
     volatile boolean ready, draining, crowded;
     /** Its requests are none of the clients'; it stays, to know them. */
@@ -17,6 +20,16 @@
         names.forEach(name -> categories.putIfAbsent(name, categories.size()));
     }
 
+    /** No op is kept beyond this time of the clock. */
+    void endsBy(long end) {
+        latest = end;
+    }
+
+    /** When an op read at a time ends: as its client says, a minute at most, and before the proxy does. */
+    long expires(long now, long ttl) {
+        return Math.min(now + Math.min(ttl, LONGEST), latest);
+    }
+
     /** A category's number by its name, or null. */
     Integer category(String name) {
         return categories.get(name);
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -14,7 +14,9 @@
 /** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
 public final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    private static final long STILL_ACCEPTS_MILLIS = 500, STEP_MILLIS = 10, LOOK_MILLIS = 200;
+    /** The platform kills a proxy no sooner than the longest TTL and 0.7 s after it is told to end. */
+    private static final long SPARE_MILLIS = 600, LAST_OPS_MILLIS = 400, CLOSING_MILLIS = 200;
+    private static final long STEP_MILLIS = 10, LOOK_MILLIS = 200;
     /** Each connection has a few notices out at most, so that this queue is never full in practice. */
     private static final int NOTICES_PER_SOCKET = 8;
 
@@ -89,16 +91,21 @@
         }
     }
 
-    /** A planned end: takes new ops for a while, finishes what it has, and stops. */
+    /** A planned end: serves on while an op can still be answered, finishes what it has, and stops. */
     public void drain() {
         LOG.info(config.name() + " drains, " + decide.live() + " ops under way");
-        listen.draining = true;
         long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
+        long spared = longest + SPARE_MILLIS * Clock.MILLI;
+        long until = System.nanoTime() + spared * Clock.NANOS;
+        listen.endsBy(listen.clock.now() + spared);
         try {
-            Thread.sleep(STILL_ACCEPTS_MILLIS);
+            // Guards against a gap while the one restarted before is not ready yet: clients whose connections
+            // stay open go on being served here, no op being kept beyond the end.
+            Thread.sleep(Math.max(0, spared / Clock.MILLI - LAST_OPS_MILLIS - CLOSING_MILLIS));
+            listen.draining = true;
+            Thread.sleep(CLOSING_MILLIS);
             stopping = true;
             sockets.stopListening();
-            long until = System.nanoTime() + longest * Clock.NANOS;
             do {
                 sockets.closeIdleClients();
                 Thread.sleep(STEP_MILLIS);
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -522,6 +522,11 @@
         until(() -> cache.seen.size() == 1);
         Thread drain = new Thread(proxy::drain);
         drain.start();
+        // The rest of the fleet may not be ready: for a while nothing changes for clients that are there.
+        Thread.sleep(700);
+        send(idle, "GET /view/quick", ttl(9000).replace("9b1f", "5d13"), "");
+        assertFalse(message(idle).contains("Connection: close"));
+        assertTrue(cache.seen.get(cache.seen.size() - 1).matches("(?s).*X-Expires-In: \\d{1,6}u.*"));
         until(() -> {
             try {
                 return ask("GET /-/ready", "", "").contains("Connection: close");
