--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -573,6 +573,21 @@
         process.waitFor();
     }
 
+    @Test
+    void theMachineTouchesAllItsHeapAtTheStartAndLoadsNoCommandLine() throws Exception {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java, "@deploy/serve.args", "-XX:+PrintFlagsFinal",
+                "-verbose:class", "-cp", System.getProperty("java.class.path"),
+                "cairnbridge.cli.Main", "serve");
+        builder.environment().remove("LB_CONFIG");
+        Process process = builder.start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, process.waitFor(), "no configuration is set");
+        assertTrue(said.matches("(?s).* AlwaysPreTouch += true .*"));
+        assertTrue(said.matches("(?s).* InitialHeapSize += (\\d+) .* MaxHeapSize += \\1 .*"));
+        assertTrue(said.contains("cairnbridge.cli.Main ") && !said.contains("picocli.CommandLine "));
+    }
+
     @Test
     void aHangUpMovesTheWatchAndAFaultyFileChangesNothing() throws Exception {
         start();
