Reports scale a node's room, kinds open by speed, a tenant's share follows own traffic

At fault: Admission.excess divided each quota by proxies, so nearly all ops of a heavy proxy were excess; Ring took sizes at their word; Heat needed four ops of a key, which light proxies never see; reports decided nothing.

--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -20,6 +20,7 @@
     /** An answer after this is worth nothing. */
     final long useful;
     final boolean write;
+    final boolean repeat;
     final List<Push> pushes = new ArrayList<>(2);
     double benefit;
     int open;
@@ -38,6 +39,7 @@
         expires = event.expires();
         useful = plan.lateCounts ? expires : Math.min(expires, now + plan.target);
         write = event.write();
+        repeat = event.clientRepeat();
         benefit = plan.benefit();
     }
 
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -25,9 +25,10 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
-    private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
+    private static final double HOT = 0.25, LEAST_SHARE = 0.05, MOST_ENDS = 12;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
+    private static final int ENOUGH = 8;
 
     private final Host host;
     private final RandomGenerator chance;
@@ -38,6 +39,7 @@
     private final Admission admission;
     private final OpDesk desk;
     private final Gate gate;
+    private final Reports reports;
     private long now;
 
     public Router(Settings settings, long seed, long clock, Host host) {
@@ -45,7 +47,8 @@
         this.loop = new Loop(host);
         this.now = clock;
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        this.ring = new Ring();
+        this.reports = new Reports(settings.reportColumns());
+        this.ring = new Ring(settings);
         this.gate = new Gate(settings);
         this.origin = new Origin(settings);
         this.admission = new Admission(settings);
@@ -82,6 +85,17 @@
         return Math.min(0.5, Math.max(1 / samples, (double) gap / SECOND));
     }
 
+    /** A mean that follows its samples. */
+    private static final class Mean {
+        private double value;
+        private int seen;
+
+        void add(double sample) {
+            seen = Math.min(64, seen + 1);
+            value += (sample - value) / seen;
+        }
+    }
+
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
@@ -179,15 +193,24 @@
         private final List<Node> owners = new ArrayList<>();
         /** The caches that are cold or lately answered late: only they change from beat to beat. */
         private final List<Node> restless = new ArrayList<>();
-        private double weights, smoothed;
+        private double weights, full, smoothed, usual;
+        private final int proxies;
         private int caches, inFlight;
+        private long pacedAt, toldAt;
         private final Heat heat = new Heat();
+        /** By machine kind, a nominal size's span of work as reports tell it: proxies see a node seldom. */
+        private final Map<MachineKind, Mean> kinds = new HashMap<>();
+
+        Ring(Settings settings) {
+            proxies = settings.proxies();
+        }
 
         @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
                 case LOAD -> inFlight += note.number;
                 case RESTLESS -> restless.add(note.node);
+                case TOLD -> told(note.node, (Event.PushEnded) note.event);
                 case LISTED -> list((Event.Roster) note.event);
                 case SUBSCRIBE -> host.subscribe(true);
                 default -> beat();
@@ -197,12 +220,15 @@
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
             // Work at a beat must not grow with the fleet: many proxies see few ops each.
-            weights = caches;
+            if (now - pacedAt >= SECOND) {
+                pace();
+            }
+            weights = full;
             for (int i = restless.size() - 1; i >= 0; i--) {
                 Node node = restless.get(i);
-                node.restless = node.slot >= 0 && (node.open() < 1 || node.share < 1);
+                node.restless = node.slot >= 0 && (node.open() < node.pace || node.share < 1);
                 if (node.restless) {
-                    weights -= node.weight * (1 - node.openness);
+                    weights -= node.weight * (node.pace - node.openness);
                     post(node, new Note(What.BEAT, 0));
                 } else {
                     restless.remove(i);
@@ -211,10 +237,41 @@
             post(admission, new Note(What.BEAT, 0));
         }
 
+        private void told(Node node, Event.PushEnded ended) {
+            double span = reports.span(ended.report());
+            double work = reports.work(ended.report()) * node.size;
+            if (span >= 0) {
+                usual += (span - usual) * freshness(now - toldAt, 16);
+                toldAt = now;
+            }
+            if (work > 0) {
+                kinds.computeIfAbsent(node.entry.kind(), k -> new Mean()).add(work);
+            }
+        }
+
+        /** Guards against sizes that say nothing of speed: slower kinds open a part of their points. */
+        private void pace() {
+            pacedAt = now;
+            full = 0;
+            double best = Double.MAX_VALUE;
+            for (Mean each : kinds.values()) {
+                best = each.seen < ENOUGH ? best : Math.min(best, each.value);
+            }
+            for (Node node : nodes.values()) {
+                Mean kind = kinds.get(node.entry.kind());
+                double pace = kind == null || kind.seen < ENOUGH ? 1 : Math.max(0.25, best / kind.value);
+                if (Math.abs(pace - node.pace) > 0.1) {
+                    node.pace = pace;
+                    node.open();
+                }
+                full += node.slot >= 0 ? node.weight * node.pace : 0;
+            }
+        }
+
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
-            double shares = heat.shares(op.point, caches);
-            Offer offer = new Offer(op, this, first, average, shares > HOT / 5);
+            double shares = heat.shares(op.point, caches, op.repeat, proxies > caches);
+            Offer offer = new Offer(op, this, first, average, shares > HOT);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
@@ -288,6 +345,7 @@
             // Guards against memory that grows with every node that ever was, as nodes come and go all day.
             nodes.values().removeIf(node -> node.state == State.GONE && node.inFlight == 0);
             post(origin, new Note(What.MEMBERS, 0));
+            pace();
             beat();
         }
     }
@@ -297,7 +355,7 @@
         final NodeId id;
         State state = State.GONE;
         Entry entry;
-        double size = 1, weight = 1, openness = 1;
+        double size = 1, weight = 1, openness = 1, pace = 1;
         long started;
         int slot = -1, points;
         boolean restless;
@@ -305,7 +363,9 @@
         /** The part of what it is offered that the node takes; falls while its ends are late. */
         private double share = 1;
         private int coldLeft;
-        private long windowEnds, judgedAt;
+        private long windowEnds, judgedAt, toldAt;
+        /** What an op lately took here, as reports and ends tell; believed less as it ages. */
+        private double span;
 
         Node(NodeId id) {
             this.id = id;
@@ -326,7 +386,7 @@
 
         /** The share of its capacity that a node is sure to have by now, from 0 to 1. */
         double open() {
-            openness = gate.warmth(this);
+            openness = pace * gate.warmth(this);
             return openness;
         }
 
@@ -357,12 +417,13 @@
             int load = inFlight + ghosts;
             // Guards against a hot key met by many proxies: each has too few in flight to reach its cap, so a
             // node that answers late also declines by chance, hot keys first, and they go on clockwise.
-            double takes = offer.hot ? share : 2 * share;
+            double room = room(offer.op.plan.target());
+            double takes = room * Math.min(1, offer.hot ? share : 2 * share);
             if (load < cap && gate.coldRoom(this) && (takes >= 1 || chance.nextDouble() < takes)) {
                 accept(offer.op);
                 return;
             }
-            double burden = (load + 1) / weight / share;
+            double burden = (load + 1) / weight / share / room;
             if (burden < offer.leastLoad && gate.coldRoom(this)) {
                 offer.least = this;
                 offer.leastLoad = burden;
@@ -377,6 +438,28 @@
             }
         }
 
+        /** The part of its cap that a node has while an op takes longer there than at most others. */
+        private double room(long target) {
+            if (toldAt == 0) {
+                return 1;
+            }
+            double belief = Math.pow(0.5, (now - toldAt) / (3.0 * SECOND));
+            double expected = ring.usual + (span - ring.usual) * belief;
+            double fair = Math.max(1.5 * ring.usual, target / 4.0);
+            return expected <= fair ? 1 : Math.max(LEAST_SHARE, fair / expected);
+        }
+
+        private void heard(Event.PushEnded ended) {
+            double told = reports.span(ended.report());
+            if (told < 0 || origin.is(this)) {
+                return;
+            }
+            double seen = ended.ending() == Ending.ACKED ? ended.took() : Math.max(told, ended.took());
+            span += ((told + seen) / 2 - span) * (toldAt == 0 ? 1 : freshness(now - toldAt, 4));
+            toldAt = now;
+            post(ring, new Note(What.TOLD, null, this, null, ended, 0));
+        }
+
         private void accept(Op op) {
             count(1);
             post(gate, new Note(What.SEND, op, this, null, null, 0));
@@ -390,6 +473,7 @@
         }
 
         private void judge(Op op, Event.PushEnded ended) {
+            heard(ended);
             if (ended.ending() != Ending.NEVER_SENT) {
                 boolean late = ended.took() > op.plan.late() || ended.ending() != Ending.ACKED
                         && ended.ending() != Ending.MISS && ended.ending() != Ending.CALLED_OFF;
@@ -566,7 +650,7 @@
         /** Of all and of excess: mark of a jam and of its end, ease of a small bound. */
         private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
         private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
-        private final double[] quotas, tokens;
+        private final double[] quotas, parts, tokens;
         private final double excessBenefit;
         /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
         private final double[] levels = {200, 200};
@@ -580,9 +664,12 @@
             proxies = Math.max(1, settings.proxies());
             quotas = new double[settings.tenants().size()];
             tokens = new double[quotas.length];
+            parts = new double[quotas.length];
+            double all = settings.tenants().stream().mapToDouble(Tenant::quota).sum();
             for (int i = 0; i < quotas.length; i++) {
                 Tenant tenant = settings.tenants().get(i);
                 quotas[i] = UNEVEN * tenant.quota() / proxies / SECOND;
+                parts[i] = UNEVEN * tenant.quota() / all;
                 tokens[i] = depth(i);
             }
             excessBenefit = settings.excessBenefit();
@@ -601,9 +688,12 @@
                 // of its own cache alone.
                 boolean lost = ended.ending() == Ending.TIMED_OUT
                         || ended.ending() == Ending.CALLED_OFF && note.op.expires - now <= SECOND / 50;
-                double base = Math.min(note.op.plan.hits().floor(), note.op.plan.target() / 6.0);
-                double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, ended.took() / base);
-                if (ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS
+                double told = reports.span(ended.report());
+                double base = note.op.plan.target() / 6.0;
+                double span = told >= 0 ? told / base
+                        : ended.took() / Math.min(note.op.plan.hits().floor(), base);
+                double times = lost ? MOST_TIMES : Math.min(MOST_TIMES, span);
+                if (told >= 0 || ended.ending() != Ending.NEVER_SENT && ended.ending() != Ending.MISS
                         && ended.ending() != Ending.FULL) {
                     stretch += (times - stretch) * freshness(now - judgedAt, 24);
                     judgedAt = now;
@@ -653,7 +743,9 @@
                 return false;
             }
             for (int i = 0; i < tokens.length; i++) {
-                tokens[i] = Math.min(depth(i), tokens[i] + quotas[i] * (now - filledAt));
+                // Guards against a proxy that carries far more than most: its own traffic is shared out.
+                double due = Math.max(quotas[i] * (now - filledAt), parts[i]);
+                tokens[i] = Math.min(depth(i), tokens[i] + due);
             }
             filledAt = now;
             if (tokens[tenant] < 1) {
