A pressed origin behind many proxies is let drain: lost fetches count, rise waits for proof

At fault: Origin.ended passed over CALLED_OFF, so lost reads never pressed the limit; Limit.beat gave back 0.2 of a fetch a second whatever had ended, at each of 116 proxies; a first late end cut to a half only. Now such fetches count where the limit may fall under one, a cut goes up to 24 beats deep there, the rise is a part of the level and slower after late ends in a row, each fetch in time doubles it, and the chance goes by benefit against the dearest category. Kinds count from their third report on, looked at twice a second; of few ops a key's share is doubled, which leaves the mark of a hot key as it was.

--- a/src/main/java/cairnbridge/decision/Heat.java
+++ b/src/main/java/cairnbridge/decision/Heat.java
@@ -26,7 +26,7 @@
         double sure = count - Math.sqrt(count);
         // Guards against a hot key that is new to each of many proxies: it is spread from the first.
         if (few) {
-            return (sure + PRIOR) * caches / (total + PRIOR_OPS);
+            return 2 * (sure + PRIOR) * caches / (total + PRIOR_OPS);
         }
         return count < FEW || total < 4 * FEW ? 0 : sure * caches / total;
     }
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -25,10 +25,10 @@
     private static final int POINTS = 256;
     private static final double EPSILON = 0.6;
     private static final int CAP_FLOOR = 2;
-    private static final double HOT = 0.25, LEAST_SHARE = 0.05, MOST_ENDS = 12;
+    private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
     private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
-    private static final int ENOUGH = 8;
+    private static final int ENOUGH = 3;
 
     private final Host host;
     private final RandomGenerator chance;
@@ -102,6 +102,7 @@
         private final double least;
         private double level = 16, late;
         private long cutAt, endedAt;
+        private int run;
 
         Limit(double least) {
             this.least = least;
@@ -112,11 +113,14 @@
             long gap = now - endedAt;
             endedAt = now;
             late += ((wasLate ? 1 : 0) - late) * freshness(gap, 16);
-            if (late < LATE_SHARE && !wasLate && inFlight + 2 > level) {
+            run = wasLate ? Math.min(run + 1, MOST_DOUBLINGS) : 0;
+            if (level < 1 && !wasLate) {
+                level = Math.min(1, level * 2 + 0.1); // So few ends come here that each in time must tell.
+            } else if (late < LATE_SHARE && !wasLate && inFlight + 2 > level) {
                 level += Math.min(1 / level, 0.1 + level / 2);
             } else if (late >= LATE_SHARE && wasLate && now - cutAt >= BEAT) {
                 // Guards against many proxies that each see a fetch now and then: each must cut further.
-                double beats = Math.max(1, Math.min(6, gap / BEAT));
+                double beats = Math.max(1, Math.min(least < 1 ? 24 : 6, gap / BEAT));
                 cutAt = now;
                 level = Math.max(least, Math.min(level, inFlight + 1) * Math.pow(0.9, beats));
             }
@@ -124,11 +128,12 @@
 
         /** Under one at a time the level is a chance; it rises by itself, as few ends would show it. */
         boolean lets(double worth) {
-            return level >= 1 || chance.nextDouble() < level * worth;
+            return level >= 1 || chance.nextDouble() < Math.pow(level, 1 / worth);
         }
 
+        /** Guards against a store that answers nobody: late ends in a row slow the rise. */
         void beat() {
-            level += level < 1 ? 0.02 : 0;
+            level += level < 1 ? level * 0.08 / (1 << run) : 0;
         }
     }
 
@@ -220,7 +225,7 @@
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
             // Work at a beat must not grow with the fleet: many proxies see few ops each.
-            if (now - pacedAt >= SECOND) {
+            if (now - pacedAt >= SECOND / 2) {
                 pace();
             }
             weights = full;
@@ -271,7 +276,7 @@
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             double shares = heat.shares(op.point, caches, op.repeat, proxies > caches);
-            Offer offer = new Offer(op, this, first, average, shares > HOT);
+            Offer offer = new Offer(op, this, first, average, shares > HOT / 5);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
@@ -513,13 +518,15 @@
         private final List<Op> queue = new ArrayList<>();
         private final Map<KeyId, Fetch> fetches = new HashMap<>();
         private List<Node> members = List.of();
-        private double typical, usual = 1;
+        private final double dearest;
+        private double typical;
         private int inFlight;
 
         Origin(Settings settings) {
             limit = new Limit(Math.min(2, 6.0 / Math.max(1, settings.proxies())));
             aside = settings.aside();
             kind = settings.originKind();
+            dearest = settings.categories().stream().mapToDouble(c -> c.benefit()).max().orElse(1);
         }
 
         boolean is(Node node) {
@@ -558,7 +565,6 @@
                 return;
             }
             op.waiting = true;
-            usual += (op.benefit - usual) / 16;
             if (!op.write && op.key != null) {
                 Fetch fetch = fetches.computeIfAbsent(op.key, k -> new Fetch());
                 if (fetch.leader != null && fetch.leader != op) {
@@ -575,7 +581,7 @@
             // Guards against a queue of ops that will be too late: who cannot make it is answered at once.
             long ahead = queue.stream().filter(other -> other.benefit >= op.benefit).count();
             double wait = typical * (1 + ahead / Math.max(1, limit.level));
-            if (op.useful - now <= wait || !limit.lets(op.benefit / usual)) {
+            if (op.useful - now <= wait || !limit.lets(op.benefit / dearest)) {
                 drop(op);
             } else {
                 queue.add(op);
@@ -611,12 +617,15 @@
         private void ended(Op op, Event.PushEnded ended) {
             inFlight--;
             boolean acked = ended.ending() == Ending.ACKED;
-            // Guards against feeding a slowed origin ops that run out of time there: time-outs count too.
-            if (acked || ended.ending() == Ending.TIMED_OUT) {
+            boolean late = ended.took() > (op.useful - op.arrived) / 2;
+            boolean lost = late && limit.least < 1;
+            // Guards against feeding a slowed origin ops that run out of time there: time-outs count too, and
+            // so do fetches called off as their op was answered at its TTL.
+            if (acked || ended.ending() == Ending.TIMED_OUT || lost) {
                 typical += (ended.took() - typical) * freshness(now - limit.endedAt, 8);
             }
-            if (ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
-                limit.ended(!acked || ended.took() > (op.useful - op.arrived) / 2, inFlight);
+            if (lost || ended.ending() != Ending.CALLED_OFF && ended.ending() != Ending.NEVER_SENT) {
+                limit.ended(!acked || late, inFlight);
             }
             settle(op, acked);
         }
