Keys new to each of many proxies start at one of several neighbours while the origin is well

A neighbour that was passed over by chance is now asked next, not lost to the walk. A run of late fetches slows the limit's rise to a quarter at most.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -113,7 +113,7 @@
             long gap = now - endedAt;
             endedAt = now;
             late += ((wasLate ? 1 : 0) - late) * freshness(gap, 16);
-            run = wasLate ? Math.min(run + 1, MOST_DOUBLINGS) : 0;
+            run = wasLate ? Math.min(run + 1, 2) : 0;
             if (level < 1 && !wasLate) {
                 level = Math.min(1, level * 2 + 0.1); // So few ends come here that each in time must tell.
             } else if (late < LATE_SHARE && !wasLate && inFlight + 2 > level) {
@@ -145,7 +145,8 @@
         private final Node first;
         private final BitSet seen;
         private int at, left, unseen;
-        private boolean begun;
+        private boolean begun, drawn;
+        private final List<Node> early = new ArrayList<>();
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
@@ -161,7 +162,19 @@
             at = ring.points.indexOf(op.point);
         }
 
+        /** Starts at one of some neighbours, as chance has it; the others are asked next. */
+        Node start(Node home, int spread, RandomGenerator chance) {
+            for (Node node = home; node != null; node = early.size() < spread ? next() : null) {
+                early.add(node);
+            }
+            drawn = true;
+            return early.remove(chance.nextInt(early.size()));
+        }
+
         Node next() {
+            if (!early.isEmpty() && drawn) {
+                return early.remove(0);
+            }
             if (!begun) {
                 begun = true;
                 if (first != null && first.slot >= 0 && first.state == State.READY) {
@@ -275,15 +288,15 @@
 
         private void place(Op op, Node first) {
             double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
-            double shares = heat.shares(op.point, caches, op.repeat, proxies > caches);
+            boolean wide = origin.limit.level >= 1;
+            double shares = heat.shares(op.point, caches, op.repeat, proxies > caches, wide);
             Offer offer = new Offer(op, this, first, average, shares > HOT / 5);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many proxies with few in flight each: its ops
             // start at one of as many neighbours clockwise as bring its rate under a part of a fair share.
             int spread = Math.min(caches, (int) Math.ceil(shares / HOT));
-            for (int skip = spread > 1 && first == null ? chance.nextInt(spread) : 0; skip > 0; skip--) {
-                Node next = offer.next();
-                node = next == null ? node : next;
+            if (spread > 1 && first == null && node != null) {
+                node = offer.start(node, spread, chance);
             }
             if (node == null) {
                 post(desk, new Note(What.STUCK, op));
