Cold nodes get the budget that seldom visits left unused; a failing list is asked less often

At fault: Gate.coldRoom drew the budget of one span at each visit, however long the proxy had not come by; a proxy of 645 comes by once in many spans. Now what was left unused since the start was told adds up, to one op.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -213,7 +213,8 @@
         private final List<Node> restless = new ArrayList<>();
         private double weights, full, smoothed, usual;
         private final int proxies;
-        private int caches, inFlight;
+        private final long askWithin;
+        private int caches, inFlight, failures;
         private long pacedAt, toldAt;
         private final Heat heat = new Heat();
         /** By machine kind, a nominal size's span of work as reports tell it: proxies see a node seldom. */
@@ -221,6 +222,7 @@
 
         Ring(Settings settings) {
             proxies = settings.proxies();
+            askWithin = settings.askWithin();
         }
 
         @Override void take(Note note) {
@@ -307,9 +309,12 @@
 
         private void list(Event.Roster roster) {
             if (roster.scope() == Scope.FAILED) {
-                wake(this, BEAT + chance.nextLong(SECOND), new Note(What.SUBSCRIBE, 0));
+                // Guards against a list of fixed capacity that all proxies ask at once, and at once again.
+                long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
+                wake(this, Math.min(wait, Math.max(BEAT, askWithin / 3)), new Note(What.SUBSCRIBE, 0));
                 return;
             }
+            failures = roster.scope() == Scope.CACHED ? failures : 0;
             if (roster.scope() != Scope.CHANGES) {
                 for (Node node : nodes.values()) {
                     node.state = State.GONE;
@@ -398,6 +403,7 @@
                 badRun = 0; // A new start forgets what the old process did wrong.
                 ghosts = 0;
                 share = 1;
+                windowEnds = now;
                 stir();
             }
         }
@@ -1042,9 +1048,11 @@
             }
             if (now >= node.windowEnds) {
                 // Guards against hundreds of proxies with a least of one each: part of an op is a chance.
+                // What one that comes by seldom left unused adds up to an op, else the node stands idle.
+                double spans = 1 + (double) (now - node.windowEnds) / fallSpan;
                 node.windowEnds = now + fallSpan;
                 double budget = coldBudget * warmth * sentToWarm() * node.weight;
-                node.coldLeft = (int) (budget + chance.nextDouble());
+                node.coldLeft = (int) (Math.max(budget, Math.min(1, budget * spans)) + chance.nextDouble());
             }
             return node.coldLeft > 0;
         }
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -27,7 +27,10 @@
 /** A tiny host: it notes what the router asks for and fires its timers as the clock moves. */
 final class FakeHost implements Host {
     static final long SECOND = 10_000;
+    static final long ASK_WITHIN = 10 * SECOND;
     static final long ORIGIN = 900;
+    /** Nodes of higher ids are of another machine kind. */
+    static final long SLOW = 700;
 
     record Pushed(long op, int push, long node) {
     }
@@ -41,19 +44,28 @@
     long clock = 100 * SECOND;
 
     Effect effect = Effect.REDELIVERABLE;
-    boolean write;
+    boolean write, repeat;
+    /** What nodes report with each end, by node; one that is not here reports nothing. */
+    final Map<Long, double[]> reports = new TreeMap<>();
 
     FakeHost(Effect effect, Group group, boolean aside, Tenant... tenants) {
         this(effect, group, aside, 1, 1, tenants);
     }
 
     FakeHost(Effect effect, Group group, boolean aside, int proxies, long seed, Tenant... tenants) {
+        this(effect, group, aside, proxies, seed, "", tenants);
+    }
+
+    FakeHost(Effect effect, Group group, boolean aside, int proxies, long seed, String columns,
+            Tenant... tenants) {
         this.effect = effect;
         Category category = new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
         router = new Router(new Settings(new PeerId(0), proxies, new ZoneId(0), aside,
-                new MachineKind(aside ? 9 : -1), 3, SECOND, false, 0, 10, 100, 0.25, 10 * SECOND, 2, SECOND,
-                6, true, true, false, true, true, SECOND, 0.1, false, new Settings.Prices(0, 0, 0, 0, 0),
-                List.of(), List.of(category), List.of(tenants)), seed, clock, this);
+                new MachineKind(aside ? 9 : -1), 3, SECOND, false, ASK_WITHIN, 10, 100, 0.25, 10 * SECOND, 2,
+                SECOND, 6, true, true, false, true, true, SECOND, 0.1, false,
+                new Settings.Prices(0, 0, 0, 0, 0),
+                columns.isEmpty() ? List.of() : List.of(columns.split(" ")), List.of(category),
+                List.of(tenants)), seed, clock, this);
     }
 
     FakeHost(Effect effect) {
@@ -65,10 +77,16 @@
         return new FakeHost(Effect.REDELIVERABLE, Group.ALL, true, proxies, seed, tenants);
     }
 
+    /** Caches whose reports have these columns. */
+    static FakeHost reporting(String columns, long seed) {
+        return new FakeHost(Effect.REDELIVERABLE, Group.ALL, true, 1, seed, columns);
+    }
+
     static Entry entry(long node, State state, long started) {
         boolean origin = node == ORIGIN;
-        return new Entry(new NodeId(node), state, new MachineKind(origin ? 9 : 0), 1, started,
-                new CellId((int) node % 2), new ZoneId((int) node % 2));
+        MachineKind kind = new MachineKind(origin ? 9 : node > SLOW ? 1 : 0);
+        int group = (int) node % 2;
+        return new Entry(new NodeId(node), state, kind, 1, started, new CellId(group), new ZoneId(group));
     }
 
     /** A node that is ready for a moment; what is left of its id shows whether anybody remembers it. */
@@ -100,7 +118,7 @@
 
     FakeHost op(long id, long key, long ttl) {
         tell(new Event.OpArrived(new OpId(id), new CategoryId(0), new TenantId(0), new KeyId(key),
-                clock + ttl, 0, -1, false, write));
+                clock + ttl, 0, -1, repeat, write));
         return this;
     }
 
@@ -112,7 +130,7 @@
     FakeHost ends(Pushed pushed, Ending ending, long took) {
         pass(took);
         tell(new Event.PushEnded(new OpId(pushed.op), pushed.push, new NodeId(pushed.node), ending, 0, took,
-                ending == Ending.ACKED, null));
+                ending == Ending.ACKED, reports.get(pushed.node)));
         return this;
     }
 
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -157,6 +157,125 @@
         assertTrue(used.size() >= 4, "one key is half the traffic of eight caches, yet met " + used);
     }
 
+    @Test
+    void aKeyNewToOneOfManyProxiesStartsAtOneOfSeveralNeighboursUntilTheOriginIsPressed() {
+        Set<Long> met = new HashSet<>();
+        Set<Long> pressed = new HashSet<>();
+        for (int seed = 0; seed < 40; seed++) {
+            met.add(FakeHost.oneOf(100, seed).listed(40).op(1, 77, SECOND).lastNode());
+            FakeHost host = FakeHost.oneOf(100, seed).listed(40);
+            host.write = true;
+            for (long op = 2; op < 9; op++) {
+                if (host.op(op, op, SECOND).pushes.get(host.pushes.size() - 1).op() == op) {
+                    host.ends(Ending.TIMED_OUT, SECOND - 100);
+                }
+            }
+            host.write = false;
+            pressed.add(host.op(1, 77, SECOND).lastNode());
+        }
+        assertTrue(met.size() > 3 && met.size() < 20, "40 proxies met a new key at " + met);
+        assertEquals(1, pressed.size(), "each further copy is another fetch");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void aClientsRepeatsHeatNoKey(boolean repeat, boolean stays) {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8).acks(0, 100, 20);
+        host.repeat = repeat;
+        Set<Long> used = new HashSet<>();
+        for (long op = 100; op < 200; op++) {
+            used.add(host.op(op, 5, SECOND).lastNode());
+            host.ends(Ending.ACKED, 20);
+        }
+        assertEquals(stays, used.size() == 1, "100 ops of one key went to " + used);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"inflight qps x0, 20, 10, true", "latency_ms util x0, 900, 0.9, true",
+        "inflight qps x0, 1, 10, false", "latency_ms util x0, 40, 0.3, false", "x1, 9, 9, false",
+        "inflight qps x0, NaN, 10, false", "inflight qps x0, -20, 10, false", "inflight qps, 20, 10, false",
+        "queue_age heat x0, 20, 10, false", "latency_ms util x0, Infinity, 0.9, false"})
+    void aCacheThatReportsACrowdGetsFewerOps(String columns, double first, double second, boolean fewer) {
+        long there = 0;
+        for (int seed = 0; seed < 5; seed++) {
+            FakeHost host = FakeHost.reporting(columns, seed).listed(8);
+            for (long node = 1; node <= 8; node++) {
+                host.reports.put(node, new double[] {1, columns.startsWith("l") ? 0.3 : 10, 0.5});
+            }
+            host.acks(0, 80, 20).reports.put(1L, new double[] {first, second, 0.5});
+            host.acks(100, 140, 20).pushes.clear();
+            host.acks(200, 400, 20);
+            there += host.pushes.stream().filter(p -> p.node() == 1).count();
+        }
+        assertTrue(fewer ? there < 60 : there > 90, there + " of 1000 went to one of eight");
+    }
+
+    @Test
+    void aCrowdReportedLongAgoIsForgotten() {
+        FakeHost host = FakeHost.reporting("inflight qps", 1).listed(8);
+        long home = host.op(1, 77, SECOND).lastNode();
+        host.reports.put(home, new double[] {90, 10});
+        host.ends(Ending.ACKED, 20).pass(60 * SECOND);
+        assertEquals(home, host.op(2, 77, SECOND).lastNode());
+    }
+
+    @Test
+    void aSlowKindOpensAPartOfItsPointsThoughItsSizeIsTheSame() {
+        FakeHost host = FakeHost.reporting("inflight qps", 1).listed(4);
+        for (long node = 1; node <= 4; node++) {
+            host.changed(entry(FakeHost.SLOW + node, State.READY, 0));
+            host.reports.put(node, new double[] {1, 20});
+            host.reports.put(FakeHost.SLOW + node, new double[] {1, 6});
+        }
+        host.acks(0, 100, 20).pass(SECOND).pushes.clear();
+        host.acks(100, 500, 20);
+        long slow = host.pushes.stream().filter(p -> p.node() > FakeHost.SLOW).count();
+        assertTrue(slow > 40 && slow < 140, slow + " of 400 went to caches of a third of the speed");
+    }
+
+    @Test
+    void aColdNodeThatEachOfManyProxiesMeetsSeldomStillGetsItsShare() {
+        long cold = 0;
+        for (int seed = 0; seed < 400; seed++) {
+            FakeHost host = FakeHost.oneOf(20, seed).listed(20);
+            for (long op = 0; op < 49; op++) {
+                if (op == 40) {
+                    host.changed(entry(21, State.READY, host.clock)).pushes.clear();
+                }
+                host.op(op, 100 * seed + op, SECOND).ends(Ending.ACKED, 20).pass(SECOND);
+            }
+            cold += host.pushes.stream().filter(p -> p.node() == 21).count();
+        }
+        assertTrue(cold > 12 && cold < 100, "400 proxies sent " + cold + " of 3600 to one of 21 caches");
+    }
+
+    @Test
+    void aHeavyProxyOfManyIsNotTakenForExcess() {
+        Tenant tenant = new Tenant(90, 1);
+        FakeHost host = new FakeHost(Effect.DEDUPLICATED, Group.ALL, true, 300, 1, tenant).listed(60);
+        for (long op = 0; op < 200; op++) {
+            host.op(op, op, SECOND).ends(Ending.ACKED, op < 100 ? 200 : 470).pass(SECOND / 20);
+        }
+        assertEquals(List.of(), host.answers, "ten a second are its own, though a third is its even part");
+    }
+
+    @Test
+    void aListThatFailsIsAskedForLessAndLessOftenButInTime() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2);
+        long asked = 0;
+        for (int turn = 0; turn < 40; turn++) {
+            host.calls.clear();
+            host.tell(new Event.Roster(Event.Scope.FAILED, 1, List.of()));
+            long from = host.clock;
+            while (host.calls.isEmpty()) {
+                host.pass(SECOND / 10);
+            }
+            assertTrue(host.clock - from <= FakeHost.ASK_WITHIN / 3 + SECOND / 10);
+            asked += host.clock - from;
+        }
+        assertTrue(asked > 50 * SECOND, "asked again after " + asked / 40 + " on average");
+    }
+
     @Test
     void aCrowdOfLateAnswersIsMetByPromptNacks() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4).acks(0, 200, 30);
@@ -297,6 +416,22 @@
         assertEquals(List.of("nack 2"), host.answers);
     }
 
+    @Test
+    void fetchesLostAsTheirOpsAreAnsweredPressTheOriginOfManyProxies() {
+        int fetched = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            FakeHost host = FakeHost.oneOf(500, seed).listed(60);
+            for (long op = 0; op < 12; op++) {
+                host.op(op, op, SECOND).ends(Ending.MISS, 10);
+                if (host.lastNode() == ORIGIN && host.pushes.get(host.pushes.size() - 1).op() == op) {
+                    host.pass(SECOND).ends(Ending.CALLED_OFF, SECOND - 100);
+                    fetched += op < 2 ? 0 : 1;
+                }
+            }
+        }
+        assertTrue(fetched < 100, fetched + " of 200 were sent to an origin that answers none");
+    }
+
     @Test
     void aMissGoesToTheOriginAndItsFollowersWaitForIt() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
