A proxy asks for a list that must be asked for, checks its settings, keeps what it learnt

Symptom: with registry-mode subscribe the real proxy never opened its watch. Check: the story of the first seconds after a switch waited for ever for discovery to be asked. At fault: the module asks in its constructor, when Decide had no watch yet, and the wish was lost; the watch is now made first and remembers it until the start. Stories, seen to fail without it: the first seconds after a switch on loopback (3 of 3 ops met the cache that had been bad, and a second copy must not go out), the module's own part of it, spoilt files, thirteen faulty keys.

--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -1,5 +1,6 @@
 package cairnbridge.config;
 
+import cairnbridge.decision.Learnt;
 import cairnbridge.decision.Settings;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -15,7 +16,7 @@
 public record ProxyConfig(
         String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         List<String> categories, List<String> kinds, List<String> zones, boolean reports,
-        long dialTimeOut, long idleLimit, Settings settings, Tree known) {
+        long dialTimeOut, long idleLimit, Settings settings, Tree known, String learntFile) {
     private static final String FILE = "LB_CONFIG";
     private static final int LEAST_SOCKETS = 64, DEFAULT_SOCKETS = 1024;
     private static final double DIAL_S = 0.25, IDLE_S = 15;
@@ -57,13 +58,26 @@
         if (categories.isEmpty() || categories.contains("")) {
             throw settings.fault("categories", "needs at least one, each with a name");
         }
+        SettingsCheck.check(settings);
         return new ProxyConfig(
                 root.text("name", variables.getOrDefault("LB_NAME", "proxy")),
                 address(root, "listen", variables.get("LB_LISTEN")),
                 address(root, "discovery", variables.get("LB_DISCOVERY")), seed(root), sockets, categories,
                 settings.texts("host-types"), settings.texts("azs"),
                 !settings.map("load-info").text("how", "none").equals("none"),
-                dial, idle, SettingsReader.read(settings), root.map("known"));
+                dial, idle, SettingsReader.read(settings), root.map("known"), root.text("learnt", ""));
+    }
+
+    /** What the proxy before this one learnt, where it was kept. */
+    public Learnt learnt() {
+        return learntFile.isEmpty() ? Learnt.NOTHING : LearntFile.read(Path.of(learntFile));
+    }
+
+    /** Keeps what this proxy has learnt for the next, where the configuration says so. */
+    public void keep(Learnt learnt) {
+        if (!learntFile.isEmpty()) {
+            LearntFile.write(Path.of(learntFile), learnt);
+        }
     }
 
     private static long positive(Tree tree, String key, double absent) {
--- /dev/null
+++ b/src/main/java/cairnbridge/decision/Mean.java
@@ -0,0 +1,13 @@
+package cairnbridge.decision;
+
+/** A mean that follows its samples: all alike at first, the later ones more once there are many. */
+final class Mean {
+    private static final int MANY = 64;
+    double value;
+    int seen;
+
+    void add(double sample) {
+        seen = Math.min(MANY, seen + 1);
+        value += (sample - value) / seen;
+    }
+}
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -40,9 +40,16 @@
     private final OpDesk desk;
     private final Gate gate;
     private final Reports reports;
+    private final Learnt before;
     private long now;
 
     public Router(Settings settings, long seed, long clock, Host host) {
+        this(settings, seed, clock, host, Learnt.NOTHING);
+    }
+
+    /** Takes the place of another, which had learnt before what still holds; the rest starts afresh. */
+    public Router(Settings settings, long seed, long clock, Host host, Learnt before) {
+        this.before = before;
         this.host = host;
         this.loop = new Loop(host);
         this.now = clock;
@@ -59,6 +66,18 @@
         }
     }
 
+    /** What the next router may start with; bounds, heat, paces and reports hang on the shape and stay. */
+    public Learnt learnt() {
+        Map<NodeId, Learnt.Trust> trust = new HashMap<>();
+        nodes.forEach((id, node) -> trust.put(id, new Learnt.Trust(node.started, node.share)));
+        return new Learnt(now, origin.typical, trust);
+    }
+
+    /** How much of what was learnt still counts: half after some seconds, and it fades on. */
+    private double fading() {
+        return before.at() > now ? 0 : Math.pow(0.5, (double) (now - before.at()) / (15 * SECOND));
+    }
+
     /** The one loop: an event becomes notes, and notes are handed out until every inbox is empty. */
     public void handle(long clock, Event event) {
         now = Math.max(now, clock);
@@ -85,17 +104,6 @@
         return Math.min(0.5, Math.max(1 / samples, (double) gap / SECOND));
     }
 
-    /** A mean that follows its samples. */
-    private static final class Mean {
-        private double value;
-        private int seen;
-
-        void add(double sample) {
-            seen = Math.min(64, seen + 1);
-            value += (sample - value) / seen;
-        }
-    }
-
     /** An adaptive limit of ops in flight: rises while used, falls while many ends are late. */
     private final class Limit {
         private static final double LATE_SHARE = 0.25;
@@ -142,28 +150,32 @@
         final double average;
         final boolean hot;
         private final Ring ring;
-        private final Node first;
         private final BitSet seen;
         private int at, left, unseen;
-        private boolean begun, drawn;
+        /** Those to ask before the walk goes on; gathered while it is still open which comes first. */
         private final List<Node> early = new ArrayList<>();
+        private boolean drawn = true;
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
         Offer(Op op, Ring ring, Node first, double average, boolean hot) {
             super(What.OFFER, op);
             this.ring = ring;
-            this.first = first;
             this.average = average;
             this.hot = hot;
             seen = new BitSet(ring.owners.size());
             left = ring.points.size();
             unseen = ring.caches;
             at = ring.points.indexOf(op.point);
+            if (first != null && first.slot >= 0 && first.state == State.READY) {
+                see(first);
+                early.add(first);
+            }
         }
 
         /** Starts at one of some neighbours, as chance has it; the others are asked next. */
         Node start(Node home, int spread, RandomGenerator chance) {
+            drawn = false;
             for (Node node = home; node != null; node = early.size() < spread ? next() : null) {
                 early.add(node);
             }
@@ -175,13 +187,6 @@
             if (!early.isEmpty() && drawn) {
                 return early.remove(0);
             }
-            if (!begun) {
-                begun = true;
-                if (first != null && first.slot >= 0 && first.state == State.READY) {
-                    see(first);
-                    return first;
-                }
-            }
             for (; left > 0 && unseen > 0; left--) {
                 int here = at;
                 at = at + 1 == ring.points.size() ? 0 : at + 1;
@@ -273,10 +278,8 @@
         private void pace() {
             pacedAt = now;
             full = 0;
-            double best = Double.MAX_VALUE;
-            for (Mean each : kinds.values()) {
-                best = each.seen < ENOUGH ? best : Math.min(best, each.value);
-            }
+            double best = kinds.values().stream().filter(each -> each.seen >= ENOUGH)
+                    .mapToDouble(each -> each.value).min().orElse(0);
             for (Node node : nodes.values()) {
                 Mean kind = kinds.get(node.entry.kind());
                 double pace = kind == null || kind.seen < ENOUGH ? 1 : Math.max(0.25, best / kind.value);
@@ -392,6 +395,11 @@
 
         Node(NodeId id) {
             this.id = id;
+            Learnt.Trust trust = before.nodes().get(id);
+            if (trust != null) {
+                started = trust.started(); // Where the list tells of another start, that forgets the rest.
+                share = Math.max(LEAST_SHARE, 1 - (1 - trust.share()) * fading());
+            }
         }
 
         void enter(Entry entry) {
@@ -475,13 +483,12 @@
 
         private void heard(Event.PushEnded ended) {
             double told = reports.span(ended.report());
-            if (told < 0 || origin.is(this)) {
-                return;
+            if (told >= 0 && !origin.is(this)) {
+                double seen = ended.ending() == Ending.ACKED ? ended.took() : Math.max(told, ended.took());
+                span += ((told + seen) / 2 - span) * (toldAt == 0 ? 1 : freshness(now - toldAt, 4));
+                toldAt = now;
+                post(ring, new Note(What.TOLD, null, this, null, ended, 0));
             }
-            double seen = ended.ending() == Ending.ACKED ? ended.took() : Math.max(told, ended.took());
-            span += ((told + seen) / 2 - span) * (toldAt == 0 ? 1 : freshness(now - toldAt, 4));
-            toldAt = now;
-            post(ring, new Note(What.TOLD, null, this, null, ended, 0));
         }
 
         private void accept(Op op) {
@@ -512,8 +519,7 @@
             }
             switch (ended.ending()) {
                 case ACKED, MISS -> badRun = 0;
-                case CALLED_OFF -> haunt(Math.max(ended.took(), BEAT / 2));
-                case NEVER_SENT -> { }
+                case NEVER_SENT, CALLED_OFF -> { }
                 default -> {
                     // Guards against quick errors: a cache that fails fast would keep a near-zero count and
                     // all its keys, so each bad end keeps its place in the count for a growing spell.
@@ -545,6 +551,7 @@
             limit = new Limit(Math.min(2, 6.0 / Math.max(1, settings.proxies())));
             aside = settings.aside();
             kind = settings.originKind();
+            typical = before.originSpan() * fading();
             dearest = settings.categories().stream().mapToDouble(c -> c.benefit()).max().orElse(1);
         }
 
@@ -638,8 +645,7 @@
             boolean acked = ended.ending() == Ending.ACKED;
             boolean late = ended.took() > (op.useful - op.arrived) / 2;
             boolean lost = late && limit.least < 1;
-            // Guards against feeding a slowed origin ops that run out of time there: time-outs count too, and
-            // so do fetches called off as their op was answered at its TTL.
+            // Guards against feeding a slowed origin ops that run out of time there: they count as well.
             if (acked || ended.ending() == Ending.TIMED_OUT || lost) {
                 typical += (ended.took() - typical) * freshness(now - limit.endedAt, 8);
             }
@@ -712,8 +718,7 @@
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
                 // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
-                // and an op that ran out of its TTL with the push still out counts most. A full queue speaks
-                // of its own cache alone.
+                // and an op lost at its TTL counts most. A full queue speaks of its own cache alone.
                 boolean lost = ended.ending() == Ending.TIMED_OUT
                         || ended.ending() == Ending.CALLED_OFF && note.op.expires - now <= SECOND / 50;
                 double told = reports.span(ended.report());
@@ -741,8 +746,6 @@
                     levels[i] = Math.max(least, Math.min(levels[i], used + 1) * 0.9);
                 } else if (used + 1 >= levels[i] * 0.7) {
                     levels[i] += 0.1 * Math.min(1, fair / 3) + levels[i] * 0.05;
-                } else if (levels[i] > Math.max(Math.max(2, 6 * used), 16 * fair)) {
-                    levels[i] *= 0.9; // Guards against a burst let in whole by room that was never tried.
                 }
             }
         }
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -9,6 +9,7 @@
 import cairnbridge.decision.Ids.PeerId;
 import cairnbridge.decision.Ids.TenantId;
 import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.decision.Learnt;
 import cairnbridge.decision.Router;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -66,23 +67,20 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     /** What the owner thread tells itself; the module is never called from within its own calls. */
     private final ArrayDeque<Notice> later = new ArrayDeque<>();
-    private RosterWatch watch;
+    private final RosterWatch watch;
     private long lastOp, lastRank, sweptAt, stall, stallOver, wokeLast;
     private final long sweep;
     private volatile boolean stopped;
     private volatile int live;
 
-    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets) {
+    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch) {
         this.inbox = inbox;
         this.clock = clock;
+        this.watch = watch;
         push = new Push(sockets, config.dialTimeOut(), config.idleLimit());
         sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
-        router = new Router(config.settings(), config.seed(), clock.now(), this);
-    }
-
-    void watchWith(RosterWatch roster) {
-        watch = roster;
+        router = new Router(config.settings(), config.seed(), clock.now(), this, config.learnt());
     }
 
     /** Ops taken and not yet answered. */
@@ -90,6 +88,11 @@
         return live;
     }
 
+    /** What the module has learnt; to be read once the thread has ended. */
+    Learnt learnt() {
+        return router.learnt();
+    }
+
     /** What did not hold, and how often; to be read once the thread has ended. */
     Map<String, Integer> broken() {
         return holds.broken();
@@ -336,7 +339,7 @@
 
     @Override
     public void subscribe(boolean on) {
-        if (watch != null) {
+        if (watch != null) { // The rehearsal has none.
             watch.subscribe(on);
         }
     }
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -39,7 +39,7 @@
     private volatile InetSocketAddress discovery;
     private Watching watching;
     private long version, waitMillis = LEAST_WAIT_MILLIS;
-    private boolean wanted, listed, lost;
+    private boolean started, wanted, listed, lost;
     private final Set<String> odd = new HashSet<>();
 
     RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer) {
@@ -55,16 +55,21 @@
         if (config.known().has("targets")) {
             tell(config.known(), Scope.CACHED);
         }
-        if (!config.settings().mustSubscribe()) {
-            subscribe(true);
-        }
+        timer.execute(() -> {
+            started = true;
+            wanted |= !config.settings().mustSubscribe();
+            if (wanted && watching == null) {
+                open();
+            }
+        });
         timer.scheduleWithFixedDelay(this::look, BEAT_MILLIS / 4, BEAT_MILLIS / 4, TimeUnit.MILLISECONDS);
     }
 
     void subscribe(boolean on) {
         timer.execute(() -> {
             wanted = on;
-            if (on && watching == null) {
+            // Guards against a module that asks as soon as it is made, when nothing can be dialled yet.
+            if (on && watching == null && started) {
                 open();
             } else if (!on && watching != null) {
                 watching.connection.close();
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -38,14 +38,13 @@
         Inbox inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
         listen = new Listen(clock, config.categories());
         sockets = new Sockets(config, inbox, listen, this::vital);
-        decide = new Decide(config, inbox, clock, sockets);
         timer = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "roster");
             thread.setDaemon(true);
             return thread;
         }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer);
-        decide.watchWith(watch);
+        decide = new Decide(config, inbox, clock, sockets, watch);
         owner = vital(decide);
     }
 
@@ -125,6 +124,7 @@
         sockets.stop();
         try {
             owner.join();
+            config.keep(decide.learnt());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -46,7 +46,7 @@
     }
 
     void run() throws InterruptedException {
-        Decide decide = new Decide(config, inbox, listen.clock, sockets);
+        Decide decide = new Decide(config, inbox, listen.clock, sockets, null);
         Thread owner = new Thread(decide, "warm");
         owner.start();
         MachineKind origin = config.settings().originKind();
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -40,7 +40,8 @@
     final List<String> calls = new ArrayList<>();
     private final Map<Long, List<TimerId>> timers = new TreeMap<>();
     private final Map<Long, Integer> counts = new TreeMap<>();
-    private final Router router;
+    private Router router;
+    private final Settings settings;
     long clock = 100 * SECOND;
 
     Effect effect = Effect.REDELIVERABLE;
@@ -60,12 +61,20 @@
             Tenant... tenants) {
         this.effect = effect;
         Category category = new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
-        router = new Router(new Settings(new PeerId(0), proxies, new ZoneId(0), aside,
+        settings = new Settings(new PeerId(0), proxies, new ZoneId(0), aside,
                 new MachineKind(aside ? 9 : -1), 3, SECOND, false, ASK_WITHIN, 10, 100, 0.25, 10 * SECOND, 2,
                 SECOND, 6, true, true, false, true, true, SECOND, 0.1, false,
                 new Settings.Prices(0, 0, 0, 0, 0),
                 columns.isEmpty() ? List.of() : List.of(columns.split(" ")), List.of(category),
-                List.of(tenants)), seed, clock, this);
+                List.of(tenants));
+        router = new Router(settings, seed, clock, this);
+    }
+
+    /** Another router takes the place of an earlier host's, with what that had learnt; some time later. */
+    FakeHost follows(FakeHost earlier, long later) {
+        clock = earlier.clock + later;
+        router = new Router(settings, 5, clock, this, earlier.router.learnt());
+        return this;
     }
 
     FakeHost(Effect effect) {
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -471,6 +471,21 @@
         assertTrue(host.pushes.stream().anyMatch(p -> p.node() == home), "it is asked again");
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 0, true", "1, 5, false", "600, 0, false"})
+    void afterASwitchABadNodeIsKnownUnlessItStartedAnewOrThatIsLongAgo(int later, int start, boolean known) {
+        FakeHost before = new FakeHost(Effect.REDELIVERABLE).listed(5);
+        long home = before.op(1, 5, SECOND).lastNode();
+        for (long op = 2; op < 30; op++) {
+            before.ends(before.lastNode() == home ? Ending.ERROR : Ending.ACKED, 5).op(op, op, SECOND);
+        }
+        FakeHost host = new FakeHost(Effect.DEDUPLICATED, Group.ALL, true, 300, 1);
+        host.follows(before, later * SECOND).listed(5);
+        host.changed(entry(home, State.READY, start)).acks(100, 300, 20);
+        long there = host.pushes.subList(0, 50).stream().filter(p -> p.node() == home).count();
+        assertEquals(known, there < 5, there + " of the first 50 went there");
+    }
+
     @Test
     void aCutNetworkIsRoutedAroundThoughItTakesMostCaches() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(5);
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -53,6 +53,8 @@
             discoveryDoes = request -> SILENT;
     private int sockets = 256;
     private double idleSeconds = 60;
+    /** More of the configuration and of its settings, for a deployment of another shape. */
+    private String more = "", shape = "", copies = "false";
     private volatile boolean broken;
     private StandIn cache, origin, discovery;
     private Serve proxy;
@@ -186,16 +188,16 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
                 {"name":"p","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","known":%s,
-                 "limits":{"sockets":%d},
-                 "settings":{"azs":["a"],"host-types":["cache","origin"],"granularity-s":0.005,
+                 "limits":{"sockets":%d},%s
+                 "settings":{%s"azs":["a"],"host-types":["cache","origin"],"granularity-s":0.005,
                   "domain":{"mode":"aside","origin-kind":1},
                   "categories":[
                    {"name":"view","effect":"repeatable","group":"all","ttl-s":1,"target-latency-s":0.3,
                     "benefit":5,"overdue-benefit":0.2},
                    {"name":"loan","effect":"once","group":"all","ttl-s":1,"benefit":5,"overdue-benefit":0.2}],
-                  "limits":{"cancel":true,"most-pushes":4,"second-copies":false,"retry-after":true,
+                  "limits":{"cancel":true,"most-pushes":4,"second-copies":%s,"retry-after":true,
                    "max-retry-after-s":2,"dial-timeout-s":0.2,"keepalive-s":%s}}}
-                """.formatted(discoveryAddress, known, sockets, idleSeconds));
+                """.formatted(discoveryAddress, known, sockets, more, shape, copies, idleSeconds));
         return ProxyConfig.read(Map.of("LB_CONFIG", file.toString()));
     }
 
@@ -737,6 +739,57 @@
         assertEquals(1, cache.seen.size());
     }
 
+    @Test
+    void theFirstSecondsAfterASwitchKeepWhatWasLearntAndAskForTheList() throws Exception {
+        more = "\"learnt\":\"" + folder.resolve("learnt.json") + "\",";
+        copies = "true";
+        StandIn bad = new StandIn(request -> "500 Ill||");
+        start(target("bad", bad.address(), "cache", "Ready"));
+        for (int key = 0; key < 30; key++) {
+            assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
+            Thread.sleep(50);
+        }
+        proxy.stop();
+        String learnt = Files.readString(folder.resolve("learnt.json"));
+        assertTrue(learnt.matches(".*\"share\":0\\..*"), learnt);
+
+        copies = "false";
+        shape = "\"registry-mode\":\"subscribe\",\"load-info\":{\"how\":\"answers\","
+                + "\"columns\":[\"inflight\",\"qps\",\"x0\"]},";
+        int watched = discovery.seen.size();
+        List<String> atBad = bad.seen.stream().limit(3).map(each -> each.substring(0, each.indexOf(" HTTP")))
+                .toList();
+        assertEquals(3, atBad.size());
+        bad.seen.clear();
+        proxy = serve(list(1, true, target("c", cache.address(), "cache", "Ready"),
+                target("bad", bad.address(), "cache", "Ready"),
+                target("o", origin.address(), "origin", "Ready")));
+        until(() -> discovery.seen.size() > watched);
+        cacheDoes = request -> {
+            Thread.sleep(500);
+            return HIT;
+        };
+        int before = cache.seen.size();
+        assertEquals(200, code(ask(atBad.get(0).replace("view/", "view/slow"), ttl(900), "")));
+        assertTrue(cache.seen.size() - before + bad.seen.size() <= 2, "a second copy went out");
+        cacheDoes = request -> HIT;
+        for (String line : atBad) {
+            assertEquals(200, code(ask(line, ttl(800), "")));
+        }
+        assertTrue(bad.seen.size() <= 1, bad.seen.size() + " of 3 met the cache that was bad before");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "{\"nodes\":7}", "{\"nodes\":[{\"id\":\"x\",\"share\":1}]}",
+        "{\"nodes\":[{\"id\":\"1\",\"share\":7}]}"})
+    void whatWasLearntAndCannotBeReadIsLeftOut(String text) throws Exception {
+        Path file = folder.resolve("learnt.json");
+        Files.writeString(file, text);
+        more = "\"learnt\":\"" + file + "\",";
+        start();
+        assertEquals(200, code(ask("GET /view/1", ttl(800), "")));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"[] | LB_CONFIG: is not a JSON object",
         "{ | LB_CONFIG: is not valid JSON",
@@ -744,6 +797,18 @@
         "{'settings':{CATEGORIES},'listen':'127.0.0.1:1'} | discovery: is not set",
         "{'settings':{CATEGORIES},'listen':'a:b'} | listen: is not an address",
         "{'settings':{CATEGORIES,'limits':{'keepalive-s':0}}} | limits.keepalive-s: is not above 0",
+        "{'settings':{CATEGORIES,'instances':0},FREE} | settings.instances: is under 1",
+        "{'settings':{CATEGORIES,'registry-mode':'ask'},FREE} | settings.registry-mode: is none of",
+        "{'settings':{CATEGORIES,'rules':{'ask-within-s':0}},FREE} | rules.ask-within-s: is not above 0",
+        "{'settings':{CATEGORIES,'rules':{'cold-from':2}},FREE} | rules.cold-from: is over 1",
+        "{'settings':{CATEGORIES,'limits':{'most-pushes':0}},FREE} | limits.most-pushes: is under 1",
+        "{'settings':{CATEGORIES,'limits':{'second-copies':'no'}},FREE} | limits.second-copies: is not true",
+        "{'settings':{CATEGORIES,'load-info':{'columns':['qps','qps']}},FREE} | columns: names one twice",
+        "{'settings':{CATEGORIES,'load-info':{'how':'guess'}},FREE} | load-info.how: is none of",
+        "{'settings':{CATEGORIES,'tenants':[{'quota-per-s':-1}]},FREE} | quota-per-s: is under 0",
+        "{'settings':{CATEGORIES,'domain':{'mode':'aside','origin-kind':3}},FREE} | origin-kind: is over",
+        "{'settings':{'categories':[{'name':'v','effect':'twice'}]},FREE} | effect: is none of",
+        "{'settings':{'categories':[{'name':'v','ttl-s':0}]},FREE} | ttl-s: is not above 0",
         "{'settings':{CATEGORIES,'rules':{'fall-s':'2'}},FREE} | rules.fall-s: is not a number"})
     void faultyConfigurationIsNamedByItsKey(String text, String fault) throws Exception {
         Path file = folder.resolve("faulty.json");
