--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -477,7 +477,7 @@
             }
             double belief = Math.pow(0.5, (now - toldAt) / (3.0 * SECOND));
             double expected = ring.usual + (span - ring.usual) * belief;
-            double fair = Math.max(1.5 * ring.usual, target / 4.0);
+            double fair = Math.max(ring.usual, target / 4.0);
             return expected <= fair ? 1 : Math.max(LEAST_SHARE, fair / expected);
         }
 
