Two failures of the list are one call, and an empty list leaves the one held in use

Symptom: two answers of failure close together, a call's and a watch's, set two timers, so that one proxy asked twice at once of a list whose capacity is fixed; a whole list without entries emptied the ring. Found by reading; the stories fail without the change (two calls; no node left). SettingsCheck also refuses negative prices, fractions and stretches.

--- a/src/main/java/cairnbridge/config/SettingsCheck.java
+++ b/src/main/java/cairnbridge/config/SettingsCheck.java
@@ -36,8 +36,14 @@
         root.trees("categories").forEach(SettingsCheck::category);
         for (Tree tenant : root.trees("tenants")) {
             least(tenant, "quota-per-s", 0);
+            least(tenant, "fraction", 0);
         }
         least(root, "excess-benefit", 0);
+        least(domain, "origin-fall-multiple", 0);
+        least(domain, "origin-fall-s", 0);
+        for (String key : List.of("cross-zone", "waste", "probe", "peer", "late-fail")) {
+            least(root.map("prices"), key, 0);
+        }
     }
 
     private static void category(Tree category) {
@@ -45,7 +51,7 @@
         one(category, "group", "all", "zone", "cell");
         above(category, "ttl-s");
         above(category, "target-latency-s");
-        for (String key : List.of("memory-span-s", "benefit", "overdue-benefit")) {
+        for (String key : List.of("memory-span-s", "benefit", "overdue-benefit", "aim-stretch")) {
             least(category, key, 0);
         }
     }
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -22,13 +22,10 @@
     private static final long BEAT = SECOND / 10;
     /** The longest retry-after that the settings allow; the gate cuts it to that. */
     private static final long LONGEST = Long.MAX_VALUE;
-    private static final int POINTS = 256;
+    private static final int POINTS = 256, CAP_FLOOR = 2, MOST_DOUBLINGS = 6, ENOUGH = 3;
     private static final double EPSILON = 0.6;
-    private static final int CAP_FLOOR = 2;
     private static final double HOT = 0.5, LEAST_SHARE = 0.05, MOST_ENDS = 12;
-    private static final int MOST_DOUBLINGS = 6;
     private static final double RETRY_SHARE = 0.1, RETRY_BURST = 10;
-    private static final int ENOUGH = 3;
 
     private final Host host;
     private final RandomGenerator chance;
@@ -152,7 +149,6 @@
         private final Ring ring;
         private final BitSet seen;
         private int at, left, unseen;
-        /** Those to ask before the walk goes on; gathered while it is still open which comes first. */
         private final List<Node> early = new ArrayList<>();
         private boolean drawn = true;
         Node least;
@@ -220,7 +216,7 @@
         private final int proxies;
         private final long askWithin;
         private int caches, inFlight, failures;
-        private long pacedAt, toldAt;
+        private long pacedAt, toldAt, askAt;
         private final Heat heat = new Heat();
         /** By machine kind, a nominal size's span of work as reports tell it: proxies see a node seldom. */
         private final Map<MachineKind, Mean> kinds = new HashMap<>();
@@ -312,13 +308,17 @@
 
         private void list(Event.Roster roster) {
             if (roster.scope() == Scope.FAILED) {
-                // Guards against a list of fixed capacity that all proxies ask at once, and at once again.
-                long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
-                wake(this, Math.min(wait, Math.max(BEAT, askWithin / 3)), new Note(What.SUBSCRIBE, 0));
+                // Guards against a list of fixed capacity that all ask at once: waits grow, one at a time.
+                if (now >= askAt) {
+                    long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
+                    askAt = now + Math.min(wait, Math.max(BEAT, askWithin / 3));
+                    wake(this, askAt - now, new Note(What.SUBSCRIBE, 0));
+                }
                 return;
             }
             failures = roster.scope() == Scope.CACHED ? failures : 0;
-            if (roster.scope() != Scope.CHANGES) {
+            // Guards against a list that has lost its contents: what is held stays in use.
+            if (roster.scope() != Scope.CHANGES && !roster.entries().isEmpty()) {
                 for (Node node : nodes.values()) {
                     node.state = State.GONE;
                 }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -266,11 +267,13 @@
         for (int turn = 0; turn < 40; turn++) {
             host.calls.clear();
             host.tell(new Event.Roster(Event.Scope.FAILED, 1, List.of()));
+            host.tell(new Event.Roster(Event.Scope.FAILED, 1, List.of()));
             long from = host.clock;
             while (host.calls.isEmpty()) {
                 host.pass(SECOND / 10);
             }
             assertTrue(host.clock - from <= FakeHost.ASK_WITHIN / 3 + SECOND / 10);
+            assertEquals(List.of("subscribe true"), host.calls, "two failures are one call");
             asked += host.clock - from;
         }
         assertTrue(asked > 50 * SECOND, "asked again after " + asked / 40 + " on average");
@@ -321,6 +324,17 @@
         assertEquals(List.of("nack 51"), host.answers, "fetches take twice as long as it has");
     }
 
+    @Test
+    void anEmptyListOrAnOddOneLeavesTheListHeldInUse() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2);
+        host.tell(new Event.Roster(Event.Scope.FULL, 3, List.of()));
+        host.tell(new Event.Roster(Event.Scope.CHANGES, 4, List.of()));
+        host.changed(entry(99, State.GONE, 0), entry(2, State.READY, 0), entry(2, State.READY, 0));
+        host.acks(0, 20, 20);
+        Set<Long> met = host.pushes.stream().map(FakeHost.Pushed::node).collect(Collectors.toSet());
+        assertEquals(Set.of(1L, 2L), met);
+    }
+
     @Test
     void aDrainingNodeGetsNothingNew() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
