--- a/src/main/java/cairnbridge/config/LearntFile.java
+++ b/src/main/java/cairnbridge/config/LearntFile.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
@@ -63,7 +62,7 @@
                 out.writeEndObject();
             }
             Files.move(whole, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
-        } catch (IOException | InvalidPathException e) {
+        } catch (IOException e) {
             LOG.warning("learnt: not kept, " + e);
         }
     }
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -11,12 +11,13 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** All that one proxy is told at its start; the only place that reads variables and the file they name. */
 public record ProxyConfig(
         String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         List<String> categories, List<String> kinds, List<String> zones, boolean reports,
-        long dialTimeOut, long idleLimit, Settings settings, Tree known, String learntFile) {
+        long dialTimeOut, long idleLimit, Settings settings, Tree known, Optional<Path> learntFile) {
     private static final String FILE = "LB_CONFIG";
     private static final int LEAST_SOCKETS = 64, DEFAULT_SOCKETS = 1024;
     private static final double DIAL_S = 0.25, IDLE_S = 15;
@@ -50,9 +51,7 @@
         long dial = positive(limits, "dial-timeout-s", DIAL_S);
         long idle = positive(limits, "keepalive-s", IDLE_S);
         int sockets = (int) root.map("limits").number("sockets", DEFAULT_SOCKETS);
-        if (sockets < LEAST_SOCKETS) {
-            throw root.map("limits").fault("sockets", "is under " + LEAST_SOCKETS);
-        }
+        SettingsCheck.least(root.map("limits"), "sockets", LEAST_SOCKETS);
         List<String> categories = settings.trees("categories").stream()
                 .map(c -> c.text("name", "")).toList();
         if (categories.isEmpty() || categories.contains("")) {
@@ -65,27 +64,30 @@
                 address(root, "discovery", variables.get("LB_DISCOVERY")), seed(root), sockets, categories,
                 settings.texts("host-types"), settings.texts("azs"),
                 !settings.map("load-info").text("how", "none").equals("none"),
-                dial, idle, SettingsReader.read(settings), root.map("known"), root.text("learnt", ""));
+                dial, idle, SettingsReader.read(settings), root.map("known"), file(root, "learnt"));
     }
 
     /** What the proxy before this one learnt, where it was kept. */
     public Learnt learnt() {
-        return learntFile.isEmpty() ? Learnt.NOTHING : LearntFile.read(Path.of(learntFile));
+        return learntFile.map(LearntFile::read).orElse(Learnt.NOTHING);
     }
 
     /** Keeps what this proxy has learnt for the next, where the configuration says so. */
     public void keep(Learnt learnt) {
-        if (!learntFile.isEmpty()) {
-            LearntFile.write(Path.of(learntFile), learnt);
+        learntFile.ifPresent(file -> LearntFile.write(file, learnt));
+    }
+
+    private static Optional<Path> file(Tree root, String key) {
+        try {
+            return Optional.of(root.text(key, "")).filter(text -> !text.isEmpty()).map(Path::of);
+        } catch (InvalidPathException e) {
+            throw root.fault(key, "is no path");
         }
     }
 
     private static long positive(Tree tree, String key, double absent) {
-        double seconds = tree.number(key, absent);
-        if (!(seconds > 0)) {
-            throw tree.fault(key, "is not above 0");
-        }
-        return Math.max(1, SettingsReader.tenths(seconds));
+        SettingsCheck.above(tree, key);
+        return Math.max(1, SettingsReader.tenths(tree.number(key, absent)));
     }
 
     private static long seed(Tree root) {
--- a/src/main/java/cairnbridge/config/SettingsCheck.java
+++ b/src/main/java/cairnbridge/config/SettingsCheck.java
@@ -23,9 +23,6 @@
         Tree limits = root.map("limits");
         least(limits, "most-pushes", 1);
         least(limits, "max-retry-after-s", 0);
-        for (String key : List.of("cancel", "may-probe", "peer-messages", "retry-after", "second-copies")) {
-            limits.flag(key);
-        }
         Tree domain = root.map("domain");
         one(domain, "mode", "through", "aside");
         if (domain.text("mode", "").equals("aside")) {
@@ -67,26 +64,26 @@
         }
     }
 
-    private static void above(Tree tree, String key) {
-        if (tree.has(key) && !(tree.number(key, 1) > 0)) {
+    static void above(Tree tree, String key) {
+        if (!(tree.number(key, 1) > 0)) {
             throw tree.fault(key, "is not above 0");
         }
     }
 
-    private static void least(Tree tree, String key, double least) {
-        if (tree.has(key) && !(tree.number(key, least) >= least)) {
+    static void least(Tree tree, String key, double least) {
+        if (!(tree.number(key, least) >= least)) {
             throw tree.fault(key, "is under " + Math.round(least));
         }
     }
 
     private static void most(Tree tree, String key, double most) {
-        if (tree.has(key) && !(tree.number(key, most) <= most)) {
+        if (!(tree.number(key, most) <= most)) {
             throw tree.fault(key, "is over " + Math.round(most));
         }
     }
 
     private static void one(Tree tree, String key, String... known) {
-        if (tree.has(key) && !List.of(known).contains(tree.text(key, ""))) {
+        if (!List.of(known).contains(tree.text(key, known[0]))) {
             throw tree.fault(key, "is none of " + String.join(", ", known));
         }
     }
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -149,8 +149,7 @@
         private final Ring ring;
         private final BitSet seen;
         private int at, left, unseen;
-        private final List<Node> early = new ArrayList<>();
-        private boolean drawn = true;
+        private final ArrayDeque<Node> early = new ArrayDeque<>();
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
@@ -171,17 +170,18 @@
 
         /** Starts at one of some neighbours, as chance has it; the others are asked next. */
         Node start(Node home, int spread, RandomGenerator chance) {
-            drawn = false;
-            for (Node node = home; node != null; node = early.size() < spread ? next() : null) {
-                early.add(node);
+            List<Node> some = new ArrayList<>();
+            for (Node node = home; node != null; node = some.size() < spread ? next() : null) {
+                some.add(node);
             }
-            drawn = true;
-            return early.remove(chance.nextInt(early.size()));
+            Node begin = some.remove(chance.nextInt(some.size()));
+            early.addAll(some);
+            return begin;
         }
 
         Node next() {
-            if (!early.isEmpty() && drawn) {
-                return early.remove(0);
+            if (!early.isEmpty()) {
+                return early.poll();
             }
             for (; left > 0 && unseen > 0; left--) {
                 int here = at;
@@ -214,7 +214,7 @@
         private final List<Node> restless = new ArrayList<>();
         private double weights, full, smoothed, usual;
         private final int proxies;
-        private final long askWithin;
+        private final long mostWait;
         private int caches, inFlight, failures;
         private long pacedAt, toldAt, askAt;
         private final Heat heat = new Heat();
@@ -223,7 +223,7 @@
 
         Ring(Settings settings) {
             proxies = settings.proxies();
-            askWithin = settings.askWithin();
+            mostWait = Math.max(BEAT, settings.askWithin() / 3);
         }
 
         @Override void take(Note note) {
@@ -240,9 +240,12 @@
 
         private void beat() {
             smoothed += (inFlight - smoothed) * 0.2;
-            // Work at a beat must not grow with the fleet: many proxies see few ops each.
+            // Work at a beat must not grow with the fleet, as many proxies see few ops.
             if (now - pacedAt >= SECOND / 2) {
-                pace();
+                if (toldAt >= pacedAt) {
+                    pace();
+                }
+                pacedAt = now;
             }
             weights = full;
             for (int i = restless.size() - 1; i >= 0; i--) {
@@ -261,10 +264,8 @@
         private void told(Node node, Event.PushEnded ended) {
             double span = reports.span(ended.report());
             double work = reports.work(ended.report()) * node.size;
-            if (span >= 0) {
-                usual += (span - usual) * freshness(now - toldAt, 16);
-                toldAt = now;
-            }
+            usual += (span - usual) * freshness(now - toldAt, 16);
+            toldAt = now;
             if (work > 0) {
                 kinds.computeIfAbsent(node.entry.kind(), k -> new Mean()).add(work);
             }
@@ -311,7 +312,7 @@
                 // Guards against a list of fixed capacity that all ask at once: waits grow, one at a time.
                 if (now >= askAt) {
                     long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
-                    askAt = now + Math.min(wait, Math.max(BEAT, askWithin / 3));
+                    askAt = now + Math.min(wait, mostWait);
                     wake(this, askAt - now, new Note(What.SUBSCRIBE, 0));
                 }
                 return;
--- a/src/main/java/cairnbridge/proxy/AnswerHead.java
+++ b/src/main/java/cairnbridge/proxy/AnswerHead.java
@@ -28,14 +28,10 @@
             throw new ProtocolException("bytes that nobody asked for");
         }
         HttpResponse response = super.parse(buffer, false);
-        if (response == null && ended && buffer.hasData()) {
-            throw new ProtocolException("head broke off");
-        }
+        Framing.whole(response, buffer, ended);
         // Guards against spoilt answers: without a length nothing tells a whole one from one that broke off.
-        String fault = response == null || response.getCode() < HttpStatus.SC_OK ? null
-                : Framing.fault(response, false);
-        if (fault != null) {
-            throw new ProtocolException(fault);
+        if (response != null && response.getCode() >= HttpStatus.SC_OK) {
+            Framing.check(response, false);
         }
         return response;
     }
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -73,14 +73,15 @@
     private volatile boolean stopped;
     private volatile int live;
 
-    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch) {
+    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch,
+            Learnt before) {
         this.inbox = inbox;
         this.clock = clock;
         this.watch = watch;
         push = new Push(sockets, config.dialTimeOut(), config.idleLimit());
         sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
-        router = new Router(config.settings(), config.seed(), clock.now(), this, config.learnt());
+        router = new Router(config.settings(), config.seed(), clock.now(), this, before);
     }
 
     /** Ops taken and not yet answered. */
--- a/src/main/java/cairnbridge/proxy/Framing.java
+++ b/src/main/java/cairnbridge/proxy/Framing.java
@@ -1,6 +1,8 @@
 package cairnbridge.proxy;
 
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
 /** Where a message's body ends, by its own fields; the library takes some that can be read in two ways. */
 final class Framing {
@@ -11,8 +13,23 @@
     private Framing() {
     }
 
-    /** What is wrong with it, or null. unframed: a message that says nothing of a body is in order. */
-    static String fault(HttpMessage message, boolean unframed) {
+    /** Guards against a head that breaks off: the library takes what has come for the whole of it. */
+    static void whole(HttpMessage head, SessionInputBuffer buffer, boolean ended) throws ProtocolException {
+        if (head == null && ended && buffer.hasData()) {
+            throw new ProtocolException("head broke off");
+        }
+    }
+
+    /** unframed: a message that says nothing of a body is in order. */
+    static void check(HttpMessage message, boolean unframed) throws ProtocolException {
+        String fault = fault(message, unframed);
+        if (fault != null) {
+            throw new ProtocolException(fault);
+        }
+    }
+
+    /** What is wrong with it, or null. */
+    private static String fault(HttpMessage message, boolean unframed) {
         int lengths = message.countHeaders(LENGTH), codings = message.countHeaders(CODING);
         if (lengths + codings == 0 && unframed) {
             return null;
--- a/src/main/java/cairnbridge/proxy/RequestHead.java
+++ b/src/main/java/cairnbridge/proxy/RequestHead.java
@@ -27,15 +27,11 @@
         if (buffer.hasData() && busy.getAsBoolean()) {
             throw new ProtocolException("one request at a time");
         }
-        // Guards against a head that breaks off: the library takes what has come for the whole of it.
         HttpRequest request = super.parse(buffer, false);
-        if (request == null && ended && buffer.hasData()) {
-            throw new ProtocolException("head broke off");
-        }
+        Framing.whole(request, buffer, ended);
         // Guards against a request that hides in the body of another.
-        String fault = request == null ? null : Framing.fault(request, true);
-        if (fault != null) {
-            throw new ProtocolException(fault);
+        if (request != null) {
+            Framing.check(request, true);
         }
         return request;
     }
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -44,7 +44,7 @@
             return thread;
         }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer);
-        decide = new Decide(config, inbox, clock, sockets, watch);
+        decide = new Decide(config, inbox, clock, sockets, watch, config.learnt());
         owner = vital(decide);
     }
 
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -10,6 +10,7 @@
 import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Learnt;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +47,7 @@
     }
 
     void run() throws InterruptedException {
-        Decide decide = new Decide(config, inbox, listen.clock, sockets, null);
+        Decide decide = new Decide(config, inbox, listen.clock, sockets, null, Learnt.NOTHING);
         Thread owner = new Thread(decide, "warm");
         owner.start();
         MachineKind origin = config.settings().originKind();
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -798,6 +798,7 @@
         "{'settings':{CATEGORIES},'listen':'a:b'} | listen: is not an address",
         "{'settings':{CATEGORIES,'limits':{'keepalive-s':0}}} | limits.keepalive-s: is not above 0",
         "{'settings':{CATEGORIES,'instances':0},FREE} | settings.instances: is under 1",
+        "{'settings':{CATEGORIES},FREE,'learnt':'\\u0000'} | LB_CONFIG.learnt: is no path",
         "{'settings':{CATEGORIES,'prices':{'waste':-1}},FREE} | settings.prices.waste: is under 0",
         "{'settings':{CATEGORIES,'registry-mode':'ask'},FREE} | settings.registry-mode: is none of",
         "{'settings':{CATEGORIES,'rules':{'ask-within-s':0}},FREE} | rules.ask-within-s: is not above 0",
