A fleet's view as a state machine: SWIM with Lifeguard's corrections, on a simulated net

Need: each proxy learns everything alone, which in fleets of hundreds comes late. Installations whose proxies may talk want one view that settles again after joins, crashes and cuts; zones and recovery will build on it.

Change: cairnbridge.fleet.member (what is said), cairnbridge.fleet.view (Membership: events in, a host to act on, no clock, thread or socket), cairnbridge.drill.simulated (a computed net that loses, doubles, cuts, freezes). Nothing of it is loaded by `serve` yet.

Found on the way: what one that left had told was passed on as news of a living one.

--- /dev/null
+++ b/src/main/java/cairnbridge/drill/simulated/SimulatedNet.java
@@ -0,0 +1,333 @@
+package cairnbridge.drill.simulated;
+
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.Incarnation;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Packet;
+import cairnbridge.fleet.member.Standing;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.FleetEvent;
+import cairnbridge.fleet.view.FleetHost;
+import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.fleet.view.Membership;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * A fleet's state machines on a net that is only computed: add members, break things, let time pass, look at the
+ * views. Times are tenths of a millisecond; the same seed and the same calls give the same course.
+ */
+public final class SimulatedNet {
+    public static final long SECOND = FleetSettings.SECOND;
+    private static final int STREAM_FRAME = 96;
+    private static final long CALL_TIME_OUT = 2 * SECOND;
+    /** What a datagram costs beside its claims, as the carrier writes it. */
+    private static final int DATAGRAM_FRAME = 110;
+
+    private record Happening(long due, long rank, Runnable what) implements Comparable<Happening> {
+        @Override
+        public int compareTo(Happening other) {
+            return due != other.due ? Long.compare(due, other.due) : Long.compare(rank, other.rank);
+        }
+    }
+
+    /** Told of every change of standing in any view: who holds it, of whom, and what. */
+    public interface Watcher {
+        void changed(Node holder, Claim before, Claim after, FleetHost.Why why);
+    }
+
+    /** One process: its machine, whether it runs, and what it sent. */
+    public final class Node implements FleetHost {
+        public final MemberId id;
+        public final Endpoint at;
+        public Membership machine;
+        public boolean running, frozen;
+        public int side;
+        public long bytes, datagrams;
+        private final ArrayDeque<Runnable> kept = new ArrayDeque<>();
+        private long armed = Long.MAX_VALUE, life;
+
+        Node(MemberId id, Endpoint at) {
+            this.id = id;
+            this.at = at;
+        }
+
+        /** The newest life this process has had. */
+        public long life() {
+            return life;
+        }
+
+        @Override
+        public void send(Endpoint to, Packet packet) {
+            long size = DATAGRAM_FRAME + packet.body().claims().stream().mapToLong(Claim::bytes).sum();
+            bytes += size;
+            datagrams++;
+            Node other = byPlace.get(to);
+            if (other == null || cut(this, other) || chance.nextDouble() < loss) {
+                return;
+            }
+            arrive(other, new FleetEvent.Heard(packet), delay());
+            if (doubled > 0 && chance.nextDouble() < doubled) {
+                arrive(other, new FleetEvent.Heard(packet), delay() * 3);
+            }
+        }
+
+        @Override
+        public void call(long number, Endpoint to, Packet packet) {
+            bytes += STREAM_FRAME + size(packet);
+            Node other = byPlace.get(to);
+            boolean dead = other == null || !other.running;
+            if (dead || other.frozen || cut(this, other) || cut(other, this)) {
+                // A process that is gone refuses at once; one that says nothing is waited for.
+                arrive(this, new FleetEvent.Answered(number, null), dead ? 2 * delay() : CALL_TIME_OUT);
+                return;
+            }
+            long caller = ++callers;
+            open.put(caller, new Open(this, number, machine));
+            arrive(other, new FleetEvent.Called(caller, packet), 2 * delay());
+            at(now + CALL_TIME_OUT, () -> {
+                if (open.remove(caller) != null) {
+                    arrive(this, new FleetEvent.Answered(number, null), 1);
+                }
+            });
+        }
+
+        @Override
+        public void answer(long caller, Packet packet) {
+            bytes += STREAM_FRAME + size(packet);
+            Open asker = open.remove(caller);
+            if (asker != null && asker.machine == asker.node.machine) {
+                arrive(asker.node, new FleetEvent.Answered(asker.number, packet), 2 * delay());
+            }
+        }
+
+        @Override
+        public void changed(Claim before, Claim after, Why why) {
+            if (watcher != null) {
+                watcher.changed(this, before, after, why);
+            }
+        }
+
+        @Override
+        public void says(String line) {
+            said.add(id + ": " + line);
+        }
+
+        private void arm() {
+            long due = machine.due();
+            if (due < armed) {
+                armed = due;
+                at(due, this::turn);
+            }
+        }
+
+        private void turn() {
+            armed = Long.MAX_VALUE;
+            if (!running) {
+                return;
+            }
+            if (frozen) {
+                kept.addFirst(this::turn);
+                return;
+            }
+            machine.turn(now);
+            arm();
+        }
+    }
+
+    private record Open(Node node, long number, Membership machine) {
+    }
+
+    private final FleetSettings settings;
+    private final RandomGenerator chance;
+    private final PriorityQueue<Happening> queue = new PriorityQueue<>();
+    private final Map<Endpoint, Node> byPlace = new HashMap<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<Long, Open> open = new HashMap<>();
+    private final Set<List<MemberId>> oneWay = new HashSet<>();
+    public final List<String> said = new ArrayList<>();
+    public Watcher watcher;
+    /** The part of datagrams that is lost, and that comes twice. */
+    public double loss, doubled;
+    private long rank, callers, lives = 1_000;
+    private long now = SECOND;
+    private final long seed;
+
+    public SimulatedNet(FleetSettings settings, long seed) {
+        this.settings = settings;
+        this.seed = seed;
+        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public List<Node> nodes() {
+        return nodes;
+    }
+
+    /** A new process at a place of its own; seeds are the places of others. */
+    public Node add(String name, Node... seeds) {
+        int number = nodes.size() + 1;
+        Endpoint at = new Endpoint("10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255), 7946);
+        Node node = new Node(new MemberId(name), at);
+        nodes.add(node);
+        byPlace.put(at, node);
+        start(node, seeds);
+        return node;
+    }
+
+    /** Begins a new life of a process; also after a crash. */
+    public void start(Node node, Node... seeds) {
+        start(node, ++lives, seeds);
+    }
+
+    /** With a life of one's choosing, as a wrong clock would. */
+    public void start(Node node, long life, Node... seeds) {
+        node.running = true;
+        node.frozen = false;
+        node.kept.clear();
+        node.armed = Long.MAX_VALUE;
+        node.life = life;
+        Told told = Told.of("a", "r", 2, Told.State.SERVING, node.at.toString(), "", Told.Figures.NONE);
+        Claim self = new Claim(node.id, node.at, new Incarnation(life, 0), Standing.ALIVE, null, 1, told);
+        List<Endpoint> places = Arrays.stream(seeds).map(each -> each.at).toList();
+        node.machine = new Membership(settings, self, places, seed * 31 + life, now, node);
+        node.machine.start(now);
+        node.arm();
+    }
+
+    public void crash(Node node) {
+        node.running = false;
+    }
+
+    public void leave(Node node) {
+        node.machine.handle(now, new FleetEvent.Leave());
+        at(now + SECOND, () -> node.running = false);
+    }
+
+    /** What comes meanwhile is there when it is thawed. */
+    public void freeze(Node node) {
+        node.frozen = true;
+    }
+
+    public void thaw(Node node) {
+        node.frozen = false;
+        List<Runnable> waiting = new ArrayList<>(node.kept);
+        node.kept.clear();
+        waiting.forEach(each -> at(now, each));
+    }
+
+    /** Only those on the same side hear one another; 0 for all heals. */
+    public void side(Node node, int side) {
+        node.side = side;
+    }
+
+    public void heal() {
+        nodes.forEach(node -> node.side = 0);
+        oneWay.clear();
+    }
+
+    /** Nothing goes from one to another any more; the other way still works, but no stream. */
+    public void cutOneWay(Node from, Node to) {
+        oneWay.add(List.of(from.id, to.id));
+    }
+
+    private boolean cut(Node from, Node to) {
+        return from.side != to.side || !oneWay.isEmpty() && oneWay.contains(List.of(from.id, to.id));
+    }
+
+    private long delay() {
+        return 2 + chance.nextInt(18);
+    }
+
+    private static long size(Packet packet) {
+        long digest = packet.body() instanceof cairnbridge.fleet.member.Message.Digest ? 9L * 256 : 0;
+        return digest + packet.body().claims().stream().mapToLong(Claim::bytes).sum();
+    }
+
+    private void at(long due, Runnable what) {
+        queue.add(new Happening(due, ++rank, what));
+    }
+
+    private void arrive(Node node, FleetEvent event, long in) {
+        Membership machine = node.machine;
+        at(now + in, () -> tell(node, machine, event));
+    }
+
+    private void tell(Node node, Membership machine, FleetEvent event) {
+        if (!node.running || node.machine != machine) {
+            return;
+        }
+        if (node.frozen) {
+            if (node.kept.size() < 4_000) { // As much as a socket's buffer holds.
+                node.kept.addLast(() -> tell(node, machine, event));
+            }
+            return;
+        }
+        machine.handle(now, event);
+        node.arm();
+    }
+
+    /** Lets a span pass. */
+    public void pass(long span) {
+        long end = now + span;
+        while (!queue.isEmpty() && queue.peek().due <= end) {
+            Happening next = queue.poll();
+            now = Math.max(now, next.due);
+            next.what.run();
+        }
+        now = end;
+    }
+
+    /** Tells a machine something, as its process would. */
+    public void tell(Node node, FleetEvent event) {
+        node.machine.handle(now, event);
+        node.arm();
+    }
+
+    public List<Node> running() {
+        return nodes.stream().filter(node -> node.running && !node.frozen).toList();
+    }
+
+    /** Empty where all that run hold exactly those that run as alive; else what is wrong, in one line. */
+    public String disagreement() {
+        List<Node> running = running();
+        Set<MemberId> there = new HashSet<>();
+        running.forEach(node -> there.add(node.id));
+        for (Node node : running) {
+            for (Node other : nodes) {
+                Claim claim = node.machine.of(other.id);
+                boolean held = claim != null && claim.standing() == Standing.ALIVE;
+                if (held != there.contains(other.id)) {
+                    return node.id + " holds " + other.id + " " + (claim == null ? "unknown" : claim.standing())
+                            + (there.contains(other.id) ? ", it runs" : ", it does not run");
+                }
+            }
+        }
+        return "";
+    }
+
+    /** Passes time until all agree, in steps; how long it took, or -1 where it did not come to that. */
+    public long untilAgreed(long most, long step) {
+        long from = now;
+        while (!disagreement().isEmpty()) {
+            if (now - from >= most) {
+                return -1;
+            }
+            pass(step);
+        }
+        return now - from;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -0,0 +1,198 @@
+package cairnbridge.fleet.member;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a member tells of itself, as the bytes its owner wrote: a CBOR map (RFC 8949) with names as keys. It is passed
+ * on as it came, so that what a newer version adds reaches other newer ones through older ones. Missing or odd fields
+ * read as if they had not been told.
+ */
+public final class Told {
+    /** A member that tells more is not believed: claims have to fit a datagram. */
+    public static final int MOST_BYTES = 640;
+    public static final int MOST_UNREACHABLE = 16, MOST_TEXT = 64;
+    private static final CBORFactory CBOR = new CBORFactory();
+
+    /** How far a member is in its life. */
+    public enum State { STARTING, SERVING, STANDBY, DRAINING, UNKNOWN }
+
+    /**
+     * load and limit in ops in flight; unreachable are node ids; roster is the version of the list of nodes, and
+     * listing says whether that list comes in right now.
+     */
+    public record Figures(long load, long limit, long roster, boolean listing, List<Long> unreachable) {
+        public static final Figures NONE = new Figures(0, 0, 0, false, List.of());
+
+        public Figures {
+            unreachable = List.copyOf(unreachable);
+        }
+    }
+
+    private final byte[] raw;
+    private Map<String, Object> fields;
+
+    private Told(byte[] raw) {
+        this.raw = raw;
+    }
+
+    /** As it came over the wire; IllegalArgumentException where it is too long to be passed on. */
+    public static Told of(byte[] bytes) {
+        if (bytes.length > MOST_BYTES) {
+            throw new IllegalArgumentException("tells too much");
+        }
+        return new Told(bytes.clone());
+    }
+
+    /** protocol: the newest version of the carrier's form that the member speaks. */
+    public static Told of(String zone, String region, int protocol, State state, String clients, String door,
+            Figures figures) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(128);
+        try (CBORGenerator cbor = CBOR.createGenerator(out)) {
+            cbor.writeStartObject();
+            cbor.writeStringField("zone", cut(zone));
+            cbor.writeStringField("region", cut(region));
+            cbor.writeNumberField("protocol", protocol);
+            cbor.writeStringField("state", state.name());
+            cbor.writeStringField("clients", cut(clients));
+            cbor.writeStringField("door", cut(door));
+            cbor.writeNumberField("load", figures.load());
+            cbor.writeNumberField("limit", figures.limit());
+            cbor.writeNumberField("roster", figures.roster());
+            cbor.writeBooleanField("listing", figures.listing());
+            cbor.writeArrayFieldStart("unreachable");
+            for (long node : figures.unreachable().subList(0, Math.min(MOST_UNREACHABLE,
+                    figures.unreachable().size()))) {
+                cbor.writeNumber(node);
+            }
+            cbor.writeEndArray();
+            cbor.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // There is no I/O in it.
+        }
+        return new Told(out.toByteArray());
+    }
+
+    private static String cut(String text) {
+        return text.length() > MOST_TEXT ? text.substring(0, MOST_TEXT) : text;
+    }
+
+    public int bytes() {
+        return raw.length;
+    }
+
+    public byte[] raw() {
+        return raw.clone();
+    }
+
+    public String zone() {
+        return text("zone");
+    }
+
+    public String region() {
+        return text("region");
+    }
+
+    public String clients() {
+        return text("clients");
+    }
+
+    public String door() {
+        return text("door");
+    }
+
+    /** 1 where it is not told. */
+    public int protocol() {
+        return (int) Math.max(1, Math.min(255, number("protocol", 1)));
+    }
+
+    public State state() {
+        String name = text("state");
+        return Arrays.stream(State.values()).filter(each -> each.name().equals(name)).findFirst()
+                .orElse(State.UNKNOWN);
+    }
+
+    public Figures figures() {
+        List<Long> nodes = new ArrayList<>();
+        if (fields().get("unreachable") instanceof List<?> list) {
+            for (Object each : list) {
+                if (each instanceof Long node && nodes.size() < MOST_UNREACHABLE) {
+                    nodes.add(node);
+                }
+            }
+        }
+        return new Figures(number("load", 0), number("limit", 0), number("roster", 0),
+                Boolean.TRUE.equals(fields().get("listing")), nodes);
+    }
+
+    private String text(String name) {
+        return fields().get(name) instanceof String text ? cut(text) : "";
+    }
+
+    private long number(String name, long absent) {
+        return fields().get(name) instanceof Long number ? number : absent;
+    }
+
+    private Map<String, Object> fields() {
+        Map<String, Object> read = fields;
+        if (read == null) {
+            read = parse(raw);
+            fields = read;
+        }
+        return read;
+    }
+
+    /** Texts, whole numbers, truths and flat lists of numbers at the top; all else is left to who knows it. */
+    private static Map<String, Object> parse(byte[] raw) {
+        Map<String, Object> fields = new HashMap<>();
+        try (JsonParser parser = CBOR.createParser(raw)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                return fields;
+            }
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = parser.currentName();
+                switch (parser.nextToken()) {
+                    case VALUE_STRING -> fields.put(name, parser.getText());
+                    case VALUE_NUMBER_INT -> fields.put(name, parser.getLongValue());
+                    case VALUE_TRUE, VALUE_FALSE -> fields.put(name, parser.getBooleanValue());
+                    case START_ARRAY -> {
+                        List<Long> list = new ArrayList<>();
+                        for (JsonToken t = parser.nextToken(); t != JsonToken.END_ARRAY && t != null;
+                                t = parser.nextToken()) {
+                            if (t == JsonToken.VALUE_NUMBER_INT) {
+                                list.add(parser.getLongValue());
+                            } else {
+                                parser.skipChildren();
+                            }
+                        }
+                        fields.put(name, list);
+                    }
+                    default -> parser.skipChildren();
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            return fields; // What could be read up to there counts; a fault is its owner's.
+        }
+        return fields;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Told told && Arrays.equals(raw, told.raw);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(raw);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/fleet/view/FleetHost.java
@@ -0,0 +1,26 @@
+package cairnbridge.fleet.view;
+
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.Packet;
+
+/** What the view's state machine may ask of its carrier; nothing here waits. */
+public interface FleetHost {
+    /** A datagram, that may be lost. */
+    void send(Endpoint to, Packet packet);
+
+    /** A call over a stream; Answered is told for it in any case, within some seconds. */
+    void call(long number, Endpoint to, Packet packet);
+
+    /** The answer to a caller. */
+    void answer(long caller, Packet packet);
+
+    /** A member's standing has changed; before is null for one that was not known. */
+    void changed(Claim before, Claim after, Why why);
+
+    /** Something that staff should read, said seldom. */
+    void says(String line);
+
+    /** Why a standing has changed. */
+    enum Why { JOINED, RESTARTED, NO_ANSWER, TOLD, TIME_IS_UP, REFUTED, CAME_BACK, LEFT, FORGOTTEN }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/fleet/view/Rumours.java
@@ -0,0 +1,113 @@
+package cairnbridge.fleet.view;
+
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What is still to be passed on: the latest word on each member, told least first, each a bounded number of times.
+ * Standings go before figures. Asking for some costs as much as is handed out, however many wait.
+ */
+final class Rumours {
+    private static final class Rumour {
+        final Claim claim;
+        int sent;
+
+        Rumour(Claim claim) {
+            this.claim = claim;
+        }
+    }
+
+    /** By how often they have been sent; what has been replaced meanwhile is dropped when it is met. */
+    private final class Lane {
+        private final Map<MemberId, Rumour> latest = new HashMap<>();
+        private final List<ArrayDeque<Rumour>> bySent = new ArrayList<>();
+
+        void put(Claim claim) {
+            Rumour rumour = new Rumour(claim);
+            latest.put(claim.id(), rumour);
+            row(0).add(rumour);
+        }
+
+        private ArrayDeque<Rumour> row(int sent) {
+            while (bySent.size() <= sent) {
+                bySent.add(new ArrayDeque<>());
+            }
+            return bySent.get(sent);
+        }
+
+        /** Adds to some until they fill that many bytes; how many bytes are left. */
+        int take(List<Claim> some, int bytes, int times) {
+            List<Rumour> again = new ArrayList<>();
+            int left = bytes;
+            for (int sent = 0; sent < bySent.size() && left > 0; sent++) {
+                ArrayDeque<Rumour> row = bySent.get(sent);
+                for (int i = row.size(); i > 0; i--) {
+                    Rumour rumour = row.poll();
+                    if (latest.get(rumour.claim.id()) != rumour) {
+                        continue;
+                    }
+                    int size = rumour.claim.bytes();
+                    if (size > left) {
+                        row.add(rumour); // A smaller one may fit; this one comes first in another datagram.
+                        left = sent == 0 && some.isEmpty() ? left : 0;
+                        break;
+                    }
+                    left -= size;
+                    some.add(rumour.claim);
+                    if (++rumour.sent < times) {
+                        again.add(rumour);
+                    } else {
+                        latest.remove(rumour.claim.id());
+                    }
+                }
+            }
+            again.forEach(rumour -> row(rumour.sent).add(rumour));
+            return left;
+        }
+    }
+
+    private final Lane standings = new Lane(), figures = new Lane();
+
+    void standing(Claim claim) {
+        standings.put(claim);
+        if (claim.told() != null) {
+            figures.latest.remove(claim.id()); // It carries them.
+        }
+    }
+
+    void figures(Claim claim) {
+        if (standings.latest.containsKey(claim.id())) {
+            standings.put(claim);
+        } else {
+            figures.put(claim);
+        }
+    }
+
+    void forget(MemberId id) {
+        standings.latest.remove(id);
+        figures.latest.remove(id);
+    }
+
+    boolean isEmpty() {
+        return standings.latest.isEmpty() && figures.latest.isEmpty();
+    }
+
+    int waiting() {
+        return standings.latest.size() + figures.latest.size();
+    }
+
+    /** The rumours for one message of so many bytes; each is handed out so many times in all. */
+    List<Claim> take(int bytes, int times) {
+        List<Claim> some = new ArrayList<>();
+        int left = standings.take(some, bytes, times);
+        if (left > 0) {
+            figures.take(some, left, times);
+        }
+        return some;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/fleet/view/Syncs.java
@@ -0,0 +1,194 @@
+package cairnbridge.fleet.view;
+
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Message;
+import cairnbridge.fleet.member.Packet;
+import cairnbridge.fleet.member.Standing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Compares whole views: at the join, at intervals, when one comes back, and when another's digest differs for long.
+ * Only the parts that differ are exchanged, both ways.
+ */
+final class Syncs {
+    /** The interval grows with every doubling of the fleet beyond this (as in memberlist's pushPullScale). */
+    private static final int FEW = 32;
+    private static final long JOIN_AGAIN = FleetSettings.SECOND, SEEDS_AGAIN = 5 * FleetSettings.SECOND;
+    /** Nothing new for so long, and another's view differs: gossip has not done it. */
+    private static final long STEADY = 3 * FleetSettings.SECOND, LEAST_GAP = FleetSettings.SECOND / 5;
+    private static final int SOON = 3_000;
+
+    private final Membership fleet;
+    private final List<Endpoint> seeds;
+    /** Calls under way, and where to. */
+    private final Map<Long, Endpoint> calls = new HashMap<>();
+    private long number = 1L << 62, startedAt, begunAt = Long.MIN_VALUE / 2, differsAt, count;
+    private boolean joined, waiting;
+    private int asked;
+
+    Syncs(Membership fleet, List<Endpoint> seeds) {
+        this.fleet = fleet;
+        this.seeds = seeds.stream().filter(each -> !each.equals(fleet.self().at())).toList();
+    }
+
+    void start() {
+        startedAt = fleet.now;
+        joined = seeds.isEmpty();
+        join();
+        fleet.timers.at(fleet.now + every(), this::atInterval);
+        fleet.timers.at(fleet.now + SEEDS_AGAIN, this::seedsMissed);
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    long count() {
+        return count;
+    }
+
+    boolean hasJoined() {
+        return joined;
+    }
+
+    /** One seed after another until one answers; scattered, as a fleet may start all at once. */
+    private void join() {
+        if (joined) {
+            return;
+        }
+        begin(seeds.get((asked++ + (int) Math.floorMod(fleet.self().incarnation().life(), seeds.size()))
+                % seeds.size()));
+        fleet.timers.at(fleet.now + JOIN_AGAIN / 2 + fleet.chance.nextLong(JOIN_AGAIN), this::join);
+    }
+
+    private long every() {
+        double size = Math.max(1, (double) fleet.livingWithMe() / FEW);
+        long mean = (long) (fleet.settings.syncEvery() * (1 + Math.ceil(Math.log(size) / Math.log(2))));
+        return mean / 2 + fleet.chance.nextLong(mean) + 1;
+    }
+
+    private void atInterval() {
+        fleet.timers.at(fleet.now + every(), this::atInterval);
+        some(1);
+    }
+
+    /** Guards against a fleet whose parts have forgotten one another: seeds that nobody here knows are asked. */
+    private void seedsMissed() {
+        fleet.timers.at(fleet.now + SEEDS_AGAIN + fleet.chance.nextLong(SEEDS_AGAIN), this::seedsMissed);
+        Set<Endpoint> known = new HashSet<>();
+        fleet.table.living().forEach(member -> known.add(member.claim.at()));
+        List<Endpoint> missed = seeds.stream().filter(each -> !known.contains(each)).toList();
+        if (!missed.isEmpty() && joined) {
+            begin(missed.get(fleet.chance.nextInt(missed.size())));
+        }
+    }
+
+    void some(int many) {
+        fleet.table.some(many, null, fleet.chance).forEach(member -> begin(member.claim.at()));
+    }
+
+    /** One has come back, and with it perhaps a part of the fleet. */
+    void soon(Member member) {
+        if (!waiting) {
+            waiting = true;
+            fleet.timers.at(fleet.now + 1 + fleet.chance.nextLong(SOON), () -> {
+                waiting = false;
+                begin(member.claim.at());
+            });
+        }
+    }
+
+    /** Guards against views that differ until the next interval though all has long been told. */
+    void heard(Member from, long digest) {
+        boolean same = digest == 0 || digest == fleet.digest();
+        if (same || fleet.changedWithin(STEADY)) {
+            differsAt = fleet.now;
+        } else if (fleet.now - differsAt > STEADY && fleet.now - begunAt > STEADY) {
+            begin(from.claim.at());
+        }
+    }
+
+    private void begin(Endpoint to) {
+        if (fleet.self().standing() == Standing.LEFT || fleet.now - begunAt < LEAST_GAP && joined) {
+            return;
+        }
+        begunAt = fleet.now;
+        count++;
+        long call = ++number;
+        calls.put(call, to);
+        fleet.host.call(call, to, fleet.packet(new Message.Digest(parts())));
+    }
+
+    private List<Long> parts() {
+        List<Long> parts = new ArrayList<>(Table.PARTS);
+        for (long part : fleet.table.parts()) {
+            parts.add(part);
+        }
+        int mine = Table.part(fleet.me());
+        parts.set(mine, parts.get(mine) ^ Table.hash(fleet.self()));
+        return parts;
+    }
+
+    /** What is held in the parts that differ from another's; caller is null where this member has no room for it. */
+    Message compare(Message.Digest theirs, Member caller) {
+        if (theirs.parts().size() != Table.PARTS) {
+            return null;
+        }
+        List<Long> mine = parts();
+        List<Integer> differ = new ArrayList<>();
+        for (int i = 0; i < Table.PARTS; i++) {
+            if (!mine.get(i).equals(theirs.parts().get(i))) {
+                differ.add(i);
+            }
+        }
+        List<Claim> claims = held(new HashSet<>(differ));
+        if (caller != null && !differ.contains(Table.part(caller.id)) && caller.claim.standing() != Standing.ALIVE) {
+            claims.add(caller.claim.bare());
+        }
+        return new Message.Entries(differ, claims);
+    }
+
+    private List<Claim> held(Set<Integer> parts) {
+        List<Claim> claims = new ArrayList<>();
+        if (parts.contains(Table.part(fleet.me()))) {
+            claims.add(fleet.self());
+        }
+        for (Member member : fleet.table.all()) {
+            if (member.hash != 0 && parts.contains(Table.part(member.id))) {
+                claims.add(member.claim);
+            }
+        }
+        return claims;
+    }
+
+    void answered(long call, Packet packet) {
+        Endpoint there = calls.remove(call);
+        if (there == null || packet == null || !(packet.body() instanceof Message.Entries entries)) {
+            return;
+        }
+        if (!joined) {
+            joined = true;
+        }
+        Map<MemberId, Claim> theirs = new HashMap<>();
+        entries.claims().forEach(claim -> theirs.put(claim.id(), claim));
+        List<Claim> news = new ArrayList<>();
+        for (Claim mine : held(new HashSet<>(entries.parts()))) {
+            Claim its = theirs.get(mine.id());
+            if (its == null || mine.supersedes(its) || mine.tellsMoreThan(its)) {
+                news.add(mine);
+            }
+        }
+        fleet.merge(entries.claims(), true);
+        if (!news.isEmpty()) {
+            // No number of its own: nothing hangs on the answer.
+            fleet.host.call(++number, there, fleet.packet(new Message.Entries(List.of(), news)));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/fleet/view/MembershipTest.java
@@ -0,0 +1,275 @@
+package cairnbridge.fleet.view;
+
+import static cairnbridge.drill.simulated.SimulatedNet.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.drill.simulated.SimulatedNet;
+import cairnbridge.drill.simulated.SimulatedNet.Node;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Incarnation;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Message;
+import cairnbridge.fleet.member.Packet;
+import cairnbridge.fleet.member.Standing;
+import cairnbridge.fleet.member.Told;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** One short story for each failure that the view must outlive, on a simulated net. */
+class MembershipTest {
+    private static final long STEP = SECOND / 20;
+    private final SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, 7);
+    /** Deaths of members that ran and were not frozen, as any view held them. */
+    private final List<String> falseDeaths = new ArrayList<>();
+
+    private List<Node> fleet(int size) {
+        Node first = net.add("p0");
+        for (int i = 1; i < size; i++) {
+            net.add("p" + i, first);
+        }
+        agreed(10);
+        net.watcher = (holder, before, after, why) -> {
+            if (after != null && after.standing() == Standing.DEAD && (before == null || before.standing().isLiving())
+                    && net.running().stream().anyMatch(node -> node.id.equals(after.id())
+                            && node.side == holder.side)) {
+                falseDeaths.add(holder.id + " held " + after.id() + " dead: " + why);
+            }
+        };
+        return net.nodes();
+    }
+
+    private long agreed(int seconds) {
+        long took = net.untilAgreed(seconds * SECOND, STEP);
+        assertTrue(took >= 0, "after " + seconds + " s " + net.disagreement());
+        return took;
+    }
+
+    @Test
+    void twelveJoinThroughOneSeedThatThenDies() {
+        Node seed = net.add("seed");
+        for (int i = 0; i < 12; i++) {
+            net.add("p" + i, seed);
+        }
+        net.pass(SECOND);
+        net.crash(seed);
+        assertTrue(agreed(5) > 0);
+    }
+
+    @Test
+    void aThirdThatDiesInOneInstantIsKnownByAllWithinFiveSeconds() {
+        List<Node> nodes = fleet(48);
+        nodes.subList(0, 16).forEach(net::crash);
+        agreed(5);
+        assertEquals(List.of(), falseDeaths);
+    }
+
+    @Test
+    void whoWasFrozenRefutesItsDeathAndNeverForgotNorSplit() {
+        List<Node> nodes = fleet(12);
+        Node frozen = nodes.get(5);
+        Incarnation before = frozen.machine.self().incarnation();
+        net.freeze(frozen);
+        net.pass(20 * SECOND);
+        assertEquals(Standing.DEAD, nodes.get(0).machine.of(frozen.id).standing());
+        net.thaw(frozen);
+        agreed(5);
+        Incarnation after = nodes.get(0).machine.of(frozen.id).incarnation();
+        assertEquals(before.life(), after.life(), "it is the same life");
+        assertTrue(after.turn() > before.turn(), "it has refuted");
+        assertEquals(List.of(), falseDeaths, "it took none of the others for dead meanwhile");
+        assertTrue(frozen.machine.figures().stoodStill() > 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void partsThatWereCutOffFindOneAnotherThoughSomeDiedAndJoinedOnEachSide(int parts) {
+        List<Node> nodes = new ArrayList<>(fleet(24));
+        for (int i = 0; i < nodes.size(); i++) {
+            net.side(nodes.get(i), i % parts);
+        }
+        net.pass(5 * SECOND);
+        net.crash(nodes.get(4));
+        net.crash(nodes.get(9));
+        for (int part = 0; part < parts; part++) {
+            net.side(net.add("new" + part, nodes.get(part)), part);
+        }
+        net.pass(20 * SECOND);
+        net.heal();
+        agreed(5);
+        assertEquals(List.of(), falseDeaths, "nobody is held dead by one that could hear it");
+    }
+
+    @Test
+    void aLinkThatWorksOneWayOnlyKillsNobody() {
+        List<Node> nodes = fleet(8);
+        net.cutOneWay(nodes.get(1), nodes.get(2));
+        net.cutOneWay(nodes.get(3), nodes.get(4));
+        net.pass(60 * SECOND);
+        assertEquals(List.of(), falseDeaths);
+        assertEquals("", net.disagreement());
+    }
+
+    @Test
+    void aNewLifeUnderTheSameAddressTakesThePlaceOfTheOldOneWhileThatIsStillToldOf() {
+        List<Node> nodes = fleet(12);
+        Node node = nodes.get(3);
+        net.crash(node);
+        net.pass(SECOND + SECOND / 2); // It is suspected, and told of as suspect.
+        net.start(node, nodes.get(0));
+        agreed(5);
+        net.pass(15 * SECOND);
+        assertEquals("", net.disagreement());
+        assertEquals(node.life(), nodes.get(7).machine.of(node.id).incarnation().life());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 4_000_000_000_000_000L})
+    void aClockThatJumpedBetweenTwoLivesDoesNotShutAMemberOut(long life) {
+        List<Node> nodes = fleet(12);
+        Node node = nodes.get(3);
+        net.crash(node);
+        net.pass(10 * SECOND);
+        net.start(node, life, nodes.get(0));
+        agreed(5);
+        net.crash(node);
+        net.pass(10 * SECOND);
+        net.start(node, nodes.get(0));
+        agreed(5);
+        Incarnation held = nodes.get(7).machine.of(node.id).incarnation();
+        assertEquals(node.machine.self().incarnation().life(), held.life());
+    }
+
+    @Test
+    void lossOfThreeInTenKillsNobodyForGood() {
+        fleet(24);
+        net.loss = 0.3;
+        net.pass(30 * SECOND);
+        net.loss = 0;
+        agreed(5);
+    }
+
+    @Test
+    void underLossOfATenthNobodyThatLivesIsHeldDead() {
+        fleet(30);
+        net.loss = 0.1;
+        net.doubled = 0.05;
+        net.pass(600 * SECOND);
+        assertEquals(List.of(), falseDeaths);
+    }
+
+    @Test
+    void whoTakesItsLeaveIsNoCrashAndIsNotAskedForAgain() {
+        List<Node> nodes = fleet(12);
+        Set<String> held = new TreeSet<>();
+        net.watcher = (holder, before, after, why) -> {
+            if (before == null || after == null || before.standing() != after.standing()) {
+                held.add(after == null ? "none" : after.standing() + " " + why);
+            }
+        };
+        net.leave(nodes.get(4));
+        agreed(2);
+        net.pass(20 * SECOND);
+        assertEquals(Set.of("LEFT LEFT"), held);
+        assertEquals(0, nodes.get(0).machine.figures().deaths());
+    }
+
+    @Test
+    void whatAMemberTellsReachesAllAndUnknownFieldsWithIt() {
+        List<Node> nodes = fleet(12);
+        byte[] raw = {(byte) 0xA2, 0x64, 's', 't', 'a', 't', 'e', 0, 0x61, 'x', 1};
+        byte[] good = {(byte) 0xA2, 0x64, 'z', 'o', 'n', 'e', 0x61, 'b', 0x63, 'n', 'e', 'w', (byte) 0x82, 1, 2};
+        net.tell(nodes.get(2), new FleetEvent.Tell(Told.of(good)));
+        net.pass(3 * SECOND);
+        for (Node node : nodes) {
+            assertEquals(Told.of(good), node.machine.of(nodes.get(2).id).told());
+            assertEquals("b", node.machine.of(nodes.get(2).id).told().zone());
+        }
+        net.tell(nodes.get(2), new FleetEvent.Tell(Told.of(raw)));
+        net.pass(3 * SECOND);
+        assertEquals(Told.State.UNKNOWN, nodes.get(9).machine.of(nodes.get(2).id).told().state());
+    }
+
+    @Test
+    void theTableIsBoundedAndTheGoneMakeRoomForTheLiving() {
+        FleetSettings u = FleetSettings.USUAL;
+        FleetSettings small = new FleetSettings(u.probeEvery(), u.probeTimeOut(), u.others(), u.gossipEvery(),
+                u.fanout(), u.spread(), u.suspicionLeast(), u.suspicionMost(), u.syncEvery(), u.askDeadEvery(),
+                u.rememberDead(), u.rememberLeft(), u.figuresEvery(), 10, u.datagram());
+        SimulatedNet other = new SimulatedNet(small, 3);
+        Node alone = other.add("alone");
+        Claim one = alone.machine.self();
+        for (int i = 0; i < 1_000; i++) {
+            Claim claim = new Claim(new MemberId("x" + i), one.at(), new Incarnation(5, 0),
+                    i % 2 == 0 ? Standing.DEAD : Standing.LEFT, null, 0, null);
+            Packet packet = new Packet(new MemberId("x0"), one.at(), new Incarnation(6, 0), 0,
+                    new Message.Gossip(List.of(claim)));
+            other.tell(alone, new FleetEvent.Heard(packet));
+        }
+        assertTrue(alone.machine.view().members().size() <= 11);
+        for (int i = 0; i < 20; i++) {
+            Packet packet = new Packet(new MemberId("y" + i), one.at(), new Incarnation(6, 0), 0,
+                    new Message.Gossip(List.of()));
+            other.tell(alone, new FleetEvent.Heard(packet));
+        }
+        assertEquals(11, alone.machine.figures().alive());
+        assertTrue(alone.machine.figures().strayed() > 0);
+    }
+
+    @Test
+    void oldDeadAreForgottenByAllAndStayForgotten() {
+        FleetSettings u = FleetSettings.USUAL;
+        FleetSettings brief = new FleetSettings(u.probeEvery(), u.probeTimeOut(), u.others(), u.gossipEvery(),
+                u.fanout(), u.spread(), u.suspicionLeast(), u.suspicionMost(), u.syncEvery(), u.askDeadEvery(),
+                20 * SECOND, 20 * SECOND, u.figuresEvery(), u.mostMembers(), u.datagram());
+        SimulatedNet other = new SimulatedNet(brief, 3);
+        Node first = other.add("p0");
+        for (int i = 1; i < 8; i++) {
+            other.add("p" + i, first);
+        }
+        other.pass(15 * SECOND);
+        other.crash(other.nodes().get(5));
+        other.pass(40 * SECOND);
+        for (Node node : other.running()) {
+            assertEquals(null, node.machine.of(other.nodes().get(5).id));
+        }
+        assertEquals("", other.disagreement());
+    }
+
+    @Test
+    void twoWhoCallThemselvesTheSameAreSaidOnce() {
+        List<Node> nodes = fleet(4);
+        Node impostor = net.add("p2", nodes.get(0));
+        net.pass(30 * SECOND);
+        long lines = net.said.stream().filter(line -> line.contains("calls itself p2 as well")).count();
+        assertTrue(lines >= 1 && lines <= 2, net.said + " by " + impostor.id);
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        assertEquals(course(11), course(11));
+        assertNotEquals(course(11), course(12));
+    }
+
+    private static String course(long seed) {
+        SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed);
+        StringBuilder course = new StringBuilder();
+        net.watcher = (holder, before, after, why) -> course.append(net.now()).append(holder.id).append(after.id())
+                .append(after.standing());
+        Node first = net.add("p0");
+        for (int i = 1; i < 10; i++) {
+            net.add("p" + i, first);
+        }
+        net.pass(5 * SECOND);
+        net.crash(net.nodes().get(4));
+        net.loss = 0.2;
+        net.pass(20 * SECOND);
+        return course + " " + net.nodes().get(0).bytes;
+    }
+}
--- a/src/test/java/cairnbridge/proxy/WaitingTest.java
+++ b/src/test/java/cairnbridge/proxy/WaitingTest.java
@@ -80,7 +80,7 @@
         assertEquals(3, taken.getCount());
         mayTake.set(true);
         assertTrue(taken.await(10, TimeUnit.SECONDS));
-        Stories.until(() -> thread.getState() == Thread.State.RUNNABLE); // In the selector, the queue is empty.
+        Stories.until(() -> thread.getState() == Thread.State.RUNNABLE);
         int idle = asked.get();
         Thread.sleep(50);
         assertTrue(asked.get() - idle <= 1, "an empty queue is not asked about");
