--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -365,7 +365,9 @@
             joins++;
             changedAt = now;
             probes.joined(member);
-            rumours.standing(first);
+            if (syncs.hasJoined()) {
+                rumours.standing(first); // What a newcomer is told is no news to anybody else.
+            }
             host.changed(null, first, Why.JOINED);
         }
         if (claim.standing() == Standing.SUSPECT) {
--- a/src/main/java/cairnbridge/fleet/view/Syncs.java
+++ b/src/main/java/cairnbridge/fleet/view/Syncs.java
@@ -179,9 +179,6 @@
         if (there == null || packet == null || !(packet.body() instanceof Message.Entries entries)) {
             return;
         }
-        if (!joined) {
-            joined = true;
-        }
         Map<MemberId, Claim> theirs = new HashMap<>();
         entries.claims().forEach(claim -> theirs.put(claim.id(), claim));
         List<Claim> news = new ArrayList<>();
@@ -192,6 +189,7 @@
             }
         }
         fleet.merge(entries.claims(), true);
+        joined = true;
         if (!news.isEmpty()) {
             // No number of its own: nothing hangs on the answer.
             fleet.host.call(++number, there, fleet.packet(new Message.Entries(List.of(), news)));
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -117,10 +117,11 @@
         return unreachable;
     }
 
-    private void reached(NodeId node, Ending ending) {
-        if (reach != null && ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT) {
-            reach.ended(node.value(), ending != Ending.NO_CONNECTION && ending != Ending.TIMED_OUT,
-                    clock.now());
+    /** left: what was left of its op's time. Where that had run out, a push called off had met silence. */
+    private void reached(NodeId node, Ending ending, long left) {
+        boolean silent = ending == Ending.TIMED_OUT || ending == Ending.CALLED_OFF && left <= LAST_CALL;
+        if (reach != null && ending != Ending.NEVER_SENT && (silent || ending != Ending.CALLED_OFF)) {
+            reach.ended(node.value(), !silent && ending != Ending.NO_CONNECTION, clock.now());
         }
     }
 
@@ -244,7 +245,7 @@
             push.listed(listed.roster(), listed.addresses());
             tell(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
-            reached(probed.node(), probed.ending());
+            reached(probed.node(), probed.ending(), 0);
             tell(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
                     null));
         } else if (notice instanceof Notice.Hint hint) {
@@ -309,7 +310,7 @@
             return;
         }
         op.open--;
-        reached(call.node, over.ending());
+        reached(call.node, over.ending(), op.expires - clock.now());
         if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
                 call.client.ack(over.body());
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -111,10 +111,11 @@
         return version;
     }
 
-    /** Whether the list comes in right now. */
+    /** Whether the list comes in right now: one that has missed a beat may be about to be lost. */
     boolean isListing() {
         Watching now = watching;
-        return now != null && now.code == OK;
+        return now != null && now.code == OK && System.nanoTime() - now.heard < BEAT_MILLIS * 3 / 2
+                * 1_000_000;
     }
 
     /** The list's caches. */
