--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The JDK's class archive is made by the build, so that a proxy is ready soon after its start.
-.PHONY: build test lint run clean
+.PHONY: build test lint run demo drill lab clean
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -15,5 +15,23 @@
 run: build
 	java @deploy/serve.args -jar target/cairnbridge.jar serve
 
+# A small fleet with its stand-ins and clients, in the foreground.
+demo:
+	mvn -B -ntp -q -DskipTests package
+	java -jar target/cairnbridge.jar demo
+
+# All scenarios, the long ones too; about ten minutes.
+drill:
+	mvn -B -ntp -q -DskipTests package
+	java -jar target/cairnbridge.jar drill --out target/drills drills/*.drill
+
+# The fleet's view on a simulated net; the last line takes over an hour of processor time and 16 GB.
+lab:
+	mvn -B -ntp -q -DskipTests package
+	java -jar target/cairnbridge.jar simulate --members 100
+	java -Xmx6g -jar target/cairnbridge.jar simulate --members 1000
+	java -jar target/cairnbridge.jar simulate --members 50 --hours 24 --loss 0.1
+	java -Xmx16g -jar target/cairnbridge.jar simulate --members 10000 --changes 12
+
 clean:
 	mvn -B -ntp -q clean
--- a/src/main/java/cairnbridge/proxy/Beside.java
+++ b/src/main/java/cairnbridge/proxy/Beside.java
@@ -26,7 +26,7 @@
 
     private static final String RUNS = "runs", READY = "ready";
 
-    private final Odd odd = new Odd(LOG, "beside");
+    private final OddityLog odd = new OddityLog(LOG, "beside");
     private final Optional<Path> folder;
     private final long self = ProcessHandle.current().pid(), start = System.currentTimeMillis();
 
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -46,7 +46,7 @@
     private Gathered body;
     private long length;
     private long ttl;
-    private Body rest = new Rest(null);
+    private Body rest = new RemainingBytes(null);
     /** A body that passes through; null for one that was gathered whole, as value. */
     volatile Pipe pipe;
 
@@ -296,7 +296,7 @@
             cut.run();
             return;
         }
-        respond(code, new Rest(bytes), retryAfter, close);
+        respond(code, new RemainingBytes(bytes), retryAfter, close);
         if (pipe != null) {
             pipe.drop(); // What is still to come of the op's body goes nowhere.
         }
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -61,7 +61,7 @@
         BasicHttpRequest request = new BasicHttpRequest(value == null ? "GET" : "PUT", target);
         request.addHeader("Host", host);
         dress(request);
-        Rest rest = new Rest(value);
+        RemainingBytes rest = new RemainingBytes(value);
         body(rest);
         channel.sendRequest(request, rest.entity(), context);
     }
--- a/src/main/java/cairnbridge/proxy/Maintenance.java
+++ b/src/main/java/cairnbridge/proxy/Maintenance.java
@@ -32,7 +32,7 @@
     private final Predicate<NodeId> listed;
     private final BooleanSupplier shared;
     private final Set<NodeId> held = new HashSet<>();
-    private final Odd odd = new Odd(LOG, "maintenance");
+    private final OddityLog odd = new OddityLog(LOG, "maintenance");
 
     /** folder is empty where none is shared: holds then end with the process. */
     Maintenance(Optional<Path> folder, Inbox inbox, Predicate<NodeId> listed,
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -119,7 +119,7 @@
             }
             inbox.post(new Notice.Spent(this));
         }
-        Body rest = client.pipe != null ? client.pipe : new Rest(value);
+        Body rest = client.pipe != null ? client.pipe : new RemainingBytes(value);
         body(rest);
         EntityDetails entity = rest.entity();
         channel.sendRequest(request, entity, context);
--- a/src/main/java/cairnbridge/proxy/Rest.java
+++ b/src/main/java/cairnbridge/proxy/RemainingBytes.java
@@ -7,12 +7,12 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 
 /** The bytes of a body that are still to be written. */
-final class Rest implements Body {
+final class RemainingBytes implements Body {
     private final ByteBuffer bytes;
     private boolean ended;
 
     /** body is null where there is none. */
-    Rest(byte[] body) {
+    RemainingBytes(byte[] body) {
         bytes = ByteBuffer.wrap(body == null ? new byte[0] : body);
     }
 
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -52,7 +52,7 @@
     private volatile long version;
     private long waitMillis = LEAST_WAIT_MILLIS;
     private boolean started, wanted, listed, lost;
-    private final Odd odd = new Odd(LOG, "roster");
+    private final OddityLog odd = new OddityLog(LOG, "roster");
     /** The list's nodes, and whether each is a cache. */
     private final Map<NodeId, Boolean> nodes = new ConcurrentHashMap<>();
     private final Figures figures;
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -36,7 +36,7 @@
     private final Figures figures;
     private final Beside beside;
     private final Maintenance maintenance;
-    private final Odd odd = new Odd(LOG, "learnt");
+    private final OddityLog odd = new OddityLog(LOG, "learnt");
     private final Decide decide;
     private final RosterWatch watch;
     private final ScheduledExecutorService timer;
