--- /dev/null
+++ b/src/main/java/cairnbridge/zones/plan/PlanCodec.java
@@ -0,0 +1,104 @@
+package cairnbridge.zones.plan;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * A plan as CBOR (RFC 8949): epoch, maker, rows of zone, why, shed and pairs of zone and part, drained zones.
+ */
+public final class PlanCodec {
+    public static final int MOST_BYTES = 64 * 1024;
+    private static final int MOST_ZONES = 4_096;
+    private static final CBORFactory CBOR = new CBORFactory();
+
+    private PlanCodec() {
+    }
+
+    public static byte[] write(Plan plan) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        try (CBORGenerator cbor = CBOR.createGenerator(out)) {
+            cbor.writeStartArray();
+            cbor.writeNumber(plan.epoch());
+            cbor.writeString(plan.maker());
+            cbor.writeStartArray();
+            for (Map.Entry<Zone, Row> each : plan.ordered().entrySet()) {
+                cbor.writeString(each.getKey().name());
+                cbor.writeNumber(each.getValue().why().ordinal());
+                cbor.writeNumber(each.getValue().shed());
+                cbor.writeStartArray();
+                for (Map.Entry<Zone, Integer> to : each.getValue().ordered().entrySet()) {
+                    cbor.writeString(to.getKey().name());
+                    cbor.writeNumber(to.getValue());
+                }
+                cbor.writeEndArray();
+            }
+            cbor.writeEndArray();
+            cbor.writeStartArray();
+            for (Map.Entry<Zone, Long> each : plan.drained().entrySet()) {
+                cbor.writeString(each.getKey().name());
+                cbor.writeNumber(each.getValue());
+            }
+            cbor.writeEndArray();
+            cbor.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // There is no I/O in it.
+        }
+        return out.toByteArray();
+    }
+
+    /** IllegalArgumentException for anything that is no whole plan; never another exception. */
+    public static Plan read(byte[] bytes) {
+        try (JsonParser cbor = CBOR.createParser(bytes)) {
+            expect(bytes.length <= MOST_BYTES && cbor.nextToken() == JsonToken.START_ARRAY);
+            long epoch = number(cbor);
+            expect(cbor.nextToken() == JsonToken.VALUE_STRING);
+            String maker = cbor.getText();
+            Map<Zone, Row> rows = new HashMap<>();
+            expect(cbor.nextToken() == JsonToken.START_ARRAY);
+            while (cbor.nextToken() == JsonToken.VALUE_STRING) {
+                expect(rows.size() < MOST_ZONES);
+                Zone zone = new Zone(cbor.getText());
+                int why = (int) number(cbor);
+                expect(why >= 0 && why < Why.values().length);
+                int shed = (int) number(cbor);
+                Map<Zone, Integer> to = new HashMap<>();
+                pairs(cbor).forEach((name, part) -> to.put(name, (int) (long) part));
+                rows.put(zone, new Row(to, shed, Why.values()[why]));
+            }
+            expect(cbor.currentToken() == JsonToken.END_ARRAY);
+            return new Plan(epoch, rows, pairs(cbor), maker);
+        } catch (IOException | RuntimeException e) {
+            throw new IllegalArgumentException("is no plan", e);
+        }
+    }
+
+    private static Map<Zone, Long> pairs(JsonParser cbor) throws IOException {
+        Map<Zone, Long> pairs = new HashMap<>();
+        expect(cbor.nextToken() == JsonToken.START_ARRAY);
+        while (cbor.nextToken() == JsonToken.VALUE_STRING) {
+            expect(pairs.size() < MOST_ZONES);
+            Zone zone = new Zone(cbor.getText());
+            pairs.put(zone, number(cbor));
+        }
+        expect(cbor.currentToken() == JsonToken.END_ARRAY);
+        return pairs;
+    }
+
+    private static long number(JsonParser cbor) throws IOException {
+        expect(cbor.nextToken() == JsonToken.VALUE_NUMBER_INT);
+        return cbor.getLongValue();
+    }
+
+    private static void expect(boolean holds) throws IOException {
+        if (!holds) {
+            throw new IOException("not of this form");
+        }
+    }
+}
