--- a/src/main/java/cairnbridge/admin/Door.java
+++ b/src/main/java/cairnbridge/admin/Door.java
@@ -171,6 +171,9 @@
                 case "maint-off" -> later(staff.hold(id, false), YES + "back", NO + "no such node");
                 case "members", "members-json", "member" -> say(staff.fleet(word[0], id)
                         .orElse(NO + (word[0].equals("member") ? "no such member" : "no fleet")));
+                case "zones", "zone-drain", "zone-restore" ->
+                        staff.zones(text).ifPresentOrElse(this::laterText,
+                        () -> say(NO + "no plans over zones"));
                 default -> say(NO + "no such call");
             }
         }
@@ -185,6 +188,14 @@
             });
         }
 
+        private void laterText(CompletableFuture<String> done) {
+            done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((text, late) -> {
+                say(late != null ? NO + "no answer yet, call again" : text);
+                answered.add(this);
+                selector.wakeup();
+            });
+        }
+
         private void say(String text) {
             answer = ByteBuffer.wrap((text + "\n").getBytes(StandardCharsets.ISO_8859_1));
         }
--- a/src/main/java/cairnbridge/admin/Staff.java
+++ b/src/main/java/cairnbridge/admin/Staff.java
@@ -17,6 +17,11 @@
         return Optional.empty();
     }
 
+    /** zones, or a call that drains or restores one; empty where there are no plans over zones. */
+    default Optional<CompletableFuture<String>> zones(String line) {
+        return Optional.empty();
+    }
+
     /** Sends clients away, or takes them again. */
     void standby(boolean on);
 }
--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -22,7 +22,7 @@
         description = "Routes ops to a fleet of cache servers.",
         subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class,
                 MembersCommand.class,
-                DrillCommand.class, DemoCommand.class, SimulateCommand.class})
+                DrillCommand.class, DemoCommand.class, SimulateCommand.class, ZonesCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/cairnbridge/cli/ZonesCommand.java
@@ -0,0 +1,52 @@
+package cairnbridge.cli;
+
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.ProxyConfig;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Shows the plan over zones that is in force at a proxy, and empties a zone or gives it back. */
+@Command(name = "zones", mixinStandardHelpOptions = true,
+        description = "Shows the plan over zones at a proxy; drains a zone or restores it.")
+final class ZonesCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--door", required = true, paramLabel = "ADDR",
+            description = "Address and port of the door.")
+    private String door;
+    @Option(names = "--drain", paramLabel = "ZONE",
+            description = "Moves a zone's traffic elsewhere, step by step.")
+    private String drain;
+    @Option(names = "--seconds", defaultValue = "0", description = "Not given back before, with --drain.")
+    private int seconds;
+    @Option(names = "--restore", paramLabel = "ZONE", description = "Gives a drained zone back.")
+    private String restore;
+
+    @Override
+    public Integer call() {
+        InetSocketAddress address = ProxyConfig.address(door);
+        if (address == null) {
+            throw new ConfigFault("--door", "is not an address and a port: " + door);
+        }
+        if (drain != null && restore != null) {
+            throw new ConfigFault("--restore", "goes not with --drain");
+        }
+        String call = drain != null ? "zone-drain " + drain + " " + seconds
+                : restore != null ? "zone-restore " + restore : "zones";
+        try {
+            String answer = MembersCommand.ask(address, call);
+            boolean good = !answer.startsWith("400 ");
+            (good ? spec.commandLine().getOut() : spec.commandLine().getErr())
+                    .println(answer.replaceFirst("\n?EOF\n*$", "").strip());
+            return good ? 0 : 1;
+        } catch (IOException e) {
+            spec.commandLine().getErr().println("no answer from " + door + ": " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- a/src/main/java/cairnbridge/config/FleetConfig.java
+++ b/src/main/java/cairnbridge/config/FleetConfig.java
@@ -4,6 +4,8 @@
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.zones.ZonesConfig;
+import cairnbridge.zones.plan.PlanSettings;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
@@ -27,17 +29,20 @@
  */
 public record FleetConfig(CarrierSettings carrier, FleetSettings view, String zone, String region,
                           boolean sharesFollow, boolean hintsNodes, boolean probesNodes, long probeNodesEvery,
-                          boolean dividesListCalls) {
+                          boolean dividesListCalls, Optional<ZonesConfig> zones) {
     private static final Set<String> KEYS = Set.of("cluster", "secret-file", "name", "bind", "advertise",
             "seeds",
-            "zone", "region", "protocol", "bytes-per-s", "life", "routes", "view", "use");
+            "zone", "region", "protocol", "bytes-per-s", "life", "routes", "view", "use", "zones");
     private static final Set<String> VIEW = Set.of("probe-every-s", "probe-timeout-s", "gossip-every-s",
             "sync-every-s", "remember-dead-s", "remember-left-s", "members", "datagram");
     private static final Set<String> USE = Set.of("shares", "hints", "probes", "probe-nodes-every-s",
             "list-calls");
+    private static final Set<String> ZONES = Set.of("agreed", "voters", "state", "node-ops-per-s", "regions",
+            "step-away", "step-back", "step-every-s", "hold-s", "origin-fetches-per-s", "alone-part");
     private static final int LEAST_SECRET = 16, LEAST_DATAGRAM = 1_000, MOST_DATAGRAM = 8_000,
             MOST_MEMBERS = 100_000;
-    private static final double PROBE_NODES_S = 2, BYTES = 60_000, TENTHS = 10_000;
+    private static final int MOST_VOTERS = 9;
+    private static final double ALONE = 0.2, PROBE_NODES_S = 2, BYTES = 60_000, TENTHS = 10_000;
 
     /** name: what the member is called where the file does not say. */
     public static FleetConfig read(String file, String name) {
@@ -76,7 +81,39 @@
                 (long) top.number("life", System.currentTimeMillis(), 1, 1e18));
         return new FleetConfig(carrier, view(view), top.text("zone", ""), top.text("region", ""),
                 use.flag("shares", true), use.flag("hints", true), use.flag("probes", false),
-                use.span("probe-nodes-every-s", PROBE_NODES_S, 0.1), use.flag("list-calls", true));
+                use.span("probe-nodes-every-s", PROBE_NODES_S, 0.1), use.flag("list-calls", true),
+                root.has("zones") ? Optional.of(zones(root.path("zones"), folder)) : Optional.empty());
+    }
+
+    private static ZonesConfig zones(JsonNode node, Path folder) {
+        Part zones = new Part(node, "fleet.zones", ZONES);
+        boolean agreed = zones.flag("agreed", true);
+        List<MemberId> voters = new ArrayList<>();
+        for (JsonNode each : node.path("voters")) {
+            if (!MemberId.isName(each.asText())) {
+                throw zones.fault("voters", "has what is no member's name: " + each.asText());
+            }
+            voters.add(new MemberId(each.asText()));
+        }
+        if (agreed && (voters.size() % 2 == 0 || voters.size() > MOST_VOTERS
+                || Set.copyOf(voters).size() < voters.size())) {
+            throw zones.fault("voters", "are not an odd number up to " + MOST_VOTERS + ", each named once");
+        }
+        Map<String, String> regions = new HashMap<>();
+        for (Iterator<Map.Entry<String, JsonNode>> all = node.path("regions").fields(); all.hasNext();) {
+            Map.Entry<String, JsonNode> each = all.next();
+            regions.put(each.getKey(), each.getValue().asText());
+        }
+        PlanSettings usual = PlanSettings.USUAL;
+        PlanSettings plan = new PlanSettings(zones.number("step-away", usual.stepAway(), 0.01, 1),
+                zones.number("step-back", usual.stepBack(), 0.01, 1),
+                zones.span("step-every-s", usual.stepEvery() / TENTHS, 0.1),
+                zones.span("hold-s", usual.hold() / TENTHS, 0), usual.fill(), usual.backFill(), usual.trial(),
+                zones.number("origin-fetches-per-s", usual.movedPerStep(), 1, 1e9));
+        return new ZonesConfig(agreed, List.copyOf(voters),
+                folder.resolve(zones.text("state", "zones.state")),
+                zones.number("node-ops-per-s", Double.NaN, 0.001, 1e9), Map.copyOf(regions), plan,
+                zones.number("alone-part", ALONE, 0, 1));
     }
 
     private static FleetSettings view(Part view) {
--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -58,6 +58,10 @@
     record Doubted(NodeId node) implements Event {
     }
 
+    /** Where ops may go from now on, by a plan over zones. */
+    record Placed(Placement placement) implements Event {
+    }
+
     enum Scope { CACHED, FULL, CHANGES, FAILED }
 
     enum State { GONE, READY, DRAINING }
--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -70,10 +70,10 @@
 
     /** What decisions use of a category. */
     record Plan(Effect effect, Group group, long span, long target, double benefit, boolean lateCounts,
-                Spans hits) {
+                Spans hits, Settings.Category category) {
         static Plan of(Settings.Category c) {
             return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(),
-                    c.lateBenefit() > 0, new Spans());
+                    c.lateBenefit() > 0, new Spans(), c);
         }
 
         /** A hit that took longer than this waited behind others: some times the usual, within the target. */
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -39,8 +39,10 @@
     private final Gate gate;
     private final Reports reports;
     private final Learnt before;
+    private final Settings settings;
     /** Among how many what is shared out is divided: as configured, or as a view of the fleet tells. */
     private double proxies;
+    private Placement placement = Placement.ANYWHERE;
     private long now;
 
     /** before is what one whose place it takes had learnt and what still holds; the rest starts afresh. */
@@ -49,10 +51,11 @@
         this.host = host;
         this.loop = new Loop(host);
         this.now = clock;
+        this.settings = settings;
         this.proxies = Math.max(1, settings.proxies());
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.reports = new Reports(settings.reportColumns());
-        this.ring = new Ring(settings);
+        this.ring = new Ring();
         this.gate = new Gate(settings);
         this.origin = new Origin(settings);
         this.admission = new Admission(settings);
@@ -80,12 +83,12 @@
         now = Math.max(now, clock);
         if (event instanceof Event.TimerFired fired) {
             loop.fired(fired.timer());
-        } else if (event instanceof Event.Roster) {
-            loop.post(ring, new Note(What.LISTED, event));
-        } else if (event instanceof Event.Held) {
-            loop.post(ring, new Note(What.HELD, event));
+        } else if (event instanceof Event.Roster || event instanceof Event.Held) {
+            loop.post(ring, new Note(event instanceof Event.Held ? What.HELD : What.LISTED, event));
         } else if (event instanceof Event.Proxies living) {
             proxies = Math.max(1, living.count());
+        } else if (event instanceof Event.Placed placed) {
+            placement = placed.placement();
         } else if (event instanceof Event.Doubted doubted && nodes.get(doubted.node()) != null) {
             loop.post(nodes.get(doubted.node()), new Note(What.DOUBTED, event));
         } else {
@@ -143,6 +146,7 @@
     private static final class Offer extends Note {
         final double average;
         final boolean hot;
+        private final ZoneId zone;
         private final Ring ring;
         private final BitSet seen;
         private int at, left, unseen;
@@ -150,13 +154,14 @@
         Node least;
         double leastLoad = Double.MAX_VALUE;
 
-        Offer(Op op, Ring ring, Node first, double average, boolean hot) {
+        Offer(Op op, Ring ring, Node first, double average, boolean hot, ZoneId zone) {
             super(What.OFFER, op);
+            this.zone = zone;
             this.ring = ring;
             this.average = average;
             this.hot = hot;
             seen = new BitSet(ring.owners.size());
-            left = ring.points.size();
+            left = zone == Placement.NOWHERE ? 0 : ring.points.size();
             unseen = ring.caches;
             at = ring.points.indexOf(op.point);
             if (first != null && first.slot >= 0 && first.serves()) {
@@ -185,7 +190,8 @@
                 at = at + 1 == ring.points.size() ? 0 : at + 1;
                 Node node = ring.owners.get(ring.points.slot(here));
                 // A cold node's keys come back as it warms: points above its openness belong to the next.
-                if (!seen.get(node.slot) && ring.points.rank(here) <= node.openness * node.points) {
+                if (!seen.get(node.slot) && ring.points.rank(here) <= node.openness * node.points
+                        && (zone == null || zone.equals(node.entry.zone()))) {
                     see(node);
                     if (!op.triedAt(node)) {
                         left--;
@@ -210,17 +216,12 @@
         /** The caches that are cold or lately answered late: only they change from beat to beat. */
         private final List<Node> restless = new ArrayList<>();
         private double weights, full, smoothed, usual;
-        private final long mostWait;
         private int caches, inFlight, failures;
         private long pacedAt, toldAt, askAt;
         private final Heat heat = new Heat();
         /** By machine kind, a nominal size's span of work as reports tell it: proxies see a node seldom. */
         private final Map<MachineKind, Mean> kinds = new HashMap<>();
 
-        Ring(Settings settings) {
-            mostWait = Math.max(BEAT, settings.askWithin() / 3);
-        }
-
         @Override void take(Note note) {
             switch (note.what) {
                 case PLACE -> place(note.op, note.node);
@@ -287,10 +288,12 @@
         }
 
         private void place(Op op, Node first) {
-            double average = weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
+            ZoneId zone = placement.zone(op.point, op.plan.category());
+            double average = zone != null ? average(zone)
+                    : weights <= 0 ? 0 : Math.max(inFlight, smoothed) / weights;
             boolean wide = origin.limit.level >= 1;
             double shares = heat.shares(op.point, caches, op.repeat, proxies > caches, wide);
-            Offer offer = new Offer(op, this, first, average, shares > HOT / 5);
+            Offer offer = new Offer(op, this, first, average, shares > HOT / 5, zone);
             Node node = offer.next();
             // Guards against a key hotter than a cache, met by many: its ops start at one of some neighbours.
             int spread = Math.min(caches, (int) Math.ceil(shares / HOT));
@@ -298,18 +301,25 @@
                 node = offer.start(node, spread, chance);
             }
             if (node == null) {
-                loop.post(desk, new Note(What.STUCK, op));
+                loop.post(desk, new Note(What.STUCK, op, null, null, null, zone == null ? 0 : LONGEST));
             } else {
                 loop.post(node, offer);
             }
         }
 
+        /** Over the caches of one zone, where a plan keeps an op to that. */
+        private double average(ZoneId zone) {
+            List<Node> some = owners.stream().filter(n -> n != null && n.entry.zone().equals(zone)).toList();
+            double weight = some.stream().mapToDouble(n -> n.weight * n.openness).sum();
+            return weight <= 0 ? 0 : some.stream().mapToInt(n -> n.inFlight).sum() / weight;
+        }
+
         private void list(Event.Roster roster) {
             if (roster.scope() == Scope.FAILED) {
                 // Guards against a list of fixed capacity that all ask at once: waits grow, one at a time.
                 if (now >= askAt) {
                     long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
-                    askAt = now + Math.min(wait, mostWait);
+                    askAt = now + Math.min(wait, Math.max(BEAT, settings.askWithin() / 3));
                     loop.wake(this, askAt - now, new Note(What.SUBSCRIBE, 0));
                 }
                 return;
@@ -690,13 +700,12 @@
         private static final double[] JAMMED = {3, 2.2}, RELIEVED = {3, 1.1}, EASE = {3, 0};
         private static final double UNEVEN = 1.3, MOST_TIMES = 8, FEW_OPS = 5;
         private final double[] quotas, parts, tokens;
-        private final double excessBenefit;
         /** Bounds on ops in flight, and how many times its lowest usual span a push takes. */
         private final double[] levels = {200, 200};
         private double stretch;
         private long judgedAt;
         private final boolean[] jammed = new boolean[2];
-        private long filledAt;
+        private long filledAt = now;
 
         Admission(Settings settings) {
             quotas = new double[settings.tenants().size()];
@@ -709,8 +718,6 @@
                 parts[i] = UNEVEN * tenant.quota() / all;
                 tokens[i] = depth(i);
             }
-            excessBenefit = settings.excessBenefit();
-            filledAt = now;
         }
 
         @Override void take(Note note) {
@@ -720,8 +727,7 @@
             }
             if (note.what == What.ENDED) {
                 Event.PushEnded ended = (Event.PushEnded) note.event;
-                // Guards against a day that begins jammed: its lowest span is high, so the target counts too,
-                // and an op lost at its TTL counts most. A full queue speaks of its own cache alone.
+                // Guards against a day that begins jammed, its lowest span high: the target counts too.
                 boolean lost = ended.ending() == Ending.TIMED_OUT
                         || ended.ending() == Ending.CALLED_OFF && note.op.expires - now <= SECOND / 50;
                 double told = reports.span(ended.report());
@@ -742,8 +748,8 @@
             for (int i = 0; i < levels.length; i++) {
                 // Guards against a least that crowds the caches, as many proxies each let it through.
                 double least = i == 0 ? Math.min(2, 0.5 * fair) : 0;
-                // Guards against crowded caches that stay slow until drained: once jammed, cut until well.
-                // A small bound bears more, so that proxies which share a jam come to share the room too.
+                // Guards against caches slow until drained: once jammed, cut until well; small bounds bear
+                // more.
                 double mark = (jammed[i] ? RELIEVED[i] : JAMMED[i]) * (1 + EASE[i] / levels[i]);
                 jammed[i] = stretch > mark;
                 if (jammed[i]) {
@@ -757,7 +763,7 @@
         private void ask(Op op) {
             boolean excess = excess(op.tenant);
             if (excess) {
-                op.benefit *= excessBenefit;
+                op.benefit *= settings.excessBenefit();
             }
             // Where the room is under one op a proxy, its fraction is a chance.
             double level = levels[excess ? 1 : 0];
@@ -861,7 +867,7 @@
 
         /** When a push outlasts nearly all others of its category, a second copy may go elsewhere. */
         private void sent(Op op, Push push) {
-            if (push.fetch || !gate.secondCopies || op.plan.effect() != Effect.REDELIVERABLE) {
+            if (push.fetch || !settings.maySecondCopy() || op.plan.effect() != Effect.REDELIVERABLE) {
                 return;
             }
             long most = Math.max(op.plan.target() / 2, 5 * op.plan.hits().floor());
@@ -936,23 +942,16 @@
 
     /** The four rules. Every push and every final answer passes here, and nowhere else are they made. */
     private final class Gate extends Part {
-        private final int mostPushes;
-        private final boolean secondCopies, mayCancel;
-        private final long maxAdvice, tick, warmUp, fallSpan;
-        private final double coldFrom, coldBudget;
+        private final long maxAdvice, tick, fallSpan;
+        private final double coldBudget;
         private final long begun = now;
         /** Sends to caches, of which what is old counts less. */
         private double sends;
         private long countedAt;
 
         Gate(Settings settings) {
-            mostPushes = settings.mostPushes();
-            secondCopies = settings.maySecondCopy();
-            mayCancel = settings.mayCancel();
             maxAdvice = settings.mayAdviseRetry() ? settings.maxRetryAfter() : 0;
             tick = settings.tick();
-            coldFrom = settings.coldFrom();
-            warmUp = settings.warmUp();
             coldBudget = settings.fallMultiple() > 0 ? Math.max(0.5, settings.fallMultiple() / 2) : 1e9;
             fallSpan = Math.max(1, settings.fallSpan());
         }
@@ -988,7 +987,7 @@
         /** Rules 1 and 2, as far as they do not depend on the node. */
         boolean mayPush(Op op) {
             boolean open = !op.over && !op.streaming && op.expires - now > tick
-                    && op.pushes.size() < mostPushes && (secondCopies || op.open == 0);
+                    && op.pushes.size() < settings.mostPushes() && (settings.maySecondCopy() || op.open == 0);
             return open && (op.plan.effect() != Effect.AT_MOST_ONCE || !op.mayHaveRun());
         }
 
@@ -1032,7 +1031,7 @@
         }
 
         private void callOff(Op op) {
-            for (int i = 0; mayCancel && op.open > 0 && i < op.pushes.size(); i++) {
+            for (int i = 0; settings.mayCancel() && op.open > 0 && i < op.pushes.size(); i++) {
                 // An at-most-once op may still be carried out: calling it off would help nobody.
                 if (op.pushes.get(i).open && op.plan.effect() == Effect.REDELIVERABLE) {
                     host.cancel(op.id, i);
@@ -1041,10 +1040,11 @@
         }
 
         double warmth(Node node) {
-            if (node.started <= 0 || warmUp <= 0 || now >= node.started + warmUp) {
+            if (node.started <= 0 || settings.warmUp() <= 0 || now >= node.started + settings.warmUp()) {
                 return 1;
             }
-            return coldFrom + (1 - coldFrom) * Math.max(0, now - node.started) / warmUp;
+            return settings.coldFrom() + (1 - settings.coldFrom())
+                    * Math.max(0, now - node.started) / settings.warmUp();
         }
 
         /** Rule 4: within one span a cold node gets no more than its share of what a warm one is sent. */
@@ -1054,8 +1054,7 @@
                 return true;
             }
             if (now >= node.windowEnds) {
-                // Guards against hundreds of proxies with a least of one each: part of an op is a chance.
-                // What one that comes by seldom left unused adds up to an op, else the node stands idle.
+                // Guards against a least of one at hundreds of proxies: part is a chance, and adds up unused.
                 long window = now - begun < fallSpan ? Math.min(BEAT, fallSpan) : fallSpan;
                 double windows = 1 + (double) (now - node.windowEnds) / window;
                 node.windowEnds = now + window;
@@ -1066,8 +1065,7 @@
         }
 
         /**
-         * What a cache is sent in one span for its open weight. Guards against cold caches left idle by one
-         * that has just started, or knows few warm ones: it goes by all that was sent so far.
+         * What a cache is sent in one span for its open weight; a newcomer goes by all it has sent so far.
          */
         private double rate() {
             double memory = 3.0 * fallSpan;
--- a/src/main/java/cairnbridge/drill/link/Relay.java
+++ b/src/main/java/cairnbridge/drill/link/Relay.java
@@ -12,6 +12,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -41,6 +43,7 @@
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final PriorityQueue<Later> later = new PriorityQueue<>();
     private final List<Half> halves = new ArrayList<>();
+    private final Map<ServerSocketChannel, String> servers = new ConcurrentHashMap<>();
     private final ByteBuffer in = ByteBuffer.allocate(BUFFER);
     private final Thread thread = new Thread(this, "relay");
     private long rank;
@@ -83,8 +86,28 @@
         return (InetSocketAddress) server.getLocalAddress();
     }
 
+    /** All ways to a process that has gone: who comes is refused, what is open is reset. */
+    public void shut(String to) {
+        tasks.add(() -> {
+            for (SelectionKey key : selector.keys()) {
+                if (key.isValid() && key.channel() instanceof ServerSocketChannel server
+                        && to.equals(servers.get(server))) {
+                    servers.remove(server);
+                    try {
+                        server.close();
+                    } catch (IOException e) {
+                        LOG.log(Level.FINE, "relay: {0}", e.toString());
+                    }
+                }
+            }
+            List.copyOf(halves).stream().filter(half -> half.receiver.equals(to)).forEach(Half::shut);
+        });
+        selector.wakeup();
+    }
+
     private void listen(ServerSocketChannel server, String to, InetSocketAddress there,
             Function<InetAddress, String> who) throws IOException {
+        servers.put(server, to);
         register(server, SelectionKey.OP_ACCEPT, () -> accept(server, to, there, who));
     }
 
--- a/src/main/java/cairnbridge/drill/rig/Demo.java
+++ b/src/main/java/cairnbridge/drill/rig/Demo.java
@@ -54,13 +54,13 @@
                 Thread.sleep(LOOK_MILLIS);
             }
             where(rig);
-            rig.load(scenario.load());
+            rig.load("", scenario.load());
             long until = seconds == 0 ? Long.MAX_VALUE : events.millis() + seconds * 1000L;
             while (events.millis() < until) {
                 Thread.sleep(Math.min(SAY_MILLIS, Math.max(1, until - events.millis())));
                 say(rig);
             }
-            return rig.clients().served.sum() > 0;
+            return rig.clients().get(0).served.sum() > 0;
         } finally {
             close(rig);
             events.close();
@@ -92,7 +92,7 @@
     }
 
     private void say(Rig rig) throws IOException {
-        Clients clients = rig.clients();
+        Clients clients = rig.clients().get(0);
         long alive = -1;
         for (ProxyProcess proxy : rig.running()) {
             if (proxy.isAlive()) {
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -4,6 +4,7 @@
 import cairnbridge.drill.link.LinkRule;
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.Step;
+import cairnbridge.drill.standin.Clients;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -11,20 +12,24 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Plays one scenario: steps are done in order, and what must hold is looked at until it does or its time is
  * up. Leaves a record of events in a folder and gives a verdict.
  */
 public final class Drill {
-    private static final long LOOK_MILLIS = 100, START_MILLIS = 60_000;
+    private static final long LOOK_MILLIS = 100, START_MILLIS = 60_000, QUIET_MILLIS = 4_000;
 
     /** held: whether all that must hold did; lines: one a step that says something, with its figures. */
     public record Verdict(boolean held, List<String> lines) {
@@ -45,7 +50,7 @@
     private EventLog events;
     private Rig rig;
     private boolean held = true;
-    private long served, ended, calls;
+    private long served, ended, calls, near, placed;
 
     /** folder: where the record and the processes' files go; out is told each line of the verdict at once. */
     public Drill(Scenario scenario, Path folder, Consumer<String> out) {
@@ -61,7 +66,8 @@
                 folder, log)) {
             events = log;
             rig = fleet;
-            rig.load(scenario.caches() > 0 ? scenario.load() : 0);
+            rig.load("", scenario.caches() > 0 ? scenario.load() : 0);
+            rig.countPeak();
             for (Step step : scenario.steps()) {
                 events.event("step", "drill", "line " + step.line() + ": " + step.verb().word() + " "
                         + String.join(" ", step.words()));
@@ -125,10 +131,21 @@
                 rig.heal();
             }
             case CACHE_SLOW -> rig.cache(step.words().get(0)).span(step.millis(1));
-            case CACHE_FAILS -> rig.cache(step.words().get(0)).fails(step.words().get(1).equals("yes"));
+            case CACHE_FAILS -> step.names(0).forEach(uid ->
+                    rig.cache(uid).fails(step.words().get(1).equals("yes")));
+            case CACHE_GREY -> step.names(0).forEach(uid ->
+                    rig.cache(uid).grey(step.words().get(1).equals("yes")));
             case ORIGIN_SLOW -> rig.origin().span(step.millis(0));
             case DISCOVERY -> rig.discovery(step.words().get(0).equals("up"));
-            case LOAD -> rig.load(step.number(0));
+            case LOAD -> rig.load("", step.number(0));
+            case ZONE_LOAD -> rig.load(step.words().get(0), step.number(1));
+            case CACHE_KILL -> step.names(0).forEach(rig::killCache);
+            case CACHE_START -> {
+                for (String uid : step.names(0)) {
+                    rig.startCache(uid);
+                }
+            }
+            case DRAIN, RESTORE -> staff(step);
             case COUNT -> count();
             default -> look(step);
         }
@@ -184,16 +201,101 @@
     }
 
     private void count() {
-        if (rig.clients() != null) {
-            served = rig.clients().served.sum();
-            ended = ended();
-        }
+        served = sum(clients -> clients.served.sum());
+        ended = ended();
         calls = rig.listCalls();
+        rig.countPeak();
+        near = figure("zones.near_total");
+        placed = near + figure("zones.far_total") + figure("zones.shed_total");
+    }
+
+    private long sum(ToLongFunction<Clients> figure) {
+        return rig.clients().stream().mapToLong(figure).sum();
     }
 
     private long ended() {
-        return rig.clients().served.sum() + rig.clients().refused.sum() + rig.clients().failed.sum()
-                + rig.clients().lost.sum();
+        return sum(clients -> clients.served.sum() + clients.refused.sum() + clients.failed.sum()
+                + clients.lost.sum());
+    }
+
+    /** A figure over all that run. */
+    private long figure(String name) {
+        long sum = 0;
+        for (ProxyProcess proxy : rig.running()) {
+            try {
+                sum += Math.max(0, proxy.figure(name));
+            } catch (IOException e) {
+                events.event("figure", proxy.name, name + " is not to be had: " + e.getMessage());
+            }
+        }
+        return sum;
+    }
+
+    private void staff(Step step) throws IOException {
+        String call = step.verb() == Step.Verb.DRAIN ? "zone-drain " + step.words().get(0) + " "
+                + step.words().get(1) : "zone-restore " + step.words().get(0);
+        String answer = rig.running().get(0).ask(call).strip();
+        holds(step, answer.startsWith("200 "), answer, answer);
+    }
+
+    /**
+     * The part of a zone's traffic that is served at home by the plan in force at a proxy, in thousandths.
+     */
+    private static int homePart(ProxyProcess proxy, String zone) throws IOException {
+        String row = proxy.ask("zones").lines().filter(line -> line.startsWith(zone + " -> ")).findFirst()
+                .orElse(zone + " -> " + zone + " 1000");
+        Matcher part = Pattern.compile("[>,] " + zone + " (\\d+)").matcher(row);
+        return part.find() ? Integer.parseInt(part.group(1)) : 0;
+    }
+
+    private void zones(Step step) throws IOException, InterruptedException {
+        String zone = step.words().isEmpty() ? "" : step.words().get(0);
+        switch (step.verb()) {
+            case ZONE_OUT, ZONE_HOME -> until(step, step.millis(2), () -> {
+                for (ProxyProcess proxy : rig.running()) {
+                    int part = homePart(proxy, zone);
+                    if (part != (step.verb() == Step.Verb.ZONE_OUT ? 0 : 1000)) {
+                        return "zone " + zone + " serves " + part + " of its own at " + proxy.name;
+                    }
+                }
+                return "";
+            }, "zone " + zone + (step.verb() == Step.Verb.ZONE_OUT ? " is out of use" : " serves its own"));
+            case ZONES_SETTLED -> {
+                Map<String, String> last = new HashMap<>();
+                long[] since = {events.millis()};
+                until(step, step.millis(1), () -> {
+                    Set<String> epochs = new TreeSet<>();
+                    for (ProxyProcess proxy : rig.running()) {
+                        epochs.add(proxy.ask("zones").lines().findFirst().orElse("").split(" by ")[0]);
+                    }
+                    if (!epochs.toString().equals(last.put("", epochs.toString()))) {
+                        since[0] = events.millis();
+                    }
+                    return epochs.size() == 1 && events.millis() - since[0] >= QUIET_MILLIS ? ""
+                            : "epochs are " + epochs + " or new";
+                }, "one epoch, no step for " + QUIET_MILLIS / 1000 + " s");
+            }
+            case REVERSALS -> holds(step, rig.reversals() <= step.number(1), "at most " + rig.reversals()
+                    + " reversals of a zone", rig.reversals() + " reversals of a zone");
+            case NEAR -> {
+                long nearNow = figure("zones.near_total") - near;
+                long all = Math.max(1, figure("zones.near_total") + figure("zones.far_total")
+                        + figure("zones.shed_total") - placed);
+                String figures = String.format(Locale.ROOT, "%.4f of %d ops placed near",
+                        (double) nearNow / all, all);
+                holds(step, (double) nearNow / all >= step.part(1), figures, figures);
+            }
+            case ORIGIN_PEAK -> holds(step, rig.originPeak() <= step.number(1), rig.originPeak()
+                    + " fetches in the worst second", rig.originPeak() + " fetches in the worst second");
+            case ANSWERED_IN_TIME -> {
+                long lost = sum(clients -> clients.lost.sum());
+                double part = 1 - (double) lost / Math.max(1, ended());
+                String figures = String.format(Locale.ROOT, "%.4f of %d ops were answered", part, ended());
+                holds(step, part >= step.part(1), figures, figures);
+            }
+            default -> holds(step, rig.felled() == 0, "no cold cache was pushed over", rig.felled()
+                    + " times a cold cache was pushed over");
+        }
     }
 
     private void look(Step step) throws IOException, InterruptedException {
@@ -230,7 +332,7 @@
             }
             case SERVED -> {
                 long all = Math.max(1, ended() - ended);
-                double part = (double) (rig.clients().served.sum() - served) / all;
+                double part = (double) (sum(clients -> clients.served.sum()) - served) / all;
                 String figures = String.format(java.util.Locale.ROOT, "%.4f of %d ops were served", part,
                         all);
                 holds(step, part >= step.part(1), figures, figures);
@@ -259,6 +361,9 @@
                 return "";
             }, "all share among " + step.number(0));
             case PROBED -> probed(step);
+            case ZONE_OUT, ZONE_HOME, ZONES_SETTLED, REVERSALS, NEAR, ORIGIN_PEAK, NONE_FELLED,
+                    ANSWERED_IN_TIME ->
+                zones(step);
             case LIST_CALLS -> {
                 long made = rig.listCalls() - calls;
                 holds(step, made <= step.number(1), made + " calls for lists", made + " calls for lists");
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -40,6 +40,7 @@
         this.name = name;
         this.zone = zone;
         this.folder = Files.createDirectories(folder.resolve(name));
+        Files.deleteIfExists(this.folder.resolve("zones.state")); // An earlier drill's.
         this.said = said;
         ip = InetAddress.getByAddress(new byte[] {127, 1, (byte) (number / 250), (byte) (number % 250 + 1)});
         clients = free();
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -23,6 +23,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
@@ -37,6 +38,7 @@
     /** A death is false if its subject could be heard for so long before. */
     private static final long HEARD_MILLIS = 8_000;
     private static final Pattern DEATH = Pattern.compile("fleet: (\\S+) at \\S+ is dead, was");
+    private static final Pattern ROW = Pattern.compile("zones: epoch (\\d+) by \\S+: (\\S+) -> (.*):");
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Scenario scenario;
@@ -56,7 +58,14 @@
     private final List<String> falseDeaths = new CopyOnWriteArrayList<>(),
             hints = new CopyOnWriteArrayList<>();
     private final Origin origin;
-    private Clients clients;
+    /** Clients of one zone's proxies by zone, and those of all under an empty name. */
+    private final Map<String, Clients> clients = new ConcurrentHashMap<>();
+    /** Home parts of each zone's row, by epoch, as the first to say so. */
+    private final Map<String, TreeMap<Long, Integer>> homeParts = new ConcurrentHashMap<>();
+    private final List<CacheNode> gone = new ArrayList<>();
+    private final List<Clients> ended = new ArrayList<>();
+    private volatile long peak;
+    private Thread sampler;
 
     Rig(Scenario scenario, Path folder, EventLog events) throws IOException {
         this.scenario = scenario;
@@ -118,6 +127,12 @@
         if (line.contains("cannot reach node")) {
             hints.add(proxy.name + " " + line.substring(line.lastIndexOf(' ') + 1));
         }
+        Matcher row = ROW.matcher(line);
+        if (row.find()) {
+            Matcher home = Pattern.compile("\\b" + row.group(2) + " (\\d+)").matcher(row.group(3));
+            homeParts.computeIfAbsent(row.group(2), zone -> new TreeMap<>()).putIfAbsent(
+                    Long.parseLong(row.group(1)), home.find() ? Integer.parseInt(home.group(1)) : 0);
+        }
         Matcher death = DEATH.matcher(line);
         if (death.find()) {
             ProxyProcess subject = proxies.get(death.group(1));
@@ -154,8 +169,85 @@
         return caches.get(uid);
     }
 
-    Clients clients() {
-        return clients;
+    /** All clients there are and were. */
+    List<Clients> clients() {
+        List<Clients> all = new ArrayList<>(ended);
+        all.addAll(clients.values());
+        return all;
+    }
+
+    /** How often a zone's home part turned from falling to rising or back, at most over all zones. */
+    int reversals() {
+        int most = 0;
+        for (TreeMap<Long, Integer> parts : homeParts.values()) {
+            int turns = 0;
+            int way = -1;
+            int last = 1000;
+            for (int part : List.copyOf(parts.values())) {
+                int now = Integer.signum(part - last);
+                turns += now != 0 && now != way ? 1 : 0;
+                way = now == 0 ? way : now;
+                last = part;
+            }
+            most = Math.max(most, turns);
+        }
+        return most;
+    }
+
+    /** The most fetches of the origin in one second since the last count. */
+    long originPeak() {
+        return peak;
+    }
+
+    void countPeak() {
+        peak = 0;
+        if (sampler == null) {
+            sampler = new Thread(() -> {
+                long last = origin.fetches.sum();
+                while (!Thread.currentThread().isInterrupted()) {
+                    try {
+                        Thread.sleep(1000);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    long now = origin.fetches.sum();
+                    peak = Math.max(peak, now - last);
+                    last = now;
+                }
+            }, "origin's rate");
+            sampler.setDaemon(true);
+            sampler.start();
+        }
+    }
+
+    long felled() {
+        long felled = 0;
+        for (CacheNode cache : caches.values()) {
+            felled += cache.fellOver.sum();
+        }
+        for (CacheNode cache : gone) {
+            felled += cache.fellOver.sum();
+        }
+        return felled;
+    }
+
+    /** Its connections are refused from now on; the list says nothing of it. */
+    void killCache(String uid) {
+        CacheNode cache = caches.get(uid);
+        gone.add(cache);
+        cache.close();
+        relay.shut(uid);
+        events.event("kill", uid, "");
+    }
+
+    /** Starts empty, at another port; the list tells at once. */
+    void startCache(String uid) throws IOException {
+        CacheNode cache = new CacheNode(world, uid, caches.get(uid).zone());
+        caches.put(uid, cache);
+        streams.keySet().removeIf(way -> way.endsWith(">" + uid));
+        roster.put(new Discovery.Entry(uid, text(cache.address()), cache.zone(), "cache", "Ready",
+                cache.began(), 0));
+        events.event("start", uid, "cold");
     }
 
     ProxyProcess proxy(String name) {
@@ -232,12 +324,18 @@
         agents.values().forEach(agent -> agent.down(!up));
     }
 
-    /** Clients from now on, so many ops a second; those before end. */
-    void load(int perSecond) {
-        if (clients != null) {
-            clients.close();
+    /** Clients of one zone's proxies, or of all where it is empty, so many ops a second; those before end. */
+    void load(String zone, int perSecond) {
+        Clients before = clients.remove(zone);
+        if (before != null) {
+            before.close();
+            ended.add(before);
+        }
+        if (perSecond > 0) {
+            clients.put(zone, new Clients(() -> taking.entrySet().stream()
+                    .filter(each -> zone.isEmpty() || proxies.get(each.getKey()).zone.equals(zone))
+                    .map(Map.Entry::getValue).toList(), perSecond, 2_000, scenario.seed() + zone.hashCode()));
         }
-        clients = perSecond == 0 ? null : new Clients(taking, perSecond, 2_000, scenario.seed());
     }
 
     private String config(ProxyProcess proxy) {
@@ -296,7 +394,10 @@
 
     @Override
     public void close() throws InterruptedException {
-        load(0);
+        List.copyOf(clients.keySet()).forEach(zone -> load(zone, 0));
+        if (sampler != null) {
+            sampler.interrupt();
+        }
         for (ProxyProcess proxy : proxies.values()) {
             proxy.kill();
         }
--- a/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
+++ b/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
@@ -148,12 +148,35 @@
                     word(step, 1, "for");
                     step.millis(2);
                 }
+                case CACHE_KILL, CACHE_START -> step.names(0).forEach(name -> any(step.line(), name));
+                case ZONE_LOAD -> {
+                    zone(step);
+                    step.number(1);
+                }
+                case DRAIN -> {
+                    zone(step);
+                    step.number(1);
+                }
+                case RESTORE -> zone(step);
+                case ZONE_OUT, ZONE_HOME -> {
+                    zone(step);
+                    within(step, 1);
+                }
+                case ZONES_SETTLED -> within(step, 0);
+                case REVERSALS, ORIGIN_PEAK -> {
+                    word(step, 0, "at-most");
+                    step.number(1);
+                }
+                case NEAR, ANSWERED_IN_TIME -> {
+                    word(step, 0, "at-least");
+                    step.part(1);
+                }
                 case CACHE_SLOW -> {
                     any(step.line(), step.words().get(0));
                     step.millis(1);
                 }
-                case CACHE_FAILS -> {
-                    any(step.line(), step.words().get(0));
+                case CACHE_FAILS, CACHE_GREY -> {
+                    step.names(0).forEach(name -> any(step.line(), name));
                     word(step, 1, "yes", "no");
                 }
                 case DISCOVERY -> word(step, 0, "down", "up");
@@ -167,6 +190,12 @@
         }
     }
 
+    private void zone(Step step) {
+        if (!zones.contains(step.words().get(0))) {
+            throw new ScenarioFault(step.line(), "there is no zone " + step.words().get(0));
+        }
+    }
+
     private void members(Step step, int at) {
         step.names(at).forEach(name -> member(step.line(), name));
     }
--- a/src/main/java/cairnbridge/drill/scenario/Step.java
+++ b/src/main/java/cairnbridge/drill/scenario/Step.java
@@ -11,7 +11,10 @@
         CACHE_SLOW(2, 2), CACHE_FAILS(2, 2), ORIGIN_SLOW(1, 1), DISCOVERY(1, 1), LOAD(1, 1), COUNT(0, 0),
         AGREE(2, 2), PARTS_AGREE(2, 2), NOBODY_FALSELY_DEAD(0, 0), SAME_LIFE(1, 1), NEW_LIFE(1, 1),
                 SERVED(2, 2),
-        NO_EFFECT_TWICE(0, 0), HINTED(3, 3), SHARES(3, 3), PROBED(3, 3), LIST_CALLS(2, 2), REFUSED_SOME(1, 1);
+        NO_EFFECT_TWICE(0, 0), HINTED(3, 3), SHARES(3, 3), PROBED(3, 3), LIST_CALLS(2, 2), REFUSED_SOME(1, 1),
+        CACHE_KILL(1, 1), CACHE_START(1, 1), CACHE_GREY(2, 2), ZONE_LOAD(2, 2), DRAIN(2, 2), RESTORE(1, 1),
+        ZONE_OUT(3, 3), ZONE_HOME(3, 3), ZONES_SETTLED(2, 2), REVERSALS(2, 2), NEAR(2, 2), ORIGIN_PEAK(2, 2),
+        NONE_FELLED(0, 0), ANSWERED_IN_TIME(2, 2);
 
         final int least, most;
 
--- a/src/main/java/cairnbridge/drill/standin/CacheNode.java
+++ b/src/main/java/cairnbridge/drill/standin/CacheNode.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
@@ -16,6 +17,7 @@
 public final class CacheNode extends Http {
     private static final long COLD_MILLIS = 3000, DOWN_MILLIS = 1000;
     private static final int SLOTS = 32, COLD_FALLS_OVER = 24;
+    private static final long LATE_MILLIS = 450;
     private static final byte[] NOTHING = {};
 
     private final World world;
@@ -23,8 +25,9 @@
     private final long began = System.currentTimeMillis();
     private final Map<String, byte[]> values = new ConcurrentHashMap<>();
     private final Semaphore slots = new Semaphore(SLOTS);
+    private final AtomicLong turn = new AtomicLong();
     private volatile long spanMillis = 2, downUntil;
-    private volatile boolean failing;
+    private volatile boolean failing, grey;
     public final LongAdder hits = new LongAdder(), misses = new LongAdder(), turnedAway = new LongAdder(),
             fellOver = new LongAdder(), probes = new LongAdder();
 
@@ -55,6 +58,11 @@
         failing = on;
     }
 
+    /** Every third answer comes late, and probes go well. */
+    public void grey(boolean on) {
+        grey = on;
+    }
+
     void store(String key, byte[] value) {
         values.put(key, value);
     }
@@ -84,7 +92,8 @@
             return;
         }
         try {
-            TimeUnit.MILLISECONDS.sleep(cold ? 2 * spanMillis : spanMillis);
+            boolean late = grey && turn.getAndIncrement() % 3 == 0;
+            TimeUnit.MILLISECONDS.sleep(late ? LATE_MILLIS : cold ? 2 * spanMillis : spanMillis);
             if (failing) {
                 say(exchange, 500, NOTHING);
                 return;
--- a/src/main/java/cairnbridge/drill/standin/Clients.java
+++ b/src/main/java/cairnbridge/drill/standin/Clients.java
@@ -7,12 +7,12 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -33,13 +33,14 @@
     });
     private final RandomGenerator chance;
     private final int keys;
-    private final AtomicLong ids = new AtomicLong();
-    private final Map<String, InetSocketAddress> proxies;
+    private static final AtomicLong LIVES = new AtomicLong();
+    private final AtomicLong ids = new AtomicLong(LIVES.incrementAndGet() << 40);
+    private final Supplier<List<InetSocketAddress>> proxies;
     public final LongAdder asked = new LongAdder(), served = new LongAdder(), refused = new LongAdder(),
             failed = new LongAdder(), lost = new LongAdder(), repeats = new LongAdder();
 
-    /** proxies: those that take clients, by name; the map may change at any time. */
-    public Clients(Map<String, InetSocketAddress> proxies, int perSecond, int keys, long seed) {
+    /** proxies: those that take clients now. */
+    public Clients(Supplier<List<InetSocketAddress>> proxies, int perSecond, int keys, long seed) {
         this.proxies = proxies;
         this.keys = keys;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
@@ -47,7 +48,7 @@
     }
 
     private void next() {
-        List<InetSocketAddress> places = List.copyOf(proxies.values());
+        List<InetSocketAddress> places = proxies.get();
         if (places.isEmpty()) {
             return;
         }
--- a/src/main/java/cairnbridge/fleet/Fleet.java
+++ b/src/main/java/cairnbridge/fleet/Fleet.java
@@ -12,9 +12,11 @@
 import cairnbridge.fleet.use.NodeHints;
 import cairnbridge.fleet.view.FleetHost.Why;
 import cairnbridge.fleet.view.View;
+import cairnbridge.zones.ZoneMember;
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.logging.Logger;
 
 /**
@@ -34,6 +36,8 @@
     private final ListCalls listCalls;
     private final ChangeLog log = new ChangeLog(LOG::info);
     private final String clients, door;
+    /** Null where plans over zones are off. */
+    private final ZoneMember zones;
     private volatile int shares;
 
     /** instances: the configured number of proxies; IOException names an address that cannot be had. */
@@ -49,7 +53,13 @@
         hints = new NodeHints(config.zone());
         duties = new Duties(me, config.zone(), config.probeNodesEvery());
         listCalls = new ListCalls(me, config.zone());
+        zones = config.zones().isEmpty() ? null : new ZoneMember(me, config.zone(), config.zones().get(),
+                seed,
+                proxy, line -> LOG.info(line));
         carrier = new Carrier(config.carrier(), config.view(), told(), seed, this);
+        if (zones != null) {
+            zones.carriedBy(carrier);
+        }
     }
 
     private static long now() {
@@ -80,7 +90,7 @@
     private Told told() {
         return Told.of(config.zone(), config.region(), config.carrier().protocol(), proxy.state(), clients,
                 door,
-                proxy.figures());
+                zones == null ? 0 : zones.epoch(), proxy.figures());
     }
 
     @Override
@@ -107,11 +117,24 @@
                 proxy.doubts(node);
             });
         }
+        if (zones != null) {
+            zones.viewed(view, now);
+        }
         if (config.probesNodes()) {
             duties.due(view, proxy.nodes(), now).forEach(proxy::probe);
         }
     }
 
+    @Override
+    public byte[] asked(MemberId from, String topic, byte[] bytes) {
+        return zones == null ? new byte[0] : zones.asked(topic, bytes);
+    }
+
+    /** What staff ask of zones; empty where plans over zones are off. */
+    public Optional<CompletableFuture<String>> zones(String line) {
+        return Optional.ofNullable(zones).map(on -> on.staff(line));
+    }
+
     @Override
     public void says(String line) {
         log.say(line, now());
--- a/src/main/java/cairnbridge/fleet/FleetProxy.java
+++ b/src/main/java/cairnbridge/fleet/FleetProxy.java
@@ -1,7 +1,11 @@
 package cairnbridge.fleet;
 
 import cairnbridge.fleet.member.Told;
+import cairnbridge.zones.plan.Row;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
 import java.util.List;
+import java.util.Set;
 
 /** What a member of a fleet asks of the proxy that it speaks for; every call returns at once. */
 public interface FleetProxy {
@@ -13,6 +17,19 @@
     /** The nodes of the list. */
     List<Long> nodes();
 
+    /** The caches of the list. */
+    List<Server> servers();
+
+    /**
+     * The part of its rate that a node bears at its start, and how long it warms, in tenths of a millisecond.
+     */
+    double coldFrom();
+
+    long warmUp();
+
+    /** Where ops of this proxy's zone go from now on; out: zones that it finds out of reach by itself. */
+    void placed(Zone home, Row row, Set<Zone> out, double alonePart);
+
     /** So many proxies live. */
     void lives(int proxies);
 
--- a/src/main/java/cairnbridge/fleet/FleetTexts.java
+++ b/src/main/java/cairnbridge/fleet/FleetTexts.java
@@ -109,6 +109,13 @@
             json.writeStringField("door", told.door());
             json.writeNumberField("load", told.figures().load());
             json.writeNumberField("limit", told.figures().limit());
+            json.writeNumberField("rate", told.figures().rate());
+            json.writeNumberField("epoch", told.epoch());
+            json.writeArrayFieldStart("zones");
+            for (long number : told.figures().zones()) {
+                json.writeNumber(number);
+            }
+            json.writeEndArray();
             json.writeNumberField("roster", told.figures().roster());
             json.writeBooleanField("listing", told.figures().listing());
             json.writeArrayFieldStart("unreachable");
--- a/src/main/java/cairnbridge/fleet/carrier/Carrier.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Carrier.java
@@ -2,6 +2,8 @@
 
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Message;
 import cairnbridge.fleet.member.Incarnation;
 import cairnbridge.fleet.member.Packet;
 import cairnbridge.fleet.member.Standing;
@@ -29,6 +31,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -41,6 +44,9 @@
     public interface Listener {
         void changed(Claim before, Claim after, Why why);
 
+        /** A member says something under a topic; what is answered, empty where nothing is. */
+        byte[] asked(MemberId from, String topic, byte[] bytes);
+
         /** The view has changed, or some time has gone by. */
         void viewed(View view);
 
@@ -49,7 +55,7 @@
 
     private static final Logger LOG = Logger.getLogger(Carrier.class.getName());
     private static final long NANOS = 100_000, PUBLISH = FleetSettings.SECOND / 10,
-            LOOK = FleetSettings.SECOND;
+            LOOK = FleetSettings.SECOND / 4;
     private static final long MOST_CALL = 2 * FleetSettings.SECOND;
     private static final int MOST_STREAMS = 64, MOST_FRAME = 8 << 20, BATCH = 256, BINDS = 16;
     private static final int LARGEST_DATAGRAM = 65_536, BUFFER = 1 << 20, FIRST_READ = 4_096;
@@ -67,11 +73,14 @@
     private final Membership machine;
     private final Endpoint at;
     private final Queue<FleetEvent> told = new ConcurrentLinkedQueue<>();
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Map<Long, Stream> callers = new HashMap<>();
+    /** Calls of other parts than the view, and who waits for their answers. */
+    private final Map<Long, Consumer<byte[]>> words = new HashMap<>();
     private final List<Stream> streams = new ArrayList<>();
     private final ByteBuffer in = ByteBuffer.allocateDirect(LARGEST_DATAGRAM);
     private final CountDownLatch ended = new CountDownLatch(1);
-    private long numbers, publishedAt, lookAt;
+    private long numbers, publishedAt, lookAt, lastWord = 1L << 61;
     private int speaks = Seal.OLDEST;
     private boolean dirty = true;
     private volatile View latest;
@@ -151,6 +160,19 @@
         selector.wakeup();
     }
 
+    /** Does something on the carrier's thread. */
+    public void execute(Runnable task) {
+        tasks.add(task);
+        selector.wakeup();
+    }
+
+    /** Says something to a member under a topic, on the carrier's thread; then gets the answer, or null. */
+    public void say(Endpoint to, String topic, byte[] bytes, Consumer<byte[]> then) {
+        long number = ++lastWord;
+        words.put(number, then);
+        call(number, to, machine.packet(new Message.Word(topic, bytes)));
+    }
+
     /** Takes its leave, says so for some tenths of a second, and ends. */
     public void leave() throws InterruptedException {
         told.add(new FleetEvent.Leave());
@@ -193,9 +215,18 @@
             }
         }
         selector.selectedKeys().clear();
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+            task.run();
+        }
         for (FleetEvent event = told.poll(); event != null; event = told.poll()) {
-            machine.handle(now(), event);
-            dirty = true;
+            Consumer<byte[]> waits = event instanceof FleetEvent.Answered answered
+                    ? words.remove(answered.call()) : null;
+            if (waits != null) {
+                waits.accept(null);
+            } else {
+                machine.handle(now(), event);
+                dirty = true;
+            }
         }
         long now = now();
         machine.turn(now);
@@ -419,10 +450,19 @@
         private void taken(Packet packet) {
             figures.cameBytes.add(whole);
             key.interestOps(0);
-            if (called) {
+            Consumer<byte[]> waits = words.remove(number);
+            if (called && packet.body() instanceof Message.Word word) {
+                byte[] answer = listener.asked(packet.from(), word.topic(), word.bytes());
+                out = sealed(machine.packet(new Message.Word(word.topic(), answer)), version, MOST_FRAME);
+                figures.streamBytes.add(out.remaining());
+                ready();
+            } else if (called) {
                 long caller = ++numbers;
                 callers.put(caller, this);
                 machine.handle(now(), new FleetEvent.Called(caller, packet));
+            } else if (waits != null) {
+                shut();
+                waits.accept(packet.body() instanceof Message.Word word ? word.bytes() : null);
             } else {
                 shut();
                 machine.handle(now(), new FleetEvent.Answered(number, packet));
--- a/src/main/java/cairnbridge/fleet/carrier/Codec.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Codec.java
@@ -28,7 +28,7 @@
     private static final int MOST_CLAIMS = 100_000, DIGEST_FROM = 2;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private enum Kind { PING, ACK, ASK_OTHER, NO_WORD, GOSSIP, DIGEST, ENTRIES }
+    private enum Kind { PING, ACK, ASK_OTHER, NO_WORD, GOSSIP, DIGEST, ENTRIES, WORD }
 
     private Codec() {
     }
@@ -101,6 +101,10 @@
                 cbor.writeNumber(part);
             }
             cbor.writeEndArray();
+        } else if (body instanceof Message.Word word) {
+            cbor.writeNumber(Kind.WORD.ordinal());
+            cbor.writeString(word.topic());
+            cbor.writeBinary(word.bytes());
         } else if (body instanceof Message.Entries entries) {
             cbor.writeNumber(Kind.ENTRIES.ordinal());
             cbor.writeStartArray();
@@ -152,6 +156,7 @@
             case NO_WORD -> new Message.NoWord(number(cbor), claims(cbor));
             case GOSSIP -> new Message.Gossip(claims(cbor));
             case DIGEST -> new Message.Digest(numbers(cbor));
+            case WORD -> new Message.Word(text(cbor), bytes(cbor));
             case ENTRIES -> new Message.Entries(numbers(cbor).stream().map(Long::intValue).toList(),
                     claims(cbor));
         };
@@ -207,6 +212,11 @@
         return new Incarnation(number(cbor), (int) number(cbor));
     }
 
+    private static byte[] bytes(JsonParser cbor) throws IOException {
+        expect(cbor.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
+        return cbor.getBinaryValue();
+    }
+
     private static String text(JsonParser cbor) throws IOException {
         expect(cbor.nextToken() == JsonToken.VALUE_STRING);
         return cbor.getText();
--- a/src/main/java/cairnbridge/fleet/member/Message.java
+++ b/src/main/java/cairnbridge/fleet/member/Message.java
@@ -39,6 +39,14 @@
         }
     }
 
+    /** Something said between parts that stand on the view; topic tells which; over a stream only. */
+    record Word(String topic, byte[] bytes) implements Message {
+        @Override
+        public List<Claim> claims() {
+            return List.of();
+        }
+    }
+
     /** All that is held in the parts with these numbers; over a stream only. */
     record Entries(List<Integer> parts, List<Claim> claims) implements Message {
     }
--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -20,22 +20,30 @@
  */
 public final class Told {
     /** A member that tells more is not believed: claims have to fit a datagram. */
-    public static final int MOST_BYTES = 640;
-    public static final int MOST_UNREACHABLE = 16, MOST_TEXT = 64;
+    public static final int MOST_BYTES = 800;
+    public static final int MOST_UNREACHABLE = 16, MOST_TEXT = 64, MOST_ZONES = 8;
     private static final CBORFactory CBOR = new CBORFactory();
 
     /** How far a member is in its life. */
     public enum State { STARTING, SERVING, STANDBY, DRAINING, UNKNOWN }
 
     /**
-     * load and limit in ops in flight; unreachable are node ids; roster is the version of the list of nodes,
-     * and listing says whether that list comes in right now.
+     * load and limit in ops in flight, rate in ops taken a second; zones are triples of a zone's hash, pushes
+     * that ended there lately and those of them late or failed; unreachable are node ids; roster is the
+     * version of the list of nodes, and listing says whether that list comes in right now.
      */
-    public record Figures(long load, long limit, long roster, boolean listing, List<Long> unreachable) {
+    public record Figures(long load, long limit, long rate, long roster, boolean listing,
+            List<Long> unreachable,
+                          List<Long> zones) {
         public static final Figures NONE = new Figures(0, 0, 0, false, List.of());
 
         public Figures {
             unreachable = List.copyOf(unreachable);
+            zones = List.copyOf(zones);
+        }
+
+        public Figures(long load, long limit, long roster, boolean listing, List<Long> unreachable) {
+            this(load, limit, 0, roster, listing, unreachable, List.of());
         }
     }
 
@@ -57,6 +65,12 @@
     /** protocol: the newest version of the carrier's form that the member speaks. */
     public static Told of(String zone, String region, int protocol, State state, String clients, String door,
             Figures figures) {
+        return of(zone, region, protocol, state, clients, door, 0, figures);
+    }
+
+    /** As above, with the epoch of the plan over zones that is in force here. */
+    public static Told of(String zone, String region, int protocol, State state, String clients, String door,
+            long epoch, Figures figures) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(128);
         try (CBORGenerator cbor = CBOR.createGenerator(out)) {
             cbor.writeStartObject();
@@ -66,16 +80,14 @@
             cbor.writeStringField("state", state.name());
             cbor.writeStringField("clients", cut(clients));
             cbor.writeStringField("door", cut(door));
+            cbor.writeNumberField("epoch", epoch);
             cbor.writeNumberField("load", figures.load());
+            cbor.writeNumberField("rate", figures.rate());
             cbor.writeNumberField("limit", figures.limit());
             cbor.writeNumberField("roster", figures.roster());
             cbor.writeBooleanField("listing", figures.listing());
-            cbor.writeArrayFieldStart("unreachable");
-            for (long node : figures.unreachable().subList(0, Math.min(MOST_UNREACHABLE,
-                    figures.unreachable().size()))) {
-                cbor.writeNumber(node);
-            }
-            cbor.writeEndArray();
+            numbers(cbor, "unreachable", figures.unreachable(), MOST_UNREACHABLE);
+            numbers(cbor, "zones", figures.zones(), 3 * MOST_ZONES);
             cbor.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e); // There is no I/O in it.
@@ -83,6 +95,15 @@
         return new Told(out.toByteArray());
     }
 
+    private static void numbers(CBORGenerator cbor, String field, List<Long> numbers,
+            int most) throws IOException {
+        cbor.writeArrayFieldStart(field);
+        for (long number : numbers.subList(0, Math.min(most, numbers.size()))) {
+            cbor.writeNumber(number);
+        }
+        cbor.writeEndArray();
+    }
+
     private static String cut(String text) {
         return text.length() > MOST_TEXT ? text.substring(0, MOST_TEXT) : text;
     }
@@ -111,6 +132,10 @@
         return text("door");
     }
 
+    public long epoch() {
+        return Math.max(0, number("epoch", 0));
+    }
+
     /** 1 where it is not told. */
     public int protocol() {
         return (int) Math.max(1, Math.min(255, number("protocol", 1)));
@@ -123,16 +148,21 @@
     }
 
     public Figures figures() {
-        List<Long> nodes = new ArrayList<>();
-        if (fields().get("unreachable") instanceof List<?> list) {
+        return new Figures(number("load", 0), number("limit", 0), number("rate", 0), number("roster", 0),
+                Boolean.TRUE.equals(fields().get("listing")), numbers("unreachable", MOST_UNREACHABLE),
+                numbers("zones", 3 * MOST_ZONES));
+    }
+
+    private List<Long> numbers(String name, int most) {
+        List<Long> numbers = new ArrayList<>();
+        if (fields().get(name) instanceof List<?> list) {
             for (Object each : list) {
-                if (each instanceof Long node && nodes.size() < MOST_UNREACHABLE) {
-                    nodes.add(node);
+                if (each instanceof Long number && numbers.size() < most) {
+                    numbers.add(number);
                 }
             }
         }
-        return new Figures(number("load", 0), number("limit", 0), number("roster", 0),
-                Boolean.TRUE.equals(fields().get("listing")), nodes);
+        return numbers;
     }
 
     private String text(String name) {
--- a/src/main/java/cairnbridge/fleet/use/ReachReport.java
+++ b/src/main/java/cairnbridge/fleet/use/ReachReport.java
@@ -11,7 +11,7 @@
  */
 public final class ReachReport {
     private static final long SECOND = 10_000, OLD = 10 * SECOND;
-    private static final int ENOUGH = 2, MOST = 16;
+    private static final int ENOUGH = 2;
 
     private static final class Reach {
         int failed;
@@ -31,12 +31,12 @@
         }
     }
 
-    /** At most as many as a member may tell; those found last come first. */
+    /** Those found last come first. */
     public List<Long> unreachable(long now) {
         nodes.values().removeIf(reach -> now - reach.at > OLD);
         List<Long> out = new ArrayList<>();
         nodes.entrySet().stream().filter(each -> each.getValue().failed >= ENOUGH)
-                .sorted((a, b) -> Long.compare(b.getValue().at, a.getValue().at)).limit(MOST)
+                .sorted((a, b) -> Long.compare(b.getValue().at, a.getValue().at))
                 .forEach(each -> out.add(each.getKey()));
         return out;
     }
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -175,7 +175,7 @@
         return one.state() == other.state() && one.zone().equals(other.zone())
                 && one.region().equals(other.region())
                 && one.clients().equals(other.clients()) && one.door().equals(other.door())
-                && one.protocol() == other.protocol();
+                && one.protocol() == other.protocol() && one.epoch() == other.epoch();
     }
 
     private long figuresEvery() {
@@ -509,7 +509,8 @@
 
     // What is passed on.
 
-    Packet packet(Message body) {
+    /** What this member says, with its word on itself. */
+    public Packet packet(Message body) {
         return new Packet(me(), self.at(), self.incarnation(), digest(), body);
     }
 
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -1,10 +1,12 @@
 package cairnbridge.proxy;
 
 import cairnbridge.admin.Figures;
+import cairnbridge.config.Names;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Host;
+import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.OpId;
 import cairnbridge.decision.Ids.PeerId;
@@ -12,7 +14,9 @@
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Learnt;
 import cairnbridge.decision.Router;
+import cairnbridge.decision.Settings;
 import cairnbridge.fleet.use.ReachReport;
+import cairnbridge.zones.use.ZoneTally;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,6 +25,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -77,12 +82,20 @@
     private final Figures figures;
     private long toldAt, lastOp, lastRank, sweptAt, stall, stallOver, wokeLast;
     private final long sweep;
+    private final long[] targets;
+    private final List<String> zoneNames;
+    private final MachineKind originKind;
     private volatile boolean stopped;
     private volatile int live;
     private volatile Learnt learnt = Learnt.NOTHING;
     /** Kept only where a fleet is told of it. */
     private ReachReport reach;
     private volatile List<Long> unreachable = List.of();
+    private final ZoneTally zones = new ZoneTally();
+    private volatile List<Long> zoneTriples = List.of();
+    /** Hashes of the zones' names, by node; and ops taken, by category. */
+    private final Map<NodeId, Long> zoneOf = new HashMap<>();
+    private final AtomicLongArray taken;
 
     Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch,
             Learnt before, Figures figures) {
@@ -94,6 +107,10 @@
         sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
         toldAt = clock.now();
+        targets = config.settings().categories().stream().mapToLong(Settings.Category::target).toArray();
+        taken = new AtomicLongArray(targets.length);
+        zoneNames = config.zones();
+        originKind = config.settings().originKind();
         router = new Router(config.settings(), config.seed(), toldAt, this, before);
     }
 
@@ -112,6 +129,41 @@
         reach = new ReachReport();
     }
 
+    /** Ops taken of one category since the start; any thread may ask. */
+    long taken(int category) {
+        return taken.get(category);
+    }
+
+    /** How pushes went lately, by zone, as members tell it; any thread may ask. */
+    List<Long> zones() {
+        return zoneTriples;
+    }
+
+    private void tally(PushCall call, Ending ending, long took, long left) {
+        Long zone = reach == null ? null : zoneOf.get(call.node);
+        boolean given = ending == Ending.ACKED || ending == Ending.MISS || ending == Ending.FULL;
+        if (zone != null && ending != Ending.NEVER_SENT && (ending != Ending.CALLED_OFF
+                || left <= LAST_CALL)) {
+            zones.ended(zone, !given || took > targets[call.client.category.value()], clock.now());
+        }
+    }
+
+    private void zonesOf(Event.Roster roster) {
+        if (reach == null) {
+            return;
+        }
+        for (Event.Entry entry : roster.entries()) {
+            int zone = entry.zone().value();
+            // Guards against a zone that looks well to all because the origin stands in it.
+            boolean origin = entry.kind().equals(originKind);
+            if (entry.state() == Event.State.GONE || zone >= zoneNames.size() || origin) {
+                zoneOf.remove(entry.node());
+            } else {
+                zoneOf.put(entry.node(), Names.hash(zoneNames.get(zone)));
+            }
+        }
+    }
+
     /** The nodes that could not be reached a moment ago; any thread may ask. */
     List<Long> unreachable() {
         return unreachable;
@@ -121,7 +173,8 @@
     private void reached(NodeId node, Ending ending, long left) {
         boolean silent = ending == Ending.TIMED_OUT || ending == Ending.CALLED_OFF && left <= LAST_CALL;
         if (reach != null && ending != Ending.NEVER_SENT && (silent || ending != Ending.CALLED_OFF)) {
-            reach.ended(node.value(), !silent && ending != Ending.NO_CONNECTION, clock.now());
+            boolean none = silent || ending == Ending.NO_CONNECTION || ending == Ending.BROKEN;
+            reach.ended(node.value(), !none, clock.now());
         }
     }
 
@@ -183,6 +236,7 @@
             push.dropIdle(now);
             learnt = router.learnt();
             unreachable = reach == null ? unreachable : reach.unreachable(now);
+            zoneTriples = reach == null ? zoneTriples : zones.triples(now);
         }
     }
 
@@ -243,6 +297,7 @@
             push.closed(closed.connection());
         } else if (notice instanceof Notice.Listed listed) {
             push.listed(listed.roster(), listed.addresses());
+            zonesOf(listed.roster());
             tell(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
             reached(probed.node(), probed.ending(), 0);
@@ -289,6 +344,9 @@
         ops.put(client.op, new Live(client, expires));
         timers.add(new Timer(expires, ++lastRank, null, null, client.op));
         live++;
+        if (reach != null) {
+            taken.incrementAndGet(client.category.value());
+        }
         tell(clock.now(), new Event.OpArrived(client.op, client.category, NO_TENANT, client.key,
                 expires, 0, -1, client.repeat, client.write));
     }
@@ -311,6 +369,7 @@
         }
         op.open--;
         reached(call.node, over.ending(), op.expires - clock.now());
+        tally(call, over.ending(), call.took(over.ended()), op.expires - clock.now());
         if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
                 call.client.ack(over.body());
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -3,14 +3,29 @@
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Settings;
 import cairnbridge.fleet.FleetProxy;
 import cairnbridge.fleet.member.Told;
+import cairnbridge.zones.plan.Row;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
+import cairnbridge.zones.use.ShedByBenefit;
+import cairnbridge.zones.use.ZonePlacement;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
 
 /** Between the proxy and its fleet: what this proxy tells, and what it is asked to do. */
 final class FleetLink implements FleetProxy {
     /** From this part of its descriptors on a proxy closes its clients' connections. */
     private static final int CLIENTS_PART = 3;
+    private static final double LEAST_SECONDS = 0.5, SMOOTH_SECONDS = 2;
+    private final ZonePlacement.Counts placed = new ZonePlacement.Counts();
+    private final double[] lately;
+    private final long[] counted;
+    private long ratedAt = System.nanoTime();
     private final ProxyConfig config;
     private final Listen listen;
     private final Decide decide;
@@ -23,6 +38,8 @@
         this.decide = decide;
         this.watch = watch;
         this.inbox = inbox;
+        lately = new double[config.settings().categories().size()];
+        counted = new long[lately.length];
     }
 
     @Override
@@ -37,9 +54,65 @@
 
     @Override
     public Told.Figures figures() {
-        return new Told.Figures(decide.live(), config.sockets() / CLIENTS_PART, watch.version(),
-                watch.isListing(),
-                decide.unreachable());
+        return new Told.Figures(decide.live(), config.sockets() / CLIENTS_PART, rate(), watch.version(),
+                watch.isListing(), decide.unreachable(), decide.zones());
+    }
+
+    /** Ops taken a second, as of the last half second or more; smoothed. */
+    private synchronized long rate() {
+        long now = System.nanoTime();
+        double seconds = (now - ratedAt) / 1e9;
+        if (seconds >= LEAST_SECONDS) {
+            double[] fresh = new double[lately.length];
+            for (int i = 0; i < fresh.length; i++) {
+                long all = decide.taken(i);
+                fresh[i] = (all - counted[i]) / seconds;
+                counted[i] = all;
+                lately[i] += (fresh[i] - lately[i]) * Math.min(1, seconds / SMOOTH_SECONDS);
+            }
+            ratedAt = now;
+        }
+        double sum = 0;
+        for (double each : lately) {
+            sum += each;
+        }
+        return Math.round(sum);
+    }
+
+    @Override
+    public List<Server> servers() {
+        return watch.servers();
+    }
+
+    @Override
+    public double coldFrom() {
+        return config.settings().coldFrom();
+    }
+
+    @Override
+    public long warmUp() {
+        return config.settings().warmUp();
+    }
+
+    @Override
+    public void placed(Zone home, Row row, Set<Zone> out, double alonePart) {
+        double[] mix;
+        synchronized (this) {
+            mix = lately.clone();
+        }
+        List<Settings.Category> categories = config.settings().categories();
+        Function<Zone, ZoneId> ids = zone -> {
+            int at = config.zones().indexOf(zone.name());
+            return at < 0 ? null : new ZoneId(at);
+        };
+        inbox.first(new Notice.Hint(new Event.Placed(new ZonePlacement(home, row, ids, out, alonePart,
+                ShedByBenefit.parts(categories, mix, (double) row.shed() / Row.ALL), placed))));
+    }
+
+    /** What plans have placed where, since the start. */
+    Map<String, Long> gauges() {
+        return Map.of("zones.near_total", placed.near.sum(), "zones.far_total", placed.far.sum(),
+                "zones.shed_total", placed.shed.sum());
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -14,6 +14,8 @@
 import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -55,6 +57,8 @@
     private final OddityLog odd = new OddityLog(LOG, "roster");
     /** The list's nodes, and whether each is a cache. */
     private final Map<NodeId, Boolean> nodes = new ConcurrentHashMap<>();
+    /** The list's caches as plans over zones need them. */
+    private final Map<NodeId, Server> servers = new ConcurrentHashMap<>();
     private final Figures figures;
 
     RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer,
@@ -225,17 +229,36 @@
             if (address != null) {
                 addresses.put(node, address);
             }
+            serves(node, each, state);
             entries.add(new Entry(node, state, new MachineKind(index(config.kinds(), each.text("model", ""))),
                     each.number("capacity_hint", 1), Clock.ofUnixMillis((long) each.number("boot_ms", 0)),
                     new CellId((int) each.number("pod_group", 0)),
                     new ZoneId(index(config.zones(), each.text("az", "")))));
         }
         names(scope, entries);
+        if (scope != Scope.CHANGES && !entries.isEmpty()) {
+            servers.keySet().retainAll(nodes.keySet());
+        }
         version = (long) tree.number("rev", version);
         listed = true;
         inbox.post(new Notice.Listed(new Event.Roster(scope, version, entries), addresses));
     }
 
+    private void serves(NodeId node, Tree each, State state) {
+        if (state == State.GONE || config.kinds().indexOf(each.text("model", ""))
+                == config.settings().originKind().value()) {
+            servers.remove(node);
+        } else {
+            servers.put(node, new Server(node.value(), new Zone(each.text("az", "")), state == State.READY,
+                    each.number("capacity_hint", 1), (long) each.number("boot_ms", 0)));
+        }
+    }
+
+    /** The list's caches. */
+    List<Server> servers() {
+        return List.copyOf(servers.values());
+    }
+
     /** An empty list leaves the one held in use. */
     private void names(Scope scope, List<Entry> entries) {
         if (scope != Scope.CHANGES && !entries.isEmpty()) {
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -9,6 +9,8 @@
 import cairnbridge.fleet.Fleet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -38,11 +40,11 @@
     private final Maintenance maintenance;
     private final OddityLog odd = new OddityLog(LOG, "learnt");
     private final Decide decide;
+    private final Inbox inbox;
     private final RosterWatch watch;
     private final ScheduledExecutorService timer;
     private final Thread owner;
     private final Runnable whenBroken;
-    private final FleetLink link;
     private volatile boolean stopping;
     private volatile Door door;
     /** Null where this proxy is alone, as on the platform. */
@@ -56,7 +58,7 @@
     Serve(ProxyConfig config, Runnable whenBroken, Clock clock) {
         this.config = config;
         this.whenBroken = whenBroken;
-        Inbox inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
+        inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
         figures = new Figures(config.categories());
         beside = new Beside(config.folder());
         listen = new Listen(clock, config.categories(), figures);
@@ -69,7 +71,6 @@
         watch = new RosterWatch(config, sockets, inbox, timer, figures);
         maintenance = new Maintenance(config.folder(), inbox, watch::names, beside::isShared);
         decide = new Decide(config, inbox, clock, sockets, watch, config.learnt(), figures);
-        link = new FleetLink(config, listen, decide, watch, inbox);
         owner = vital(decide);
         owner.setName(OWNER);
     }
@@ -92,11 +93,16 @@
 
     /** Makes this proxy a member of a fleet; before its start. IOException names an address that is taken. */
     public void join(FleetConfig of) throws IOException {
+        FleetLink link = new FleetLink(config, listen, decide, watch, inbox);
         String staff = config.door().map(Serve::text).orElse("");
         fleet = new Fleet(of, config.settings().proxies(), text(config.listen()), staff, config.seed(), link);
         decide.notesReach();
         watch.callsIf(fleet::mayCallForList);
-        figures.also(fleet::gauges);
+        figures.also(() -> {
+            Map<String, Long> gauges = new LinkedHashMap<>(fleet.gauges());
+            gauges.putAll(link.gauges());
+            return gauges;
+        });
     }
 
     private static String text(InetSocketAddress address) {
@@ -164,6 +170,12 @@
         return mine == null ? Optional.empty() : mine.text(call, id);
     }
 
+    @Override
+    public Optional<CompletableFuture<String>> zones(String line) {
+        Fleet mine = fleet;
+        return mine == null ? Optional.empty() : mine.zones(line);
+    }
+
     @Override
     public CompletableFuture<Boolean> hold(String node, boolean on) {
         return maintenance.hold(node, on);
--- /dev/null
+++ b/src/main/java/cairnbridge/zones/ZoneMember.java
@@ -0,0 +1,124 @@
+package cairnbridge.zones;
+
+import cairnbridge.fleet.FleetProxy;
+import cairnbridge.fleet.carrier.Carrier;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.view.View;
+import cairnbridge.zones.plan.Plan;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
+import cairnbridge.zones.plan.ZoneHealth;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * A fleet's member where plans over zones are on: between Zones, which decides, the carrier and the proxy.
+ * All but staff's calls is the carrier's thread's.
+ */
+public final class ZoneMember implements ZonesHost {
+    private static final long PLACE_AGAIN = 10_000;
+    private final Zone home;
+    private final ZonesConfig config;
+    private final FleetProxy proxy;
+    private final Consumer<String> log;
+    private final Zones zones;
+    private Carrier carrier;
+    private View view;
+    private long placedAt;
+    private volatile long epoch;
+
+    /** IOException where a voter's register cannot be believed. */
+    public ZoneMember(MemberId me, String zone, ZonesConfig config, long seed, FleetProxy proxy,
+            Consumer<String> log)
+            throws IOException {
+        home = new Zone(zone);
+        this.config = config;
+        this.proxy = proxy;
+        this.log = log;
+        zones = new Zones(me, config, new ZoneHealth.Rates(config.nodeRate(), proxy.coldFrom(),
+                proxy.warmUp(),
+                config.regions()), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), this);
+    }
+
+    /** Before the carrier's thread starts. */
+    public void carriedBy(Carrier by) {
+        carrier = by;
+    }
+
+    /** The epoch of the plan that is in force here. */
+    public long epoch() {
+        return epoch;
+    }
+
+    public void viewed(View seen, long now) {
+        view = seen;
+        zones.viewed(seen, now, System.currentTimeMillis());
+        // What this proxy finds by itself, and what of its ops is dearest, changes between plans.
+        if (now - placedAt >= PLACE_AGAIN) {
+            placedAt = now;
+            place(zones.plan());
+        }
+    }
+
+    public byte[] asked(String topic, byte[] bytes) {
+        return zones.asked(topic, bytes);
+    }
+
+    /** zones, zone-drain ZONE SECONDS or zone-restore ZONE; any thread may ask. */
+    public CompletableFuture<String> staff(String line) {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        carrier.execute(() -> {
+            String[] word = line.split(" +", 2);
+            String rest = word.length > 1 ? " " + word[1] : "";
+            answer.complete(word[0].equals("zones") ? zones.table() + "EOF"
+                    : zones.staff(word[0].replace("zone-", "") + rest));
+        });
+        return answer;
+    }
+
+    @Override
+    public void say(MemberId to, String topic, byte[] bytes, Consumer<byte[]> then) {
+        Optional<Claim> claim = view.of(to);
+        if (claim.isEmpty()) {
+            then.accept(null);
+        } else {
+            carrier.say(claim.get().at(), topic, bytes, then);
+        }
+    }
+
+    @Override
+    public List<Server> servers() {
+        return proxy.servers();
+    }
+
+    @Override
+    public void inForce(Plan plan) {
+        epoch = plan.epoch();
+        place(plan);
+    }
+
+    private void place(Plan plan) {
+        Set<Long> unreachable = new HashSet<>(proxy.figures().unreachable());
+        Set<Zone> out = new HashSet<>();
+        Set<Zone> within = new HashSet<>();
+        for (Server server : proxy.servers()) {
+            if (server.ready()) {
+                (unreachable.contains(server.node()) ? out : within).add(server.zone());
+            }
+        }
+        out.removeAll(within);
+        proxy.placed(home, plan.row(home), out, config.alonePart());
+    }
+
+    @Override
+    public void log(String line) {
+        log.accept(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -0,0 +1,317 @@
+package cairnbridge.zones;
+
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.view.View;
+import cairnbridge.zones.agree.Attempt;
+import cairnbridge.zones.agree.Ballot;
+import cairnbridge.zones.agree.Register;
+import cairnbridge.zones.agree.RegisterFile;
+import cairnbridge.zones.agree.Vote;
+import cairnbridge.zones.agree.VoteCodec;
+import cairnbridge.zones.plan.Plan;
+import cairnbridge.zones.plan.PlanCodec;
+import cairnbridge.zones.plan.Planner;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
+import cairnbridge.zones.plan.ZoneHealth;
+import cairnbridge.zones.plan.ZoneInput;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * One member's part in plans over zones: as a learner always, as a voter and as the proposer where it is one.
+ * Told of the view now and then and of what others say; one thread's. Times in tenths of a millisecond of the
+ * carrier's clock.
+ */
+final class Zones {
+    static final String VOTE = "zones-vote", PLAN = "zones-plan", STAFF = "zones-staff";
+    private static final long SECOND = 10_000, TRY = SECOND, PULL = SECOND / 5, SAY_AT_MOST = 64;
+    private static final byte[] NOTHING = {};
+
+    private final MemberId me;
+    private final ZonesConfig config;
+    private final ZonesHost host;
+    private final RandomGenerator chance;
+    private final ZoneHealth health;
+    private final Optional<RegisterFile> file;
+    private Register register = Register.EMPTY;
+    private Planner planner;
+    private Plan plan = Plan.FIRST;
+    private Attempt attempt;
+    private Ballot last = Ballot.NONE;
+    private View view;
+    private long attemptAt, pulledAt, now, unixMillis, waitUntil;
+    private boolean proposes, unsure;
+    /** What staff want, until a plan has it: empty to give back, else the least time. */
+    private final Map<Zone, Optional<Long>> asked = new HashMap<>();
+
+    /** IOException where a voter's register cannot be believed. */
+    Zones(MemberId me, ZonesConfig config, ZoneHealth.Rates rates, RandomGenerator chance, ZonesHost host)
+            throws IOException {
+        this.me = me;
+        this.config = config;
+        this.host = host;
+        this.chance = chance;
+        health = new ZoneHealth(rates);
+        file = config.agreed() && config.voters().contains(me) ? Optional.of(new RegisterFile(config.state()))
+                : Optional.empty();
+        if (file.isPresent()) {
+            register = file.get().read();
+        }
+    }
+
+    Plan plan() {
+        return plan;
+    }
+
+    /** Some time has gone by, or the view has changed. */
+    void viewed(View seen, long clock, long wallMillis) {
+        view = seen;
+        now = clock;
+        unixMillis = wallMillis;
+        if (!config.agreed()) {
+            alone();
+            return;
+        }
+        pull();
+        boolean mine = me.equals(proposer()) && hasMajority();
+        if (mine && !proposes) {
+            planner = new Planner(config.plan(), now);
+            unsure = true; // One before may have had a plan accepted that nobody was told of.
+            host.log("zones: this member proposes from now on");
+        }
+        proposes = mine;
+        if (attempt != null && now - attemptAt > TRY) {
+            attempt = null;
+            waitUntil = now + chance.nextLong(TRY);
+        }
+        if (proposes && attempt == null && now >= waitUntil
+                && (unsure || !asked.isEmpty() || wants(plan) != plan)) {
+            attempt();
+        }
+    }
+
+    /** The baseline: the same planner on the same gossip, and nobody asked. */
+    private void alone() {
+        planner = planner == null ? new Planner(config.plan(), now) : planner;
+        Plan next = wants(plan);
+        if (next != plan) {
+            planner.agreed(plan, next, now);
+            takes(next);
+        }
+    }
+
+    /** The first voter that lives, by the order of names. */
+    private MemberId proposer() {
+        return config.voters().stream().filter(this::lives).sorted().findFirst().orElse(null);
+    }
+
+    private boolean lives(MemberId id) {
+        return view.of(id).filter(claim -> claim.standing().isLiving()).isPresent();
+    }
+
+    private boolean hasMajority() {
+        return 2 * config.voters().stream().filter(this::lives).count() > config.voters().size();
+    }
+
+    /**
+     * The plan that should follow one, by what is known now; that one itself where nothing is to be changed.
+     */
+    private Plan wants(Plan from) {
+        List<Server> servers = host.servers();
+        if (servers.isEmpty()) {
+            // Guards against all zones held gone by one that has just started and has no list yet.
+            return from;
+        }
+        List<ZoneInput> inputs = health.inputs(view.living(), servers, now, unixMillis);
+        Map<Zone, Long> drained = new HashMap<>(from.drained());
+        asked.forEach((zone, until) -> {
+            if (until.isPresent()) {
+                drained.put(zone, until.get());
+            } else if (drained.getOrDefault(zone, 0L) <= unixMillis) {
+                drained.remove(zone);
+            }
+        });
+        return planner.isDue(now) || !drained.equals(from.drained())
+                ? planner.next(from, inputs, drained, me.name(), now) : from;
+    }
+
+    // As the proposer.
+
+    private void attempt() {
+        last = last.over(register.promised(), me.name());
+        attempt = Attempt.begin(last, config.voters().size());
+        attemptAt = now;
+        ask(new Vote.Prepare(last));
+    }
+
+    private void ask(Vote vote) {
+        byte[] bytes = VoteCodec.write(vote);
+        for (MemberId voter : config.voters()) {
+            if (voter.equals(me)) {
+                heard(voter, votes(bytes));
+            } else {
+                host.say(voter, VOTE, bytes, answer -> heard(voter, answer));
+            }
+        }
+    }
+
+    private void heard(MemberId voter, byte[] answer) {
+        if (answer == null || answer.length == 0 || attempt == null) {
+            return;
+        }
+        try {
+            attempt = attempt.hears(voter.name(), VoteCodec.readVote(answer));
+        } catch (IllegalArgumentException e) {
+            return; // A voter of another version; it counts as silent.
+        }
+        if (attempt.refused()) {
+            last = last.over(attempt.highest(), me.name());
+            attempt = null;
+            waitUntil = now + SECOND / 10 + chance.nextLong(SECOND);
+        } else if (attempt.isPromised()) {
+            Plan newest = attempt.newest();
+            Plan next = wants(newest);
+            // Nothing to change, but the newest may not be known to be agreed on: it is asked for once more.
+            attempt = attempt.proposes(next);
+            ask(new Vote.Accept(attempt.ballot(), next));
+        } else if (attempt.isAgreed()) {
+            Plan agreed = attempt.proposed();
+            attempt = null;
+            unsure = false;
+            planner.agreed(plan, agreed, now);
+            asked.entrySet().removeIf(each -> each.getValue().isPresent()
+                    ? agreed.drained().containsKey(each.getKey()) : true);
+            takes(agreed);
+            spread();
+        }
+    }
+
+    private void spread() {
+        byte[] bytes = PlanCodec.write(plan);
+        view.living().stream().filter(claim -> !claim.id().equals(me)).limit(SAY_AT_MOST)
+                .forEach(claim -> host.say(claim.id(), PLAN, bytes, answer -> { }));
+    }
+
+    // As a learner.
+
+    private void takes(Plan next) {
+        if (next.epoch() <= plan.epoch()) {
+            return; // Epochs never go back.
+        }
+        ZoneTexts.changes(plan, next).forEach(change -> host.log("zones: epoch " + next.epoch() + " by "
+                + next.maker() + ": " + change));
+        plan = next;
+        host.inForce(plan);
+    }
+
+    /** One that tells of a later epoch is asked for its plan. */
+    private void pull() {
+        Claim ahead = null;
+        for (Claim claim : view.living()) {
+            boolean later = claim.told() != null && claim.told().epoch() > plan.epoch();
+            if (later && (ahead == null || claim.told().epoch() > ahead.told().epoch())) {
+                ahead = claim;
+            }
+        }
+        if (ahead != null && now - pulledAt >= PULL) {
+            pulledAt = now;
+            host.say(ahead.id(), PLAN, NOTHING, this::learns);
+        }
+    }
+
+    private void learns(byte[] bytes) {
+        if (bytes != null && bytes.length > 0) {
+            try {
+                takes(PlanCodec.read(bytes));
+            } catch (IllegalArgumentException e) {
+                host.log("zones: a plan that cannot be read was told");
+            }
+        }
+    }
+
+    /** What another member says; the answer. */
+    byte[] asked(String topic, byte[] bytes) {
+        switch (topic) {
+            case VOTE -> {
+                return votes(bytes);
+            }
+            case PLAN -> {
+                learns(bytes);
+                return PlanCodec.write(plan);
+            }
+            case STAFF -> {
+                return staff(new String(bytes, StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8);
+            }
+            default -> {
+                return NOTHING;
+            }
+        }
+    }
+
+    // As a voter.
+
+    /** Answered only once it is on the disk: what was told must outlive this process. */
+    private byte[] votes(byte[] bytes) {
+        if (file.isEmpty()) {
+            return NOTHING;
+        }
+        try {
+            Register.Outcome outcome = register.hears(VoteCodec.readVote(bytes));
+            if (outcome.register() != register) {
+                file.get().write(outcome.register());
+                register = outcome.register();
+            }
+            return VoteCodec.write(outcome.answer());
+        } catch (IOException e) {
+            host.log("zones: a vote cannot be kept, and is not given: " + e.getMessage());
+            return NOTHING;
+        } catch (IllegalArgumentException e) {
+            return NOTHING;
+        }
+    }
+
+    // What staff ask.
+
+    String table() {
+        return view == null ? "not in a fleet yet\n" : ZoneTexts.table(plan, view, config.agreed()
+                ? String.valueOf(proposer()) : "each by itself", !config.agreed() || hasMajority())
+                + ZoneTexts.inputs(health.inputs(view.living(), host.servers(), now, unixMillis));
+    }
+
+    /** drain ZONE SECONDS or restore ZONE; handed to the proposer where this member is not. */
+    String staff(String text) {
+        String[] word = text.split(" +");
+        Zone zone = new Zone(word.length > 1 ? word[1] : "");
+        boolean known = host.servers().stream().anyMatch(server -> server.zone().equals(zone));
+        if (!known) {
+            return "400 no such zone";
+        }
+        MemberId proposer = proposer();
+        if (config.agreed() && (proposer == null || !hasMajority())) {
+            return "400 no majority of voters in view";
+        }
+        if (config.agreed() && !proposer.equals(me)) {
+            host.say(proposer, STAFF, text.getBytes(StandardCharsets.UTF_8), answer -> { });
+            return "200 handed to " + proposer + ", zones shows when it is in force";
+        }
+        long until = plan.drained().getOrDefault(zone, 0L);
+        if (word[0].equals("restore") && until > unixMillis) {
+            return "400 drained for " + (until - unixMillis) / 1000 + " s more at least";
+        }
+        long least = 0;
+        try {
+            least = word.length > 2 ? Long.parseLong(word[2]) : 0;
+        } catch (NumberFormatException e) {
+            return "400 no number of seconds";
+        }
+        asked.put(zone, word[0].equals("drain") ? Optional.of(unixMillis + 1000 * least) : Optional.empty());
+        return "200 taken, zones shows when it is in force";
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/zones/ZonesHost.java
@@ -0,0 +1,21 @@
+package cairnbridge.zones;
+
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.zones.plan.Plan;
+import cairnbridge.zones.plan.Server;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** What the decisions on zones ask of the member they live in; all on one thread. */
+interface ZonesHost {
+    /** Says something to a member; then gets its answer, or null where none came. */
+    void say(MemberId to, String topic, byte[] bytes, Consumer<byte[]> then);
+
+    /** The caches of the list. */
+    List<Server> servers();
+
+    /** A plan is in force here from now on. */
+    void inForce(Plan plan);
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -0,0 +1,165 @@
+package cairnbridge.zones.plan;
+
+import cairnbridge.config.Names;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.zones.plan.ZoneInput.Condition;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Turns what members tell and the list of nodes into what the planner needs. What one member finds is its own
+ * trouble: a node or a zone is held lost or ill only by most of those who send there. Times in tenths of a
+ * millisecond.
+ */
+public final class ZoneHealth {
+    private static final long SECOND = 10_000, ILL_AFTER = 15_000, WELL_AFTER = 3 * SECOND;
+    private static final double ILL_FROM = 0.25, WELL_UNDER = 0.1;
+    private static final long LEAST_ENDED = 10;
+
+    /**
+     * @param nodeRate ops a second that a warm node of size one bears, as the operator states it
+     * @param coldFrom part of that which a node bears at its start, rising over warmUp
+     */
+    public record Rates(double nodeRate, double coldFrom, long warmUp, Map<String, String> regions) {
+    }
+
+    private static final class Found {
+        long illSince = -1, wellSince = -1;
+        boolean ill;
+    }
+
+    /** What one member tells of one zone. */
+    private record Report(long ended, long bad) {
+    }
+
+    private final Rates rates;
+    private final Map<Zone, Found> found = new HashMap<>();
+
+    public ZoneHealth(Rates rates) {
+        this.rates = rates;
+    }
+
+    /** living: members to be reckoned with; unixMillis is the time that the servers' starts are told in. */
+    public List<ZoneInput> inputs(List<Claim> living, List<Server> servers, long now, long unixMillis) {
+        Map<Zone, List<Server>> byZone = new TreeMap<>();
+        servers.forEach(server -> byZone.computeIfAbsent(server.zone(), zone -> new ArrayList<>())
+                .add(server));
+        Map<Zone, Double> demand = new HashMap<>();
+        Map<Zone, Integer> members = new HashMap<>();
+        for (Claim claim : living) {
+            if (claim.told() != null && !claim.told().zone().isEmpty()) {
+                Zone zone = new Zone(claim.told().zone());
+                demand.merge(zone, (double) claim.told().figures().rate(), Double::sum);
+                members.merge(zone, 1, Integer::sum);
+                byZone.computeIfAbsent(zone, each -> new ArrayList<>());
+            }
+        }
+        List<ZoneInput> inputs = new ArrayList<>();
+        byZone.forEach((zone, nodes) -> {
+            Condition condition = Condition.WELL;
+            double room = 0;
+            Set<Long> lost = lost(living, nodes, zone);
+            for (Server server : nodes) {
+                if (server.ready() && !lost.contains(server.node())) {
+                    room += server.size() * rates.nodeRate() * warmth(server, unixMillis);
+                }
+            }
+            if (room <= 0) {
+                condition = Condition.GONE;
+            } else if (isIll(zone, living, now)) {
+                condition = Condition.ILL;
+            }
+            inputs.add(new ZoneInput(zone, rates.regions().getOrDefault(zone.name(), ""), room,
+                    demand.getOrDefault(zone, 0.0), condition));
+        });
+        return inputs;
+    }
+
+    private double warmth(Server server, long unixMillis) {
+        long age = (unixMillis - server.started()) * 10;
+        if (server.started() <= 0 || rates.warmUp() <= 0 || age >= rates.warmUp()) {
+            return 1;
+        }
+        return rates.coldFrom() + (1 - rates.coldFrom()) * Math.max(0, age) / rates.warmUp();
+    }
+
+    /**
+     * Nodes out of reach for most of those who send to their zone, and for two at least where there are two.
+     */
+    private static Set<Long> lost(List<Claim> living, List<Server> nodes, Zone zone) {
+        Set<Long> own = new HashSet<>();
+        nodes.forEach(node -> own.add(node.node()));
+        Map<Long, Integer> without = new HashMap<>();
+        int senders = 0;
+        for (Claim claim : living) {
+            if (claim.told() == null) {
+                continue;
+            }
+            Told.Figures figures = claim.told().figures();
+            Set<Long> missed = new HashSet<>(figures.unreachable());
+            missed.retainAll(own);
+            if (!missed.isEmpty() || report(figures, zone).ended > 0) {
+                senders++;
+                missed.forEach(node -> without.merge(node, 1, Integer::sum));
+            }
+        }
+        Set<Long> lost = new HashSet<>();
+        int least = Math.min(2, living.size());
+        int all = senders;
+        without.forEach((node, count) -> {
+            if (2 * count > all && count >= least) {
+                lost.add(node);
+            }
+        });
+        return lost;
+    }
+
+    private static Report report(Told.Figures figures, Zone zone) {
+        long hash = Names.hash(zone.name());
+        List<Long> zones = figures.zones();
+        for (int i = 0; i + 2 < zones.size(); i += 3) {
+            if (zones.get(i) == hash) {
+                return new Report(Math.max(0, zones.get(i + 1)), Math.max(0, zones.get(i + 2)));
+            }
+        }
+        return new Report(0, 0);
+    }
+
+    /**
+     * Late or failing for most who send there and taken together, for some time; well again under a lower
+     * mark.
+     */
+    private boolean isIll(Zone zone, List<Claim> living, long now) {
+        long ended = 0;
+        long bad = 0;
+        int senders = 0;
+        int finding = 0;
+        for (Claim claim : living) {
+            Report report = claim.told() == null ? new Report(0, 0) : report(claim.told().figures(), zone);
+            if (report.ended >= LEAST_ENDED) {
+                senders++;
+                finding += report.bad >= ILL_FROM * report.ended ? 1 : 0;
+            }
+            ended += report.ended;
+            bad += report.bad;
+        }
+        Found state = found.computeIfAbsent(zone, each -> new Found());
+        boolean most = ended >= LEAST_ENDED && bad >= ILL_FROM * ended && 2 * finding > senders
+                && finding >= Math.min(2, living.size());
+        boolean well = ended >= LEAST_ENDED ? bad < WELL_UNDER * ended : bad == 0;
+        state.illSince = !most ? -1 : state.illSince < 0 ? now : state.illSince;
+        state.wellSince = !well ? -1 : state.wellSince < 0 ? now : state.wellSince;
+        if (state.illSince >= 0 && now - state.illSince >= ILL_AFTER) {
+            state.ill = true;
+        } else if (state.wellSince >= 0 && now - state.wellSince >= WELL_AFTER) {
+            state.ill = false;
+        }
+        return state.ill;
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/zones/use/ZonePlacement.java
@@ -0,0 +1,107 @@
+package cairnbridge.zones.use;
+
+import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Placement;
+import cairnbridge.decision.Settings;
+import cairnbridge.decision.Settings.Effect;
+import cairnbridge.decision.Settings.Group;
+import cairnbridge.zones.plan.Row;
+import cairnbridge.zones.plan.Zone;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+
+/**
+ * One zone's row of a plan, as the module asks for it. A key's zone is chosen by weighted rendezvous hashing
+ * (Schindelhauer and Schomaker 2005): when parts change only those keys move that have to, and the same ones
+ * at every proxy.
+ */
+public final class ZonePlacement implements Placement {
+    /** What has been placed since the start, for the figures; a new plan goes on counting. */
+    public static final class Counts {
+        public final LongAdder near = new LongAdder(), far = new LongAdder(), shed = new LongAdder();
+    }
+
+    private record Choice(ZoneId zone, long salt, double weight, boolean out) {
+    }
+
+    private static final long SALT = 0x7A6F6E65L, ALONE_SALT = 0x616C6F6EL;
+    private final ZoneId home;
+    private final Choice[] choices;
+    private final double shed, alonePart;
+    private final Map<Settings.Category, Double> shedBy;
+    private final Counts counts;
+
+    /**
+     * @param home this proxy's zone
+     * @param ids how the module knows zones; null for one that it does not
+     * @param out zones that this proxy finds out of reach by itself
+     * @param alonePart of the traffic for such a zone, what goes elsewhere by this proxy's own word
+     * @param shedBy by category, the part of its ops to be turned away
+     */
+    public ZonePlacement(Zone home, Row row, Function<Zone, ZoneId> ids, Set<Zone> out, double alonePart,
+            Map<Settings.Category, Double> shedBy, Counts counts) {
+        this.home = ids.apply(home);
+        this.counts = counts;
+        this.alonePart = alonePart;
+        this.shedBy = Map.copyOf(shedBy);
+        shed = (double) row.shed() / Row.ALL;
+        Map<Zone, Integer> to = new HashMap<>(row.to());
+        choices = row.ordered().keySet().stream().filter(zone -> ids.apply(zone) != null)
+                .map(zone -> new Choice(ids.apply(zone), zone.name().hashCode() * SALT, to.get(zone),
+                        out.contains(zone))).toArray(Choice[]::new);
+    }
+
+    @Override
+    public ZoneId zone(long point, Settings.Category category) {
+        ZoneId zone = choose(point, category);
+        (zone == NOWHERE ? counts.shed : zone != null && zone.equals(home) ? counts.near : counts.far)
+                .increment();
+        return zone;
+    }
+
+    private ZoneId choose(long point, Settings.Category category) {
+        // Guards against a client's repeat that lands where nobody has the mark of the first.
+        boolean bound = category.effect() == Effect.DEDUPLICATED && category.group() != Group.ALL;
+        double turned = shedBy.getOrDefault(category, shed);
+        if (turned > 0 && unit(point ^ SALT) < turned) {
+            return NOWHERE;
+        }
+        if (bound) {
+            return home != null ? home : NOWHERE;
+        }
+        Choice best = best(point, false);
+        if (best == null || !best.out) {
+            return best == null ? NOWHERE : best.zone;
+        }
+        // Its plan has not followed yet: a part goes elsewhere by this proxy's own word, the rest is turned
+        // away.
+        Choice other = unit(point ^ ALONE_SALT) < alonePart ? best(point, true) : null;
+        return other == null ? NOWHERE : other.zone;
+    }
+
+    private Choice best(long point, boolean withinReach) {
+        Choice best = null;
+        double most = Double.NEGATIVE_INFINITY;
+        for (Choice choice : choices) {
+            if (!withinReach || !choice.out) {
+                double score = Math.log(unit(point ^ choice.salt)) / choice.weight;
+                if (score > most) {
+                    most = score;
+                    best = choice;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Over 0 and under 1. */
+    private static double unit(long value) {
+        long z = value + 0x9E3779B97F4A7C15L;
+        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return ((z ^ z >>> 31) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
+    }
+}
--- a/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
+++ b/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -55,6 +56,11 @@
         // The view is looked at instead.
     }
 
+    @Override
+    public byte[] asked(MemberId from, String topic, byte[] bytes) {
+        return (topic + " of " + from + " in " + bytes.length).getBytes();
+    }
+
     @Override
     public void viewed(View view) {
         // As above.
@@ -112,6 +118,26 @@
         assertEquals(Standing.ALIVE, second.view().of(new MemberId("a")).get().standing());
     }
 
+    /** Other parts talk over the same streams; one that is gone answers nobody, and that is said too. */
+    @Test
+    void aWordGetsItsAnswerAndOneThatIsLostGetsNone() throws Exception {
+        Carrier first = carrier("a", "c", 2);
+        Carrier second = carrier("b", "c", 2, first.at());
+        until(() -> second.view().figures().alive() == 2);
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        CompletableFuture<Boolean> silence = new CompletableFuture<>();
+        second.execute(() -> second.say(first.at(), "plans", new byte[40_000], bytes ->
+                answer.complete(new String(bytes))));
+        assertEquals("plans of b in 40000", answer.get());
+        first.stop();
+        until(() -> {
+            second.execute(() -> second.say(first.at(), "plans", new byte[1], bytes ->
+                    silence.complete(bytes == null)));
+            return silence.isDone();
+        });
+        assertTrue(silence.get());
+    }
+
     @Test
     void anAddressThatIsTakenIsSaidInOneLine() throws Exception {
         Carrier first = carrier("a", "c", 2);
--- a/src/test/java/cairnbridge/fleet/use/UsesTest.java
+++ b/src/test/java/cairnbridge/fleet/use/UsesTest.java
@@ -111,7 +111,10 @@
             reach.ended(node, false, 60);
             reach.ended(node, false, 61 + node);
         }
-        assertEquals(Told.MOST_UNREACHABLE, reach.unreachable(200).size());
+        assertEquals(100, reach.unreachable(200).size());
+        Told told = Told.of("a", "r", 2, Told.State.SERVING, "", "", new Told.Figures(0, 0, 0, true,
+                reach.unreachable(200)));
+        assertEquals(Told.MOST_UNREACHABLE, told.figures().unreachable().size(), "as many as are told");
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/cairnbridge/zones/ZonesTest.java
@@ -0,0 +1,232 @@
+package cairnbridge.zones;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.config.Names;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.Incarnation;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Standing;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.View;
+import cairnbridge.fleet.view.ViewFigures;
+import cairnbridge.zones.plan.Plan;
+import cairnbridge.zones.plan.PlanSettings;
+import cairnbridge.zones.plan.Row;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
+import cairnbridge.zones.plan.ZoneHealth;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Six members in three zones with a plan in common: who proposes, who votes, and who is left behind. */
+class ZonesTest {
+    private static final long SECOND = 10_000;
+    private static final Zone A = new Zone("a");
+    @TempDir
+    Path folder;
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Set<String> gone = new HashSet<>();
+    private final Map<String, Set<String>> cut = new HashMap<>();
+    private final Map<String, List<Long>> unreachable = new HashMap<>();
+    private long now = 100 * SECOND;
+
+    private final class Member implements ZonesHost {
+        final String name;
+        final Zones zones;
+        final List<String> log = new ArrayList<>();
+        final List<Long> epochs = new ArrayList<>();
+        boolean frozen;
+
+        Member(String name) throws IOException {
+            this.name = name;
+            ZonesConfig config = new ZonesConfig(true, List.of(new MemberId("p1"), new MemberId("p2"),
+                    new MemberId("p3")), folder.resolve(name), 100, Map.of("a", "r", "b", "r", "c", "s"),
+                    PlanSettings.USUAL, 0.2);
+            zones = new Zones(new MemberId(name), config,
+                    new ZoneHealth.Rates(100, 0.25, 3 * SECOND, config.regions()),
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode()), this);
+        }
+
+        @Override
+        public void say(MemberId to, String topic, byte[] bytes, Consumer<byte[]> then) {
+            Member other = members.get(to.name());
+            boolean lost = gone.contains(to.name()) || other.frozen || isCut(name, to.name());
+            then.accept(lost ? null : other.zones.asked(topic, bytes));
+        }
+
+        @Override
+        public List<Server> servers() {
+            List<Server> servers = new ArrayList<>();
+            for (String zone : List.of("a", "b", "c")) {
+                for (int i = 0; i < 4; i++) {
+                    servers.add(new Server(Names.hash(zone + i), new Zone(zone), true, 1, 0));
+                }
+            }
+            return servers;
+        }
+
+        @Override
+        public void inForce(Plan plan) {
+            epochs.add(plan.epoch());
+        }
+
+        @Override
+        public void log(String line) {
+            log.add(line);
+        }
+    }
+
+    private boolean isCut(String one, String other) {
+        return cut.getOrDefault(one, Set.of()).contains(other)
+                || cut.getOrDefault(other, Set.of()).contains(one);
+    }
+
+    private ZonesTest fleet() throws IOException {
+        for (int i = 1; i <= 6; i++) {
+            members.put("p" + i, new Member("p" + i));
+        }
+        return this;
+    }
+
+    private View view(String holder) {
+        List<Claim> claims = new ArrayList<>();
+        for (Member member : members.values()) {
+            boolean dead = gone.contains(member.name) || member.frozen || isCut(holder, member.name);
+            String zone = List.of("a", "b", "c").get((Integer.parseInt(member.name.substring(1)) - 1) % 3);
+            Told told = Told.of(zone, "r", 2, Told.State.SERVING, "", "", member.zones.plan().epoch(),
+                    new Told.Figures(0, 0, 100, 1, true, unreachable.getOrDefault(member.name, List.of()),
+                            List.of(Names.hash(zone), 50L, 0L)));
+            claims.add(new Claim(new MemberId(member.name), new Endpoint("10.0.0.1", 1),
+                    new Incarnation(1, 0),
+                    dead ? Standing.DEAD : Standing.ALIVE, null, 1, told));
+        }
+        return new View(new MemberId(holder), claims, 0,
+                new ViewFigures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+                0, 0));
+    }
+
+    private void after(int seconds) {
+        for (int i = 0; i < 4 * seconds; i++) {
+            now += SECOND / 4;
+            for (Member member : members.values()) {
+                if (!gone.contains(member.name) && !member.frozen) {
+                    member.zones.viewed(view(member.name), now, now / 10);
+                }
+            }
+        }
+    }
+
+    private void loses(String... names) {
+        for (String name : names) {
+            unreachable.put(name, List.of(Names.hash("a0"), Names.hash("a1"), Names.hash("a2"),
+                    Names.hash("a3")));
+        }
+    }
+
+    private Plan plan(String name) {
+        return members.get(name).zones.plan();
+    }
+
+    @Test
+    void aLostZoneIsOutOfUseEverywhereWithinThreeSeconds() throws IOException {
+        fleet().after(5);
+        assertEquals(Plan.FIRST, plan("p6"), "in calm there is no plan");
+        loses("p1", "p4");
+        after(3);
+        members.keySet().forEach(name -> assertEquals(0, plan(name).row(A).to(A), name));
+        after(20);
+        members.keySet().forEach(name -> assertEquals(plan("p1"), plan(name)));
+        assertEquals(0, plan("p1").row(A).shed());
+    }
+
+    /** Guards against one proxy's own trouble that is taken for a zone's. */
+    @Test
+    void whatOneMemberCannotReachMovesNothing() throws IOException {
+        fleet();
+        loses("p1");
+        after(20);
+        assertEquals(Plan.FIRST, plan("p1"));
+    }
+
+    @Test
+    void aProposerThatDiesIsFollowedByTheNextAndOneThatThawsFollows() throws IOException {
+        fleet().after(3);
+        loses("p1", "p4");
+        after(1);
+        members.get("p1").frozen = true;
+        after(15);
+        assertEquals("p2", plan("p5").maker());
+        Plan before = plan("p1");
+        assertTrue(before.epoch() < plan("p5").epoch());
+        members.get("p1").frozen = false;
+        after(3);
+        assertTrue(plan("p1").epoch() >= plan("p5").epoch(), "it has learnt before it proposes");
+        for (Member member : members.values()) {
+            for (int i = 1; i < member.epochs.size(); i++) {
+                assertTrue(member.epochs.get(i) > member.epochs.get(i - 1), "epochs never go back");
+            }
+        }
+    }
+
+    @Test
+    void withoutAMajorityThePlanStaysAndTheOtherSideGoesOn() throws IOException {
+        fleet().after(3);
+        for (String name : List.of("p1", "p4")) {
+            cut.put(name, Set.of("p2", "p3", "p5", "p6"));
+        }
+        loses("p1", "p4");
+        after(10);
+        assertEquals(0, plan("p1").epoch());
+        assertTrue(members.get("p1").zones.table().contains("NO MAJORITY"));
+        unreachable.clear();
+        cut.clear();
+        after(5);
+        assertEquals(Plan.FIRST.rows(), plan("p3").rows());
+    }
+
+    @Test
+    void staffDrainAZoneThroughAnyMemberAndGiveItBackNoSoonerThanSaid() throws IOException {
+        fleet().after(3);
+        assertEquals("400 no such zone", members.get("p6").zones.staff("drain z 5"));
+        assertTrue(members.get("p6").zones.staff("drain b 20").startsWith("200 handed to p1"));
+        after(8);
+        Zone b = new Zone("b");
+        members.keySet().forEach(name -> assertEquals(0, plan(name).row(b).to(b), name));
+        assertTrue(members.get("p1").zones.staff("restore b").startsWith("400 drained for "));
+        after(16);
+        assertEquals("200 taken, zones shows when it is in force",
+                members.get("p1").zones.staff("restore b"));
+        after(30);
+        members.keySet().forEach(name -> assertEquals(Row.ALL, plan(name).row(b).to(b), name));
+    }
+
+    @Test
+    void aVoterKeepsWhatItPromisedOverItsEnd() throws IOException {
+        fleet().after(3);
+        loses("p1", "p4");
+        after(4);
+        long epoch = plan("p1").epoch();
+        for (String name : List.of("p1", "p2", "p3")) {
+            members.put(name, new Member(name));
+        }
+        unreachable.clear();
+        members.keySet().removeIf(name -> name.compareTo("p3") > 0);
+        after(2);
+        assertTrue(plan("p2").epoch() >= epoch, "nobody but the voters' files knew it: "
+                + plan("p2").epoch());
+    }
+}
