--- a/src/main/java/cairnbridge/fleet/carrier/Carrier.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Carrier.java
@@ -197,7 +197,7 @@
         } catch (IOException e) {
             LOG.log(Level.SEVERE, "the fleet's carrier has ended", e);
         } finally {
-            streams.forEach(Stream::shut);
+            List.copyOf(streams).forEach(Stream::shut);
             ended.countDown();
         }
     }
