Where all zones look ill nothing is shed; who is alone in a zone is heard alone

Cause: Planner.staysAtHome gave an ill zone's rest no place at home where no other zone had room. It stays now: what all zones have in common is not theirs. Second: with one of a zone's two proxies dead the other's word, the only one, was not enough to hold its nodes lost (ZoneHealth.lost asked for two); it is where that member is alone in its zone.

--- a/src/main/java/cairnbridge/zones/plan/Planner.java
+++ b/src/main/java/cairnbridge/zones/plan/Planner.java
@@ -295,7 +295,9 @@
      * there.
      */
     private static double staysAtHome(ZoneInput zone, Parts aim, double left, Map<Zone, Long> drained) {
-        if (!serves(zone) || zone.condition() == Condition.ILL && zone.demand() > 0) {
+        // An ill zone as well: where all look ill at once it is not the zones, and shedding all would help
+        // nobody.
+        if (!serves(zone)) {
             return 0;
         }
         double bears = zone.demand() <= 0 ? 1 : zone.room() / zone.demand();
--- a/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -110,7 +110,10 @@
             }
         }
         Set<Long> lost = new HashSet<>();
-        int least = Math.min(2, living.size());
+        // One that is alone in its zone, and the only one to send there, is all there is to go by.
+        long inZone = living.stream().filter(claim -> claim.told() != null
+                && claim.told().zone().equals(zone.name())).count();
+        long least = senders == 1 && inZone == 1 ? 1 : 2;
         int all = senders;
         without.forEach((node, count) -> {
             if (2 * count > all && count >= least) {
--- a/src/test/java/cairnbridge/zones/plan/PlannerTest.java
+++ b/src/test/java/cairnbridge/zones/plan/PlannerTest.java
@@ -113,6 +113,14 @@
         assertEquals(Row.ALL, plan.row(B).to(B));
     }
 
+    /** Guards against all traffic shed where all zones answer late, as they do behind a slow origin. */
+    @Test
+    void whereAllLookIllNothingMoves() {
+        zone(A, "r", 400, 200, Condition.ILL).zone(B, "r", 400, 200, Condition.ILL).zone(D, "s", 400, 200,
+                Condition.ILL).after(20);
+        assertEquals(Map.of(), plan.rows());
+    }
+
     @Test
     void farOnlyWhereNothingNearHasRoom() {
         calm().zone(B, "r", 220, 200).zone(C, "r", 230, 200).zone(A, "r", 0, 200, Condition.GONE).after(20);
