Who still starts neither proposes nor is heard of zones; a drill that is told to end ends its proxies

Need, seen in drills: zone a held gone 2.3 s after the start of the fleet, as twelve processes started on one machine and first calls came too late to connect (dial time-outs at p1 and p4). And eleven proxies were left behind by a drill that was killed.

Change: a member that starts is no proposer and its reports count for nothing; within 5 s of its own start a member proposes nothing new. Drill ends its processes at SIGTERM and Ctrl-C. A view that hears another speak of one who is gone as it was says so (Membership.corrections): a leave missed by one view was held a crash until the next comparison.

--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -66,6 +66,8 @@
                 folder, log)) {
             events = log;
             rig = fleet;
+            // Guards against proxies left behind by a drill that is told to end.
+            Runtime.getRuntime().addShutdownHook(new Thread(fleet::end, "drill's end"));
             rig.load("", scenario.caches() > 0 ? scenario.load() : 0);
             rig.countPeak();
             for (Step step : scenario.steps()) {
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -112,6 +112,14 @@
         }
     }
 
+    /** Kills it and waits for nothing. */
+    void end() {
+        running = false;
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
     /** A planned end; it goes on until it is done. */
     void terminate() {
         running = false;
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -392,6 +392,11 @@
         return text.toString();
     }
 
+    /** Kills all processes at once. */
+    void end() {
+        proxies.values().forEach(ProxyProcess::end);
+    }
+
     @Override
     public void close() throws InterruptedException {
         List.copyOf(clients.keySet()).forEach(zone -> load(zone, 0));
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -227,11 +227,33 @@
             strayed++; // An earlier life's words, or a table full of the living.
             return;
         }
+        List<Claim> news = corrections(packet.body().claims());
         merge(packet.body().claims(), false);
+        if (!news.isEmpty()) {
+            host.send(packet.at(), packet(new Message.Gossip(news)));
+        }
         probes.heard(from, packet);
         syncs.heard(from, packet.digest());
     }
 
+    /**
+     * What is known here of those who are gone, where another still speaks of them as they were. Guards
+     * against a leave that is taken for a crash, or against a death unknown for long, by a view that one
+     * rumour has missed.
+     */
+    private List<Claim> corrections(List<Claim> claims) {
+        List<Claim> news = new ArrayList<>();
+        for (Claim claim : claims) {
+            Member member = table.get(claim.id());
+            if (member != null && !member.isLiving() && member.claim.supersedes(claim)
+                    && now - member.challengedAt >= TELL_AGAIN) {
+                member.challengedAt = now;
+                news.add(member.claim.bare());
+            }
+        }
+        return news;
+    }
+
     /** The sender's own word on itself; null where it is of an earlier life than the one that is known. */
     private Member met(Packet packet) {
         Claim word = new Claim(packet.from(), packet.at(), packet.incarnation(), Standing.ALIVE, null, 0,
--- a/src/main/java/cairnbridge/zones/Zones.java
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -2,6 +2,7 @@
 
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
 import cairnbridge.zones.agree.Attempt;
 import cairnbridge.zones.agree.Ballot;
@@ -32,6 +33,8 @@
 final class Zones {
     static final String VOTE = "zones-vote", PLAN = "zones-plan", STAFF = "zones-staff";
     private static final long SECOND = 10_000, TRY = SECOND, PULL = SECOND / 5, SAY_AT_MOST = 64;
+    /** So long after its start a member proposes nothing new. */
+    private static final long CARE = 5 * SECOND;
     private static final byte[] NOTHING = {};
 
     private final MemberId me;
@@ -46,7 +49,7 @@
     private Attempt attempt;
     private Ballot last = Ballot.NONE;
     private View view;
-    private long attemptAt, pulledAt, now, unixMillis, waitUntil;
+    private long begun, attemptAt, pulledAt, now, unixMillis, waitUntil;
     private boolean proposes, unsure;
     /** What staff want, until a plan has it: empty to give back, else the least time. */
     private final Map<Zone, Optional<Long>> asked = new HashMap<>();
@@ -73,6 +76,7 @@
     /** Some time has gone by, or the view has changed. */
     void viewed(View seen, long clock, long wallMillis) {
         view = seen;
+        begun = now == 0 ? clock : begun;
         now = clock;
         unixMillis = wallMillis;
         if (!config.agreed()) {
@@ -109,13 +113,19 @@
 
     /** The first voter that lives, by the order of names. */
     private MemberId proposer() {
-        return config.voters().stream().filter(this::lives).sorted().findFirst().orElse(null);
+        return config.voters().stream().filter(this::lives).filter(this::serves).sorted().findFirst()
+                .orElse(null);
     }
 
     private boolean lives(MemberId id) {
         return view.of(id).filter(claim -> claim.standing().isLiving()).isPresent();
     }
 
+    /** One that still starts knows too little to propose. */
+    private boolean serves(MemberId id) {
+        return view.of(id).map(Claim::told).filter(told -> told.state() != Told.State.STARTING).isPresent();
+    }
+
     private boolean hasMajority() {
         return 2 * config.voters().stream().filter(this::lives).count() > config.voters().size();
     }
@@ -125,8 +135,9 @@
      */
     private Plan wants(Plan from) {
         List<Server> servers = host.servers();
-        if (servers.isEmpty()) {
-            // Guards against all zones held gone by one that has just started and has no list yet.
+        if (servers.isEmpty() || now - begun < CARE) {
+            // Guards against zones held gone by one that has just started: no list yet, first calls that were
+            // late.
             return from;
         }
         List<ZoneInput> inputs = health.inputs(view.living(), servers, now, unixMillis);
--- a/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -98,7 +98,7 @@
         Map<Long, Integer> without = new HashMap<>();
         int senders = 0;
         for (Claim claim : living) {
-            if (claim.told() == null) {
+            if (claim.told() == null || claim.told().state() == Told.State.STARTING) {
                 continue;
             }
             Told.Figures figures = claim.told().figures();
--- a/src/test/java/cairnbridge/fleet/view/MembershipTest.java
+++ b/src/test/java/cairnbridge/fleet/view/MembershipTest.java
@@ -207,6 +207,21 @@
         assertEquals(0, nodes.get(0).machine.figures().deaths());
     }
 
+    /** Guards against a leave that is held a crash for half a minute by a view that one rumour has missed. */
+    @Test
+    void whoHasMissedALeaveIsToldOnceItSuspects() {
+        List<Node> nodes = fleet(12);
+        Node gone = nodes.get(4);
+        net.cutOneWay(gone, nodes.get(9));
+        nodes.forEach(node -> net.cutOneWay(node, nodes.get(9)));
+        net.leave(gone);
+        net.pass(SECOND + SECOND / 2);
+        assertEquals(Standing.ALIVE, nodes.get(9).machine.of(gone.id).standing());
+        net.heal();
+        net.pass(9 * SECOND);
+        assertEquals(Standing.LEFT, nodes.get(9).machine.of(gone.id).standing());
+    }
+
     @Test
     void whatAMemberTellsReachesAllAndUnknownFieldsWithIt() {
         List<Node> nodes = fleet(12);
