Reading CBOR fields and calling a door have one place each; drills of a lost region and of lists that differ

Need: three codecs read numbers, texts and bytes by copies of the same methods, two commands called a door by copies of the same lines.

Change: CborFields, DoorCall; drills zone-region and zone-lists, with `discovery down NAMES` and `cache-listed`.

--- a/src/main/java/cairnbridge/cli/ZonesCommand.java
+++ b/src/main/java/cairnbridge/cli/ZonesCommand.java
@@ -1,9 +1,6 @@
 package cairnbridge.cli;
 
 import cairnbridge.config.ConfigFault;
-import cairnbridge.config.ProxyConfig;
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -29,24 +26,11 @@
 
     @Override
     public Integer call() {
-        InetSocketAddress address = ProxyConfig.address(door);
-        if (address == null) {
-            throw new ConfigFault("--door", "is not an address and a port: " + door);
-        }
         if (drain != null && restore != null) {
             throw new ConfigFault("--restore", "goes not with --drain");
         }
         String call = drain != null ? "zone-drain " + drain + " " + seconds
                 : restore != null ? "zone-restore " + restore : "zones";
-        try {
-            String answer = MembersCommand.ask(address, call);
-            boolean good = !answer.startsWith("400 ");
-            (good ? spec.commandLine().getOut() : spec.commandLine().getErr())
-                    .println(answer.replaceFirst("\n?EOF\n*$", "").strip());
-            return good ? 0 : 1;
-        } catch (IOException e) {
-            spec.commandLine().getErr().println("no answer from " + door + ": " + e.getMessage());
-            return 1;
-        }
+        return DoorCall.make(spec, door, call);
     }
 }
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -145,7 +145,9 @@
             case CACHE_GREY -> step.names(0).forEach(uid ->
                     rig.cache(uid).grey(step.words().get(1).equals("yes")));
             case ORIGIN_SLOW -> rig.origin().span(step.millis(0));
-            case DISCOVERY -> rig.discovery(step.words().get(0).equals("up"));
+            case DISCOVERY -> rig.discovery(step.words().get(0).equals("up"), step.words().size() > 1
+                    ? members(step, 1) : rig.proxies().stream().map(proxy -> proxy.name).toList());
+            case CACHE_LISTED -> step.names(0).forEach(uid -> rig.lists(uid, step.words().get(1)));
             case LOAD -> rig.load("", step.number(0));
             case ZONE_LOAD -> rig.load(step.words().get(0), step.number(1));
             case CACHE_KILL -> step.names(0).forEach(rig::killCache);
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -320,8 +320,13 @@
         proxies.values().forEach(each -> each.undisturbedSince = events.millis());
     }
 
-    void discovery(boolean up) {
-        agents.values().forEach(agent -> agent.down(!up));
+    void discovery(boolean up, List<String> names) {
+        names.forEach(name -> agents.get(name).down(!up));
+    }
+
+    /** What the list says of a cache from now on. */
+    void lists(String uid, String state) {
+        roster.change(uid, state);
     }
 
     /** Clients of one zone's proxies, or of all where it is empty, so many ops a second; those before end. */
--- a/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
+++ b/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
@@ -179,7 +179,16 @@
                     step.names(0).forEach(name -> any(step.line(), name));
                     word(step, 1, "yes", "no");
                 }
-                case DISCOVERY -> word(step, 0, "down", "up");
+                case DISCOVERY -> {
+                    word(step, 0, "down", "up");
+                    if (step.words().size() > 1) {
+                        members(step, 1);
+                    }
+                }
+                case CACHE_LISTED -> {
+                    step.names(0).forEach(name -> any(step.line(), name));
+                    word(step, 1, "Ready", "Terminating", "Gone");
+                }
                 case LOAD -> step.number(0);
                 case LIST_CALLS -> {
                     word(step, 0, "at-most");
--- a/src/main/java/cairnbridge/drill/scenario/Step.java
+++ b/src/main/java/cairnbridge/drill/scenario/Step.java
@@ -8,11 +8,12 @@
     public enum Verb {
         START(1, 1), WAIT(1, 1), KILL(1, 1), STOP(1, 1), FREEZE(1, 1), THAW(1, 1), LIFE(2, 2), PROTOCOL(2, 2),
         CUT(1, 99), ONE_WAY(2, 2), LOSS(1, 1), DOUBLE(1, 1), REORDER(1, 1), DELAY(1, 1), HEAL(0, 0),
-        CACHE_SLOW(2, 2), CACHE_FAILS(2, 2), ORIGIN_SLOW(1, 1), DISCOVERY(1, 1), LOAD(1, 1), COUNT(0, 0),
+        CACHE_SLOW(2, 2), CACHE_FAILS(2, 2), ORIGIN_SLOW(1, 1), DISCOVERY(1, 2), LOAD(1, 1), COUNT(0, 0),
         AGREE(2, 2), PARTS_AGREE(2, 2), NOBODY_FALSELY_DEAD(0, 0), SAME_LIFE(1, 1), NEW_LIFE(1, 1),
                 SERVED(2, 2),
         NO_EFFECT_TWICE(0, 0), HINTED(3, 3), SHARES(3, 3), PROBED(3, 3), LIST_CALLS(2, 2), REFUSED_SOME(1, 1),
-        CACHE_KILL(1, 1), CACHE_START(1, 1), CACHE_GREY(2, 2), ZONE_LOAD(2, 2), DRAIN(2, 2), RESTORE(1, 1),
+        CACHE_KILL(1, 1), CACHE_START(1, 1), CACHE_GREY(2, 2), CACHE_LISTED(2, 2), ZONE_LOAD(2, 2),
+                DRAIN(2, 2), RESTORE(1, 1),
         ZONE_OUT(3, 3), ZONE_HOME(3, 3), ZONES_SETTLED(2, 2), REVERSALS(2, 2), NEAR(2, 2), ORIGIN_PEAK(2, 2),
         NONE_FELLED(0, 0), ANSWERED_IN_TIME(2, 2);
 
--- a/src/main/java/cairnbridge/fleet/carrier/Codec.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Codec.java
@@ -1,5 +1,10 @@
 package cairnbridge.fleet.carrier;
 
+import static cairnbridge.fleet.member.CborFields.bytes;
+import static cairnbridge.fleet.member.CborFields.expect;
+import static cairnbridge.fleet.member.CborFields.number;
+import static cairnbridge.fleet.member.CborFields.text;
+
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.member.Incarnation;
@@ -211,25 +216,4 @@
     private static Incarnation incarnation(JsonParser cbor) throws IOException {
         return new Incarnation(number(cbor), (int) number(cbor));
     }
-
-    private static byte[] bytes(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
-        return cbor.getBinaryValue();
-    }
-
-    private static String text(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_STRING);
-        return cbor.getText();
-    }
-
-    private static long number(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_NUMBER_INT);
-        return cbor.getLongValue();
-    }
-
-    private static void expect(boolean holds) throws IOException {
-        if (!holds) {
-            throw new IOException("not of this form");
-        }
-    }
 }
--- a/src/main/java/cairnbridge/zones/agree/VoteCodec.java
+++ b/src/main/java/cairnbridge/zones/agree/VoteCodec.java
@@ -1,5 +1,10 @@
 package cairnbridge.zones.agree;
 
+import static cairnbridge.fleet.member.CborFields.bytes;
+import static cairnbridge.fleet.member.CborFields.expect;
+import static cairnbridge.fleet.member.CborFields.number;
+import static cairnbridge.fleet.member.CborFields.text;
+
 import cairnbridge.zones.plan.PlanCodec;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -100,23 +105,6 @@
 
     private static Ballot ballot(JsonParser cbor) throws IOException {
         long round = number(cbor);
-        expect(cbor.nextToken() == JsonToken.VALUE_STRING);
-        return new Ballot(round, cbor.getText());
-    }
-
-    private static byte[] bytes(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
-        return cbor.getBinaryValue();
-    }
-
-    private static long number(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_NUMBER_INT);
-        return cbor.getLongValue();
-    }
-
-    private static void expect(boolean holds) throws IOException {
-        if (!holds) {
-            throw new IOException("not of this form");
-        }
+        return new Ballot(round, text(cbor));
     }
 }
--- a/src/main/java/cairnbridge/zones/plan/PlanCodec.java
+++ b/src/main/java/cairnbridge/zones/plan/PlanCodec.java
@@ -1,5 +1,8 @@
 package cairnbridge.zones.plan;
 
+import static cairnbridge.fleet.member.CborFields.expect;
+import static cairnbridge.fleet.member.CborFields.number;
+
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
@@ -90,15 +93,4 @@
         expect(cbor.currentToken() == JsonToken.END_ARRAY);
         return pairs;
     }
-
-    private static long number(JsonParser cbor) throws IOException {
-        expect(cbor.nextToken() == JsonToken.VALUE_NUMBER_INT);
-        return cbor.getLongValue();
-    }
-
-    private static void expect(boolean holds) throws IOException {
-        if (!holds) {
-            throw new IOException("not of this form");
-        }
-    }
 }
