--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -368,8 +368,11 @@
             return;
         }
         op.open--;
-        reached(call.node, over.ending(), op.expires - clock.now());
-        tally(call, over.ending(), call.took(over.ended()), op.expires - clock.now());
+        if (reach != null) { // Alone, a proxy pays nothing for what a fleet is told.
+            long left = op.expires - clock.now();
+            reached(call.node, over.ending(), left);
+            tally(call, over.ending(), call.took(over.ended()), left);
+        }
         if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
                 call.client.ack(over.body());
