A story of carriers waits until both have met

Seen in a clean checkout: the second carrier's view, published within a tenth of a second, was asked for a member before it had one. The story waits for both views now, as the others do.

--- a/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
+++ b/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
@@ -97,7 +97,7 @@
     void whatStrangersSendIsCountedAndChangesNothing() throws Exception {
         Carrier first = carrier("a", "c", 2);
         Carrier second = carrier("b", "c", 2, first.at());
-        until(() -> first.view().figures().alive() == 2);
+        until(() -> first.view().figures().alive() == 2 && second.view().figures().alive() == 2);
         Carrier other = carrier("x", "another", 2, first.at());
         try (DatagramSocket socket = new DatagramSocket(); Socket stream = new Socket()) {
             InetSocketAddress at = first.at().socket();
