Read once more: what a fleet is told is counted in one place, and copies of the same code call one piece

Found in the change, and mended: - Decide asked in six places whether a fleet is told of anything, and held nine fields for it also where a proxy is alone. FleetTally holds them; there is none on the platform. - The finalizer of SplitMix64 stood in Op, Table, Duties and ZonePlacement: Mix. A call at a door stood in the commands and in the rig: DoorClient. It listed the living twice. - A member's figures were read out of its bytes at every question, for each zone and member; once now, safely for any thread. - Dead: a map and a parameter in ZoneHealth and Planner, two null checks, an early return that did what follows it, three counters that nobody reads, a method that only called another.

One fix with it: where no kind is the origin's, a node of a kind nobody has named was left out of what plans over zones go by (-1 was compared with -1); no story covers it. Router.java is untouched.

--- a/src/main/java/cairnbridge/cli/DoorCall.java
+++ b/src/main/java/cairnbridge/cli/DoorCall.java
@@ -1,11 +1,10 @@
 package cairnbridge.cli;
 
+import cairnbridge.admin.DoorClient;
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.ProxyConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import picocli.CommandLine.Model.CommandSpec;
 
 /** One call at a proxy's door, as a command makes it. */
@@ -22,7 +21,7 @@
             throw new ConfigFault("--door", "is not an address and a port: " + door);
         }
         try {
-            String answer = ask(address, call);
+            String answer = DoorClient.ask(address, call, MOST_MILLIS);
             boolean good = !answer.startsWith("400 ");
             (good ? spec.commandLine().getOut() : spec.commandLine().getErr())
                     .println(answer.replaceFirst("\n?EOF\n*$", "").strip());
@@ -32,13 +31,4 @@
             return 1;
         }
     }
-
-    private static String ask(InetSocketAddress door, String call) throws IOException {
-        try (Socket socket = new Socket()) {
-            socket.connect(door, MOST_MILLIS);
-            socket.setSoTimeout(MOST_MILLIS);
-            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-    }
 }
--- a/src/main/java/cairnbridge/cli/SimulateCommand.java
+++ b/src/main/java/cairnbridge/cli/SimulateCommand.java
@@ -1,5 +1,6 @@
 package cairnbridge.cli;
 
+import cairnbridge.config.ConfigFault;
 import cairnbridge.drill.simulated.ViewRuns;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -30,7 +31,7 @@
     @Override
     public Integer call() {
         if (members < 4 || !(loss >= 0 && loss <= 1) || changes < 1) {
-            throw new cairnbridge.config.ConfigFault(members < 4 ? "--members" : changes < 1 ? "--changes"
+            throw new ConfigFault(members < 4 ? "--members" : changes < 1 ? "--changes"
                     : "--loss",
                     "is out of range");
         }
--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -44,10 +44,7 @@
     }
 
     static long mix(long value) {
-        long z = value + 0x9E3779B97F4A7C15L;
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return z ^ z >>> 31;
+        return Mix.of(value);
     }
 
     boolean mayHaveRun() {
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -1,7 +1,6 @@
 package cairnbridge.drill.rig;
 
 import cairnbridge.config.Names;
-import cairnbridge.drill.link.LinkRule;
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.Step;
 import cairnbridge.drill.standin.Clients;
@@ -20,7 +19,6 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
-import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -131,10 +129,10 @@
             case PROTOCOL -> members(step, 0).forEach(name -> rig.protocol(name, step.words().get(1)));
             case CUT -> cut(step);
             case ONE_WAY -> rig.change(step.words().get(0), step.words().get(1), rule -> rule.cut(true));
-            case LOSS -> all(rule -> rule.loses(step.part(0)));
-            case DOUBLE -> all(rule -> rule.doubles(step.part(0)));
-            case REORDER -> all(rule -> rule.reorders(step.part(0)));
-            case DELAY -> all(rule -> rule.delays(step.millis(0)));
+            case LOSS -> rig.changeAll(rule -> rule.loses(step.part(0)));
+            case DOUBLE -> rig.changeAll(rule -> rule.doubles(step.part(0)));
+            case REORDER -> rig.changeAll(rule -> rule.reorders(step.part(0)));
+            case DELAY -> rig.changeAll(rule -> rule.delays(step.millis(0)));
             case HEAL -> {
                 parts.clear();
                 rig.heal();
@@ -162,10 +160,6 @@
         }
     }
 
-    private void all(UnaryOperator<LinkRule> change) {
-        rig.changeAll(change);
-    }
-
     private void start(Step step) throws IOException, InterruptedException {
         List<String> names = members(step, 0);
         for (String name : names) {
@@ -344,7 +338,7 @@
             case SERVED -> {
                 long all = Math.max(1, ended() - ended);
                 double part = (double) (sum(clients -> clients.served.sum()) - served) / all;
-                String figures = String.format(java.util.Locale.ROOT, "%.4f of %d ops were served", part,
+                String figures = String.format(Locale.ROOT, "%.4f of %d ops were served", part,
                         all);
                 holds(step, part >= step.part(1), figures, figures);
             }
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -1,5 +1,6 @@
 package cairnbridge.drill.rig;
 
+import cairnbridge.admin.DoorClient;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
@@ -8,7 +9,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -134,12 +134,7 @@
 
     /** What its door answers to one call; an IOException where it says nothing in time. */
     String ask(String call) throws IOException {
-        try (Socket socket = new Socket()) {
-            socket.connect(door, DOOR_MILLIS);
-            socket.setSoTimeout(DOOR_MILLIS);
-            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        return DoorClient.ask(door, call, DOOR_MILLIS);
     }
 
     /** Its view of the fleet. */
--- a/src/main/java/cairnbridge/fleet/Fleet.java
+++ b/src/main/java/cairnbridge/fleet/Fleet.java
@@ -13,7 +13,9 @@
 import cairnbridge.fleet.view.FleetHost.Why;
 import cairnbridge.fleet.view.View;
 import cairnbridge.zones.ZoneMember;
+import cairnbridge.zones.plan.Server;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -121,7 +123,8 @@
             zones.viewed(view, now);
         }
         if (config.probesNodes()) {
-            duties.due(view, proxy.nodes(), now).forEach(proxy::probe);
+            List<Long> nodes = proxy.servers().stream().map(Server::node).toList();
+            duties.due(view, nodes, now).forEach(proxy::probe);
         }
     }
 
--- a/src/main/java/cairnbridge/fleet/FleetProxy.java
+++ b/src/main/java/cairnbridge/fleet/FleetProxy.java
@@ -14,9 +14,6 @@
 
     Told.Figures figures();
 
-    /** The nodes of the list. */
-    List<Long> nodes();
-
     /** The caches of the list. */
     List<Server> servers();
 
--- a/src/main/java/cairnbridge/fleet/carrier/Carrier.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Carrier.java
@@ -225,7 +225,6 @@
                 waits.accept(null);
             } else {
                 machine.handle(now(), event);
-                dirty = true;
             }
         }
         long now = now();
@@ -240,10 +239,11 @@
             publishedAt = now;
             dirty = false;
             latest = machine.view();
-            speaks = latest.living().stream().mapToInt(each -> each.told() == null ? Seal.OLDEST
+            List<Claim> living = latest.living();
+            speaks = living.stream().mapToInt(each -> each.told() == null ? Seal.OLDEST
                     : each.told().protocol()).min().orElse(Seal.OLDEST);
             // Who knows nobody speaks as the oldest would: a fleet it does not know yet may be one of those.
-            speaks = latest.living().size() < 2 ? Seal.OLDEST : Math.max(Seal.OLDEST,
+            speaks = living.size() < 2 ? Seal.OLDEST : Math.max(Seal.OLDEST,
                     Math.min(settings.protocol(), speaks));
             listener.viewed(latest);
         }
@@ -257,7 +257,6 @@
                 return;
             }
             in.flip();
-            figures.came.increment();
             figures.cameBytes.add(in.remaining());
             try {
                 Seal.Opened opened = seal.open(in, LARGEST_DATAGRAM);
@@ -294,7 +293,6 @@
         }
         try {
             if (datagrams.send(out, route(to).socket()) > 0) {
-                figures.sent.increment();
                 figures.sentBytes.add(size);
             } else {
                 figures.failed.increment();
@@ -316,7 +314,6 @@
             Stream stream = new Stream(channel, number, false);
             stream.out = sealed(packet, Seal.OLDEST, MOST_FRAME); // Seeds may be of any version.
             figures.streamBytes.add(stream.out.remaining());
-            figures.streams.increment();
             stream.connect(route(to).socket());
         } catch (IOException | IllegalArgumentException e) {
             figures.failed.increment();
--- a/src/main/java/cairnbridge/fleet/carrier/CarrierFigures.java
+++ b/src/main/java/cairnbridge/fleet/carrier/CarrierFigures.java
@@ -7,8 +7,7 @@
 /** What has gone over the wire; any thread may read. */
 public final class CarrierFigures {
     private final Map<Refusal, LongAdder> refused = new EnumMap<>(Refusal.class);
-    final LongAdder sent = new LongAdder(), sentBytes = new LongAdder(), came = new LongAdder(),
-            cameBytes = new LongAdder(), overBudget = new LongAdder(), streams = new LongAdder(),
+    final LongAdder sentBytes = new LongAdder(), cameBytes = new LongAdder(), overBudget = new LongAdder(),
             streamBytes = new LongAdder(), failed = new LongAdder();
 
     CarrierFigures() {
@@ -25,10 +24,6 @@
         return refused.get(why).sum();
     }
 
-    public long datagramsSent() {
-        return sent.sum();
-    }
-
     /** Of datagrams and of streams, without what the network adds. */
     public long bytesSent() {
         return sentBytes.sum() + streamBytes.sum();
@@ -42,10 +37,6 @@
         return overBudget.sum();
     }
 
-    public long streamsOpened() {
-        return streams.sum();
-    }
-
     /** Calls that came to nothing, and datagrams that the system would not send. */
     public long failures() {
         return failed.sum();
--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -48,7 +48,8 @@
     }
 
     private final byte[] raw;
-    private Map<String, Object> fields;
+    /** What the bytes say, read when it is first asked for; any thread may be the first. */
+    private volatile Read read;
 
     private Told(byte[] raw) {
         this.raw = raw;
@@ -148,14 +149,12 @@
     }
 
     public Figures figures() {
-        return new Figures(number("load", 0), number("limit", 0), number("rate", 0), number("roster", 0),
-                Boolean.TRUE.equals(fields().get("listing")), numbers("unreachable", MOST_UNREACHABLE),
-                numbers("zones", 3 * MOST_ZONES));
+        return read().figures;
     }
 
-    private List<Long> numbers(String name, int most) {
+    private static List<Long> numbers(Map<String, Object> fields, String name, int most) {
         List<Long> numbers = new ArrayList<>();
-        if (fields().get(name) instanceof List<?> list) {
+        if (fields.get(name) instanceof List<?> list) {
             for (Object each : list) {
                 if (each instanceof Long number && numbers.size() < most) {
                     numbers.add(number);
@@ -170,16 +169,34 @@
     }
 
     private long number(String name, long absent) {
-        return fields().get(name) instanceof Long number ? number : absent;
+        return number(fields(), name, absent);
+    }
+
+    private static long number(Map<String, Object> fields, String name, long absent) {
+        return fields.get(name) instanceof Long number ? number : absent;
     }
 
     private Map<String, Object> fields() {
-        Map<String, Object> read = fields;
-        if (read == null) {
-            read = parse(raw);
-            fields = read;
+        return read().fields;
+    }
+
+    private Read read() {
+        Read done = read;
+        if (done == null) {
+            done = Read.of(parse(raw));
+            read = done;
+        }
+        return done;
+    }
+
+    private record Read(Map<String, Object> fields, Figures figures) {
+        static Read of(Map<String, Object> fields) {
+            return new Read(fields, new Figures(number(fields, "load", 0), number(fields, "limit", 0),
+                    number(fields, "rate", 0), number(fields, "roster", 0),
+                    Boolean.TRUE.equals(fields.get("listing")),
+                            numbers(fields, "unreachable", MOST_UNREACHABLE),
+                    numbers(fields, "zones", 3 * MOST_ZONES)));
         }
-        return read;
     }
 
     /**
--- a/src/main/java/cairnbridge/fleet/use/Duties.java
+++ b/src/main/java/cairnbridge/fleet/use/Duties.java
@@ -1,5 +1,6 @@
 package cairnbridge.fleet.use;
 
+import cairnbridge.decision.Mix;
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Told;
@@ -42,10 +43,7 @@
     }
 
     private static long weight(MemberId id, long duty) {
-        long z = id.name().hashCode() * 0x9E3779B97F4A7C15L + duty;
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return z ^ z >>> 31;
+        return Mix.of(id.name().hashCode(), duty);
     }
 
     /**
--- a/src/main/java/cairnbridge/fleet/view/Table.java
+++ b/src/main/java/cairnbridge/fleet/view/Table.java
@@ -1,5 +1,6 @@
 package cairnbridge.fleet.view;
 
+import cairnbridge.decision.Mix;
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Standing;
@@ -146,23 +147,23 @@
     }
 
     static int part(MemberId id) {
-        return (int) (mix(id.name().hashCode()) & PARTS - 1);
+        return (int) (Mix.of(id.name().hashCode()) & PARTS - 1);
     }
 
     /** What a claim adds to the digest of its part: suspicions come and go, and count as being alive. */
     static long hash(Claim claim) {
         long standing = claim.standing() == Standing.SUSPECT ? 0 : claim.standing().ordinal();
-        return mix(mix(mix(who(claim) + claim.counter()) + claim.incarnation().turn()) + standing);
+        return Mix.of(Mix.of(Mix.of(who(claim) + claim.counter()) + claim.incarnation().turn()) + standing);
     }
 
     /** As above, without what changes all the time. */
     static long wholeHash(Claim claim) {
         long standing = claim.standing() == Standing.SUSPECT ? 0 : claim.standing().ordinal();
-        return mix(mix(who(claim) + claim.incarnation().turn()) + standing);
+        return Mix.of(Mix.of(who(claim) + claim.incarnation().turn()) + standing);
     }
 
     private static long who(Claim claim) {
-        return mix(mix(claim.id().name().hashCode()) + claim.incarnation().life());
+        return Mix.of(Mix.of(claim.id().name().hashCode()) + claim.incarnation().life());
     }
 
     private void count(Member member) {
@@ -178,12 +179,4 @@
             member.hash = 0;
         }
     }
-
-    /** The finalizer of SplitMix64 (Steele, Lea, Flood 2014). */
-    static long mix(long z) {
-        long a = z + 0x9E3779B97F4A7C15L;
-        a = (a ^ a >>> 30) * 0xBF58476D1CE4E5B9L;
-        a = (a ^ a >>> 27) * 0x94D049BB133111EBL;
-        return a ^ a >>> 31;
-    }
 }
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -1,12 +1,10 @@
 package cairnbridge.proxy;
 
 import cairnbridge.admin.Figures;
-import cairnbridge.config.Names;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Host;
-import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.OpId;
 import cairnbridge.decision.Ids.PeerId;
@@ -14,9 +12,6 @@
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Learnt;
 import cairnbridge.decision.Router;
-import cairnbridge.decision.Settings;
-import cairnbridge.fleet.use.ReachReport;
-import cairnbridge.zones.use.ZoneTally;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +20,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -82,20 +76,11 @@
     private final Figures figures;
     private long toldAt, lastOp, lastRank, sweptAt, stall, stallOver, wokeLast;
     private final long sweep;
-    private final long[] targets;
-    private final List<String> zoneNames;
-    private final MachineKind originKind;
     private volatile boolean stopped;
     private volatile int live;
     private volatile Learnt learnt = Learnt.NOTHING;
-    /** Kept only where a fleet is told of it. */
-    private ReachReport reach;
-    private volatile List<Long> unreachable = List.of();
-    private final ZoneTally zones = new ZoneTally();
-    private volatile List<Long> zoneTriples = List.of();
-    /** Hashes of the zones' names, by node; and ops taken, by category. */
-    private final Map<NodeId, Long> zoneOf = new HashMap<>();
-    private final AtomicLongArray taken;
+    /** Null where no fleet is told of it. */
+    private FleetTally tally;
 
     Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch,
             Learnt before, Figures figures) {
@@ -107,13 +92,14 @@
         sweep = Math.min(MOST_SWEEP, push.sweep());
         probe = new Probe(sockets, inbox, clock, config);
         toldAt = clock.now();
-        targets = config.settings().categories().stream().mapToLong(Settings.Category::target).toArray();
-        taken = new AtomicLongArray(targets.length);
-        zoneNames = config.zones();
-        originKind = config.settings().originKind();
         router = new Router(config.settings(), config.seed(), toldAt, this, before);
     }
 
+    /** Counts for a fleet as well from now on; to be called before the thread starts. */
+    void counts(FleetTally fleet) {
+        tally = fleet;
+    }
+
     /** Ops taken and not yet answered. */
     int live() {
         return live;
@@ -124,60 +110,6 @@
         return learnt;
     }
 
-    /** Notes from now on which nodes cannot be reached; to be called before the thread starts. */
-    void notesReach() {
-        reach = new ReachReport();
-    }
-
-    /** Ops taken of one category since the start; any thread may ask. */
-    long taken(int category) {
-        return taken.get(category);
-    }
-
-    /** How pushes went lately, by zone, as members tell it; any thread may ask. */
-    List<Long> zones() {
-        return zoneTriples;
-    }
-
-    private void tally(PushCall call, Ending ending, long took, long left) {
-        Long zone = reach == null ? null : zoneOf.get(call.node);
-        boolean given = ending == Ending.ACKED || ending == Ending.MISS || ending == Ending.FULL;
-        if (zone != null && ending != Ending.NEVER_SENT && (ending != Ending.CALLED_OFF
-                || left <= LAST_CALL)) {
-            zones.ended(zone, !given || took > targets[call.client.category.value()], clock.now());
-        }
-    }
-
-    private void zonesOf(Event.Roster roster) {
-        if (reach == null) {
-            return;
-        }
-        for (Event.Entry entry : roster.entries()) {
-            int zone = entry.zone().value();
-            // Guards against a zone that looks well to all because the origin stands in it.
-            boolean origin = entry.kind().equals(originKind);
-            if (entry.state() == Event.State.GONE || zone >= zoneNames.size() || origin) {
-                zoneOf.remove(entry.node());
-            } else {
-                zoneOf.put(entry.node(), Names.hash(zoneNames.get(zone)));
-            }
-        }
-    }
-
-    /** The nodes that could not be reached a moment ago; any thread may ask. */
-    List<Long> unreachable() {
-        return unreachable;
-    }
-
-    /** left: what was left of its op's time. Where that had run out, a push called off had met silence. */
-    private void reached(NodeId node, Ending ending, long left) {
-        boolean silent = ending == Ending.TIMED_OUT || ending == Ending.CALLED_OFF && left <= LAST_CALL;
-        if (reach != null && ending != Ending.NEVER_SENT && (silent || ending != Ending.CALLED_OFF)) {
-            boolean none = silent || ending == Ending.NO_CONNECTION || ending == Ending.BROKEN;
-            reach.ended(node.value(), !none, clock.now());
-        }
-    }
-
     /** What did not hold, and how often; to be read once the thread has ended. */
     Map<String, Integer> broken() {
         return holds.broken();
@@ -235,8 +167,9 @@
             sweptAt = now;
             push.dropIdle(now);
             learnt = router.learnt();
-            unreachable = reach == null ? unreachable : reach.unreachable(now);
-            zoneTriples = reach == null ? zoneTriples : zones.triples(now);
+            if (tally != null) {
+                tally.publish(now);
+            }
         }
     }
 
@@ -297,10 +230,14 @@
             push.closed(closed.connection());
         } else if (notice instanceof Notice.Listed listed) {
             push.listed(listed.roster(), listed.addresses());
-            zonesOf(listed.roster());
+            if (tally != null) {
+                tally.listed(listed.roster());
+            }
             tell(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
-            reached(probed.node(), probed.ending(), 0);
+            if (tally != null) {
+                tally.probed(probed.node(), probed.ending(), clock.now());
+            }
             tell(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
                     null));
         } else if (notice instanceof Notice.Hint hint) {
@@ -344,8 +281,8 @@
         ops.put(client.op, new Live(client, expires));
         timers.add(new Timer(expires, ++lastRank, null, null, client.op));
         live++;
-        if (reach != null) {
-            taken.incrementAndGet(client.category.value());
+        if (tally != null) {
+            tally.taken(client);
         }
         tell(clock.now(), new Event.OpArrived(client.op, client.category, NO_TENANT, client.key,
                 expires, 0, -1, client.repeat, client.write));
@@ -368,10 +305,9 @@
             return;
         }
         op.open--;
-        if (reach != null) { // Alone, a proxy pays nothing for what a fleet is told.
-            long left = op.expires - clock.now();
-            reached(call.node, over.ending(), left);
-            tally(call, over.ending(), call.took(over.ended()), left);
+        if (tally != null) {
+            long now = clock.now();
+            tally.ended(call, over.ending(), call.took(over.ended()), op.expires - now, now);
         }
         if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -29,10 +29,13 @@
     private final ProxyConfig config;
     private final Listen listen;
     private final Decide decide;
+    private final FleetTally tally;
     private final RosterWatch watch;
     private final Inbox inbox;
 
-    FleetLink(ProxyConfig config, Listen listen, Decide decide, RosterWatch watch, Inbox inbox) {
+    FleetLink(ProxyConfig config, Listen listen, Decide decide, FleetTally tally, RosterWatch watch,
+            Inbox inbox) {
+        this.tally = tally;
         this.config = config;
         this.listen = listen;
         this.decide = decide;
@@ -55,7 +58,7 @@
     @Override
     public Told.Figures figures() {
         return new Told.Figures(decide.live(), config.sockets() / CLIENTS_PART, rate(), watch.version(),
-                watch.isListing(), decide.unreachable(), decide.zones());
+                watch.isListing(), tally.unreachable(), tally.zones());
     }
 
     /** Ops taken a second, as of the last half second or more; smoothed. */
@@ -65,7 +68,7 @@
         if (seconds >= LEAST_SECONDS) {
             double[] fresh = new double[lately.length];
             for (int i = 0; i < fresh.length; i++) {
-                long all = decide.taken(i);
+                long all = tally.taken(i);
                 fresh[i] = (all - counted[i]) / seconds;
                 counted[i] = all;
                 lately[i] += (fresh[i] - lately[i]) * Math.min(1, seconds / SMOOTH_SECONDS);
@@ -115,11 +118,6 @@
                 "zones.shed_total", placed.shed.sum());
     }
 
-    @Override
-    public List<Long> nodes() {
-        return watch.caches().stream().map(NodeId::value).toList();
-    }
-
     @Override
     public void lives(int proxies) {
         inbox.first(new Notice.Hint(new Event.Proxies(proxies)));
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -122,11 +122,6 @@
                 * 1_000_000;
     }
 
-    /** The list's caches. */
-    List<NodeId> caches() {
-        return nodes.entrySet().stream().filter(Map.Entry::getValue).map(Map.Entry::getKey).toList();
-    }
-
     private void open() {
         calledAt = System.nanoTime();
         String after = listed ? "&after=" + version : "";
@@ -229,11 +224,13 @@
             if (address != null) {
                 addresses.put(node, address);
             }
-            serves(node, each, state);
-            entries.add(new Entry(node, state, new MachineKind(index(config.kinds(), each.text("model", ""))),
+            Entry entry = new Entry(node, state,
+                    new MachineKind(index(config.kinds(), each.text("model", ""))),
                     each.number("capacity_hint", 1), Clock.ofUnixMillis((long) each.number("boot_ms", 0)),
                     new CellId((int) each.number("pod_group", 0)),
-                    new ZoneId(index(config.zones(), each.text("az", "")))));
+                    new ZoneId(index(config.zones(), each.text("az", ""))));
+            entries.add(entry);
+            serves(entry, new Zone(each.text("az", "")));
         }
         names(scope, entries);
         if (scope != Scope.CHANGES && !entries.isEmpty()) {
@@ -244,13 +241,13 @@
         inbox.post(new Notice.Listed(new Event.Roster(scope, version, entries), addresses));
     }
 
-    private void serves(NodeId node, Tree each, State state) {
-        if (state == State.GONE || config.kinds().indexOf(each.text("model", ""))
-                == config.settings().originKind().value()) {
-            servers.remove(node);
+    /** A kind that nobody has named is a cache's, as in the module. */
+    private void serves(Entry entry, Zone zone) {
+        if (entry.state() == State.GONE || entry.kind().equals(config.settings().originKind())) {
+            servers.remove(entry.node());
         } else {
-            servers.put(node, new Server(node.value(), new Zone(each.text("az", "")), state == State.READY,
-                    each.number("capacity_hint", 1), (long) each.number("boot_ms", 0)));
+            servers.put(entry.node(), new Server(entry.node().value(), zone, entry.state() == State.READY,
+                    entry.size(), entry.started() / Clock.MILLI));
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -93,10 +93,11 @@
 
     /** Makes this proxy a member of a fleet; before its start. IOException names an address that is taken. */
     public void join(FleetConfig of) throws IOException {
-        FleetLink link = new FleetLink(config, listen, decide, watch, inbox);
+        FleetTally tally = new FleetTally(config);
+        FleetLink link = new FleetLink(config, listen, decide, tally, watch, inbox);
         String staff = config.door().map(Serve::text).orElse("");
         fleet = new Fleet(of, config.settings().proxies(), text(config.listen()), staff, config.seed(), link);
-        decide.notesReach();
+        decide.counts(tally);
         watch.callsIf(fleet::mayCallForList);
         figures.also(() -> {
             Map<String, Long> gauges = new LinkedHashMap<>(fleet.gauges());
--- a/src/main/java/cairnbridge/zones/plan/Planner.java
+++ b/src/main/java/cairnbridge/zones/plan/Planner.java
@@ -132,7 +132,7 @@
     }
 
     private static boolean bears(ZoneInput zone, Map<Zone, Long> drained) {
-        return zone != null && zone.condition() == Condition.WELL && zone.room() > 0
+        return zone.condition() == Condition.WELL && zone.room() > 0
                 && !drained.containsKey(zone.zone());
     }
 
@@ -208,7 +208,7 @@
             left = assign(zone, aim, left, regions.get(zone.region()), free);
             left = left <= EPSILON ? left : assign(zone, aim, left, List.copyOf(zones.values()), free);
             if (left > EPSILON) {
-                double stays = staysAtHome(zone, aim, left, drained);
+                double stays = staysAtHome(zone, aim, left);
                 aim.add(zone.zone(), stays);
                 aim.shed += left - stays;
                 aim.why = left - stays > EPSILON ? Why.PANIC : aim.why;
@@ -247,7 +247,7 @@
     private void keep(ZoneInput zone, Parts held, Parts aim, Map<Zone, ZoneInput> zones,
             List<ZoneInput> region,
             Map<Zone, Double> free) {
-        if (held.to.size() == held.to.keySet().stream().filter(zone.zone()::equals).count()) {
+        if (held.to.keySet().stream().allMatch(zone.zone()::equals)) {
             return;
         }
         double near = region.stream().filter(other -> !other.zone().equals(zone.zone()))
@@ -294,7 +294,7 @@
      * Where nothing near or far has room, a zone that still serves takes what it bears; the rest is shed
      * there.
      */
-    private static double staysAtHome(ZoneInput zone, Parts aim, double left, Map<Zone, Long> drained) {
+    private static double staysAtHome(ZoneInput zone, Parts aim, double left) {
         // An ill zone as well: where all look ill at once it is not the zones, and shedding all would help
         // nobody.
         if (!serves(zone)) {
@@ -342,9 +342,6 @@
         double others = aim.shed + aim.to.entrySet().stream().filter(each -> !each.getKey().equals(home))
                 .mapToDouble(Map.Entry::getValue).sum();
         double rest = 1 - held.to(home);
-        if (others < rest - EPSILON && others <= EPSILON) {
-            return held;
-        }
         double scale = others <= EPSILON ? 0 : Math.min(1, rest / others);
         parts.add(home, held.to(home));
         aim.to.forEach((to, share) -> {
--- a/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -51,12 +51,10 @@
         servers.forEach(server -> byZone.computeIfAbsent(server.zone(), zone -> new ArrayList<>())
                 .add(server));
         Map<Zone, Double> demand = new HashMap<>();
-        Map<Zone, Integer> members = new HashMap<>();
         for (Claim claim : living) {
             if (claim.told() != null && !claim.told().zone().isEmpty()) {
                 Zone zone = new Zone(claim.told().zone());
                 demand.merge(zone, (double) claim.told().figures().rate(), Double::sum);
-                members.merge(zone, 1, Integer::sum);
                 byZone.computeIfAbsent(zone, each -> new ArrayList<>());
             }
         }
--- a/src/main/java/cairnbridge/zones/use/ZonePlacement.java
+++ b/src/main/java/cairnbridge/zones/use/ZonePlacement.java
@@ -1,6 +1,7 @@
 package cairnbridge.zones.use;
 
 import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Mix;
 import cairnbridge.decision.Placement;
 import cairnbridge.decision.Settings;
 import cairnbridge.decision.Settings.Effect;
@@ -99,9 +100,6 @@
 
     /** Over 0 and under 1. */
     private static double unit(long value) {
-        long z = value + 0x9E3779B97F4A7C15L;
-        z = (z ^ z >>> 30) * 0xBF58476D1CE4E5B9L;
-        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
-        return ((z ^ z >>> 31) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
+        return (Mix.of(value) >>> 11) * 0x1.0p-53 + 0x1.0p-54;
     }
 }
