A drill's processes keep their ports apart, and one that ends at its start fails at once and says why

Seen: one run of the tests in a clean checkout in which p3 of the drill clocks ended at its start, after 240 s of waiting; no line told why, as the story's folder was gone. 168 starts afterwards went well, so the cause is a guess: the three ports of a process were picked one after another on one address, so that two could be the same, and the streams of its own fleet start from that address too and can take the clients' port before that is bound.

Change: the three are held open while they are picked, clients and staff have an address of their own. A start that has ended is given up at once, with the last line that it said.

--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -33,6 +33,15 @@
     public record Verdict(boolean held, List<String> lines) {
     }
 
+    /** What no time will mend. */
+    private static final class Hopeless extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Hopeless(String what) {
+            super(what);
+        }
+    }
+
     private interface Looks {
         /** Empty where it holds. */
         String wrong() throws IOException;
@@ -170,7 +179,7 @@
             for (String name : names) {
                 ProxyProcess proxy = rig.proxy(name);
                 if (!proxy.isAlive()) {
-                    throw new IOException(name + " has ended at its start");
+                    throw new Hopeless(name + " has ended at its start, its last line: " + proxy.lastLine);
                 }
                 if (!proxy.serves) {
                     return name + " does not serve yet";
@@ -423,6 +432,9 @@
                 wrong = looks.wrong();
             } catch (IOException e) {
                 wrong = e.getMessage();
+            } catch (Hopeless e) {
+                fails(step, e.getMessage());
+                return;
             }
             long took = events.millis() - from;
             if (wrong.isEmpty()) {
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -32,6 +32,8 @@
     private final BiConsumer<ProxyProcess, String> said;
     private Process process;
     volatile boolean running, frozen, serves;
+    /** What it said last. */
+    volatile String lastLine = "nothing";
     /** When it was last within reach of all again, in milliseconds of the drill. */
     volatile long undisturbedSince;
 
@@ -42,17 +44,23 @@
         this.folder = Files.createDirectories(folder.resolve(name));
         Files.deleteIfExists(this.folder.resolve("zones.state")); // An earlier drill's.
         this.said = said;
-        ip = InetAddress.getByAddress(new byte[] {127, 1, (byte) (number / 250), (byte) (number % 250 + 1)});
-        clients = free();
-        door = free();
-        fleet = free();
+        ip = address(1, number);
+        // Guards against a stream of the fleet's, which starts from its address, that takes the clients'
+        // port.
+        InetAddress front = address(2, number);
+        try (ServerSocket one = new ServerSocket(0, 1, front); ServerSocket two = new ServerSocket(0, 1,
+                front);
+                ServerSocket three = new ServerSocket(0, 1, ip)) {
+            clients = new InetSocketAddress(front, one.getLocalPort());
+            door = new InetSocketAddress(front, two.getLocalPort());
+            fleet = new InetSocketAddress(ip, three.getLocalPort());
+        }
     }
 
-    /** A port nobody has now; as the address is this process's alone, nobody takes it meanwhile. */
-    private InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, ip)) {
-            return new InetSocketAddress(ip, socket.getLocalPort());
-        }
+    /** Loopback addresses that are this process's alone, so that nobody takes a port of theirs meanwhile. */
+    private static InetAddress address(int kind, int number) throws IOException {
+        return InetAddress.getByAddress(new byte[] {127, (byte) kind, (byte) (number / 250),
+            (byte) (number % 250 + 1)});
     }
 
     /** fleetFile is null where it is to run alone. */
@@ -89,6 +97,7 @@
         try (log) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
                 serves |= line.contains(" serves on ");
+                lastLine = line;
                 said.accept(this, line);
             }
         } catch (IOException e) {
