--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The JDK's class archive is made by the build, so that a proxy is ready soon after its start.
-.PHONY: build test lint run demo drill lab clean
+.PHONY: build test lint run demo drill lab fuzz clean
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -33,5 +33,10 @@
 	java -jar target/cairnbridge.jar simulate --members 50 --hours 24 --loss 0.1
 	java -Xmx16g -jar target/cairnbridge.jar simulate --members 10000 --changes 12
 
+# Ten minutes of losses of power, faults and rot on a simulated disk.
+fuzz:
+	mvn -B -ntp -q -DskipTests package
+	java -jar target/cairnbridge.jar fuzz --minutes 10
+
 clean:
 	mvn -B -ntp -q clean
--- a/src/main/java/cairnbridge/admin/Door.java
+++ b/src/main/java/cairnbridge/admin/Door.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -171,6 +172,8 @@
                 case "maint-off" -> later(staff.hold(id, false), YES + "back", NO + "no such node");
                 case "members", "members-json", "member" -> say(staff.fleet(word[0], id)
                         .orElse(NO + (word[0].equals("member") ? "no such member" : "no fleet")));
+                case "recovery" -> say(staff.recovery().map(told -> told + "EOF")
+                        .orElse(NO + "nothing is kept over a loss of power"));
                 case "zones", "zone-drain", "zone-restore" ->
                         staff.zones(text).ifPresentOrElse(this::laterText,
                         () -> say(NO + "no plans over zones"));
@@ -181,7 +184,9 @@
         /** Guards against a caller left without a word while the owner of the decisions is behind. */
         private void later(CompletableFuture<Boolean> done, String yes, String no) {
             done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((taken, late) -> {
-                say(late instanceof TimeoutException ? NO + "not in force yet, call again"
+                boolean notKept = late instanceof CompletionException && late.getCause() instanceof NotKept;
+                say(notKept ? YES + "in force, but a loss of power would undo it"
+                        : late instanceof TimeoutException ? NO + "not in force yet, call again"
                         : late != null ? NO + "cannot be kept, nothing has changed" : taken ? yes : no);
                 answered.add(this);
                 selector.wakeup();
--- a/src/main/java/cairnbridge/admin/Staff.java
+++ b/src/main/java/cairnbridge/admin/Staff.java
@@ -22,6 +22,11 @@
         return Optional.empty();
     }
 
+    /** How far the return after a loss of power is, and what was kept; empty where nothing is kept. */
+    default Optional<String> recovery() {
+        return Optional.empty();
+    }
+
     /** Sends clients away, or takes them again. */
     void standby(boolean on);
 }
--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -6,9 +6,17 @@
 import cairnbridge.config.FleetConfig;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.drill.scenario.ScenarioFault;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Learnt;
 import cairnbridge.proxy.Serve;
+import cairnbridge.recovery.StateKeeper;
+import cairnbridge.store.Kept;
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.logging.Logger;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,8 +29,8 @@
 @Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
         description = "Routes ops to a fleet of cache servers.",
         subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class,
-                MembersCommand.class,
-                DrillCommand.class, DemoCommand.class, SimulateCommand.class, ZonesCommand.class})
+                MembersCommand.class, DrillCommand.class, DemoCommand.class, SimulateCommand.class,
+                ZonesCommand.class, RecoveryCommand.class, FuzzCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -87,10 +95,14 @@
         @Override
         public Integer call() throws InterruptedException {
             ProxyConfig config = ProxyConfig.read(System.getenv());
-            Serve serve = new Serve(config, Main::end);
+            FleetConfig member = fleet == null ? null : FleetConfig.read(fleet, config.name());
+            Optional<StateKeeper> keeper = member == null ? Optional.empty() : keeper(member);
+            Serve serve = keeper.map(mine -> new Serve(config, Main::end, learnt(mine)))
+                    .orElseGet(() -> new Serve(config, Main::end));
             try {
-                if (fleet != null) {
-                    serve.join(FleetConfig.read(fleet, config.name()));
+                if (member != null) {
+                    serve.join(keeper.map(mine -> member.remembering(mine.life(), mine.remembered()))
+                            .orElse(member), keeper);
                 }
                 // Guards against the machine's own answer to a hang-up, which is to end.
                 Signal.handle(new Signal("HUP"),
@@ -107,6 +119,23 @@
         }
     }
 
+    private static Optional<StateKeeper> keeper(FleetConfig member) throws InterruptedException {
+        return member.recovery().isEmpty() ? Optional.empty() : Optional.of(StateKeeper.open(
+                member.recovery().get(), member.carrier().life(), line ->
+                        Logger.getLogger(Main.class.getName()).info(line)));
+    }
+
+    private static Learnt learnt(StateKeeper keeper) {
+        if (!keeper.trusted().trust()) {
+            return Learnt.NOTHING;
+        }
+        Map<NodeId, Learnt.Trust> nodes = new HashMap<>();
+        keeper.kept().nodes().forEach(each -> nodes.put(new NodeId(each.id()),
+                new Learnt.Trust(each.started(), each.share())));
+        Kept kept = keeper.kept();
+        return new Learnt(kept.learntAt(), kept.originSpan(), kept.sendRate(), nodes);
+    }
+
     @Command(name = "rehearse", hidden = true,
             description = "Starts a proxy, warms it and ends; the build records the classes it needs.")
     static final class RehearseCommand implements Callable<Integer> {
--- a/src/main/java/cairnbridge/config/FleetConfig.java
+++ b/src/main/java/cairnbridge/config/FleetConfig.java
@@ -4,6 +4,8 @@
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.recovery.RecoverySettings;
+import cairnbridge.store.StoreSettings;
 import cairnbridge.zones.ZonesConfig;
 import cairnbridge.zones.plan.PlanSettings;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -29,20 +31,28 @@
  */
 public record FleetConfig(CarrierSettings carrier, FleetSettings view, String zone, String region,
                           boolean sharesFollow, boolean hintsNodes, boolean probesNodes, long probeNodesEvery,
-                          boolean dividesListCalls, Optional<ZonesConfig> zones) {
+                          boolean dividesListCalls, Optional<ZonesConfig> zones,
+                          Optional<RecoverySettings> recovery) {
     private static final Set<String> KEYS = Set.of("cluster", "secret-file", "name", "bind", "advertise",
             "seeds",
-            "zone", "region", "protocol", "bytes-per-s", "life", "routes", "view", "use", "zones");
+            "zone", "region", "protocol", "bytes-per-s", "life", "routes", "view", "use", "zones",
+                    "recovery");
     private static final Set<String> VIEW = Set.of("probe-every-s", "probe-timeout-s", "gossip-every-s",
             "sync-every-s", "remember-dead-s", "remember-left-s", "members", "datagram");
     private static final Set<String> USE = Set.of("shares", "hints", "probes", "probe-nodes-every-s",
             "list-calls");
     private static final Set<String> ZONES = Set.of("agreed", "voters", "state", "node-ops-per-s", "regions",
             "step-away", "step-back", "step-every-s", "hold-s", "origin-fetches-per-s", "alone-part");
+    private static final Set<String> RECOVERY = Set.of("folder", "snapshot-every-s", "bytes-per-s",
+            "most-age-s",
+            "alone-after-s", "origin-in-flight", "open-after-s");
+    private static final double SNAPSHOT_S = 2, MOST_AGE_S = 86_400, ALONE_S = 10, ORIGIN = 16, OPEN_S = 120,
+            SNAPSHOT_BYTES = 1e6;
     private static final int LEAST_SECRET = 16, LEAST_DATAGRAM = 1_000, MOST_DATAGRAM = 8_000,
             MOST_MEMBERS = 100_000;
     private static final int MOST_VOTERS = 9;
     private static final double ALONE = 0.2, PROBE_NODES_S = 2, BYTES = 60_000, TENTHS = 10_000;
+    private static final int MILLI = 10;
 
     /** name: what the member is called where the file does not say. */
     public static FleetConfig read(String file, String name) {
@@ -75,14 +85,39 @@
         CarrierSettings carrier = new CarrierSettings(new MemberId(own), top.needed("cluster"),
                 secret(top, folder), bind(top), advertise.isEmpty() ? Optional.empty()
                         : Optional.of(endpoint(top, "advertise", advertise)),
-                seeds(top), routes(top), (int) top.number("protocol", CarrierSettings.NEWEST_PROTOCOL, 1,
+                seeds(top), List.of(), routes(top),
+                        (int) top.number("protocol", CarrierSettings.NEWEST_PROTOCOL, 1,
                         CarrierSettings.NEWEST_PROTOCOL),
                 (long) top.number("bytes-per-s", BYTES, 2_000, 1e9),
                 (long) top.number("life", System.currentTimeMillis(), 1, 1e18));
         return new FleetConfig(carrier, view(view), top.text("zone", ""), top.text("region", ""),
                 use.flag("shares", true), use.flag("hints", true), use.flag("probes", false),
                 use.span("probe-nodes-every-s", PROBE_NODES_S, 0.1), use.flag("list-calls", true),
-                root.has("zones") ? Optional.of(zones(root.path("zones"), folder)) : Optional.empty());
+                root.has("zones") ? Optional.of(zones(root.path("zones"), folder)) : Optional.empty(),
+                root.has("recovery") ? Optional.of(recovery(root.path("recovery"), folder,
+                        carrier.cluster())) : Optional.empty());
+    }
+
+    private static RecoverySettings recovery(JsonNode node, Path folder, String cluster) {
+        Part part = new Part(node, "fleet.recovery", RECOVERY);
+        Path store;
+        try {
+            store = folder.resolve(part.needed("folder"));
+        } catch (InvalidPathException e) {
+            throw part.fault("folder", "is no path");
+        }
+        return new RecoverySettings(new StoreSettings(store, cluster,
+                part.span("snapshot-every-s", SNAPSHOT_S, 0.1) / MILLI,
+                (long) part.number("bytes-per-s", SNAPSHOT_BYTES, 1_000, 1e9)),
+                part.span("most-age-s", MOST_AGE_S, 1), part.span("alone-after-s", ALONE_S, 0.5),
+                part.number("origin-in-flight", ORIGIN, 1, 1e6), part.span("open-after-s", OPEN_S, 1));
+    }
+
+    /** The same with what was kept over a loss of power: this life's number, and members to be asked. */
+    public FleetConfig remembering(long life, List<Endpoint> others) {
+        return new FleetConfig(carrier.remembering(life, others), view, zone, region, sharesFollow,
+                hintsNodes,
+                probesNodes, probeNodesEvery, dividesListCalls, zones, recovery);
     }
 
     private static ZonesConfig zones(JsonNode node, Path folder) {
--- a/src/main/java/cairnbridge/config/LearntFile.java
+++ b/src/main/java/cairnbridge/config/LearntFile.java
@@ -34,7 +34,8 @@
                 nodes.put(new NodeId(Long.parseUnsignedLong(each.text("id", ""), 16)),
                         new Learnt.Trust((long) each.number("started", 0), share));
             }
-            return new Learnt((long) root.number("at", 0), Math.max(0, root.number("origin-span", 0)), nodes);
+            return new Learnt((long) root.number("at", 0), Math.max(0, root.number("origin-span", 0)), 0,
+                    nodes);
         } catch (IOException | ConfigFault | NumberFormatException e) {
             // Guards against a start that fails for want of what it can learn anew.
             LOG.warning("learnt: starts afresh, the file cannot be used: " + e.getMessage());
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -70,7 +70,7 @@
     public Learnt learnt() {
         Map<NodeId, Learnt.Trust> trust = new HashMap<>();
         nodes.forEach((id, node) -> trust.put(id, new Learnt.Trust(node.started, node.share)));
-        return new Learnt(now, origin.typical, trust);
+        return new Learnt(now, origin.typical, gate.rate() * SECOND / gate.fallSpan, trust);
     }
 
     /** How much of what was learnt still counts: half after some seconds, and it fades on. */
@@ -1072,7 +1072,10 @@
             sends *= Math.exp((countedAt - now) / memory);
             countedAt = now;
             double seen = 1 - Math.exp(-Math.max(BEAT, now - begun) / memory);
-            return sends / seen * fallSpan / memory / Math.max(1, ring.weights);
+            // Guards against caches that all are cold, so that no share of a warm one's would ever be
+            // anything.
+            double known = now - begun < settings.warmUp() ? before.sendRate() * fallSpan / SECOND : 0;
+            return Math.max(known, sends / seen * fallSpan / memory / Math.max(1, ring.weights));
         }
     }
 }
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -42,7 +42,7 @@
         }
     }
 
-    private interface Looks {
+    interface Looks {
         /** Empty where it holds. */
         String wrong() throws IOException;
     }
@@ -57,6 +57,7 @@
     private final Map<String, Long> agreed = new HashMap<>(), agreedBefore = new HashMap<>();
     private EventLog events;
     private Rig rig;
+    private PowerLoss power;
     private boolean held = true;
     private long served, ended, calls, near, placed;
 
@@ -80,6 +81,7 @@
                 folder, log)) {
             events = log;
             rig = fleet;
+            power = new PowerLoss(this, fleet, log);
             // Guards against proxies left behind by a drill that is told to end.
             Runtime.getRuntime().addShutdownHook(new Thread(fleet::end, "drill's end"));
             rig.load("", scenario.caches() > 0 ? scenario.load() : 0);
@@ -101,7 +103,7 @@
         return new Verdict(held, List.copyOf(lines));
     }
 
-    private void says(Step step, String text) {
+    void says(Step step, String text) {
         String line = "line " + step.line() + " " + step.verb().word() + ": " + text;
         lines.add(line);
         out.accept(line);
@@ -113,7 +115,7 @@
         says(step, "DOES NOT HOLD, " + text);
     }
 
-    private List<String> members(Step step, int word) {
+    List<String> members(Step step, int word) {
         List<String> names = step.names(word);
         return names.equals(List.of("all")) ? rig.proxies().stream().map(proxy -> proxy.name).toList()
                 : names;
@@ -165,7 +167,13 @@
             }
             case DRAIN, RESTORE -> staff(step);
             case COUNT -> count();
-            default -> look(step);
+            default -> {
+                if (step.isOfPower()) {
+                    power.take(step);
+                } else {
+                    look(step);
+                }
+            }
         }
     }
 
@@ -415,7 +423,7 @@
         holds(step, gap <= 5_000 && last - first <= most, figures, figures);
     }
 
-    private void holds(Step step, boolean holds, String good, String bad) {
+    void holds(Step step, boolean holds, String good, String bad) {
         if (holds) {
             says(step, good);
         } else {
@@ -423,7 +431,7 @@
         }
     }
 
-    private void until(Step step, long most, Looks looks, String good) throws IOException,
+    void until(Step step, long most, Looks looks, String good) throws IOException,
             InterruptedException {
         long from = events.millis();
         String wrong = "nothing was seen";
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -1,6 +1,9 @@
 package cairnbridge.drill.rig;
 
 import cairnbridge.admin.DoorClient;
+import cairnbridge.store.FolderDisk;
+import cairnbridge.store.Kept;
+import cairnbridge.store.Ledger;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
@@ -9,18 +12,27 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 
 /** One process of the program, at a loopback address of its own, with its files, its log and its door. */
 final class ProxyProcess {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int DOOR_MILLIS = 1500;
+    private static final int DOOR_MILLIS = 1500, LET_GO_MILLIS = 200;
     private static final List<String> MACHINE = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-Xms24m",
             "-Xmx64m", "-Xss512k", "-XX:-UsePerfData", "-ea");
@@ -36,6 +48,9 @@
     volatile String lastLine = "nothing";
     /** When it was last within reach of all again, in milliseconds of the drill. */
     volatile long undisturbedSince;
+    /** Whether its next life can write no file. */
+    volatile boolean diskFull;
+    private final Queue<String> saidLines = new ConcurrentLinkedQueue<>();
 
     ProxyProcess(String name, String zone, int number, Path folder, BiConsumer<ProxyProcess, String> said)
             throws IOException {
@@ -43,6 +58,13 @@
         this.zone = zone;
         this.folder = Files.createDirectories(folder.resolve(name));
         Files.deleteIfExists(this.folder.resolve("zones.state")); // An earlier drill's.
+        if (Files.exists(this.folder.resolve("store"))) {
+            try (Stream<Path> files = Files.list(this.folder.resolve("store"))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
         this.said = said;
         ip = address(1, number);
         // Guards against a stream of the fleet's, which starts from its address, that takes the clients'
@@ -69,6 +91,10 @@
         Files.writeString(file, config);
         Path scratch = Files.createDirectories(folder.resolve("tmp"));
         List<String> command = new ArrayList<>();
+        if (diskFull) {
+            // The kernel refuses to let any file grow, as a full disk does.
+            command.addAll(List.of("/bin/sh", "-c", "ulimit -f 0; exec \"$@\"", "full"));
+        }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(MACHINE);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cairnbridge.cli.Main",
@@ -98,6 +124,7 @@
             for (String line = log.readLine(); line != null; line = log.readLine()) {
                 serves |= line.contains(" serves on ");
                 lastLine = line;
+                saidLines.add(line);
                 said.accept(this, line);
             }
         } catch (IOException e) {
@@ -105,6 +132,65 @@
         }
     }
 
+    /** Whether any of its lives said so. */
+    boolean hasSaid(String text) {
+        return saidLines.stream().anyMatch(line -> line.contains(text));
+    }
+
+    /** What it had under TMPDIR is gone. */
+    void forget() throws IOException {
+        Path scratch = folder.resolve("tmp");
+        if (Files.exists(scratch)) {
+            try (Stream<Path> files = Files.list(scratch)) {
+                for (Path file : files.toList()) {
+                    Files.deleteIfExists(file);
+                }
+            }
+        }
+    }
+
+    /** Its next snapshot waits, in a pipe that nobody reads, until it is let go. */
+    void stall(boolean on) throws IOException, InterruptedException {
+        Path pipe = folder.resolve("store").resolve("snapshot.new");
+        if (on) {
+            Files.createDirectories(pipe.getParent());
+            Files.deleteIfExists(pipe);
+            new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor();
+        } else if (Files.exists(pipe) && !Files.isRegularFile(pipe)) {
+            // Reads and writes at once, so that opening it waits for nobody.
+            try (FileChannel end = FileChannel.open(pipe, StandardOpenOption.READ,
+                    StandardOpenOption.WRITE)) {
+                Files.delete(pipe);
+                Thread.sleep(LET_GO_MILLIS);
+                end.read(ByteBuffer.allocate(1));
+            }
+        }
+    }
+
+    private Optional<Path> newestSnapshot() throws IOException {
+        try (Stream<Path> files = Files.list(folder.resolve("store"))) {
+            return files.filter(file -> file.getFileName().toString().matches("snapshot-[0-9]+"))
+                    .max(Comparator.comparingLong(file -> Long.parseLong(file.getFileName().toString()
+                            .substring("snapshot-".length()))));
+        }
+    }
+
+    /** As a machine whose clock is wrong by so much would have written it. */
+    void shiftSnapshot(long millis) throws IOException {
+        Ledger ledger = new Ledger(new FolderDisk(folder.resolve("store")), "drill");
+        Kept kept = ledger.open().kept();
+        ledger.snapshot(kept.shifted(millis));
+        ledger.snapshot(kept.shifted(millis)); // The one before is of the same machine.
+    }
+
+    void tearSnapshot() throws IOException {
+        Optional<Path> newest = newestSnapshot();
+        if (newest.isPresent()) {
+            byte[] whole = Files.readAllBytes(newest.get());
+            Files.write(newest.get(), Arrays.copyOf(whole, whole.length / 2));
+        }
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -28,6 +28,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 import java.util.regex.Pattern;
 
 /**
@@ -37,6 +39,7 @@
 final class Rig implements AutoCloseable {
     /** A death is false if its subject could be heard for so long before. */
     private static final long HEARD_MILLIS = 8_000;
+    private static final int SAMPLE_MILLIS = 100;
     private static final Pattern DEATH = Pattern.compile("fleet: (\\S+) at \\S+ is dead, was");
     private static final Pattern ROW = Pattern.compile("zones: epoch (\\d+) by \\S+: (\\S+) -> (.*):");
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -64,6 +67,9 @@
     private final Map<String, TreeMap<Long, Integer>> homeParts = new ConcurrentHashMap<>();
     private final List<CacheNode> gone = new ArrayList<>();
     private final List<Clients> ended = new ArrayList<>();
+    /** Ops served so far, every tenth of a second: the time and the count. */
+    private final List<long[]> servedAt = new CopyOnWriteArrayList<>();
+    private final Map<String, Long> servesSince = new ConcurrentHashMap<>();
     private volatile long peak;
     private Thread sampler;
 
@@ -123,6 +129,7 @@
         events.event("log", proxy.name, line);
         if (line.contains(" serves on ")) {
             taking.put(proxy.name, proxy.clients);
+            servesSince.put(proxy.name, events.millis());
         }
         if (line.contains("cannot reach node")) {
             hints.add(proxy.name + " " + line.substring(line.lastIndexOf(' ') + 1));
@@ -204,12 +211,20 @@
         if (sampler == null) {
             sampler = new Thread(() -> {
                 long last = origin.fetches.sum();
+                int tenths = 0;
                 while (!Thread.currentThread().isInterrupted()) {
                     try {
-                        Thread.sleep(1000);
+                        Thread.sleep(SAMPLE_MILLIS);
                     } catch (InterruptedException e) {
                         return;
                     }
+                    servedAt.add(new long[] {events.millis(), served()});
+                    if (tenths % 5 == 0) {
+                        events.event("clients", "all", tally());
+                    }
+                    if (++tenths % (1000 / SAMPLE_MILLIS) != 0) {
+                        continue;
+                    }
                     long now = origin.fetches.sum();
                     peak = Math.max(peak, now - last);
                     last = now;
@@ -220,6 +235,91 @@
         }
     }
 
+    /** What clients have counted since the start. */
+    private String tally() {
+        long[] sums = new long[6];
+        for (Clients each : clients()) {
+            sums[0] += each.asked.sum();
+            sums[1] += each.served.sum();
+            sums[2] += each.refused.sum();
+            sums[3] += each.failed.sum();
+            sums[4] += each.lost.sum();
+            sums[5] += each.repeats.sum();
+        }
+        return "asked " + sums[0] + ", served " + sums[1] + ", refused " + sums[2] + ", failed " + sums[3]
+                + ", lost " + sums[4] + ", repeats " + sums[5] + "; origin fetches " + origin.fetches.sum()
+                + ", turned away " + origin.turnedAway.sum();
+    }
+
+    private long served() {
+        return clients().stream().mapToLong(each -> each.served.sum()).sum();
+    }
+
+    /** Ops served a second between two times of the drill, as sampled. */
+    double servedBetween(long from, long to) {
+        return to <= from ? 0 : (servedBy(to) - servedBy(from)) * 1000.0 / (to - from);
+    }
+
+    private long servedBy(long millis) {
+        long count = 0;
+        for (long[] each : servedAt) {
+            if (each[0] > millis) {
+                break;
+            }
+            count = each[1];
+        }
+        return count;
+    }
+
+    /** When the first of those that serve began to, after a time of the drill. */
+    long firstServing(long after) {
+        return servesSince.values().stream().mapToLong(each -> each).filter(each -> each >= after).min()
+                .orElse(after);
+    }
+
+    /** Ops that all clients ask for in a second. */
+    int loadNow() {
+        return clients.values().stream().mapToInt(Clients::perSecond).sum();
+    }
+
+    /** Proxies and caches stop in one instant; what was in memory or under a proxy's TMPDIR is gone. */
+    void losePower(List<String> names) throws IOException, InterruptedException {
+        List<ProxyProcess> lost = proxies.values().stream().filter(proxy ->
+                names.contains(proxy.name)).toList();
+        lost.forEach(proxy -> taking.remove(proxy.name));
+        lost.forEach(ProxyProcess::end);
+        names.stream().filter(caches::containsKey).forEach(this::killCache);
+        for (ProxyProcess proxy : lost) {
+            proxy.kill();
+            proxy.forget();
+        }
+        events.event("power-loss", String.join(",", names), "");
+    }
+
+    /** Starts all, each at a time of its own within the span. */
+    void startOver(List<String> names, long millis) {
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(scenario.seed());
+        for (String name : names) {
+            long in = chance.nextLong(millis + 1);
+            Thread thread = new Thread(() -> {
+                try {
+                    Thread.sleep(in);
+                    start(name);
+                } catch (IOException | InterruptedException e) {
+                    events.event("start", name, "failed: " + e);
+                }
+            }, "start of " + name);
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    /** Discovery has lost its last changes. */
+    void listBack(int changes) {
+        roster.back(changes);
+        events.event("list-back", "discovery", String.valueOf(changes));
+    }
+
     long felled() {
         long felled = 0;
         for (CacheNode cache : caches.values()) {
@@ -269,7 +369,7 @@
 
     // What is done to them.
 
-    void start(String name) throws IOException {
+    synchronized void start(String name) throws IOException {
         ProxyProcess proxy = proxies.get(name);
         proxy.undisturbedSince = events.millis();
         proxy.start(config(proxy), scenario.together() ? fleetFile(proxy) : null);
@@ -339,7 +439,8 @@
         if (perSecond > 0) {
             clients.put(zone, new Clients(() -> taking.entrySet().stream()
                     .filter(each -> zone.isEmpty() || proxies.get(each.getKey()).zone.equals(zone))
-                    .map(Map.Entry::getValue).toList(), perSecond, 2_000, scenario.seed() + zone.hashCode()));
+                    .map(Map.Entry::getValue).toList(), perSecond, Clients.KEYS, scenario.seed()
+                            + zone.hashCode()));
         }
     }
 
--- a/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
+++ b/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
@@ -114,7 +114,8 @@
         seeds.forEach(name -> member(0, name));
         for (Step step : steps) {
             switch (step.verb()) {
-                case START, KILL, STOP, FREEZE, THAW, SAME_LIFE, NEW_LIFE -> members(step, 0);
+                case START, KILL, STOP, FREEZE, THAW, SAME_LIFE, NEW_LIFE, DISK_FULL, DISK_WELL, DISK_STALLS,
+                        SNAPSHOT_TORN, SAID -> members(step, 0);
                 case LIFE, PROTOCOL -> {
                     members(step, 0);
                     step.number(1);
@@ -148,7 +149,8 @@
                     word(step, 1, "for");
                     step.millis(2);
                 }
-                case CACHE_KILL, CACHE_START -> step.names(0).forEach(name -> any(step.line(), name));
+                case CACHE_KILL, CACHE_START, POWER_LOSS, HOLD, FREE, UNTOUCHED ->
+                        step.names(0).forEach(name -> any(step.line(), name));
                 case ZONE_LOAD -> {
                     zone(step);
                     step.number(1);
@@ -163,7 +165,7 @@
                     within(step, 1);
                 }
                 case ZONES_SETTLED -> within(step, 0);
-                case REVERSALS, ORIGIN_PEAK -> {
+                case REVERSALS, ORIGIN_PEAK, ORIGIN_TURNED_AWAY -> {
                     word(step, 0, "at-most");
                     step.number(1);
                 }
@@ -189,7 +191,25 @@
                     step.names(0).forEach(name -> any(step.line(), name));
                     word(step, 1, "Ready", "Terminating", "Gone");
                 }
-                case LOAD -> step.number(0);
+                case LOAD, LIST_BACK, ORIGIN_PLACES -> step.number(0);
+                case EARLIER -> step.millis(0);
+                case START_OVER, SNAPSHOT_OLDER, SNAPSHOT_AHEAD -> {
+                    members(step, 0);
+                    step.millis(1);
+                }
+                case SERVING, CONFIRMED, RECOVERED -> {
+                    members(step, 0);
+                    within(step, 1);
+                }
+                case SERVICE_BACK -> {
+                    step.part(0);
+                    within(step, 1);
+                }
+                case TOUCHED -> {
+                    any(step.line(), step.words().get(0));
+                    within(step, 1);
+                }
+                case NOTHING_BACK -> within(step, 0);
                 case LIST_CALLS -> {
                     word(step, 0, "at-most");
                     step.number(1);
--- a/src/main/java/cairnbridge/drill/scenario/Step.java
+++ b/src/main/java/cairnbridge/drill/scenario/Step.java
@@ -15,7 +15,13 @@
         CACHE_KILL(1, 1), CACHE_START(1, 1), CACHE_GREY(2, 2), CACHE_LISTED(2, 2), ZONE_LOAD(2, 2),
                 DRAIN(2, 2), RESTORE(1, 1),
         ZONE_OUT(3, 3), ZONE_HOME(3, 3), ZONES_SETTLED(2, 2), REVERSALS(2, 2), NEAR(2, 2), ORIGIN_PEAK(2, 2),
-        NONE_FELLED(0, 0), ANSWERED_IN_TIME(2, 2);
+        NONE_FELLED(0, 0), ANSWERED_IN_TIME(2, 2),
+        EARLIER(1, 1), POWER_LOSS(1, 1), START_OVER(2, 2), POWER_BACK(0, 0), HOLD(1, 1), FREE(1, 1),
+        SERVING(3, 3), CONFIRMED(3, 3), RECOVERED(3, 3), SERVICE_BACK(3, 3), UNTOUCHED(1, 1), TOUCHED(3, 3),
+        ORIGIN_TURNED_AWAY(2, 2), NOTHING_BACK(2, 2), DISK_FULL(1, 1), DISK_WELL(1, 1),
+        DISK_STALLS(1, 1), SNAPSHOT_OLDER(2, 2), SNAPSHOT_AHEAD(2, 2), SNAPSHOT_TORN(1, 1), LIST_BACK(1, 1),
+        ORIGIN_PLACES(1, 1),
+        SAID(2, 2);
 
         final int least, most;
 
@@ -30,6 +36,11 @@
         }
     }
 
+    /** Whether it belongs to a loss of power. */
+    public boolean isOfPower() {
+        return verb.compareTo(Verb.EARLIER) >= 0;
+    }
+
     /** A span such as 5s or 200ms, in milliseconds. */
     public long millis(int word) {
         return ScenarioFile.millis(line, words.get(word));
--- a/src/main/java/cairnbridge/drill/standin/CacheNode.java
+++ b/src/main/java/cairnbridge/drill/standin/CacheNode.java
@@ -41,6 +41,11 @@
         return uid;
     }
 
+    /** Ops that came, whatever became of them. */
+    public long asked() {
+        return hits.sum() + misses.sum() + turnedAway.sum();
+    }
+
     public String zone() {
         return zone;
     }
--- a/src/main/java/cairnbridge/drill/standin/Clients.java
+++ b/src/main/java/cairnbridge/drill/standin/Clients.java
@@ -21,7 +21,9 @@
  * give up at their TTL. Keys are chosen by a seed, some of them far more often than others.
  */
 public final class Clients implements AutoCloseable {
-    private static final int TTL_MILLIS = 800, MOST_TRIES = 3, WRITES_IN = 20;
+    /** How long a client waits in all. */
+    public static final int TTL_MILLIS = 800;
+    private static final int MOST_TRIES = 3, WRITES_IN = 20;
     private static final double SKEW = 3;
 
     private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
@@ -31,6 +33,9 @@
         thread.setDaemon(true);
         return thread;
     });
+    /** How many keys there are, where nobody says otherwise. */
+    public static final int KEYS = 2_000;
+    private final int perSecond;
     private final RandomGenerator chance;
     private final int keys;
     private static final AtomicLong LIVES = new AtomicLong();
@@ -43,10 +48,25 @@
     public Clients(Supplier<List<InetSocketAddress>> proxies, int perSecond, int keys, long seed) {
         this.proxies = proxies;
         this.keys = keys;
+        this.perSecond = perSecond;
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         timer.scheduleAtFixedRate(this::next, 0, 1_000_000L / perSecond, TimeUnit.MICROSECONDS);
     }
 
+    /** Whether the next op is one that may take effect once only. */
+    public static boolean writes(RandomGenerator chance) {
+        return chance.nextInt(WRITES_IN) == 0;
+    }
+
+    /** The key of the next op, out of so many. */
+    public static long key(RandomGenerator chance, int keys) {
+        return (long) (keys * Math.pow(chance.nextDouble(), SKEW));
+    }
+
+    public int perSecond() {
+        return perSecond;
+    }
+
     private void next() {
         List<InetSocketAddress> places = proxies.get();
         if (places.isEmpty()) {
@@ -54,8 +74,8 @@
         }
         asked.increment();
         InetSocketAddress place = places.get(chance.nextInt(places.size()));
-        boolean write = chance.nextInt(WRITES_IN) == 0;
-        long key = (long) (keys * Math.pow(chance.nextDouble(), SKEW));
+        boolean write = writes(chance);
+        long key = key(chance, keys);
         ask(place, write, key, System.nanoTime() + TTL_MILLIS * 1_000_000L, 1);
     }
 
--- a/src/main/java/cairnbridge/drill/standin/Discovery.java
+++ b/src/main/java/cairnbridge/drill/standin/Discovery.java
@@ -45,6 +45,12 @@
             }
         }
 
+        /** So many changes were never written down: numbers go back, what the list says stays. */
+        public synchronized void back(int changes) {
+            rev = Math.max(1, rev - changes);
+            entries.replaceAll((uid, entry) -> entry.is(entry.state(), Math.min(rev, entry.rev())));
+        }
+
         synchronized long rev() {
             return rev;
         }
--- a/src/main/java/cairnbridge/drill/standin/Origin.java
+++ b/src/main/java/cairnbridge/drill/standin/Origin.java
@@ -15,7 +15,8 @@
     private static final byte[] NOTHING = {};
 
     private final World world;
-    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private volatile Semaphore slots = new Semaphore(SLOTS, true);
+    private volatile int places = SLOTS;
     private volatile long spanMillis = 15;
     public final LongAdder fetches = new LongAdder(), writes = new LongAdder(), turnedAway = new LongAdder();
 
@@ -27,9 +28,21 @@
         spanMillis = millis;
     }
 
+    /** It takes so many requests at a time from now on. */
+    public void places(int many) {
+        places = many;
+        slots = new Semaphore(many, true);
+    }
+
+    /** Requests that it can take in a second, by its places and its span. */
+    public double perSecond() {
+        return places * 1000.0 / spanMillis;
+    }
+
     @Override
     void answer(HttpExchange exchange) throws IOException, InterruptedException {
-        if (!slots.tryAcquire(300, TimeUnit.MILLISECONDS)) {
+        Semaphore mine = slots;
+        if (!mine.tryAcquire(300, TimeUnit.MILLISECONDS)) {
             turnedAway.increment();
             exchange.getResponseHeaders().set("X-Never-Ran", "1");
             say(exchange, 503, NOTHING);
@@ -48,7 +61,7 @@
             }
             say(exchange, 200, value);
         } finally {
-            slots.release();
+            mine.release();
         }
     }
 }
--- a/src/main/java/cairnbridge/fleet/Fleet.java
+++ b/src/main/java/cairnbridge/fleet/Fleet.java
@@ -19,6 +19,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.logging.Logger;
 
 /**
@@ -28,6 +30,7 @@
 public final class Fleet implements Carrier.Listener {
     private static final Logger LOG = Logger.getLogger(Fleet.class.getName());
     private static final long NANOS = 100_000;
+    private static final String ROSTER = "recovery-roster";
 
     private final FleetConfig config;
     private final FleetProxy proxy;
@@ -42,9 +45,15 @@
     private final ZoneMember zones;
     private volatile int shares;
 
+    /** What is remembered of plans over zones, and how an epoch is kept before it is told. */
+    public record Epochs(long floor, LongFunction<CompletableFuture<Boolean>> keeps) {
+        /** Nothing is remembered and nothing kept. */
+        public static final Epochs NONE = new Epochs(0, epoch -> CompletableFuture.completedFuture(true));
+    }
+
     /** instances: the configured number of proxies; IOException names an address that cannot be had. */
-    public Fleet(FleetConfig config, int instances, String clients, String door, long seed, FleetProxy proxy)
-            throws IOException {
+    public Fleet(FleetConfig config, int instances, String clients, String door, long seed, Epochs epochs,
+            FleetProxy proxy) throws IOException {
         this.config = config;
         this.proxy = proxy;
         this.clients = clients;
@@ -56,8 +65,7 @@
         duties = new Duties(me, config.zone(), config.probeNodesEvery());
         listCalls = new ListCalls(me, config.zone());
         zones = config.zones().isEmpty() ? null : new ZoneMember(me, config.zone(), config.zones().get(),
-                seed,
-                proxy, line -> LOG.info(line));
+                seed, proxy, epochs.floor(), epochs.keeps(), line -> LOG.info(line));
         carrier = new Carrier(config.carrier(), config.view(), told(), seed, this);
         if (zones != null) {
             zones.carriedBy(carrier);
@@ -92,7 +100,7 @@
     private Told told() {
         return Told.of(config.zone(), config.region(), config.carrier().protocol(), proxy.state(), clients,
                 door,
-                zones == null ? 0 : zones.epoch(), proxy.figures());
+                zones == null ? 0 : zones.epoch(), proxy.recovering(), proxy.figures());
     }
 
     @Override
@@ -104,6 +112,7 @@
     public void viewed(View view) {
         long now = now();
         log.look(now);
+        proxy.seen(view);
         carrier.tell(told());
         if (config.sharesFollow()) {
             int count = living.count(view, now);
@@ -130,9 +139,29 @@
 
     @Override
     public byte[] asked(MemberId from, String topic, byte[] bytes) {
+        if (topic.equals(ROSTER)) {
+            return proxy.roster();
+        }
         return zones == null ? new byte[0] : zones.asked(topic, bytes);
     }
 
+    /** Asks a member for its list of nodes; then is told the answer, or null, on the carrier's thread. */
+    public void askRoster(MemberId member, Consumer<byte[]> then) {
+        carrier.execute(() -> carrier.view().of(member).ifPresentOrElse(
+                claim -> carrier.say(claim.at(), ROSTER, new byte[0], then), () -> then.accept(null)));
+    }
+
+    /**
+     * The epoch that is told as in force here, and its plan; 0 and nothing where plans over zones are off.
+     */
+    public long epoch() {
+        return zones == null ? 0 : zones.epoch();
+    }
+
+    public byte[] plan() {
+        return zones == null ? new byte[0] : zones.plan();
+    }
+
     /** What staff ask of zones; empty where plans over zones are off. */
     public Optional<CompletableFuture<String>> zones(String line) {
         return Optional.ofNullable(zones).map(on -> on.staff(line));
--- a/src/main/java/cairnbridge/fleet/FleetProxy.java
+++ b/src/main/java/cairnbridge/fleet/FleetProxy.java
@@ -1,6 +1,8 @@
 package cairnbridge.fleet;
 
+import cairnbridge.fleet.member.Recovering;
 import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.View;
 import cairnbridge.zones.plan.Row;
 import cairnbridge.zones.plan.Server;
 import cairnbridge.zones.plan.Zone;
@@ -33,6 +35,18 @@
     /** Most members of this one's zone cannot reach the node. */
     void doubts(long node);
 
+    /** How far the return after a loss of power is. */
+    Recovering recovering();
+
+    /** What is seen of the fleet, some times a second. */
+    void seen(View view);
+
+    /**
+     * The list of nodes in discovery's own form, for a member that has none; empty where this one may not
+     * tell.
+     */
+    byte[] roster();
+
     /** It is this member's turn to ask the node how it fares. */
     void probe(long node);
 }
--- a/src/main/java/cairnbridge/fleet/carrier/Carrier.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Carrier.java
@@ -102,7 +102,7 @@
         at = settings.advertised().orElse(new Endpoint(settings.bind().getAddress().getHostAddress(), port));
         long life = Math.max(1, settings.life());
         Claim self = new Claim(settings.id(), at, new Incarnation(life, 0), Standing.ALIVE, null, 1, first);
-        machine = new Membership(view, self, settings.seeds(), seed, now(), this);
+        machine = new Membership(view, self, settings.seeds(), settings.remembered(), seed, now(), this);
         latest = machine.view();
     }
 
--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -66,12 +66,12 @@
     /** protocol: the newest version of the carrier's form that the member speaks. */
     public static Told of(String zone, String region, int protocol, State state, String clients, String door,
             Figures figures) {
-        return of(zone, region, protocol, state, clients, door, 0, figures);
+        return of(zone, region, protocol, state, clients, door, 0, Recovering.NOT, figures);
     }
 
-    /** As above, with the epoch of the plan over zones that is in force here. */
+    /** As above, with the epoch of the plan over zones that is in force here, and how far a return is. */
     public static Told of(String zone, String region, int protocol, State state, String clients, String door,
-            long epoch, Figures figures) {
+            long epoch, Recovering recovering, Figures figures) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(128);
         try (CBORGenerator cbor = CBOR.createGenerator(out)) {
             cbor.writeStartObject();
@@ -82,6 +82,10 @@
             cbor.writeStringField("clients", cut(clients));
             cbor.writeStringField("door", cut(door));
             cbor.writeNumberField("epoch", epoch);
+            // Only where there is something to tell: what a member tells takes its room in every datagram.
+            told(cbor, "recovery", recovering.phase());
+            told(cbor, "pace", recovering.pace());
+            told(cbor, "epoch-floor", recovering.epochFloor());
             cbor.writeNumberField("load", figures.load());
             cbor.writeNumberField("rate", figures.rate());
             cbor.writeNumberField("limit", figures.limit());
@@ -96,6 +100,12 @@
         return new Told(out.toByteArray());
     }
 
+    private static void told(CBORGenerator cbor, String field, long number) throws IOException {
+        if (number != 0) {
+            cbor.writeNumberField(field, number);
+        }
+    }
+
     private static void numbers(CBORGenerator cbor, String field, List<Long> numbers,
             int most) throws IOException {
         cbor.writeArrayFieldStart(field);
@@ -137,6 +147,12 @@
         return Math.max(0, number("epoch", 0));
     }
 
+    public Recovering recovering() {
+        return new Recovering((int) Math.max(0, Math.min(100, number("recovery", 0))),
+                (int) Math.max(0, Math.min(Integer.MAX_VALUE, number("pace", 0))),
+                Math.max(0, number("epoch-floor", 0)));
+    }
+
     /** 1 where it is not told. */
     public int protocol() {
         return (int) Math.max(1, Math.min(255, number("protocol", 1)));
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -55,6 +55,12 @@
     /** self: this member as it will call itself; its claim's standing is ALIVE. */
     public Membership(FleetSettings settings, Claim self, List<Endpoint> seeds, long seed, long now,
             FleetHost host) {
+        this(settings, self, seeds, List.of(), seed, now, host);
+    }
+
+    /** remembered: members of an earlier life, asked at the join after the seeds. */
+    public Membership(FleetSettings settings, Claim self, List<Endpoint> seeds, List<Endpoint> remembered,
+            long seed, long now, FleetHost host) {
         this.settings = settings;
         this.self = self;
         this.host = host;
@@ -62,7 +68,7 @@
         chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         table = new Table(settings.mostMembers());
         probes = new Probes(this);
-        syncs = new Syncs(this, seeds);
+        syncs = new Syncs(this, seeds, remembered);
     }
 
     /** Begins to look for others. */
@@ -175,7 +181,8 @@
         return one.state() == other.state() && one.zone().equals(other.zone())
                 && one.region().equals(other.region())
                 && one.clients().equals(other.clients()) && one.door().equals(other.door())
-                && one.protocol() == other.protocol() && one.epoch() == other.epoch();
+                && one.protocol() == other.protocol() && one.epoch() == other.epoch()
+                && one.recovering().phase() == other.recovering().phase();
     }
 
     private long figuresEvery() {
--- a/src/main/java/cairnbridge/fleet/view/Syncs.java
+++ b/src/main/java/cairnbridge/fleet/view/Syncs.java
@@ -26,21 +26,22 @@
     private static final int SOON = 3_000;
 
     private final Membership fleet;
-    private final List<Endpoint> seeds;
+    private final List<Endpoint> seeds, remembered;
     /** Calls under way, and where to. */
     private final Map<Long, Endpoint> calls = new HashMap<>();
     private long number = 1L << 62, startedAt, begunAt = Long.MIN_VALUE / 2, differsAt, count;
     private boolean joined, waiting;
     private int asked;
 
-    Syncs(Membership fleet, List<Endpoint> seeds) {
+    Syncs(Membership fleet, List<Endpoint> seeds, List<Endpoint> remembered) {
         this.fleet = fleet;
+        this.remembered = remembered.stream().filter(each -> !each.equals(fleet.self().at())).toList();
         this.seeds = seeds.stream().filter(each -> !each.equals(fleet.self().at())).toList();
     }
 
     void start() {
         startedAt = fleet.now;
-        joined = seeds.isEmpty();
+        joined = seeds.isEmpty() && remembered.isEmpty();
         join();
         fleet.timers.at(fleet.now + every(), this::atInterval);
         fleet.timers.at(fleet.now + SEEDS_AGAIN, this::seedsMissed);
@@ -63,8 +64,13 @@
         if (joined) {
             return;
         }
-        begin(seeds.get((asked++ + (int) Math.floorMod(fleet.self().incarnation().life(), seeds.size()))
-                % seeds.size()));
+        // Each seed once, then one in two of the members remembered: guards against a fleet whose seeds are
+        // gone.
+        boolean memory = !remembered.isEmpty()
+                && (asked >= seeds.size() && asked % 2 == 0 || seeds.isEmpty());
+        List<Endpoint> places = memory ? remembered : seeds;
+        int turn = asked++ + (int) Math.floorMod(fleet.self().incarnation().life(), places.size());
+        begin(places.get(Math.floorMod(memory ? turn / 2 : turn, places.size())));
         fleet.timers.at(fleet.now + JOIN_AGAIN / 2 + fleet.chance.nextLong(JOIN_AGAIN), this::join);
     }
 
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -81,6 +81,8 @@
     private volatile Learnt learnt = Learnt.NOTHING;
     /** Null where no fleet is told of it. */
     private FleetTally tally;
+    /** Null where nothing is kept over a loss of power. */
+    private RecoveryLink recovery;
 
     Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch,
             Learnt before, Figures figures) {
@@ -100,6 +102,11 @@
         tally = fleet;
     }
 
+    /** Asks recovery about each new op from now on; to be called before the thread starts. */
+    void recoversBy(RecoveryLink link) {
+        recovery = link;
+    }
+
     /** Ops taken and not yet answered. */
     int live() {
         return live;
@@ -170,6 +177,9 @@
             if (tally != null) {
                 tally.publish(now);
             }
+            if (recovery != null) {
+                recovery.turn(now);
+            }
         }
     }
 
@@ -233,15 +243,25 @@
             if (tally != null) {
                 tally.listed(listed.roster());
             }
+            if (recovery != null) {
+                recovery.listed(listed.roster(), clock.now());
+            }
             tell(clock.now(), listed.roster());
         } else if (notice instanceof Notice.Probed probed) {
             if (tally != null) {
                 tally.probed(probed.node(), probed.ending(), clock.now());
             }
+            if (recovery != null) {
+                recovery.probed(probed.node(), probed.ending(), clock.now());
+            }
             tell(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
                     null));
         } else if (notice instanceof Notice.Hint hint) {
             tell(clock.now(), hint.event());
+        } else if (notice instanceof Notice.Seen seen) {
+            recovery.seen(seen.sight(), seen.near(), clock.now());
+        } else if (notice instanceof Notice.Older older) {
+            recovery.older(older.version(), clock.now());
         } else if (notice instanceof Notice.Asked asked) {
             probe(asked.node());
         } else if (notice instanceof Notice.Streams streams) {
@@ -284,6 +304,10 @@
         if (tally != null) {
             tally.taken(client);
         }
+        if (recovery != null && !recovery.takes(client, expires, clock.now())) {
+            answered(ops.get(client.op));
+            return;
+        }
         tell(clock.now(), new Event.OpArrived(client.op, client.category, NO_TENANT, client.key,
                 expires, 0, -1, client.repeat, client.write));
     }
@@ -309,6 +333,9 @@
             long now = clock.now();
             tally.ended(call, over.ending(), call.took(over.ended()), op.expires - now, now);
         }
+        if (recovery != null) {
+            recovery.ended(call, over.ending(), call.took(over.ended()), clock.now());
+        }
         if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
                 call.client.ack(over.body());
@@ -377,6 +404,9 @@
         op.answered = true;
         live--;
         open.remove(op.client.trace);
+        if (recovery != null) {
+            recovery.answered(op.client);
+        }
         // Guards against a push that goes out after the answer, as its connection comes up.
         for (PushCall call : op.pushes) {
             if (call.isWaiting()) {
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -5,8 +5,11 @@
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.ZoneId;
 import cairnbridge.decision.Settings;
+import cairnbridge.fleet.Fleet;
 import cairnbridge.fleet.FleetProxy;
+import cairnbridge.fleet.member.Recovering;
 import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.View;
 import cairnbridge.zones.plan.Row;
 import cairnbridge.zones.plan.Server;
 import cairnbridge.zones.plan.Zone;
@@ -33,9 +36,14 @@
     private final RosterWatch watch;
     private final Inbox inbox;
 
+    /** Null where nothing is kept over a loss of power. */
+    private final RecoveryLink recovery;
+    private volatile Fleet fleet;
+
     FleetLink(ProxyConfig config, Listen listen, Decide decide, FleetTally tally, RosterWatch watch,
-            Inbox inbox) {
+            Inbox inbox, RecoveryLink recovery) {
         this.tally = tally;
+        this.recovery = recovery;
         this.config = config;
         this.listen = listen;
         this.decide = decide;
@@ -112,6 +120,29 @@
                 ShedByBenefit.parts(categories, mix, (double) row.shed() / Row.ALL), placed))));
     }
 
+    /** Before anything starts. */
+    void of(Fleet member) {
+        fleet = member;
+    }
+
+    @Override
+    public Recovering recovering() {
+        Fleet mine = fleet;
+        return recovery == null ? Recovering.NOT : recovery.told(mine == null ? 0 : mine.epoch());
+    }
+
+    @Override
+    public void seen(View view) {
+        if (recovery != null) {
+            recovery.seen(view);
+        }
+    }
+
+    @Override
+    public byte[] roster() {
+        return recovery == null ? new byte[0] : recovery.roster();
+    }
+
     /** What plans have placed where, since the start. */
     Map<String, Long> gauges() {
         return Map.of("zones.near_total", placed.near.sum(), "zones.far_total", placed.far.sum(),
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/Keeping.java
@@ -0,0 +1,88 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.FleetConfig;
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Learnt;
+import cairnbridge.fleet.Fleet;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.view.View;
+import cairnbridge.recovery.RosterBook;
+import cairnbridge.recovery.StateKeeper;
+import cairnbridge.store.Entry;
+import cairnbridge.store.Kept;
+import java.util.List;
+import java.util.Optional;
+
+/** What of a proxy is kept on its disk, put together from its parts; made before the proxy starts. */
+final class Keeping {
+    private final StateKeeper keeper;
+    private final RecoveryLink link;
+    private final RosterBook book = new RosterBook();
+    private final Maintenance maintenance;
+    private final Decide decide;
+    private Fleet fleet;
+
+    Keeping(StateKeeper keeper, ProxyConfig config, FleetConfig of, Maintenance maintenance,
+            RosterWatch watch,
+            Decide decide, Inbox inbox, long now) {
+        this.keeper = keeper;
+        this.maintenance = maintenance;
+        this.decide = decide;
+        MemberId me = of.carrier().id();
+        link = new RecoveryLink(config, keeper, me.name(), of.zone(), book, watch, inbox, now);
+        watch.keepsIn(book);
+        watch.believesFrom(keeper.trusted().rosterVersion());
+        decide.recoversBy(link);
+        maintenance.keepsBy((node, on) -> keeper.store().keep(on ? Entry.Kind.HELD : Entry.Kind.FREED,
+                node.value()));
+    }
+
+    RecoveryLink link() {
+        return link;
+    }
+
+    /** What the fleet's member needs to know of plans over zones before it is made. */
+    Fleet.Epochs epochs() {
+        return new Fleet.Epochs(keeper.trusted().epochFloor(), epoch -> keeper.store().keep(Entry.Kind.EPOCH,
+                epoch));
+    }
+
+    /** Holds of staff are in force before the first op, or as soon as a slow disk gives them. */
+    void start(Fleet member) {
+        fleet = member;
+        link.of(member);
+        maintenance.restore(keeper.trusted().held());
+        keeper.store().whenOpened(late -> maintenance.restore(late.held()));
+        keeper.store().keepsFrom(this::state);
+    }
+
+    /**
+     * Nothing until the return is over: guards against what is half known yet in place of what was known
+     * before, where the power is lost a second time.
+     */
+    private Optional<Kept> state() {
+        if (!link.isOver()) {
+            return Optional.empty();
+        }
+        View view = fleet.view();
+        List<Kept.Peer> peers = view.members().stream().filter(claim -> !claim.id().equals(view.self()))
+                .map(Keeping::peer).toList();
+        Learnt learnt = decide.learnt();
+        List<Kept.Node> nodes = learnt.nodes().entrySet().stream().map(each -> new Kept.Node(
+                each.getKey().value(), each.getValue().started(), each.getValue().share())).toList();
+        return Optional.of(new Kept(keeper.settings().store().cluster(), keeper.life(), keeper.bootId(),
+                System.currentTimeMillis(), 0, book.version(), book.text(), peers, fleet.epoch(),
+                        fleet.plan(),
+                learnt.at(), learnt.originSpan(), learnt.sendRate(), nodes, maintenance.held()));
+    }
+
+    private static Kept.Peer peer(Claim claim) {
+        return new Kept.Peer(claim.id().name(), claim.at().toString(), claim.incarnation().life(),
+                claim.incarnation().turn(), claim.standing().isLiving());
+    }
+
+    void stop() throws InterruptedException {
+        keeper.store().stop();
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Maintenance.java
+++ b/src/main/java/cairnbridge/proxy/Maintenance.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import cairnbridge.admin.NotKept;
 import cairnbridge.config.Names;
 import cairnbridge.decision.Ids.NodeId;
 import java.io.IOException;
@@ -7,10 +8,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.logging.Logger;
@@ -24,7 +27,7 @@
     private static final Logger LOG = Logger.getLogger(Maintenance.class.getName());
     /** How often the marks are looked at, and after how long another process is sure to have seen one. */
     static final long LOOK_MILLIS = 100;
-    private static final long SEEN_MILLIS = 3 * LOOK_MILLIS;
+    private static final long SEEN_MILLIS = 3 * LOOK_MILLIS, KEPT_MILLIS = 500;
     private static final String MARK = "hold-", HEX = "[0-9a-f]{1,16}";
 
     private final Optional<Path> folder;
@@ -33,6 +36,8 @@
     private final BooleanSupplier shared;
     private final Set<NodeId> held = new HashSet<>();
     private final OddityLog odd = new OddityLog(LOG, "maintenance");
+    /** Keeps a hold over a loss of power: true once it does. Null where nothing is kept. */
+    private BiFunction<NodeId, Boolean, CompletableFuture<Boolean>> keeps;
 
     /** folder is empty where none is shared: holds then end with the process. */
     Maintenance(Optional<Path> folder, Inbox inbox, Predicate<NodeId> listed,
@@ -57,11 +62,49 @@
         }
         LOG.info("maintenance: " + uid + (on ? " is taken out" : " is put back"));
         CompletableFuture<Boolean> done = tell(node, on);
+        if (keeps != null) {
+            // Guards against staff who rely on a hold that the next loss of power would undo.
+            CompletableFuture<Boolean> kept = keeps.apply(node, on)
+                    .completeOnTimeout(false, KEPT_MILLIS, TimeUnit.MILLISECONDS);
+            done = done.thenCombine(kept, (taken, sure) -> {
+                if (!sure) {
+                    throw new NotKept();
+                }
+                return taken;
+            });
+        }
         // Guards against a push of the other process after this one's yes: it looks a few times a second.
-        return !shared.getAsBoolean() ? done : done.thenApplyAsync(taken -> taken,
+        CompletableFuture<Boolean> all = done;
+        return !shared.getAsBoolean() ? all : all.thenApplyAsync(taken -> taken,
                 CompletableFuture.delayedExecutor(SEEN_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Has holds kept over a loss of power; before the first of them. */
+    void keepsBy(BiFunction<NodeId, Boolean, CompletableFuture<Boolean>> keeper) {
+        keeps = keeper;
+    }
+
+    /** Nodes that staff had taken out before a loss of power are out again. */
+    synchronized void restore(List<Long> nodes) {
+        for (long each : nodes) {
+            NodeId node = new NodeId(each);
+            try {
+                mark(node, true);
+            } catch (IOException e) {
+                odd.say("the mark cannot be kept, " + e);
+            }
+            if (!held.contains(node)) {
+                LOG.info("maintenance: node " + Long.toHexString(each) + " stays out, as staff had it");
+                tell(node, true);
+            }
+        }
+    }
+
+    /** Nodes that are out. */
+    synchronized List<Long> held() {
+        return held.stream().map(NodeId::value).sorted().toList();
+    }
+
     private void mark(NodeId node, boolean on) throws IOException {
         if (folder.isEmpty()) {
             return;
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -3,7 +3,9 @@
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.recovery.Sight;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -56,6 +58,14 @@
     record Hint(Event event) implements Notice {
     }
 
+    /** What is seen of the fleet; near: members of this one's zone that take ops. */
+    record Seen(Sight sight, List<String> near) implements Notice {
+    }
+
+    /** Discovery tells a list that is older than one that was known; it is not in use. */
+    record Older(long version) implements Notice {
+    }
+
     /** It is this proxy's turn to ask a node how it fares. */
     record Asked(NodeId node) implements Notice {
     }
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/RecoveryLink.java
@@ -0,0 +1,253 @@
+package cairnbridge.proxy;
+
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Settings;
+import cairnbridge.fleet.Fleet;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Recovering;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.View;
+import cairnbridge.recovery.Arrival;
+import cairnbridge.recovery.Phase;
+import cairnbridge.recovery.Recovery;
+import cairnbridge.recovery.RecoveryHost;
+import cairnbridge.recovery.RosterBook;
+import cairnbridge.recovery.Sight;
+import cairnbridge.recovery.StateKeeper;
+import cairnbridge.recovery.Verdict;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * Between the proxy and its return after a loss of power: carries what happens to Recovery, which decides,
+ * and what that asks for to others. The owner thread's, but for what others are told, which any thread may
+ * read.
+ */
+final class RecoveryLink implements RecoveryHost {
+    private static final Logger LOG = Logger.getLogger(RecoveryLink.class.getName());
+    private static final List<Phase> PHASES = List.of(Phase.values());
+
+    private final StateKeeper keeper;
+    private final RosterBook book;
+    private final RosterWatch watch;
+    private final Inbox inbox;
+    private final Recovery recovery;
+    private final MachineKind originKind;
+    private final Settings settings;
+    private final String me, zone;
+    /** When each listed node but the origin began. */
+    private final Map<NodeId, Long> began = new HashMap<>();
+    private volatile Fleet fleet;
+    private volatile NodeId origin;
+    private volatile Phase phase = Phase.VIEW;
+    private volatile int pace;
+    private volatile boolean confirmed;
+    private volatile List<String> text = List.of();
+    private volatile long hidden, turnedAway;
+
+    RecoveryLink(ProxyConfig config, StateKeeper keeper, String me, String zone, RosterBook book,
+            RosterWatch watch, Inbox inbox, long now) {
+        this.keeper = keeper;
+        this.book = book;
+        this.watch = watch;
+        this.inbox = inbox;
+        this.me = me;
+        this.zone = zone;
+        settings = config.settings();
+        originKind = settings.originKind();
+        recovery = new Recovery(keeper.settings(), keeper.trusted(), settings.categories(),
+                settings.proxies(),
+                settings.mayProbe(), me, RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
+                now, this);
+        pace = recovery.pace();
+    }
+
+    /** Before anything starts. */
+    void of(Fleet member) {
+        fleet = member;
+    }
+
+    // The owner thread's.
+
+    /** Whether the op goes on; one that does not has had its answer. */
+    boolean takes(Exchange client, long expires, long now) {
+        Verdict verdict = recovery.arrives(new Arrival(client.op, client.category, client.key, client.write,
+                client.repeat, expires), now);
+        switch (verdict.kind()) {
+            case NACKED -> client.nack(settings.mayAdviseRetry()
+                    ? Math.min(settings.maxRetryAfter(), verdict.retryAfter()) : 0);
+            case DEAD_LETTERED -> client.deadLetter();
+            default -> { }
+        }
+        return verdict.kind() == Verdict.Kind.TAKEN;
+    }
+
+    void ended(PushCall call, Ending ending, long took, long now) {
+        boolean good = ending == Ending.ACKED;
+        boolean says = ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT;
+        boolean atOrigin = call.node.equals(origin) && says;
+        recovery.pushEnded(call.client.op, atOrigin, good, took, now);
+    }
+
+    void answered(Exchange client) {
+        recovery.answered(client.op);
+    }
+
+    void listed(Event.Roster roster, long now) {
+        for (Event.Entry entry : roster.entries()) {
+            if (entry.kind().equals(originKind)) {
+                origin = entry.node();
+            } else if (entry.state() == Event.State.GONE) {
+                began.remove(entry.node());
+            } else {
+                began.put(entry.node(), entry.started());
+            }
+        }
+        long newest = began.values().stream().mapToLong(each -> each).max().orElse(0);
+        if (roster.scope() == Event.Scope.CACHED) {
+            recovery.guessed(roster.version(), newest, now);
+        } else if (roster.scope() != Event.Scope.FAILED) {
+            recovery.listed(roster.version(), newest, now);
+        }
+        publish(now);
+    }
+
+    /** Discovery has a list that is older than the floor; it is not in use. */
+    void older(long version, long now) {
+        recovery.listed(version, 0, now);
+        publish(now);
+    }
+
+    void probed(NodeId node, Ending ending, long now) {
+        if (node.equals(origin)) {
+            // An error is an answer as well: the origin is there.
+            recovery.probed(ending == Ending.ACKED || ending == Ending.ERROR, now);
+        }
+    }
+
+    void seen(Sight sight, List<String> near, long now) {
+        recovery.zone(near);
+        recovery.viewed(sight, now);
+        publish(now);
+    }
+
+    void turn(long now) {
+        recovery.turn(now);
+        publish(now);
+    }
+
+    private void publish(long now) {
+        phase = recovery.phase();
+        pace = recovery.pace();
+        confirmed = recovery.isConfirmed();
+        text = recovery.text(now);
+        hidden = recovery.hidden();
+        turnedAway = recovery.turnedAway();
+        watch.believesFrom(recovery.rosterFloor());
+    }
+
+    // What Recovery asks for.
+
+    @Override
+    public void useGuess() {
+        String kept = keeper.trusted().roster();
+        if (!kept.isEmpty()) {
+            watch.guess(RosterBook.startedNow(kept, System.currentTimeMillis()));
+        }
+    }
+
+    @Override
+    public void askRoster(String member) {
+        fleet.askRoster(new MemberId(member), answer -> {
+            if (answer != null && answer.length > 0) {
+                watch.guess(new String(answer, StandardCharsets.UTF_8));
+            }
+        });
+    }
+
+    @Override
+    public void takeOlderList() {
+        watch.believesFrom(0);
+        watch.askAnew();
+    }
+
+    @Override
+    public void probeOrigin() {
+        NodeId node = origin;
+        if (node != null) {
+            inbox.first(new Notice.Asked(node));
+        }
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+
+    // What others are told; any thread.
+
+    /** The fleet's thread sees the fleet; the owner thread is told. */
+    void seen(View view) {
+        keeper.store().look();
+        List<Sight.Seen> others = new ArrayList<>();
+        List<String> near = new ArrayList<>(List.of(me));
+        for (Claim claim : view.living()) {
+            Told told = claim.told();
+            if (told == null || claim.id().equals(view.self())) {
+                continue;
+            }
+            int at = told.recovering().phase();
+            boolean serves = told.state() == Told.State.SERVING || told.state() == Told.State.STANDBY;
+            others.add(new Sight.Seen(claim.id().name(), told.zone(), at == 0 ? null
+                    : PHASES.get(Math.min(at, PHASES.size()) - 1), serves, told.recovering().pace(),
+                    told.figures().roster(), told.figures().listing()));
+            if (serves && told.zone().equals(zone)) {
+                near.add(claim.id().name());
+            }
+        }
+        inbox.first(new Notice.Seen(new Sight(me, others), near));
+    }
+
+    Recovering told(long epoch) {
+        boolean over = phase == Phase.ALL;
+        return new Recovering(over ? 0 : PHASES.indexOf(phase) + 1, over ? 0 : pace,
+                Math.max(keeper.trusted().epochFloor(), epoch));
+    }
+
+    /** The list for a member that asks; a guess of one's own is not passed on. */
+    byte[] roster() {
+        return confirmed ? book.text().getBytes(StandardCharsets.UTF_8) : new byte[0];
+    }
+
+    boolean isOver() {
+        return phase == Phase.ALL;
+    }
+
+    String text() {
+        StringBuilder all = new StringBuilder();
+        text.forEach(line -> all.append(line).append('\n'));
+        keeper.trusted().lines().forEach(line -> all.append("kept, ").append(line).append('\n'));
+        all.append("disk ").append(keeper.store().isWell() ? "keeps" : "does not keep").append('\n');
+        return all.toString();
+    }
+
+    Map<String, Long> gauges() {
+        Map<String, Long> gauges = new LinkedHashMap<>(keeper.store().figures().gauges());
+        gauges.put("recovery.phase", (long) PHASES.indexOf(phase) + 1);
+        gauges.put("recovery.confirmed", confirmed ? 1L : 0L);
+        gauges.put("recovery.turned_away_total", turnedAway);
+        gauges.put("recovery.hidden_total", hidden);
+        return gauges;
+    }
+}
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -14,6 +14,7 @@
 import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.recovery.RosterBook;
 import cairnbridge.zones.plan.Server;
 import cairnbridge.zones.plan.Zone;
 import java.net.InetSocketAddress;
@@ -52,8 +53,12 @@
     /** Guards against a fleet killed together that asks together, again and again: waits are scattered. */
     private final RandomGenerator chance;
     private volatile long version;
+    /** Lists of discovery's below this version are not used; 0 where none was known before. */
+    private volatile long believed;
+    /** Null where lists are not kept over a loss of power. */
+    private RosterBook book;
     private long waitMillis = LEAST_WAIT_MILLIS;
-    private boolean started, wanted, listed, lost;
+    private boolean started, wanted, listed, discovered, lost;
     private final OddityLog odd = new OddityLog(LOG, "roster");
     /** The list's nodes, and whether each is a cache. */
     private final Map<NodeId, Boolean> nodes = new ConcurrentHashMap<>();
@@ -122,6 +127,42 @@
                 * 1_000_000;
     }
 
+    /** Lists are put down in the book from now on; before the start. */
+    void keepsIn(RosterBook lists) {
+        book = lists;
+    }
+
+    /** Discovery's lists count from this version on. */
+    void believesFrom(long floor) {
+        believed = floor;
+    }
+
+    /** A list that did not come from discovery is in use until that tells one; its text as discovery's. */
+    void guess(String text) {
+        timer.execute(() -> {
+            if (discovered) {
+                return; // Discovery was faster.
+            }
+            try {
+                tell(Tree.parse(text, "kept list"), Scope.CACHED);
+                listed = false; // The first call asks for the whole list.
+                book.tells(text);
+            } catch (ConfigFault e) {
+                LOG.warning("roster: a list from before cannot be used: " + e.getMessage());
+            }
+        });
+    }
+
+    /** Asks discovery for its whole list once more. */
+    void askAnew() {
+        timer.execute(() -> {
+            listed = false;
+            if (watching != null) {
+                watching.connection.close();
+            }
+        });
+    }
+
     private void open() {
         calledAt = System.nanoTime();
         String after = listed ? "&after=" + version : "";
@@ -193,6 +234,15 @@
         }
         try {
             Tree tree = Tree.parse(text, "roster");
+            long told = (long) tree.number("rev", version);
+            if (told < believed) {
+                inbox.post(new Notice.Older(told));
+                return;
+            }
+            discovered = true;
+            if (book != null) {
+                book.tells(text);
+            }
             tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
             waitMillis = LEAST_WAIT_MILLIS;
             if (lost) {
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -6,7 +6,9 @@
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.FleetConfig;
 import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Learnt;
 import cairnbridge.fleet.Fleet;
+import cairnbridge.recovery.StateKeeper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
@@ -49,13 +51,24 @@
     private volatile Door door;
     /** Null where this proxy is alone, as on the platform. */
     private volatile Fleet fleet;
+    /** Null where nothing is kept over a loss of power. */
+    private volatile Keeping keeping;
 
     /** whenBroken is run if a thread that the proxy cannot do without ends before its time. */
     public Serve(ProxyConfig config, Runnable whenBroken) {
         this(config, whenBroken, new Clock());
     }
 
+    /** before: what the one before had learnt, from a better source than the configuration's file. */
+    public Serve(ProxyConfig config, Runnable whenBroken, Learnt before) {
+        this(config, whenBroken, new Clock(), before);
+    }
+
     Serve(ProxyConfig config, Runnable whenBroken, Clock clock) {
+        this(config, whenBroken, clock, Learnt.NOTHING);
+    }
+
+    private Serve(ProxyConfig config, Runnable whenBroken, Clock clock, Learnt before) {
         this.config = config;
         this.whenBroken = whenBroken;
         inbox = new Inbox(NOTICES_PER_SOCKET * config.sockets());
@@ -70,7 +83,9 @@
         }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer, figures);
         maintenance = new Maintenance(config.folder(), inbox, watch::names, beside::isShared);
-        decide = new Decide(config, inbox, clock, sockets, watch, config.learnt(), figures);
+        Learnt learnt = config.learnt();
+        decide = new Decide(config, inbox, clock, sockets, watch, before.at() > learnt.at() ? before : learnt,
+                figures);
         owner = vital(decide);
         owner.setName(OWNER);
     }
@@ -93,15 +108,31 @@
 
     /** Makes this proxy a member of a fleet; before its start. IOException names an address that is taken. */
     public void join(FleetConfig of) throws IOException {
+        join(of, Optional.empty());
+    }
+
+    /** As above, with what is kept over a loss of power. */
+    public void join(FleetConfig of, Optional<StateKeeper> kept) throws IOException {
         FleetTally tally = new FleetTally(config);
-        FleetLink link = new FleetLink(config, listen, decide, tally, watch, inbox);
+        keeping = kept.map(keeper -> new Keeping(keeper, config, of, maintenance, watch, decide, inbox,
+                listen.clock.now())).orElse(null);
+        FleetLink link = new FleetLink(config, listen, decide, tally, watch, inbox,
+                keeping == null ? null : keeping.link());
         String staff = config.door().map(Serve::text).orElse("");
-        fleet = new Fleet(of, config.settings().proxies(), text(config.listen()), staff, config.seed(), link);
+        fleet = new Fleet(of, config.settings().proxies(), text(config.listen()), staff, config.seed(),
+                keeping == null ? Fleet.Epochs.NONE : keeping.epochs(), link);
+        link.of(fleet);
+        if (keeping != null) {
+            keeping.start(fleet);
+        }
         decide.counts(tally);
         watch.callsIf(fleet::mayCallForList);
         figures.also(() -> {
             Map<String, Long> gauges = new LinkedHashMap<>(fleet.gauges());
             gauges.putAll(link.gauges());
+            if (keeping != null) {
+                gauges.putAll(keeping.link().gauges());
+            }
             return gauges;
         });
     }
@@ -177,6 +208,11 @@
         return mine == null ? Optional.empty() : mine.zones(line);
     }
 
+    @Override
+    public Optional<String> recovery() {
+        return Optional.ofNullable(keeping).map(mine -> mine.link().text());
+    }
+
     @Override
     public CompletableFuture<Boolean> hold(String node, boolean on) {
         return maintenance.hold(node, on);
@@ -274,6 +310,9 @@
             sockets.stop();
             owner.join();
             keep();
+            if (keeping != null) {
+                keeping.stop();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/src/main/java/cairnbridge/recovery/StateKeeper.java
@@ -0,0 +1,110 @@
+package cairnbridge.recovery;
+
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.store.Entry;
+import cairnbridge.store.FolderDisk;
+import cairnbridge.store.Kept;
+import cairnbridge.store.Store;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/**
+ * What a proxy has on its disk, from its start to its end. Open one before the proxy is made: it reads back,
+ * decides what is trusted and takes the number of this life, and waits for a disk that is slow no longer than
+ * some seconds.
+ */
+public final class StateKeeper {
+    private static final long OPEN_MILLIS = 2_000, LIFE_MILLIS = 1_000;
+    private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
+
+    private final RecoverySettings settings;
+    private final Store store;
+    private final Optional<Kept> kept;
+    private final Trusted trusted;
+    private final long life;
+    private final String boot = boot();
+
+    private StateKeeper(RecoverySettings settings, Store store, long firstLife, Consumer<String> log)
+            throws InterruptedException {
+        this.settings = settings;
+        this.store = store;
+        kept = store.start(OPEN_MILLIS);
+        trusted = Trust.judge(kept.orElse(Kept.nothing(settings.store().cluster())),
+                settings.store().cluster(),
+                boot, System.currentTimeMillis(), settings.mostAge() / 10);
+        trusted.lines().forEach(line -> log.accept("recovery: " + line));
+        life = Math.max(firstLife, trusted.life() + 1);
+        CompletableFuture<Boolean> written = store.keep(Entry.Kind.LIFE, life);
+        try {
+            written.get(kept.isPresent() ? LIFE_MILLIS : 1, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            // The store says so; another life of this number is then kept apart by the machine's clock alone.
+            store.look();
+        }
+    }
+
+    /** firstLife: this life's number by the clock; log takes lines for staff, from any thread. */
+    public static StateKeeper open(RecoverySettings settings, long firstLife, Consumer<String> log)
+            throws InterruptedException {
+        return new StateKeeper(settings,
+                new Store(settings.store(), new FolderDisk(settings.store().folder()),
+                log), firstLife, log);
+    }
+
+    /** The machine's boot, by the kernel's own id; empty where it tells none. */
+    private static String boot() {
+        try {
+            return Files.readString(BOOT).strip();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    public RecoverySettings settings() {
+        return settings;
+    }
+
+    public Trusted trusted() {
+        return trusted;
+    }
+
+    /** This life's number, higher than any before it. */
+    public long life() {
+        return life;
+    }
+
+    /** What was read back, whether or not it is trusted. */
+    public Kept kept() {
+        return kept.orElse(Kept.nothing(settings.store().cluster()));
+    }
+
+    public Store store() {
+        return store;
+    }
+
+    public String bootId() {
+        return boot;
+    }
+
+    /** Where members that are remembered are reached; what cannot be an address is left out. */
+    public List<Endpoint> remembered() {
+        List<Endpoint> places = new ArrayList<>();
+        for (Kept.Peer peer : trusted.ask()) {
+            try {
+                places.add(Endpoint.parse(peer.at()));
+            } catch (IllegalArgumentException e) {
+                continue; // Kept by a program that wrote addresses otherwise.
+            }
+        }
+        return places;
+    }
+}
--- a/src/main/java/cairnbridge/zones/ZoneMember.java
+++ b/src/main/java/cairnbridge/zones/ZoneMember.java
@@ -6,6 +6,7 @@
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.view.View;
 import cairnbridge.zones.plan.Plan;
+import cairnbridge.zones.plan.PlanCodec;
 import cairnbridge.zones.plan.Server;
 import cairnbridge.zones.plan.Zone;
 import cairnbridge.zones.plan.ZoneHealth;
@@ -16,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.random.RandomGeneratorFactory;
 
 /**
@@ -33,18 +35,25 @@
     private View view;
     private long placedAt;
     private volatile long epoch;
+    private volatile Plan latest = Plan.FIRST;
+    private final LongFunction<CompletableFuture<Boolean>> keeps;
 
-    /** IOException where a voter's register cannot be believed. */
+    /**
+     * epochFloor: of the highest plan that is remembered; keeps: has an epoch kept before it is told.
+     * IOException where a voter's register cannot be believed.
+     */
     public ZoneMember(MemberId me, String zone, ZonesConfig config, long seed, FleetProxy proxy,
-            Consumer<String> log)
+            long epochFloor, LongFunction<CompletableFuture<Boolean>> keeps, Consumer<String> log)
             throws IOException {
+        this.keeps = keeps;
         home = new Zone(zone);
         this.config = config;
         this.proxy = proxy;
         this.log = log;
         zones = new Zones(me, config, new ZoneHealth.Rates(config.nodeRate(), proxy.coldFrom(),
                 proxy.warmUp(),
-                config.regions()), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), this);
+                config.regions()), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), epochFloor,
+                        this);
     }
 
     /** Before the carrier's thread starts. */
@@ -57,6 +66,11 @@
         return epoch;
     }
 
+    /** The plan that is in force here, as its codec writes it. */
+    public byte[] plan() {
+        return PlanCodec.write(latest);
+    }
+
     public void viewed(View seen, long now) {
         view = seen;
         zones.viewed(seen, now, System.currentTimeMillis());
@@ -100,7 +114,9 @@
 
     @Override
     public void inForce(Plan plan) {
-        epoch = plan.epoch();
+        latest = plan;
+        // Told only once it is kept: guards against a member that comes back behind what it confirmed.
+        keeps.apply(plan.epoch()).thenAccept(kept -> epoch = kept ? Math.max(epoch, plan.epoch()) : epoch);
         place(plan);
     }
 
--- a/src/main/java/cairnbridge/zones/Zones.java
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -50,13 +50,16 @@
     private Ballot last = Ballot.NONE;
     private View view;
     private long begun, attemptAt, pulledAt, now, unixMillis, waitUntil;
+    /** No plan below this one comes into force: others may have had it before they lost their power. */
+    private long floor;
     private boolean proposes, unsure;
     /** What staff want, until a plan has it: empty to give back, else the least time. */
     private final Map<Zone, Optional<Long>> asked = new HashMap<>();
 
     /** IOException where a voter's register cannot be believed. */
-    Zones(MemberId me, ZonesConfig config, ZoneHealth.Rates rates, RandomGenerator chance, ZonesHost host)
-            throws IOException {
+    Zones(MemberId me, ZonesConfig config, ZoneHealth.Rates rates, RandomGenerator chance, long epochFloor,
+            ZonesHost host) throws IOException {
+        floor = epochFloor;
         this.me = me;
         this.config = config;
         this.host = host;
@@ -83,6 +86,9 @@
             alone();
             return;
         }
+        for (Claim claim : seen.living()) {
+            floor = claim.told() == null ? floor : Math.max(floor, claim.told().recovering().epochFloor());
+        }
         pull();
         boolean mine = me.equals(proposer()) && hasMajority();
         if (mine && !proposes) {
@@ -187,7 +193,8 @@
             attempt = null;
             waitUntil = now + SECOND / 10 + chance.nextLong(SECOND);
         } else if (attempt.isPromised()) {
-            Plan newest = attempt.newest();
+            // Guards against voters that lost their registers and begin to count anew.
+            Plan newest = attempt.newest().notBelow(floor);
             Plan next = wants(newest);
             // Nothing to change, but the newest may not be known to be agreed on: it is asked for once more.
             attempt = attempt.proposes(next);
@@ -213,7 +220,7 @@
     // As a learner.
 
     private void takes(Plan next) {
-        if (next.epoch() <= plan.epoch()) {
+        if (next.epoch() <= plan.epoch() || next.epoch() < floor) {
             return; // Epochs never go back.
         }
         ZoneTexts.changes(plan, next).forEach(change -> host.log("zones: epoch " + next.epoch() + " by "
--- a/src/main/java/cairnbridge/zones/plan/Plan.java
+++ b/src/main/java/cairnbridge/zones/plan/Plan.java
@@ -20,6 +20,11 @@
         drained = Map.copyOf(drained);
     }
 
+    /** The same, as if it had been made after the plan of that epoch, where its own is lower. */
+    public Plan notBelow(long floor) {
+        return epoch >= floor ? this : new Plan(floor + 1, rows, drained, maker);
+    }
+
     public Row row(Zone zone) {
         Row row = rows.get(zone);
         return row == null ? Row.home(zone) : row;
--- a/src/test/java/cairnbridge/config/FleetConfigTest.java
+++ b/src/test/java/cairnbridge/config/FleetConfigTest.java
@@ -7,6 +7,7 @@
 
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.recovery.RecoverySettings;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -66,6 +67,10 @@
         "zones.voters = [\"p 1\"] | fleet.zones.voters: has what is no member's name: p 1",
         "zones.voters = [\"p1\"] | fleet.zones.node-ops-per-s: is not a number from 0.001 to 1000000000",
         "zones.hold = 3 | fleet.zones.hold: is no key of this table",
+        "recovery = 3 | fleet.recovery: is not a table",
+        "recovery.most-age-s = 3 | fleet.recovery.folder: is not set",
+        "recovery = {folder = \"s\", most-age-s = 0} | fleet.recovery.most-age-s: is not a number from 1 to 1000000",
+        "recovery = {folder = \"s\", origin = 4} | fleet.recovery.origin: is no key of this table",
         "view = 3 | fleet.view: is not a table",
         "view.probe-every-s = \"1\" | fleet.view.probe-every-s: is not a number from 0.05 to 1000000",
         "view.probe-timeout-s = 0.4 | fleet.view.probe-timeout-s: is over half of probe-every-s",
@@ -82,6 +87,18 @@
                 .getMessage());
     }
 
+    @Test
+    void whatIsKeptStandsBesideTheFileUnlessItSaysOtherwise() {
+        assertTrue(FleetConfig.of(GOOD, folder, "p1").recovery().isEmpty());
+        RecoverySettings kept = FleetConfig.of(GOOD + "recovery.folder = \"store\"\n", folder,
+                "p1").recovery()
+                .orElseThrow();
+        assertEquals(folder.resolve("store"), kept.store().folder());
+        assertEquals("c", kept.store().cluster());
+        assertEquals(2_000, kept.store().snapshotEvery());
+        assertEquals(100_000, kept.aloneAfter());
+    }
+
     @Test
     void whatIsNoTomlIsNamedByItsLine() {
         ConfigFault fault = assertThrows(ConfigFault.class, () ->
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -78,6 +78,16 @@
         return this;
     }
 
+    /** The same, but what the one before had learnt is only how much a warm cache was sent. */
+    FakeHost followsKnowing(double sendRate) {
+        router = new Router(settings, 5, clock, this, new Learnt(clock, 0, sendRate, Map.of()));
+        return this;
+    }
+
+    double sendRate() {
+        return router.learnt().sendRate();
+    }
+
     FakeHost(Effect effect) {
         this(effect, Group.ALL, true);
     }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -396,6 +396,36 @@
         assertTrue(cold > 0 && cold < 25, "got " + cold + " of 200");
     }
 
+    /** Guards against a fleet whose caches all lost their power: none is warm to have a share of. */
+    @Test
+    void cachesThatAreAllColdGetAShareOfWhatAWarmOneWasSentBefore() {
+        long[] sent = new long[2];
+        for (int known = 0; known < 2; known++) {
+            FakeHost host = new FakeHost(Effect.REDELIVERABLE).followsKnowing(known * 40).listed(5);
+            for (long node = 1; node <= 5; node++) {
+                host.changed(entry(node, State.READY, host.clock));
+            }
+            for (long op = 0; op < 100; op++) { // A second of 100 ops; a quarter of five times 40 is 50.
+                int before = host.pushes.size();
+                host.op(op, op, SECOND).pass(SECOND / 100);
+                if (host.pushes.size() > before && host.lastNode() <= 5) {
+                    sent[known]++;
+                    host.ends(Ending.ACKED, 0);
+                }
+            }
+        }
+        assertTrue(sent[0] < 40 && sent[1] > sent[0] + 10 && sent[1] < 75, sent[0] + " and " + sent[1]);
+    }
+
+    /** What is handed on is what was sent a second for a cache of size one. */
+    @Test
+    void theRateThatAWarmCacheIsSentIsLearnt() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
+        host.acks(0, 2_000, SECOND / 100);
+        assertTrue(host.sendRate() > 20 && host.sendRate() < 30, "100 ops a second at four: "
+                + host.sendRate());
+    }
+
     /** Guards against a process that starts after a release, and crowds the few caches that are warm. */
     @Test
     void aProxyThatHasJustStartedUsesColdCachesFromItsFirstOpsOn() {
--- a/src/test/java/cairnbridge/drill/DrillTest.java
+++ b/src/test/java/cairnbridge/drill/DrillTest.java
@@ -32,7 +32,8 @@
     Path folder;
 
     @ParameterizedTest
-    @ValueSource(strings = {"join-through-one-seed", "third-killed", "new-life", "clocks", "zone-short"})
+    @ValueSource(strings = {"join-through-one-seed", "third-killed", "new-life", "clocks", "zone-short",
+            "power-short"})
     void whatAScenarioSaysHolds(String name) throws Exception {
         String text = Files.readString(Path.of("drills", name + ".drill"));
         List<String> lines = new ArrayList<>();
--- a/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
+++ b/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
@@ -36,7 +36,7 @@
     private Carrier carrier(String name, String cluster, int protocol, Endpoint... seeds) throws IOException {
         CarrierSettings settings = new CarrierSettings(new MemberId(name), cluster, SECRET,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Optional.empty(), List.of(seeds),
-                Map.of(), protocol, 100_000, System.currentTimeMillis());
+                List.of(), Map.of(), protocol, 100_000, System.currentTimeMillis());
         Told told = Told.of("a", "r", protocol, Told.State.SERVING, "", "", Told.Figures.NONE);
         Carrier carrier = new Carrier(settings, FleetSettings.USUAL, told, name.hashCode(), this);
         carriers.add(carrier);
@@ -142,7 +142,7 @@
     void anAddressThatIsTakenIsSaidInOneLine() throws Exception {
         Carrier first = carrier("a", "c", 2);
         CarrierSettings same = new CarrierSettings(new MemberId("b"), "c", SECRET, first.at().socket(),
-                Optional.empty(), List.of(), Map.of(), 2, 100_000, 1);
+                Optional.empty(), List.of(), List.of(), Map.of(), 2, 100_000, 1);
         Told told = Told.of("a", "r", 2, Told.State.SERVING, "", "", Told.Figures.NONE);
         IOException fault = assertThrows(IOException.class, () ->
                 new Carrier(same, FleetSettings.USUAL, told, 1,
--- /dev/null
+++ b/src/test/java/cairnbridge/store/StoreTest.java
@@ -0,0 +1,164 @@
+package cairnbridge.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The thread that keeps a proxy's state, beside disks that fail. */
+@Timeout(60)
+class StoreTest {
+    @TempDir
+    Path folder;
+    private final ConcurrentLinkedQueue<String> log = new ConcurrentLinkedQueue<>();
+
+    private Store store(Disk disk) {
+        return new Store(new StoreSettings(folder, "c", 50, 1_000_000), disk, log::add);
+    }
+
+    /** A disk that can be made to fail or to stand still. */
+    private static final class Faulty implements Disk {
+        final Disk disk;
+        volatile boolean full;
+        volatile CountDownLatch gate = new CountDownLatch(0);
+
+        Faulty(Disk disk) {
+            this.disk = disk;
+        }
+
+        private void may() throws IOException {
+            try {
+                gate.await();
+            } catch (InterruptedException e) {
+                throw new IOException("interrupted", e);
+            }
+            if (full) {
+                throw new IOException("No space left on device");
+            }
+        }
+
+        @Override
+        public List<String> names() throws IOException {
+            gateOnly();
+            return disk.names();
+        }
+
+        private void gateOnly() throws IOException {
+            boolean was = full;
+            full = false;
+            may();
+            full = was;
+        }
+
+        @Override
+        public byte[] read(String name) throws IOException {
+            return disk.read(name);
+        }
+
+        @Override
+        public void write(String name, byte[] bytes) throws IOException {
+            may();
+            disk.write(name, bytes);
+        }
+
+        @Override
+        public void append(String name, byte[] bytes) throws IOException {
+            may();
+            disk.append(name, bytes);
+        }
+
+        @Override
+        public void sync(String name) throws IOException {
+            may();
+            disk.sync(name);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            disk.rename(from, to);
+        }
+
+        @Override
+        public void syncNames() throws IOException {
+            disk.syncNames();
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            disk.delete(name);
+        }
+    }
+
+    private static Kept state(long version) {
+        return new Kept("c", 0, "boot", 5, 0, version, "list", List.of(), 0, null, 0, 0, 0, List.of(),
+                List.of());
+    }
+
+    @Test
+    void whatWasKeptIsThereAtTheNextStart() throws Exception {
+        Store store = store(new FolderDisk(folder));
+        assertEquals(0, store.start(5_000).orElseThrow().life());
+        store.keepsFrom(() -> Optional.of(state(4)));
+        assertTrue(store.keep(Entry.Kind.LIFE, 11).get(5, TimeUnit.SECONDS));
+        assertTrue(store.keep(Entry.Kind.HELD, 3).get(5, TimeUnit.SECONDS));
+        store.stop();
+        Kept kept = store(new FolderDisk(folder)).start(5_000).orElseThrow();
+        assertEquals(List.of(11L, 4L, 3L), List.of(kept.life(), kept.rosterVersion(), kept.held().get(0)));
+    }
+
+    @Test
+    void aFullDiskIsSaidOnceAndOnceThatItKeepsAgain() throws Exception {
+        Faulty disk = new Faulty(new FolderDisk(folder));
+        Store store = store(disk);
+        store.start(5_000);
+        disk.full = true;
+        for (int i = 0; i < 5; i++) {
+            assertFalse(store.keep(Entry.Kind.HELD, i).get(5, TimeUnit.SECONDS));
+        }
+        assertFalse(store.isWell());
+        disk.full = false;
+        assertTrue(store.keep(Entry.Kind.HELD, 9).get(5, TimeUnit.SECONDS));
+        store.stop();
+        assertEquals(1, log.stream().filter(line -> line.contains("nothing is kept")).count(),
+                log.toString());
+        assertEquals(1, log.stream().filter(line -> line.contains("keeps again")).count(), log.toString());
+        assertEquals(List.of(9L), store(new FolderDisk(folder)).start(5_000).orElseThrow().held());
+    }
+
+    /** Guards against a start, an op or a member of staff that waits as long as a disk does. */
+    @Test
+    void aDiskThatStandsStillHoldsNobodyUp() throws Exception {
+        Faulty disk = new Faulty(new FolderDisk(folder));
+        disk.gate = new CountDownLatch(1);
+        Store store = store(disk);
+        assertTrue(store.start(100).isEmpty());
+        long from = System.nanoTime();
+        CompletableFuture<Boolean> held = store.keep(Entry.Kind.HELD, 5);
+        for (int i = 0; i < 3_000; i++) {
+            store.keep(Entry.Kind.EPOCH, i);
+        }
+        assertTrue(System.nanoTime() - from < 1_000_000_000L);
+        assertFalse(held.isDone());
+        Thread.sleep(1_100);
+        store.look();
+        store.look();
+        assertEquals(1, log.stream().filter(line -> line.contains("has not answered for 1 s")).count());
+        CountDownLatch late = new CountDownLatch(1);
+        store.whenOpened(kept -> late.countDown());
+        disk.gate.countDown();
+        assertTrue(late.await(5, TimeUnit.SECONDS));
+        assertTrue(held.get(5, TimeUnit.SECONDS));
+        store.stop();
+    }
+}
--- a/src/test/java/cairnbridge/zones/ZonesTest.java
+++ b/src/test/java/cairnbridge/zones/ZonesTest.java
@@ -9,6 +9,7 @@
 import cairnbridge.fleet.member.Incarnation;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Standing;
+import cairnbridge.fleet.member.Recovering;
 import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
 import cairnbridge.fleet.view.ViewFigures;
@@ -39,6 +40,8 @@
     @TempDir
     Path folder;
     private final Map<String, Member> members = new TreeMap<>();
+    /** What all remember of plans from before a loss of power. */
+    private long floor;
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Set<String>> cut = new HashMap<>();
     private final Map<String, List<Long>> unreachable = new HashMap<>();
@@ -58,7 +61,7 @@
                     PlanSettings.USUAL, 0.2);
             zones = new Zones(new MemberId(name), config,
                     new ZoneHealth.Rates(100, 0.25, 3 * SECOND, config.regions()),
-                    RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode()), this);
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode()), floor, this);
         }
 
         @Override
@@ -108,7 +111,9 @@
             boolean dead = gone.contains(member.name) || member.frozen || isCut(holder, member.name);
             String zone = List.of("a", "b", "c").get((Integer.parseInt(member.name.substring(1)) - 1) % 3);
             Told told = Told.of(zone, "r", 2, Told.State.SERVING, "", "", member.zones.plan().epoch(),
-                    new Told.Figures(0, 0, 100, 1, true, unreachable.getOrDefault(member.name, List.of()),
+                    new Recovering(0, 0, floor),
+                            new Told.Figures(0, 0, 100, 1, true,
+                                    unreachable.getOrDefault(member.name, List.of()),
                             List.of(Names.hash(zone), 50L, 0L)));
             claims.add(new Claim(new MemberId(member.name), new Endpoint("10.0.0.1", 1),
                     new Incarnation(1, 0),
@@ -153,6 +158,17 @@
         assertEquals(0, plan("p1").row(A).shed());
     }
 
+    /** Guards against voters that lost their disks with their power, and whose plans count anew. */
+    @Test
+    void afterALossEpochsGoOnAboveTheHighestThatAnybodyRemembers() throws IOException {
+        floor = 40;
+        fleet().after(6);
+        loses("p1", "p4");
+        after(3);
+        members.keySet().forEach(name -> assertEquals(0, plan(name).row(A).to(A), name));
+        assertTrue(plan("p6").epoch() > 40, "epoch " + plan("p6").epoch());
+    }
+
     /** Guards against one proxy's own trouble that is taken for a zone's. */
     @Test
     void whatOneMemberCannotReachMovesNothing() throws IOException {
