A laboratory: drill scenarios on models with the program's own policy, beside four others

Need: the drill's figures stop at some tens of processes, and a policy is never seen beside a simple one there.

ProxySettings is shared by both. Plans over zones move all of a gone zone at once as far as the origin bears it; before, a quarter a step, and three quarters of its ops were shed for a second. A member tells no epoch below the one it had confirmed before a loss. Drills tell what a process costs.

--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -30,7 +30,7 @@
         description = "Routes ops to a fleet of cache servers.",
         subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class,
                 MembersCommand.class, DrillCommand.class, DemoCommand.class, SimulateCommand.class,
-                ZonesCommand.class, RecoveryCommand.class, FuzzCommand.class})
+                ZonesCommand.class, RecoveryCommand.class, FuzzCommand.class, LabCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -1074,8 +1074,8 @@
             double seen = 1 - Math.exp(-Math.max(BEAT, now - begun) / memory);
             // Guards against caches that all are cold, so that no share of a warm one's would ever be
             // anything.
-            double known = now - begun < settings.warmUp() ? before.sendRate() * fallSpan / SECOND : 0;
-            return Math.max(known, sends / seen * fallSpan / memory / Math.max(1, ring.weights));
+            return Math.max(now - begun < settings.warmUp() ? before.sendRate() * fallSpan / SECOND : 0,
+                    sends / seen * fallSpan / memory / Math.max(1, ring.weights));
         }
     }
 }
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -59,7 +59,7 @@
     private Rig rig;
     private PowerLoss power;
     private boolean held = true;
-    private long served, ended, calls, near, placed;
+    private long served, ended, calls, near, placed, cpu, cpuAt;
 
     /** folder: where the record and the processes' files go; out is told each line of the verdict at once. */
     public Drill(Scenario scenario, Path folder, Consumer<String> out) {
@@ -99,6 +99,11 @@
                     break;
                 }
             }
+            if (scenario.caches() > 0) {
+                String all = "in all: " + fleet.tally();
+                lines.add(all);
+                out.accept(all);
+            }
         }
         return new Verdict(held, List.copyOf(lines));
     }
@@ -224,6 +229,8 @@
 
     private void count() {
         served = sum(clients -> clients.served.sum());
+        cpu = rig.running().stream().mapToLong(ProxyProcess::cpuMillis).sum();
+        cpuAt = events.millis();
         ended = ended();
         calls = rig.listCalls();
         rig.countPeak();
@@ -373,6 +380,16 @@
                     return "";
                 }, "all have the hint");
             }
+            case COST -> {
+                List<ProxyProcess> all = rig.running();
+                double cores = (double) (all.stream().mapToLong(ProxyProcess::cpuMillis).sum() - cpu)
+                        / Math.max(1, events.millis() - cpuAt) / all.size();
+                double megabytes = all.stream().mapToLong(ProxyProcess::residentKilobytes).sum() / 1024.0
+                        / all.size();
+                String figures = String.format(Locale.ROOT, "%.2f%% of a core and %.1f MB a process",
+                        100 * cores, megabytes);
+                holds(step, cores <= step.part(1), figures, figures);
+            }
             case SHARES -> until(step, step.millis(2), () -> {
                 for (ProxyProcess proxy : rig.running()) {
                     long shares = proxy.figure("fleet.shares");
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -18,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -132,6 +133,21 @@
         }
     }
 
+    /** Processor time of this life so far, in milliseconds; 0 where the machine does not tell. */
+    long cpuMillis() {
+        return process == null ? 0 : process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+    }
+
+    /** Memory that is its own or mapped by it at present, in kilobytes; 0 where the machine does not tell. */
+    long residentKilobytes() {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", String.valueOf(pid()), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:")).findFirst()
+                    .map(line -> Long.parseLong(line.replaceAll("\\D", ""))).orElse(0L);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Whether any of its lives said so. */
     boolean hasSaid(String text) {
         return saidLines.stream().anyMatch(line -> line.contains(text));
--- a/src/main/java/cairnbridge/drill/scenario/Scenario.java
+++ b/src/main/java/cairnbridge/drill/scenario/Scenario.java
@@ -18,4 +18,11 @@
 public record Scenario(String title, int members, List<String> seeds, List<String> zones, int caches,
         int load,
                        long seed, boolean together, Map<String, String> keys, List<Step> steps) {
+
+    /** The same with so many times as many members and caches, and as much load; steps stay as they are. */
+    public Scenario times(int size) {
+        return size == 1 ? this
+                : new Scenario(title, members * size, seeds, zones, caches * size, load * size,
+                seed, together, keys, steps.stream().map(step -> step.times(size)).toList());
+    }
 }
--- a/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
+++ b/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
@@ -169,6 +169,10 @@
                     word(step, 0, "at-most");
                     step.number(1);
                 }
+                case COST -> {
+                    word(step, 0, "at-most");
+                    step.part(1);
+                }
                 case NEAR, ANSWERED_IN_TIME -> {
                     word(step, 0, "at-least");
                     step.part(1);
--- a/src/main/java/cairnbridge/fleet/Fleet.java
+++ b/src/main/java/cairnbridge/fleet/Fleet.java
@@ -43,6 +43,8 @@
     private final String clients, door;
     /** Null where plans over zones are off. */
     private final ZoneMember zones;
+    /** Guards against a member that after a loss of power tells an epoch behind the one it had confirmed. */
+    private final long epochFloor;
     private volatile int shares;
 
     /** What is remembered of plans over zones, and how an epoch is kept before it is told. */
@@ -61,6 +63,7 @@
         MemberId me = config.carrier().id();
         living = new LivingCount(instances, now());
         shares = instances;
+        epochFloor = epochs.floor();
         hints = new NodeHints(config.zone());
         duties = new Duties(me, config.zone(), config.probeNodesEvery());
         listCalls = new ListCalls(me, config.zone());
@@ -100,7 +103,7 @@
     private Told told() {
         return Told.of(config.zone(), config.region(), config.carrier().protocol(), proxy.state(), clients,
                 door,
-                zones == null ? 0 : zones.epoch(), proxy.recovering(), proxy.figures());
+                zones == null ? 0 : Math.max(epochFloor, zones.epoch()), proxy.recovering(), proxy.figures());
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -0,0 +1,319 @@
+package cairnbridge.lab.model;
+
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Host;
+import cairnbridge.decision.Ids.CategoryId;
+import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.OpId;
+import cairnbridge.decision.Ids.PeerId;
+import cairnbridge.decision.Ids.TenantId;
+import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.lab.policy.Policy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * A proxy: the policy that decides, and in place of sockets the net and the nodes. What a push does and how
+ * it ends is as in the program; a policy that throws has crashed, and its proxy with it.
+ */
+public final class ProxyModel implements Host {
+    /** What a client is told at last: an HTTP status, and when to come back, in tenths of a millisecond. */
+    public record Answer(int status, long retryAfter) {
+        public static final int OK = 200, NACKED = 503, DEAD = 504, BROKEN = 0;
+    }
+
+    /** Where nodes are found. */
+    public interface Nodes {
+        /** Null where nothing listens there. */
+        CacheModel cache(NodeId node);
+
+        OriginModel origin(NodeId node);
+
+        String zone(NodeId node);
+
+        void effect(long trace, long key);
+    }
+
+    private static final class Call {
+        final int number;
+        final NodeId node;
+        final long sent;
+        boolean over;
+
+        Call(int number, NodeId node, long sent) {
+            this.number = number;
+            this.node = node;
+            this.sent = sent;
+        }
+    }
+
+    private static final class Live {
+        final Request request;
+        final long expires;
+        final Consumer<Answer> client;
+        final List<Call> calls = new ArrayList<>(2);
+        boolean answered;
+        int open;
+
+        Live(Request request, long expires, Consumer<Answer> client) {
+            this.request = request;
+            this.expires = expires;
+            this.client = client;
+        }
+    }
+
+    private final String name, zone;
+    private final Agenda agenda;
+    private final Net net;
+    private final Nodes nodes;
+    private final Map<OpId, Live> ops = new HashMap<>();
+    private final List<Runnable> backlog = new ArrayList<>();
+    private Policy policy;
+    private boolean running = true, frozen;
+    private long lastOp, pushes;
+    private String crash = "";
+
+    public ProxyModel(String name, String zone, Agenda agenda, Net net, Nodes nodes) {
+        this.name = name;
+        this.zone = zone;
+        this.agenda = agenda;
+        this.net = net;
+        this.nodes = nodes;
+    }
+
+    /** Before anything else. */
+    public ProxyModel by(Policy decides) {
+        policy = decides;
+        return this;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean isRunning() {
+        return running;
+    }
+
+    /** What its policy threw, empty where it did not. */
+    public String crash() {
+        return crash;
+    }
+
+    public long pushes() {
+        return pushes;
+    }
+
+    /** All that it holds is gone; its clients' connections break. */
+    public void kill() {
+        running = false;
+        ops.values().forEach(op -> {
+            if (!op.answered) {
+                op.answered = true;
+                op.client.accept(new Answer(Answer.BROKEN, 0));
+            }
+        });
+        ops.clear();
+    }
+
+    /** Stands still, or goes on with all that came meanwhile. */
+    public void freeze(boolean on) {
+        frozen = on;
+        if (!on) {
+            List<Runnable> due = List.copyOf(backlog);
+            backlog.clear();
+            due.forEach(Runnable::run);
+        }
+    }
+
+    private void when(Runnable what) {
+        if (frozen) {
+            backlog.add(what);
+        } else if (running) {
+            what.run();
+        }
+    }
+
+    public void tell(Event event) {
+        when(() -> {
+            try {
+                policy.handle(agenda.now(), event);
+            } catch (RuntimeException | AssertionError e) {
+                crash = e.toString();
+                kill();
+            }
+        });
+    }
+
+    /** An op has come; ttl in tenths of a millisecond from now. */
+    public void arrives(Request request, CategoryId category, long ttl, boolean repeat,
+            Consumer<Answer> client) {
+        if (!running) {
+            client.accept(new Answer(Answer.BROKEN, 0));
+            return;
+        }
+        when(() -> {
+            OpId id = new OpId(++lastOp);
+            Live op = new Live(request, agenda.now() + ttl, client);
+            ops.put(id, op);
+            agenda.in(ttl, () -> when(() -> expired(id, op)));
+            tell(new Event.OpArrived(id, category, new TenantId(0), new KeyId(request.key()), op.expires, 0,
+                    -1,
+                    repeat, request.write()));
+        });
+    }
+
+    private void expired(OpId id, Live op) {
+        if (!op.answered) {
+            answer(id, op, new Answer(Answer.DEAD, 0));
+            tell(new Event.OpDropped(id));
+        }
+    }
+
+    private void answer(OpId id, Live op, Answer answer) {
+        op.answered = true;
+        op.client.accept(answer);
+        forget(id, op);
+    }
+
+    private void forget(OpId id, Live op) {
+        if (op.answered && op.open == 0) {
+            ops.remove(id);
+        }
+    }
+
+    /** Connections to a node break; those who wait for it hear of that a span later. */
+    public void broken(NodeId node) {
+        ops.forEach((id, op) -> op.calls.stream().filter(call -> !call.over && call.node.equals(node))
+                .forEach(call -> agenda.in(net.span(zone, zone), () -> when(() -> ended(id, op, call,
+                        new Reply(Ending.BROKEN, 0))))));
+    }
+
+    @Override
+    public void push(OpId id, NodeId node, long timeOut) {
+        Live op = ops.get(id);
+        if (op == null || op.answered) {
+            throw new IllegalStateException("a push after the answer");
+        }
+        pushes++;
+        Call call = new Call(op.calls.size(), node, agenda.now());
+        op.calls.add(call);
+        op.open++;
+        String there = nodes.zone(node);
+        CacheModel cache = nodes.cache(node);
+        OriginModel origin = nodes.origin(node);
+        if (there == null || cache == null && origin == null) {
+            agenda.in(2 * net.span(zone, zone), () -> when(() -> ended(id, op, call,
+                    new Reply(Ending.NO_CONNECTION, 0))));
+            return;
+        }
+        long due = Math.min(op.expires - agenda.now(), timeOut > 0 ? timeOut : Long.MAX_VALUE);
+        agenda.in(due, () -> when(() -> ended(id, op, call, new Reply(Ending.TIMED_OUT, 0))));
+        Consumer<Reply> back = reply -> {
+            if (reply.ending() == Ending.MISS && origin == null && cache != null) {
+                nodes.origin(null).missed(op.request, cache);
+            }
+            agenda.in(net.span(there, zone), () -> when(() -> ended(id, op, call, reply)));
+        };
+        agenda.in(net.span(zone, there), () -> {
+            if (origin != null) {
+                origin.take(op.request, back, nodes::effect);
+            } else if (cache.isAlive()) {
+                cache.take(op.request, back);
+            } else {
+                back.accept(new Reply(Ending.NO_CONNECTION, 0));
+            }
+        });
+    }
+
+    private void ended(OpId id, Live op, Call call, Reply reply) {
+        if (call.over) {
+            return;
+        }
+        call.over = true;
+        op.open--;
+        if (reply.ending() == Ending.ACKED && !op.answered) {
+            op.answered = true;
+            op.client.accept(new Answer(Answer.OK, 0));
+        }
+        tell(new Event.PushEnded(id, call.number, call.node, reply.ending(), reply.note(),
+                agenda.now() - call.sent, op.answered, null));
+        forget(id, op);
+    }
+
+    @Override
+    public void cancel(OpId id, int number) {
+        Live op = ops.get(id);
+        if (op != null && number < op.calls.size()) {
+            agenda.in(0, () -> when(() ->
+                    ended(id, op, op.calls.get(number), new Reply(Ending.CALLED_OFF, 0))));
+        }
+    }
+
+    @Override
+    public void nack(OpId id, long retryAfter) {
+        Live op = ops.get(id);
+        if (op != null && !op.answered) {
+            answer(id, op, new Answer(Answer.NACKED, retryAfter));
+        }
+    }
+
+    @Override
+    public void deadLetter(OpId id) {
+        Live op = ops.get(id);
+        if (op != null && !op.answered) {
+            answer(id, op, new Answer(Answer.DEAD, 0));
+        }
+    }
+
+    @Override
+    public void timer(long in, TimerId timer) {
+        agenda.in(in, () -> tell(new Event.TimerFired(timer)));
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        long sent = agenda.now();
+        String there = nodes.zone(node);
+        CacheModel cache = nodes.cache(node);
+        boolean good = there != null
+                && (nodes.origin(node) != null || cache != null && cache.answersProbes());
+        long span = there == null ? net.span(zone, zone) : net.span(zone, there) + net.span(there, zone);
+        agenda.in(span, () -> tell(new Event.ProbeEnded(node, good ? Ending.ACKED : Ending.NO_CONNECTION,
+                agenda.now() - sent, null)));
+    }
+
+    @Override
+    public void tellPeer(PeerId peer, byte[] body) {
+        throw new IllegalStateException("the settings allow no messages to peers");
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        // The list comes by itself in these scenarios.
+    }
+
+    @Override
+    public void fetchRoster() {
+        // As above.
+    }
+
+    @Override
+    public void avoids(int count) {
+        // Nobody reads it here.
+    }
+
+    @Override
+    public void log(String line) {
+        // A run is told by its record.
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/lab/model/RosterModel.java
@@ -0,0 +1,98 @@
+package cairnbridge.lab.model;
+
+import cairnbridge.config.Names;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Entry;
+import cairnbridge.decision.Event.Scope;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.CellId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.ZoneId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Discovery: a list of nodes with a version, which each proxy follows a little later, unless it is cut off.
+ */
+public final class RosterModel {
+    private static final long LOOK = 50 * Agenda.MILLI;
+    private final Agenda agenda;
+    private final List<String> zones;
+    private final Map<NodeId, Entry> entries = new LinkedHashMap<>();
+    private final Map<NodeId, Long> changedAt = new HashMap<>();
+    private final Map<ProxyModel, Long> told = new LinkedHashMap<>();
+    private final Set<String> down = new HashSet<>();
+    private long version;
+
+    public RosterModel(Agenda agenda, List<String> zones) {
+        this.agenda = agenda;
+        this.zones = zones;
+    }
+
+    public static NodeId id(String uid) {
+        return new NodeId(Names.hash(uid));
+    }
+
+    /** kind: 0 a cache, 1 the origin; began in tenths of a millisecond, 0 for long ago. */
+    public void put(String uid, int kind, String zone, State state, long began) {
+        NodeId node = id(uid);
+        entries.put(node, new Entry(node, state, new MachineKind(kind), 1, began, new CellId(0),
+                new ZoneId(zones.indexOf(zone))));
+        changed(node);
+    }
+
+    public void state(String uid, State state) {
+        Entry old = entries.get(id(uid));
+        entries.put(id(uid), new Entry(old.node(), state, old.kind(), old.size(), old.started(), old.cell(),
+                old.zone()));
+        changed(id(uid));
+    }
+
+    private void changed(NodeId node) {
+        changedAt.put(node, ++version);
+        told.keySet().forEach(this::soon);
+    }
+
+    /** The proxy follows the list from now on. */
+    public void follows(ProxyModel proxy) {
+        told.put(proxy, 0L);
+        soon(proxy);
+    }
+
+    public void leaves(ProxyModel proxy) {
+        told.remove(proxy);
+    }
+
+    public void down(String proxy, boolean on) {
+        if (on) {
+            down.add(proxy);
+        } else if (down.remove(proxy)) {
+            told.keySet().stream().filter(each -> each.name().equals(proxy)).toList().forEach(this::soon);
+        }
+    }
+
+    private void soon(ProxyModel proxy) {
+        agenda.in(LOOK, () -> tell(proxy));
+    }
+
+    private void tell(ProxyModel proxy) {
+        Long seen = told.get(proxy);
+        if (seen == null || seen == version || down.contains(proxy.name())) {
+            return;
+        }
+        List<Entry> news = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (changedAt.get(entry.node()) > seen && (seen > 0 || entry.state() != State.GONE)) {
+                news.add(entry);
+            }
+        }
+        told.put(proxy, version);
+        proxy.tell(new Event.Roster(seen == 0 ? Scope.FULL : Scope.CHANGES, version, news));
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/lab/policy/Policy.java
@@ -0,0 +1,47 @@
+package cairnbridge.lab.policy;
+
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Host;
+import cairnbridge.decision.Learnt;
+import cairnbridge.decision.Router;
+import cairnbridge.decision.Settings;
+import java.util.Locale;
+
+/** What decides at one proxy: told of events, it acts on its host before it returns. */
+public interface Policy {
+    void handle(long now, Event event);
+
+    /** Makes one for a proxy that starts now. */
+    interface Maker {
+        Policy make(Settings settings, long seed, long now, Host host);
+    }
+
+    /** The policies that a run may name. */
+    enum Kind implements Maker {
+        /** The program's own. */
+        ROUTER,
+        /** Any ready node, by chance. */
+        RANDOM,
+        /** Of two nodes by chance the one with less of this proxy's in flight (Mitzenmacher 2001). */
+        TWO,
+        /** The first ready node clockwise of the key (Karger et al. 1997). */
+        RING,
+        /**
+         * The first of those with room under a bound of one and a quarter of the mean (Mirrokni et al. 2018).
+         */
+        BOUNDED;
+
+        public String word() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+
+        @Override
+        public Policy make(Settings settings, long seed, long now, Host host) {
+            if (this == ROUTER) {
+                Router router = new Router(settings, seed, now, host, Learnt.NOTHING);
+                return router::handle;
+            }
+            return new Baseline(this, settings, seed, host);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -0,0 +1,315 @@
+package cairnbridge.lab.run;
+
+import cairnbridge.config.SettingsReader;
+import cairnbridge.config.Tree;
+import cairnbridge.decision.Event.State;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Settings;
+import cairnbridge.drill.scenario.ProxySettings;
+import cairnbridge.drill.scenario.Scenario;
+import cairnbridge.drill.scenario.ScenarioFault;
+import cairnbridge.drill.scenario.Step;
+import cairnbridge.drill.standin.Clients;
+import cairnbridge.lab.model.Agenda;
+import cairnbridge.lab.model.CacheModel;
+import cairnbridge.lab.model.ClientsModel;
+import cairnbridge.lab.model.Keys;
+import cairnbridge.lab.model.Net;
+import cairnbridge.lab.model.OriginModel;
+import cairnbridge.lab.model.ProxyModel;
+import cairnbridge.lab.model.RosterModel;
+import cairnbridge.lab.policy.Policy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * Plays a drill's scenario on models, with the real decision code at every proxy, in simulated time. Make one
+ * with a scenario, a policy and a seed, and run it once; the same three give the same record, byte for byte.
+ * A step that is not modelled is a ScenarioFault that names its line, before anything is played.
+ */
+public final class Emulation {
+    /** From a proxy's start until it takes clients. */
+    private static final long STARTS = Agenda.SECOND, SAMPLE = Agenda.SECOND / 2, EPOCH = 1_700_000_000L
+            * Agenda.SECOND;
+    private static final double SAME_ZONE_MS = 0.25, OTHER_ZONE_MS = 0.25, TAIL_MS = 0.1;
+
+    private final Scenario scenario;
+    private final Policy.Maker policy;
+    private final long seed;
+    private final Agenda agenda = new Agenda(EPOCH);
+    private final Settings settings;
+    private final Net net;
+    private final Keys keys = new Keys(Clients.KEYS);
+    private final OriginModel origin;
+    private final RosterModel roster;
+    private final Map<String, CacheModel> caches = new LinkedHashMap<>();
+    private final Map<NodeId, String> uids = new HashMap<>();
+    private final Map<String, ProxyModel> proxies = new LinkedHashMap<>();
+    /** Since when each takes clients. */
+    private final Map<String, ProxyModel> taking = new LinkedHashMap<>();
+    private final Map<String, ClientsModel> clients = new LinkedHashMap<>();
+    private final ClientsModel.Counts counts = new ClientsModel.Counts();
+    private final long[] traces = {0};
+    private final List<CacheModel> gone = new ArrayList<>();
+    private final List<Outcome.Sample> samples = new ArrayList<>();
+    private final List<Outcome.Check> checks = new ArrayList<>();
+    private long lives, servedBefore, endedBefore, fetchesBefore, peak;
+    private boolean held = true;
+
+    public Emulation(Scenario scenario, Policy.Maker policy, long seed) {
+        this.scenario = scenario;
+        this.policy = policy;
+        this.seed = seed;
+        scenario.steps().forEach(Emulation::isModelled);
+        settings = SettingsReader.read(Tree.parse(ProxySettings.of(scenario).toString(), "settings"));
+        net = new Net(chance(1), SAME_ZONE_MS, OTHER_ZONE_MS, TAIL_MS);
+        origin = new OriginModel(agenda);
+        roster = new RosterModel(agenda, scenario.zones());
+        for (int i = 1; i <= scenario.caches(); i++) {
+            cache("c" + i, zone(i), 0);
+        }
+        uids.put(RosterModel.id("origin"), "origin");
+        roster.put("origin", 1, zone(1), State.READY, 0);
+    }
+
+    private RandomGenerator chance(long part) {
+        return RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 1_000_003 + part);
+    }
+
+    private String zone(int number) {
+        return scenario.zones().get((number - 1) % scenario.zones().size());
+    }
+
+    private void cache(String uid, String zone, long began) {
+        CacheModel cache = new CacheModel(agenda, uid, zone);
+        caches.put(uid, cache);
+        uids.put(RosterModel.id(uid), uid);
+        roster.put(uid, 0, zone, State.READY, began);
+    }
+
+    private static void isModelled(Step step) {
+        switch (step.verb()) {
+            case START, WAIT, KILL, STOP, FREEZE, THAW, CACHE_SLOW, CACHE_FAILS, CACHE_GREY, CACHE_KILL,
+                    CACHE_START, CACHE_LISTED, ORIGIN_SLOW, ORIGIN_PLACES, DISCOVERY, LOAD, ZONE_LOAD, COUNT,
+                    SERVED, ANSWERED_IN_TIME, NO_EFFECT_TWICE, NONE_FELLED, ORIGIN_PEAK, ORIGIN_TURNED_AWAY,
+                    POWER_LOSS, POWER_BACK, COST -> { }
+            default -> throw new ScenarioFault(step.line(), step.verb().word() + " is not modelled yet");
+        }
+    }
+
+    /** Plays all steps; ends at the first that does not hold. */
+    public Outcome run() {
+        if (scenario.caches() > 0 && scenario.load() > 0) {
+            load("", scenario.load());
+        }
+        sample();
+        for (Step step : scenario.steps()) {
+            take(step);
+            if (!held) {
+                break;
+            }
+        }
+        Map<String, String> crashes = new LinkedHashMap<>();
+        proxies.values().stream().filter(proxy -> !proxy.crash().isEmpty())
+                .forEach(proxy -> crashes.put(proxy.name(), proxy.crash()));
+        long felled = felled();
+        return new Outcome(held && crashes.isEmpty(), (agenda.now() - EPOCH) / Agenda.MILLI, counts.asked,
+                counts.served, counts.refused, counts.failed, counts.lost, counts.repeats, origin.fetches(),
+                origin.turnedAway(), origin.twice(), felled,
+                proxies.values().stream().mapToLong(ProxyModel::pushes).sum(), agenda.done(),
+                counts.spans.getValueAtPercentile(50) / 10.0, counts.spans.getValueAtPercentile(99) / 10.0,
+                List.copyOf(samples), List.copyOf(checks), crashes);
+    }
+
+    private void sample() {
+        long fetched = origin.fetches() + origin.writes();
+        samples.add(new Outcome.Sample((agenda.now() - EPOCH) / Agenda.MILLI, counts.asked, counts.served,
+                counts.refused, counts.failed, counts.lost, counts.repeats, fetched));
+        if (samples.size() > 2) {
+            peak = Math.max(peak, fetched - samples.get(samples.size() - 3).fetches());
+        }
+        agenda.in(SAMPLE, this::sample);
+    }
+
+    private List<String> members(Step step, int word) {
+        List<String> names = step.names(word);
+        if (!names.equals(List.of("all"))) {
+            return names;
+        }
+        List<String> all = new ArrayList<>();
+        for (int i = 1; i <= scenario.members(); i++) {
+            all.add("p" + i);
+        }
+        return all;
+    }
+
+    private void take(Step step) {
+        switch (step.verb()) {
+            case START -> {
+                members(step, 0).forEach(this::start);
+                agenda.until(agenda.now() + STARTS + 1);
+            }
+            case WAIT -> agenda.until(agenda.now() + step.millis(0) * Agenda.MILLI);
+            case KILL, STOP -> members(step, 0).forEach(name -> kill(name, step.verb() == Step.Verb.KILL));
+            case FREEZE, THAW -> members(step, 0).forEach(name ->
+                    proxies.get(name).freeze(step.verb() == Step.Verb.FREEZE));
+            case CACHE_SLOW -> caches.get(step.words().get(0)).span(step.millis(1) * Agenda.MILLI);
+            case CACHE_FAILS -> step.names(0).forEach(uid -> caches.get(uid).fails(isYes(step)));
+            case CACHE_GREY -> step.names(0).forEach(uid -> caches.get(uid).grey(isYes(step)));
+            case CACHE_KILL -> step.names(0).forEach(this::killCache);
+            case CACHE_START -> step.names(0).forEach(uid ->
+                    cache(uid, caches.get(uid).zone(), agenda.now()));
+            case CACHE_LISTED -> step.names(0).forEach(uid -> roster.state(uid, switch (step.words().get(1)) {
+                case "Ready" -> State.READY;
+                case "Gone" -> State.GONE;
+                default -> State.DRAINING;
+            }));
+            case ORIGIN_SLOW -> origin.span(step.millis(0) * Agenda.MILLI);
+            case ORIGIN_PLACES -> origin.places(step.number(0));
+            case DISCOVERY -> {
+                boolean down = step.words().get(0).equals("down");
+                List<String> names = step.words().size() > 1 ? members(step, 1)
+                        : members(new Step(step.line(),
+                        step.verb(), List.of("all")), 0);
+                names.forEach(name -> roster.down(name, down));
+            }
+            case POWER_LOSS -> step.names(0).forEach(name -> {
+                if (caches.containsKey(name)) {
+                    killCache(name);
+                } else {
+                    kill(name, true);
+                }
+            });
+            case POWER_BACK, COST -> { }
+            case LOAD -> load("", step.number(0));
+            case ZONE_LOAD -> load(step.words().get(0), step.number(1));
+            case COUNT -> {
+                servedBefore = counts.served;
+                endedBefore = counts.ended();
+                fetchesBefore = origin.fetches();
+                peak = 0;
+            }
+            default -> check(step);
+        }
+    }
+
+    private static boolean isYes(Step step) {
+        return step.words().get(1).equals("yes");
+    }
+
+    private void start(String name) {
+        int number = Integer.parseInt(name.substring(1));
+        long life = ++lives;
+        ProxyModel proxy = new ProxyModel(name, zone(number), agenda, net, new Found());
+        proxy.by(policy.make(settings, seed * 7_919 + life, agenda.now(), proxy));
+        proxies.put(name, proxy);
+        roster.follows(proxy);
+        agenda.in(STARTS, () -> {
+            if (proxy.isRunning() && proxies.get(name) == proxy) {
+                taking.put(name, proxy);
+            }
+        });
+    }
+
+    /** At once, or once what it has taken is over. */
+    private void kill(String name, boolean atOnce) {
+        ProxyModel proxy = proxies.get(name);
+        taking.remove(name);
+        if (proxy != null) {
+            roster.leaves(proxy);
+            agenda.in(atOnce ? 0 : Agenda.SECOND, proxy::kill);
+            agenda.until(agenda.now());
+        }
+    }
+
+    private void killCache(String uid) {
+        CacheModel cache = caches.get(uid);
+        cache.kill();
+        gone.add(cache);
+        proxies.values().forEach(proxy -> proxy.broken(RosterModel.id(uid)));
+    }
+
+    private void load(String zone, int perSecond) {
+        ClientsModel before = clients.remove(zone);
+        if (before != null) {
+            before.end();
+        }
+        if (perSecond > 0) {
+            clients.put(zone, new ClientsModel(agenda, net, chance(100 + clients.size() + lives), () ->
+                    taking.values().stream().filter(proxy -> proxy.isRunning() && (zone.isEmpty()
+                            || proxy.zone().equals(zone))).toList(), keys, zone.isEmpty() ? zone(1) : zone,
+                    perSecond, counts, traces));
+        }
+    }
+
+    private long felled() {
+        long felled = 0;
+        for (CacheModel cache : gone) {
+            felled += cache.fellOver();
+        }
+        for (CacheModel cache : caches.values()) {
+            felled += gone.contains(cache) ? 0 : cache.fellOver();
+        }
+        return felled;
+    }
+
+    private void check(Step step) {
+        switch (step.verb()) {
+            case SERVED -> {
+                long all = Math.max(1, counts.ended() - endedBefore);
+                double part = (double) (counts.served - servedBefore) / all;
+                holds(step, part >= step.part(1),
+                        String.format(Locale.ROOT, "%.4f of %d ops were served", part,
+                        all));
+            }
+            case ANSWERED_IN_TIME -> {
+                double part = 1 - (double) counts.lost / Math.max(1, counts.ended());
+                holds(step, part >= step.part(1),
+                        String.format(Locale.ROOT, "%.4f of %d ops were answered", part,
+                        counts.ended()));
+            }
+            case NO_EFFECT_TWICE -> holds(step, origin.twice() == 0, origin.twice() + " effects twice");
+            case NONE_FELLED -> holds(step, felled() == 0, felled() + " times a cold cache was pushed over");
+            case ORIGIN_PEAK -> holds(step, peak <= step.number(1), peak + " fetches in the worst second");
+            default -> holds(step, origin.turnedAway() <= step.number(1), origin.turnedAway()
+                    + " turned away by the origin");
+        }
+    }
+
+    private void holds(Step step, boolean holds, String figures) {
+        held &= holds;
+        checks.add(new Outcome.Check(step.line(), step.verb().word(), holds, figures));
+    }
+
+    /** Where a proxy finds nodes: by what the list names, as they are at present. */
+    private final class Found implements ProxyModel.Nodes {
+        @Override
+        public CacheModel cache(NodeId node) {
+            CacheModel cache = caches.get(uids.getOrDefault(node, ""));
+            return cache != null && cache.isAlive() ? cache : null;
+        }
+
+        @Override
+        public OriginModel origin(NodeId node) {
+            return node == null || "origin".equals(uids.get(node)) ? origin : null;
+        }
+
+        @Override
+        public String zone(NodeId node) {
+            String uid = uids.get(node);
+            return uid == null ? null : uid.equals("origin") ? Emulation.this.zone(1)
+                    : caches.get(uid).zone();
+        }
+
+        @Override
+        public void effect(long trace, long key) {
+            // The origin counts them by trace; a client's next try is a try of its own.
+        }
+    }
+}
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -259,7 +259,7 @@
         } else if (notice instanceof Notice.Hint hint) {
             tell(clock.now(), hint.event());
         } else if (notice instanceof Notice.Seen seen) {
-            recovery.seen(seen.sight(), seen.near(), clock.now());
+            recovery.seen(seen.sight(), clock.now());
         } else if (notice instanceof Notice.Older older) {
             recovery.older(older.version(), clock.now());
         } else if (notice instanceof Notice.Asked asked) {
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -5,7 +5,6 @@
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.recovery.Sight;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -58,8 +57,8 @@
     record Hint(Event event) implements Notice {
     }
 
-    /** What is seen of the fleet; near: members of this one's zone that take ops. */
-    record Seen(Sight sight, List<String> near) implements Notice {
+    /** What is seen of the fleet. */
+    record Seen(Sight sight) implements Notice {
     }
 
     /** Discovery tells a list that is older than one that was known; it is not in use. */
--- a/src/main/java/cairnbridge/proxy/RecoveryLink.java
+++ b/src/main/java/cairnbridge/proxy/RecoveryLink.java
@@ -45,7 +45,6 @@
     private final Recovery recovery;
     private final MachineKind originKind;
     private final Settings settings;
-    private final String me, zone;
     /** When each listed node but the origin began. */
     private final Map<NodeId, Long> began = new HashMap<>();
     private volatile Fleet fleet;
@@ -62,13 +61,12 @@
         this.book = book;
         this.watch = watch;
         this.inbox = inbox;
-        this.me = me;
-        this.zone = zone;
         settings = config.settings();
         originKind = settings.originKind();
         recovery = new Recovery(keeper.settings(), keeper.trusted(), settings.categories(),
                 settings.proxies(),
-                settings.mayProbe(), me, RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
+                settings.mayProbe(), me, zone,
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
                 now, this);
         pace = recovery.pace();
     }
@@ -136,8 +134,7 @@
         }
     }
 
-    void seen(Sight sight, List<String> near, long now) {
-        recovery.zone(near);
+    void seen(Sight sight, long now) {
         recovery.viewed(sight, now);
         publish(now);
     }
@@ -201,7 +198,6 @@
     void seen(View view) {
         keeper.store().look();
         List<Sight.Seen> others = new ArrayList<>();
-        List<String> near = new ArrayList<>(List.of(me));
         for (Claim claim : view.living()) {
             Told told = claim.told();
             if (told == null || claim.id().equals(view.self())) {
@@ -211,12 +207,9 @@
             boolean serves = told.state() == Told.State.SERVING || told.state() == Told.State.STANDBY;
             others.add(new Sight.Seen(claim.id().name(), told.zone(), at == 0 ? null
                     : PHASES.get(Math.min(at, PHASES.size()) - 1), serves, told.recovering().pace(),
-                    told.figures().roster(), told.figures().listing()));
-            if (serves && told.zone().equals(zone)) {
-                near.add(claim.id().name());
-            }
+                    told.figures().roster()));
         }
-        inbox.first(new Notice.Seen(new Sight(me, others), near));
+        inbox.first(new Notice.Seen(new Sight(others)));
     }
 
     Recovering told(long epoch) {
--- a/src/main/java/cairnbridge/recovery/Recovery.java
+++ b/src/main/java/cairnbridge/recovery/Recovery.java
@@ -53,6 +53,7 @@
     private final boolean[] dearest;
     private final int expected;
     private final boolean mayProbe;
+    private final String me, zone;
     private final RosterTrust roster;
     private final HiddenFates fates;
     private final OriginPace pace;
@@ -69,17 +70,19 @@
     private long refusingAt;
 
     /**
-     * instances: the configured number of proxies, which counts where nobody is remembered; me: this member;
-     * mayProbe: whether nodes may be asked how they fare.
+     * instances: the configured number of proxies, which counts where fewer are remembered; me, zone: this
+     * member and where it is; mayProbe: whether nodes may be asked how they fare.
      */
     public Recovery(RecoverySettings settings, Trusted trusted, List<Category> categories, int instances,
-            boolean mayProbe, String me, RandomGenerator chance, long now, RecoveryHost host) {
+            boolean mayProbe, String me, String zone, RandomGenerator chance, long now, RecoveryHost host) {
         this.settings = settings;
         this.host = host;
         this.chance = chance;
         this.categories = categories;
         this.mayProbe = mayProbe;
-        expected = trusted.peers() > 0 ? trusted.peers() + 1 : Math.max(1, instances);
+        this.me = me;
+        this.zone = zone;
+        expected = Math.max(trusted.peers() + 1, instances);
         roster = new RosterTrust(trusted.rosterVersion(), expected, settings.aloneAfter());
         fates = new HiddenFates(now);
         pace = new OriginPace(settings.originStart() / Math.max(1, expected),
@@ -108,15 +111,14 @@
     public void viewed(Sight seen, long now) {
         sight = seen;
         roster.seen(seen);
+        List<String> near = new ArrayList<>(List.of(me));
+        seen.others().stream().filter(each -> each.serves() && each.zone().equals(zone))
+                .forEach(each -> near.add(each.id()));
+        keys.zone(near);
         pace.others(seen.others().stream().filter(Sight.Seen::returns).map(Sight.Seen::pace).toList());
         turn(now);
     }
 
-    /** Members of this one's zone that take ops, oneself among them. */
-    public void zone(List<String> members) {
-        keys.zone(members);
-    }
-
     /** A list that did not come from discovery is in use; newest: when the last of its nodes began. */
     public void guessed(long version, long newest, long now) {
         roster.guessed(version);
@@ -232,9 +234,6 @@
         phaseAt = now;
         heldBackAt = now;
         comeSince = 0;
-        if (to == Phase.ALL) {
-            keys.zone(List.of());
-        }
     }
 
     // What becomes of ops.
--- a/src/main/java/cairnbridge/zones/plan/Planner.java
+++ b/src/main/java/cairnbridge/zones/plan/Planner.java
@@ -317,7 +317,9 @@
             same.why = waits ? held.why : aim.why;
             return same;
         }
-        double most = back && !waits ? settings.stepBack() : settings.stepAway();
+        // Guards against ops shed for seconds that others had room for: of a zone that is gone all moves at
+        // once, as far as the origin bears it.
+        double most = aim.why == Why.GONE ? 1 : back && !waits ? settings.stepBack() : settings.stepAway();
         if (zone.demand() > 0) {
             most = Math.min(most, mayMove / zone.demand());
         }
