A hold that staff call before a starting process has a list is taken, not refused

Checked: the call's answer comes from whichever of two processes has the door; Serve.start opens the door before watch.start, so that the younger one knows no node for a while and Maintenance.hold answers "no such node" without a mark, which the older one would have followed. Ruled out by reading: the module, marks read late (ten looks a second), the keeping of holds (off there).

Change: while no list is known, a node counts as one that may be named (Serve, RosterWatch.hasNames).

--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -321,6 +321,11 @@
         figures.lists((int) nodes.values().stream().filter(isCache -> isCache).count());
     }
 
+    /** Whether any list is known yet. */
+    boolean hasNames() {
+        return !nodes.isEmpty();
+    }
+
     /** Whether the list names a node, whatever its state. */
     boolean names(NodeId node) {
         return nodes.containsKey(node);
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -82,7 +82,9 @@
             return thread;
         }, new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer, figures);
-        maintenance = new Maintenance(config.folder(), inbox, watch::names, beside::isShared);
+        // Guards against a hold that is refused, and kept by nobody, while a starting process has no list.
+        maintenance = new Maintenance(config.folder(), inbox, node -> watch.names(node) || !watch.hasNames(),
+                beside::isShared);
         Learnt learnt = config.learnt();
         decide = new Decide(config, inbox, clock, sockets, watch, before.at() > learnt.at() ? before : learnt,
                 figures);
--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -177,6 +177,25 @@
         }
     }
 
+    /** Guards against a hold that the younger of two processes refuses as it starts, and that then nobody has. */
+    @Test
+    void aHoldThatComesBeforeAnyListIsTaken() throws Exception {
+        cache = new StandIn(request -> cacheDoes.apply(request));
+        origin = new StandIn(request -> originDoes.apply(request));
+        discovery = new StandIn(request -> discoveryDoes.apply(request));
+        CountDownLatch change = new CountDownLatch(1);
+        discoveryDoes = request -> {
+            change.await();
+            return "200 OK||" + list(2, true, target("c", cache.address(), "cache", "Ready")) + "\n";
+        };
+        proxy = serve(list(1, true));
+        assertTrue(call("maint-on c").startsWith("200"));
+        change.countDown();
+        until(() -> says("hosts_listed:1|g"));
+        assertEquals(503, code(ask("GET /view/1", ttl(800), "")));
+        assertTrue(cache.seen.isEmpty());
+    }
+
     @Test
     void aHoldOutlivesTheProcessAndReachesAnotherThatRuns() throws Exception {
         StandIn out = new StandIn(request -> HIT);
