Read once more: the lab and the proxy share what was written twice, dead pieces are gone

What a return needs of the list of nodes (ListedNodes), which end of a push or a probe says something of the origin, and what a view shows of others (Sight.of) were worked out in the proxy's socket code and once more in the lab; now Recovery takes the list, the ending and the node. The proxy's copy also kept nodes of an earlier list after a whole new one; the lab's did not, and that is the one that stays. Kept.Peer and Learnt are made in StateKeeper alone, TOML is read in Toml, scenarios by the drill's own command, and the models take their figures from the stand-ins they stand for. Gone: an origin that could be down but never was, effects told to nobody, counters that nobody read, a serializer's setting without effect, a second Serve.join.

The message of a recovery table that is no TOML now names its line, as the other tables' does.

--- a/src/main/java/cairnbridge/cli/DrillCommand.java
+++ b/src/main/java/cairnbridge/cli/DrillCommand.java
@@ -54,7 +54,8 @@
         spec.commandLine().getOut().flush();
     }
 
-    private static Scenario read(String file) {
+    /** A ConfigFault that begins with the file where it cannot be used. */
+    static Scenario read(String file) {
         try {
             return ScenarioFile.read(Files.readString(Path.of(file)));
         } catch (ScenarioFault e) {
--- a/src/main/java/cairnbridge/cli/LabCommand.java
+++ b/src/main/java/cairnbridge/cli/LabCommand.java
@@ -3,7 +3,6 @@
 import cairnbridge.config.ConfigFault;
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.ScenarioFault;
-import cairnbridge.drill.scenario.ScenarioFile;
 import cairnbridge.lab.experiment.Comparison;
 import cairnbridge.lab.experiment.Experiment;
 import cairnbridge.lab.experiment.ExperimentFile;
@@ -45,16 +44,6 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
     }
 
-    private static Scenario scenario(Path file) {
-        try {
-            return ScenarioFile.read(Files.readString(file));
-        } catch (ScenarioFault e) {
-            throw new ConfigFault(file.toString(), e.getMessage());
-        } catch (IOException e) {
-            throw new ConfigFault(file.toString(), "cannot be read");
-        }
-    }
-
     private static Path path(String text) {
         try {
             return Path.of(text);
@@ -92,7 +81,7 @@
             long from = System.nanoTime();
             Outcome outcome;
             try {
-                outcome = new Emulation(scenario(path(file)).times(size), kind, seed).run();
+                outcome = new Emulation(DrillCommand.read(file).times(size), kind, seed).run();
             } catch (ScenarioFault e) {
                 throw new ConfigFault(file, e.getMessage());
             }
@@ -198,7 +187,7 @@
                 all.filter(each -> each.toString().endsWith(".drill")).sorted().forEach(files::add);
             }
             for (Path file : files) {
-                Scenario scenario = scenario(file);
+                Scenario scenario = DrillCommand.read(file.toString());
                 String name = file.getFileName().toString().replace(".drill", "");
                 String what;
                 try {
--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -6,14 +6,10 @@
 import cairnbridge.config.FleetConfig;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.drill.scenario.ScenarioFault;
-import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Learnt;
 import cairnbridge.proxy.Serve;
 import cairnbridge.recovery.StateKeeper;
-import cairnbridge.store.Kept;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.logging.Logger;
@@ -97,8 +93,8 @@
             ProxyConfig config = ProxyConfig.read(System.getenv());
             FleetConfig member = fleet == null ? null : FleetConfig.read(fleet, config.name());
             Optional<StateKeeper> keeper = member == null ? Optional.empty() : keeper(member);
-            Serve serve = keeper.map(mine -> new Serve(config, Main::end, learnt(mine)))
-                    .orElseGet(() -> new Serve(config, Main::end));
+            Serve serve = new Serve(config, Main::end,
+                    keeper.map(StateKeeper::learnt).orElse(Learnt.NOTHING));
             try {
                 if (member != null) {
                     serve.join(keeper.map(mine -> member.remembering(mine.life(), mine.remembered()))
@@ -125,17 +121,6 @@
                         Logger.getLogger(Main.class.getName()).info(line)));
     }
 
-    private static Learnt learnt(StateKeeper keeper) {
-        if (!keeper.trusted().trust()) {
-            return Learnt.NOTHING;
-        }
-        Map<NodeId, Learnt.Trust> nodes = new HashMap<>();
-        keeper.kept().nodes().forEach(each -> nodes.put(new NodeId(each.id()),
-                new Learnt.Trust(each.started(), each.share())));
-        Kept kept = keeper.kept();
-        return new Learnt(kept.learntAt(), kept.originSpan(), kept.sendRate(), nodes);
-    }
-
     @Command(name = "rehearse", hidden = true,
             description = "Starts a proxy, warms it and ends; the build records the classes it needs.")
     static final class RehearseCommand implements Callable<Integer> {
--- a/src/main/java/cairnbridge/config/FleetConfig.java
+++ b/src/main/java/cairnbridge/config/FleetConfig.java
@@ -8,9 +8,7 @@
 import cairnbridge.store.StoreSettings;
 import cairnbridge.zones.ZonesConfig;
 import cairnbridge.zones.plan.PlanSettings;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -66,14 +64,7 @@
 
     /** folder: where a secret-file that is no absolute path is looked for. */
     static FleetConfig of(String text, Path folder, String name) {
-        JsonNode root;
-        try {
-            root = new TomlMapper().readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            throw new ConfigFault("fleet", "line " + line + " is no TOML: "
-                    + e.getOriginalMessage().split("\n")[0]);
-        }
+        JsonNode root = Toml.read(text, "fleet");
         Part top = new Part(root, "fleet", KEYS);
         Part view = new Part(root.path("view"), "fleet.view", VIEW);
         Part use = new Part(root.path("use"), "fleet.use", USE);
@@ -102,13 +93,9 @@
      * Only what a file says of recovery, where all else of it does not matter; empty where that is nothing.
      */
     public static Optional<RecoverySettings> recoveryOf(String text, String cluster) {
-        try {
-            JsonNode root = new TomlMapper().readTree(text);
-            return root.has("recovery") ? Optional.of(recovery(root.path("recovery"), Path.of(""), cluster))
-                    : Optional.empty();
-        } catch (JsonProcessingException e) {
-            throw new ConfigFault("fleet", "is no TOML: " + e.getOriginalMessage().split("\n")[0]);
-        }
+        JsonNode root = Toml.read(text, "fleet");
+        return root.has("recovery") ? Optional.of(recovery(root.path("recovery"), Path.of(""), cluster))
+                : Optional.empty();
     }
 
     private static RecoverySettings recovery(JsonNode node, Path folder, String cluster) {
--- a/src/main/java/cairnbridge/drill/standin/CacheNode.java
+++ b/src/main/java/cairnbridge/drill/standin/CacheNode.java
@@ -15,9 +15,9 @@
  * for a second.
  */
 public final class CacheNode extends Http {
-    private static final long COLD_MILLIS = 3000, DOWN_MILLIS = 1000;
-    private static final int SLOTS = 32, COLD_FALLS_OVER = 24;
-    private static final long LATE_MILLIS = 450;
+    public static final long COLD_MILLIS = 3000, DOWN_MILLIS = 1000, LATE_MILLIS = 450, PATIENCE_MILLIS = 20,
+            SPAN_MILLIS = 2;
+    public static final int SLOTS = 32, COLD_FALLS_OVER = 24;
     private static final byte[] NOTHING = {};
 
     private final World world;
@@ -26,7 +26,7 @@
     private final Map<String, byte[]> values = new ConcurrentHashMap<>();
     private final Semaphore slots = new Semaphore(SLOTS);
     private final AtomicLong turn = new AtomicLong();
-    private volatile long spanMillis = 2, downUntil;
+    private volatile long spanMillis = SPAN_MILLIS, downUntil;
     private volatile boolean failing, grey;
     public final LongAdder hits = new LongAdder(), misses = new LongAdder(), turnedAway = new LongAdder(),
             fellOver = new LongAdder(), probes = new LongAdder();
@@ -90,7 +90,7 @@
             fellOver.increment();
             downUntil = now + DOWN_MILLIS;
         }
-        if (now < downUntil || !slots.tryAcquire(20, TimeUnit.MILLISECONDS)) {
+        if (now < downUntil || !slots.tryAcquire(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
             turnedAway.increment();
             exchange.getResponseHeaders().set("X-Never-Ran", "1");
             say(exchange, 503, NOTHING);
--- a/src/main/java/cairnbridge/drill/standin/Clients.java
+++ b/src/main/java/cairnbridge/drill/standin/Clients.java
@@ -23,7 +23,9 @@
 public final class Clients implements AutoCloseable {
     /** How long a client waits in all. */
     public static final int TTL_MILLIS = 800;
-    private static final int MOST_TRIES = 3, WRITES_IN = 20;
+    /** How often it asks, how long after its TTL it still listens, and when it comes again if nobody says. */
+    public static final int MOST_TRIES = 3, SPARE_MILLIS = 200, UNADVISED_MILLIS = 100;
+    private static final int WRITES_IN = 20;
     private static final double SKEW = 3;
 
     private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
@@ -87,7 +89,7 @@
         }
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://"
                 + place.getAddress().getHostAddress() + ":" + place.getPort() + (write ? "/loan/" : "/view/")
-                + Long.toHexString(key))).timeout(Duration.ofMillis(left + 200))
+                + Long.toHexString(key))).timeout(Duration.ofMillis(left + SPARE_MILLIS))
                 .header("X-Trace-Id", Long.toHexString(ids.incrementAndGet()))
                         .header("X-Expires-In", left + "m");
         if (tries > 1) {
@@ -110,7 +112,8 @@
 
     private void again(InetSocketAddress place, boolean write, long key, long until, int tries,
             HttpResponse<byte[]> answer) {
-        double wait = answer.headers().firstValue("Retry-After").map(Double::parseDouble).orElse(0.1);
+        double wait = answer.headers().firstValue("Retry-After").map(Double::parseDouble)
+                .orElse(UNADVISED_MILLIS / 1000.0);
         if (tries >= MOST_TRIES) {
             refused.increment();
             return;
--- a/src/main/java/cairnbridge/drill/standin/Origin.java
+++ b/src/main/java/cairnbridge/drill/standin/Origin.java
@@ -11,13 +11,14 @@
  * The store behind the caches: slow, takes few requests at a time, and turns away what would wait too long.
  */
 public final class Origin extends Http {
-    private static final int SLOTS = 24;
+    public static final int SLOTS = 24;
+    public static final long PATIENCE_MILLIS = 300, SPAN_MILLIS = 15;
     private static final byte[] NOTHING = {};
 
     private final World world;
     private volatile Semaphore slots = new Semaphore(SLOTS, true);
     private volatile int places = SLOTS;
-    private volatile long spanMillis = 15;
+    private volatile long spanMillis = SPAN_MILLIS;
     public final LongAdder fetches = new LongAdder(), writes = new LongAdder(), turnedAway = new LongAdder();
 
     public Origin(World world) throws IOException {
@@ -42,7 +43,7 @@
     @Override
     void answer(HttpExchange exchange) throws IOException, InterruptedException {
         Semaphore mine = slots;
-        if (!mine.tryAcquire(300, TimeUnit.MILLISECONDS)) {
+        if (!mine.tryAcquire(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
             turnedAway.increment();
             exchange.getResponseHeaders().set("X-Never-Ran", "1");
             say(exchange, 503, NOTHING);
--- a/src/main/java/cairnbridge/lab/experiment/ExperimentFile.java
+++ b/src/main/java/cairnbridge/lab/experiment/ExperimentFile.java
@@ -1,13 +1,12 @@
 package cairnbridge.lab.experiment;
 
 import cairnbridge.config.ConfigFault;
+import cairnbridge.config.Toml;
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.drill.scenario.ScenarioFile;
 import cairnbridge.lab.policy.Policy;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
@@ -37,14 +36,7 @@
     }
 
     static Experiment of(String text, Path folder) {
-        JsonNode root;
-        try {
-            root = new TomlMapper().readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            throw new ConfigFault("experiment", "line " + line + " is no TOML: "
-                    + e.getOriginalMessage().split("\n")[0]);
-        }
+        JsonNode root = Toml.read(text, "experiment");
         root.fieldNames().forEachRemaining(key -> {
             if (!KEYS.contains(key)) {
                 throw new ConfigFault("experiment." + key, "is no key of an experiment");
--- a/src/main/java/cairnbridge/lab/model/CacheModel.java
+++ b/src/main/java/cairnbridge/lab/model/CacheModel.java
@@ -1,6 +1,7 @@
 package cairnbridge.lab.model;
 
 import cairnbridge.drill.simulated.Agenda;
+import cairnbridge.drill.standin.CacheNode;
 import cairnbridge.decision.Event.Ending;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -12,38 +13,30 @@
  * drill's own stand-in, as a model; what it can be made to do is the same.
  */
 public final class CacheModel {
-    private static final int SLOTS = 32, COLD_FALLS_OVER = 24, LARGEST = 100_000;
-    private static final long COLD = 3 * Agenda.SECOND, DOWN = Agenda.SECOND, PATIENCE = 20 * Agenda.MILLI;
-    private static final long LATE = 450 * Agenda.MILLI, USUAL = 2 * Agenda.MILLI;
+    private static final int LARGEST = 100_000;
+    private static final long COLD = CacheNode.COLD_MILLIS * Agenda.MILLI, DOWN = CacheNode.DOWN_MILLIS
+            * Agenda.MILLI, LATE = CacheNode.LATE_MILLIS * Agenda.MILLI, USUAL = CacheNode.SPAN_MILLIS
+            * Agenda.MILLI, PATIENCE = CacheNode.PATIENCE_MILLIS * Agenda.MILLI;
 
     private final Agenda agenda;
-    private final String uid, zone;
+    private final String zone;
     private final long began;
     private final Places places;
     private final Map<Long, Boolean> values = new LinkedHashMap<>(16, 0.75f, true);
-    private long span = USUAL, downUntil, hits, misses, turnedAway, fellOver, turn, asked;
+    private long span = USUAL, downUntil, fellOver, turn, asked;
     private boolean alive = true, failing, grey;
 
-    public CacheModel(Agenda agenda, String uid, String zone) {
+    public CacheModel(Agenda agenda, String zone) {
         this.agenda = agenda;
-        this.uid = uid;
         this.zone = zone;
         began = agenda.now();
-        places = new Places(agenda, SLOTS, PATIENCE);
-    }
-
-    public String uid() {
-        return uid;
+        places = new Places(agenda, CacheNode.SLOTS, PATIENCE);
     }
 
     public String zone() {
         return zone;
     }
 
-    public long began() {
-        return began;
-    }
-
     /** Connections are refused from now on. */
     public void kill() {
         alive = false;
@@ -77,19 +70,15 @@
         asked++;
         long now = agenda.now();
         boolean cold = now - began < COLD;
-        if (cold && places.busy() >= COLD_FALLS_OVER) {
+        if (cold && places.busy() >= CacheNode.COLD_FALLS_OVER) {
             fellOver++;
             downUntil = now + DOWN;
         }
         if (now < downUntil) {
-            turnedAway++;
             then.accept(new Reply(Ending.FULL, 0));
             return;
         }
-        places.take(() -> begin(request, cold, then), () -> {
-            turnedAway++;
-            then.accept(new Reply(Ending.FULL, 0));
-        });
+        places.take(() -> begin(request, cold, then), () -> then.accept(new Reply(Ending.FULL, 0)));
     }
 
     private void begin(Request request, boolean cold, Consumer<Reply> then) {
@@ -104,11 +93,6 @@
                 return;
             }
             boolean hit = values.get(request.key()) != null;
-            if (hit) {
-                hits++;
-            } else {
-                misses++;
-            }
             then.accept(hit ? new Reply(Ending.ACKED, 1) : new Reply(Ending.MISS, 2));
         });
     }
@@ -122,18 +106,6 @@
         return asked;
     }
 
-    public long hits() {
-        return hits;
-    }
-
-    public long misses() {
-        return misses;
-    }
-
-    public long turnedAway() {
-        return turnedAway;
-    }
-
     public long fellOver() {
         return fellOver;
     }
--- a/src/main/java/cairnbridge/lab/model/ClientsModel.java
+++ b/src/main/java/cairnbridge/lab/model/ClientsModel.java
@@ -1,6 +1,7 @@
 package cairnbridge.lab.model;
 
 import cairnbridge.drill.simulated.Agenda;
+import cairnbridge.drill.standin.Clients;
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.lab.model.ProxyModel.Answer;
 import java.util.List;
@@ -13,9 +14,10 @@
  * give up at their TTL; as the drill's. Keys are chosen by a seed, some far more often than others.
  */
 public final class ClientsModel {
-    private static final long TTL = 800 * Agenda.MILLI, SPARE = 200 * Agenda.MILLI,
-            UNADVISED = 100 * Agenda.MILLI;
-    private static final int MOST_TRIES = 3, READ = 0, WRITE = 1;
+    private static final long TTL = Clients.TTL_MILLIS * Agenda.MILLI,
+            SPARE = Clients.SPARE_MILLIS * Agenda.MILLI,
+            UNADVISED = Clients.UNADVISED_MILLIS * Agenda.MILLI;
+    private static final int READ = 0, WRITE = 1;
 
     /** What clients have counted. */
     public static final class Counts {
@@ -72,7 +74,7 @@
                     counts.spans.recordValue(Math.max(1, agenda.now() - began));
                 }
                 case Answer.NACKED -> {
-                    if (tries >= MOST_TRIES) {
+                    if (tries >= Clients.MOST_TRIES) {
                         counts.refused++;
                     } else {
                         counts.repeats++;
--- a/src/main/java/cairnbridge/lab/model/OriginModel.java
+++ b/src/main/java/cairnbridge/lab/model/OriginModel.java
@@ -1,12 +1,12 @@
 package cairnbridge.lab.model;
 
 import cairnbridge.drill.simulated.Agenda;
+import cairnbridge.drill.standin.Origin;
 import cairnbridge.decision.Event.Ending;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -14,20 +14,19 @@
  * turned away. It stores what it gives at the caches that missed it for the same op.
  */
 public final class OriginModel {
-    private static final int SLOTS = 24;
-    private static final long PATIENCE = 300 * Agenda.MILLI, USUAL = 15 * Agenda.MILLI;
+    private static final long PATIENCE = Origin.PATIENCE_MILLIS * Agenda.MILLI, USUAL = Origin.SPAN_MILLIS
+            * Agenda.MILLI;
 
     private final Agenda agenda;
     private final Places places;
     private final Map<Long, Set<CacheModel>> missed = new HashMap<>();
     private final Map<Long, Integer> effects = new HashMap<>();
-    private boolean up = true;
     private long span = USUAL, fetches, writes, turnedAway, twice;
 
     /** size: how many times as much room it has. */
     public OriginModel(Agenda agenda, int size) {
         this.agenda = agenda;
-        places = new Places(agenda, SLOTS * size, PATIENCE);
+        places = new Places(agenda, Origin.SLOTS * size, PATIENCE);
     }
 
     public void span(long tenths) {
@@ -38,34 +37,19 @@
         places.resize(many);
     }
 
-    /** Whether it answers a probe. */
-    public boolean isUp() {
-        return up;
-    }
-
-    public void up(boolean on) {
-        up = on;
-    }
-
     /** A cache has missed a key for this op. */
     public void missed(Request request, CacheModel cache) {
         missed.computeIfAbsent(request.trace(), op -> new HashSet<>()).add(cache);
     }
 
-    /** Nothing more comes of an op. */
-    public void forget(long trace) {
-        missed.remove(trace);
-    }
-
-    /** effect: told of each write as it takes effect. */
-    public void take(Request request, Consumer<Reply> then, BiConsumer<Long, Long> effect) {
+    /** A request has come; then is told how it ends. */
+    public void take(Request request, Consumer<Reply> then) {
         places.take(() -> agenda.in(span, () -> {
             places.give();
             if (request.write()) {
                 writes++;
                 int count = effects.merge(request.trace(), 1, Integer::sum);
                 twice += count == 2 ? 1 : 0;
-                effect.accept(request.trace(), request.key());
             } else {
                 fetches++;
                 Set<CacheModel> caches = missed.remove(request.trace());
--- a/src/main/java/cairnbridge/lab/model/ProxyModel.java
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -38,8 +38,6 @@
         OriginModel origin(NodeId node);
 
         String zone(NodeId node);
-
-        void effect(long trace, long key);
     }
 
     private static final class Call {
@@ -273,7 +271,7 @@
         };
         agenda.in(net.span(zone, there), () -> {
             if (origin != null) {
-                origin.take(op.request, back, nodes::effect);
+                origin.take(op.request, back);
             } else if (cache.isAlive()) {
                 cache.take(op.request, back);
             } else {
--- a/src/main/java/cairnbridge/lab/model/ReturnModel.java
+++ b/src/main/java/cairnbridge/lab/model/ReturnModel.java
@@ -31,6 +31,9 @@
         public static final Listed NONE = new Listed(0, List.of());
     }
 
+    /** There and back, and an answer at once: the modelled origin is never away. */
+    private static final long PROBE = 10 * Agenda.MILLI;
+
     private final Agenda agenda;
     private final MachineKind originKind;
     /** The list that was kept. */
@@ -40,7 +43,6 @@
     private ProxyModel proxy;
     private Runnable listAnew = () -> { };
     private BiConsumer<String, Consumer<Listed>> asks = (member, then) -> { };
-    private Runnable probe = () -> { };
     private long version;
 
     public ReturnModel(Agenda agenda, MachineKind originKind, Listed kept) {
@@ -51,12 +53,11 @@
 
     /** Before anything else: what decides, for whom, and how the world is asked. */
     public void by(Recovery decides, ProxyModel of, Runnable askDiscovery,
-            BiConsumer<String, Consumer<Listed>> askMember, Runnable probeOrigin) {
+            BiConsumer<String, Consumer<Listed>> askMember) {
         recovery = decides;
         proxy = of;
         listAnew = askDiscovery;
         asks = askMember;
-        probe = probeOrigin;
     }
 
     public Phase phase() {
@@ -96,11 +97,10 @@
     /** Discovery tells a list; false where it is not to be used. */
     public boolean listed(Event.Roster roster) {
         if (roster.version() < recovery.rosterFloor()) {
-            recovery.listed(roster.version(), 0, agenda.now());
+            recovery.older(roster.version(), agenda.now());
             return false;
         }
         take(roster);
-        recovery.listed(version, newest(), agenda.now());
         return true;
     }
 
@@ -116,11 +116,7 @@
             }
         }
         version = roster.version();
-    }
-
-    private long newest() {
-        return entries.values().stream().filter(each -> !each.kind().equals(originKind))
-                .mapToLong(Entry::started).max().orElse(0);
+        recovery.listed(roster, agenda.now());
     }
 
     Verdict arrives(Arrival op) {
@@ -128,27 +124,18 @@
     }
 
     void ended(OpId op, NodeId node, Ending ending, long took) {
-        boolean says = ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT;
-        Entry entry = entries.get(node);
-        recovery.pushEnded(op, says && entry != null && entry.kind().equals(originKind),
-                ending == Ending.ACKED,
-                took, agenda.now());
+        recovery.pushEnded(op, node, ending, took, agenda.now());
     }
 
     void answered(OpId op) {
         recovery.answered(op);
     }
 
-    public void probed(boolean good) {
-        recovery.probed(good, agenda.now());
-    }
-
     private void guess(Listed list) {
         if (list.version() > 0) {
             Event.Roster roster = new Event.Roster(Scope.CACHED, list.version(), list.entries());
             take(roster);
             proxy.tell(roster);
-            recovery.guessed(version, newest(), agenda.now());
         }
     }
 
@@ -175,7 +162,9 @@
 
     @Override
     public void probeOrigin() {
-        probe.run();
+        if (recovery.origin() != null) {
+            agenda.in(PROBE, () -> recovery.probed(recovery.origin(), Ending.ACKED, agenda.now()));
+        }
     }
 
     @Override
--- a/src/main/java/cairnbridge/lab/run/Emulation.java
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -89,7 +89,7 @@
         net = new Net(chance(1), SAME_ZONE_MS, OTHER_ZONE_MS, TAIL_MS);
         origin = new OriginModel(agenda, scenario.size());
         roster = new RosterModel(agenda, scenario.zones());
-        fleet = new FleetSide(scenario, settings, agenda, roster, origin, seed);
+        fleet = new FleetSide(scenario, settings, agenda, roster, seed);
         for (int i = 1; i <= scenario.caches(); i++) {
             cache("c" + i, zone(i), 0);
         }
@@ -106,7 +106,7 @@
     }
 
     private void cache(String uid, String zone, long began) {
-        CacheModel cache = new CacheModel(agenda, uid, zone);
+        CacheModel cache = new CacheModel(agenda, zone);
         caches.put(uid, cache);
         uids.put(RosterModel.id(uid), uid);
         roster.put(uid, 0, zone, State.READY, began);
@@ -437,10 +437,5 @@
             return uid == null ? null : uid.equals("origin") ? Emulation.this.zone(1)
                     : caches.get(uid).zone();
         }
-
-        @Override
-        public void effect(long trace, long key) {
-            // The origin counts them by trace; a client's next try is a try of its own.
-        }
     }
 }
--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -1,7 +1,6 @@
 package cairnbridge.lab.run;
 
 import cairnbridge.config.FleetConfig;
-import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Learnt;
 import cairnbridge.decision.Settings;
 import cairnbridge.drill.scenario.Scenario;
@@ -13,7 +12,6 @@
 import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.FleetEvent;
 import cairnbridge.fleet.view.FleetSettings;
-import cairnbridge.lab.model.OriginModel;
 import cairnbridge.lab.model.ProxyModel;
 import cairnbridge.lab.model.ReturnModel;
 import cairnbridge.lab.model.RosterModel;
@@ -21,10 +19,10 @@
 import cairnbridge.recovery.Recovery;
 import cairnbridge.recovery.RecoverySettings;
 import cairnbridge.recovery.Sight;
+import cairnbridge.recovery.StateKeeper;
 import cairnbridge.recovery.Trust;
 import cairnbridge.recovery.Trusted;
 import cairnbridge.store.Kept;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,7 +39,6 @@
     private static final String CLUSTER = "lab";
     private static final long TICK = Agenda.SECOND / 4, CALL = 10 * Agenda.MILLI,
             UNDISTURBED = 8 * Agenda.SECOND;
-    private static final List<Phase> PHASES = List.of(Phase.values());
 
     /** What a proxy's disk holds, and its list beside it. */
     private record OnDisk(Kept kept, ReturnModel.Listed list, Learnt learnt) {
@@ -51,7 +48,6 @@
     private final Settings settings;
     private final Agenda agenda;
     private final RosterModel roster;
-    private final OriginModel origin;
     private final long seed;
     private final Optional<RecoverySettings> recovery;
     private final SimulatedNet net;
@@ -61,13 +57,11 @@
     private final Map<String, OnDisk> disks = new HashMap<>();
     private long falseDeaths;
 
-    FleetSide(Scenario scenario, Settings settings, Agenda agenda, RosterModel roster, OriginModel origin,
-            long seed) {
+    FleetSide(Scenario scenario, Settings settings, Agenda agenda, RosterModel roster, long seed) {
         this.scenario = scenario;
         this.settings = settings;
         this.agenda = agenda;
         this.roster = roster;
-        this.origin = origin;
         this.seed = seed;
         StringBuilder text = new StringBuilder("[recovery]\n");
         scenario.keys().forEach((key, value) -> {
@@ -148,6 +142,7 @@
         ReturnModel model = new ReturnModel(agenda, settings.originKind(), trusted.rosterVersion() > 0
                 ? disk.list() : ReturnModel.Listed.NONE);
         model.by(new Recovery(recovery.get(), trusted, settings.categories(), settings.proxies(),
+                settings.originKind(),
                 settings.mayProbe(), proxy.name(), proxy.zone(),
                 RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 31 + life), agenda.now(), model),
                         proxy,
@@ -156,7 +151,7 @@
                     boolean there = other != null && other.isRunning() && !other.isFrozen();
                     then.accept(there && other.back() != null ? other.back().list()
                             : ReturnModel.Listed.NONE);
-                }), () -> agenda.in(CALL, () -> model.probed(origin.isUp())));
+                }));
         proxy.returnsBy(model, settings.maxRetryAfter());
         return trusted.trust() ? disk.learnt() : Learnt.NOTHING;
     }
@@ -169,13 +164,7 @@
         }
         long every = recovery.get().store().snapshotEvery();
         long at = agenda.now() / Agenda.MILLI / every * every;
-        List<Kept.Peer> peers = new ArrayList<>();
-        for (Claim claim : members.get(name).machine.view().members()) {
-            if (!claim.id().name().equals(name)) {
-                peers.add(new Kept.Peer(claim.id().name(), claim.at().toString(), claim.incarnation().life(),
-                        claim.incarnation().turn(), claim.standing().isLiving()));
-            }
-        }
+        List<Kept.Peer> peers = StateKeeper.peers(members.get(name).machine.view());
         ReturnModel.Listed list = proxy.back().held();
         disks.put(name, new OnDisk(new Kept(CLUSTER, lives.get(name), "boot", at, 0, list.version(), "",
                 peers, 0,
@@ -219,32 +208,18 @@
             }
             ReturnModel back = proxy.back();
             boolean returns = back != null && back.phase() != Phase.ALL;
-            Recovering told = returns ? new Recovering(PHASES.indexOf(back.phase()) + 1, back.pace(), 0)
+            Recovering told = returns ? new Recovering(back.phase().told(), back.pace(), 0)
                     : Recovering.NOT;
             long version = back == null ? 0 : back.version();
             net.tell(member, new FleetEvent.Tell(Told.of(proxy.zone(), "r", 2, Told.State.SERVING, "", "", 0,
                     told,
                     new Told.Figures(0, 0, version, true, List.of()))));
             if (returns) {
-                back.seen(sight(member));
+                back.seen(Sight.of(member.machine.view()));
             }
             if (back != null) {
                 back.turn();
             }
         }
     }
-
-    private static Sight sight(SimulatedNet.Node member) {
-        List<Sight.Seen> others = new ArrayList<>();
-        for (Claim claim : member.machine.view().living()) {
-            Told told = claim.told();
-            if (told != null && !claim.id().equals(member.id)) {
-                int at = told.recovering().phase();
-                others.add(new Sight.Seen(claim.id().name(), told.zone(), at == 0 ? null
-                        : PHASES.get(Math.min(at, PHASES.size()) - 1), true, told.recovering().pace(),
-                        told.figures().roster()));
-            }
-        }
-        return new Sight(others);
-    }
 }
--- a/src/main/java/cairnbridge/lab/run/RunRecord.java
+++ b/src/main/java/cairnbridge/lab/run/RunRecord.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.UncheckedIOException;
@@ -11,8 +10,7 @@
 
 /** A run's outcome as lines of JSON, with fields in a fixed order. */
 public final class RunRecord {
-    private static final ObjectMapper JSON = new ObjectMapper()
-            .configure(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS, true);
+    private static final ObjectMapper JSON = new ObjectMapper();
 
     private RunRecord() {
     }
--- a/src/main/java/cairnbridge/proxy/Keeping.java
+++ b/src/main/java/cairnbridge/proxy/Keeping.java
@@ -4,9 +4,7 @@
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Learnt;
 import cairnbridge.fleet.Fleet;
-import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
-import cairnbridge.fleet.view.View;
 import cairnbridge.recovery.RosterBook;
 import cairnbridge.recovery.StateKeeper;
 import cairnbridge.store.Entry;
@@ -65,23 +63,16 @@
         if (!link.isOver()) {
             return Optional.empty();
         }
-        View view = fleet.view();
-        List<Kept.Peer> peers = view.members().stream().filter(claim -> !claim.id().equals(view.self()))
-                .map(Keeping::peer).toList();
         Learnt learnt = decide.learnt();
         List<Kept.Node> nodes = learnt.nodes().entrySet().stream().map(each -> new Kept.Node(
                 each.getKey().value(), each.getValue().started(), each.getValue().share())).toList();
         return Optional.of(new Kept(keeper.settings().store().cluster(), keeper.life(), keeper.bootId(),
-                System.currentTimeMillis(), 0, book.version(), book.text(), peers, fleet.epoch(),
+                System.currentTimeMillis(), 0, book.version(), book.text(), StateKeeper.peers(fleet.view()),
+                        fleet.epoch(),
                         fleet.plan(),
                 learnt.at(), learnt.originSpan(), learnt.sendRate(), nodes, maintenance.held()));
     }
 
-    private static Kept.Peer peer(Claim claim) {
-        return new Kept.Peer(claim.id().name(), claim.at().toString(), claim.incarnation().life(),
-                claim.incarnation().turn(), claim.standing().isLiving());
-    }
-
     void stop() throws InterruptedException {
         keeper.store().stop();
     }
--- a/src/main/java/cairnbridge/proxy/Maintenance.java
+++ b/src/main/java/cairnbridge/proxy/Maintenance.java
@@ -74,8 +74,7 @@
             });
         }
         // Guards against a push of the other process after this one's yes: it looks a few times a second.
-        CompletableFuture<Boolean> all = done;
-        return !shared.getAsBoolean() ? all : all.thenApplyAsync(taken -> taken,
+        return !shared.getAsBoolean() ? done : done.thenApplyAsync(taken -> taken,
                 CompletableFuture.delayedExecutor(SEEN_MILLIS, TimeUnit.MILLISECONDS));
     }
 
--- a/src/main/java/cairnbridge/proxy/RecoveryLink.java
+++ b/src/main/java/cairnbridge/proxy/RecoveryLink.java
@@ -3,14 +3,11 @@
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
-import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Settings;
 import cairnbridge.fleet.Fleet;
-import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Recovering;
-import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
 import cairnbridge.recovery.Arrival;
 import cairnbridge.recovery.Phase;
@@ -21,8 +18,6 @@
 import cairnbridge.recovery.StateKeeper;
 import cairnbridge.recovery.Verdict;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,19 +31,14 @@
  */
 final class RecoveryLink implements RecoveryHost {
     private static final Logger LOG = Logger.getLogger(RecoveryLink.class.getName());
-    private static final List<Phase> PHASES = List.of(Phase.values());
 
     private final StateKeeper keeper;
     private final RosterBook book;
     private final RosterWatch watch;
     private final Inbox inbox;
     private final Recovery recovery;
-    private final MachineKind originKind;
     private final Settings settings;
-    /** When each listed node but the origin began. */
-    private final Map<NodeId, Long> began = new HashMap<>();
     private volatile Fleet fleet;
-    private volatile NodeId origin;
     private volatile Phase phase = Phase.VIEW;
     private volatile int pace;
     private volatile boolean confirmed;
@@ -62,11 +52,9 @@
         this.watch = watch;
         this.inbox = inbox;
         settings = config.settings();
-        originKind = settings.originKind();
         recovery = new Recovery(keeper.settings(), keeper.trusted(), settings.categories(),
-                settings.proxies(),
-                settings.mayProbe(), me, zone,
-                        RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
+                settings.proxies(), settings.originKind(), settings.mayProbe(), me, zone,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
                 now, this);
         pace = recovery.pace();
     }
@@ -92,10 +80,7 @@
     }
 
     void ended(PushCall call, Ending ending, long took, long now) {
-        boolean good = ending == Ending.ACKED;
-        boolean says = ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT;
-        boolean atOrigin = call.node.equals(origin) && says;
-        recovery.pushEnded(call.client.op, atOrigin, good, took, now);
+        recovery.pushEnded(call.client.op, call.node, ending, took, now);
     }
 
     void answered(Exchange client) {
@@ -103,35 +88,18 @@
     }
 
     void listed(Event.Roster roster, long now) {
-        for (Event.Entry entry : roster.entries()) {
-            if (entry.kind().equals(originKind)) {
-                origin = entry.node();
-            } else if (entry.state() == Event.State.GONE) {
-                began.remove(entry.node());
-            } else {
-                began.put(entry.node(), entry.started());
-            }
-        }
-        long newest = began.values().stream().mapToLong(each -> each).max().orElse(0);
-        if (roster.scope() == Event.Scope.CACHED) {
-            recovery.guessed(roster.version(), newest, now);
-        } else if (roster.scope() != Event.Scope.FAILED) {
-            recovery.listed(roster.version(), newest, now);
-        }
+        recovery.listed(roster, now);
         publish(now);
     }
 
     /** Discovery has a list that is older than the floor; it is not in use. */
     void older(long version, long now) {
-        recovery.listed(version, 0, now);
+        recovery.older(version, now);
         publish(now);
     }
 
     void probed(NodeId node, Ending ending, long now) {
-        if (node.equals(origin)) {
-            // An error is an answer as well: the origin is there.
-            recovery.probed(ending == Ending.ACKED || ending == Ending.ERROR, now);
-        }
+        recovery.probed(node, ending, now);
     }
 
     void seen(Sight sight, long now) {
@@ -181,9 +149,8 @@
 
     @Override
     public void probeOrigin() {
-        NodeId node = origin;
-        if (node != null) {
-            inbox.first(new Notice.Asked(node));
+        if (recovery.origin() != null) {
+            inbox.first(new Notice.Asked(recovery.origin()));
         }
     }
 
@@ -197,24 +164,11 @@
     /** The fleet's thread sees the fleet; the owner thread is told. */
     void seen(View view) {
         keeper.store().look();
-        List<Sight.Seen> others = new ArrayList<>();
-        for (Claim claim : view.living()) {
-            Told told = claim.told();
-            if (told == null || claim.id().equals(view.self())) {
-                continue;
-            }
-            int at = told.recovering().phase();
-            boolean serves = told.state() == Told.State.SERVING || told.state() == Told.State.STANDBY;
-            others.add(new Sight.Seen(claim.id().name(), told.zone(), at == 0 ? null
-                    : PHASES.get(Math.min(at, PHASES.size()) - 1), serves, told.recovering().pace(),
-                    told.figures().roster()));
-        }
-        inbox.first(new Notice.Seen(new Sight(others)));
+        inbox.first(new Notice.Seen(Sight.of(view)));
     }
 
     Recovering told(long epoch) {
-        boolean over = phase == Phase.ALL;
-        return new Recovering(over ? 0 : PHASES.indexOf(phase) + 1, over ? 0 : pace,
+        return new Recovering(phase.told(), isOver() ? 0 : pace,
                 Math.max(keeper.trusted().epochFloor(), epoch));
     }
 
@@ -237,7 +191,7 @@
 
     Map<String, Long> gauges() {
         Map<String, Long> gauges = new LinkedHashMap<>(keeper.store().figures().gauges());
-        gauges.put("recovery.phase", (long) PHASES.indexOf(phase) + 1);
+        gauges.put("recovery.phase", phase.ordinal() + 1L);
         gauges.put("recovery.confirmed", confirmed ? 1L : 0L);
         gauges.put("recovery.turned_away_total", turnedAway);
         gauges.put("recovery.hidden_total", hidden);
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -108,12 +108,10 @@
         return thread;
     }
 
-    /** Makes this proxy a member of a fleet; before its start. IOException names an address that is taken. */
-    public void join(FleetConfig of) throws IOException {
-        join(of, Optional.empty());
-    }
-
-    /** As above, with what is kept over a loss of power. */
+    /**
+     * Makes this proxy a member of a fleet, with what is kept over a loss of power; before its start.
+     * IOException names an address that is taken.
+     */
     public void join(FleetConfig of, Optional<StateKeeper> kept) throws IOException {
         FleetTally tally = new FleetTally(config);
         keeping = kept.map(keeper -> new Keeping(keeper, config, of, maintenance, watch, decide, inbox,
--- a/src/main/java/cairnbridge/recovery/Phase.java
+++ b/src/main/java/cairnbridge/recovery/Phase.java
@@ -21,6 +21,16 @@
         this.waitsFor = waitsFor;
     }
 
+    /** As members tell it: the place of a phase from 1 on, 0 where nothing is held back. */
+    public int told() {
+        return this == ALL ? 0 : ordinal() + 1;
+    }
+
+    /** Null for 0; a place that only a newer program has reads as the last one known. */
+    static Phase of(int told) {
+        return told == 0 ? null : values()[Math.min(told, values().length) - 1];
+    }
+
     public String waitsFor() {
         return waitsFor;
     }
--- a/src/main/java/cairnbridge/recovery/Recovery.java
+++ b/src/main/java/cairnbridge/recovery/Recovery.java
@@ -1,6 +1,11 @@
 package cairnbridge.recovery;
 
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Event.Ending;
+import cairnbridge.decision.Event.Scope;
 import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.OpId;
 import cairnbridge.decision.Settings.Category;
 import cairnbridge.decision.Settings.Effect;
@@ -56,6 +61,7 @@
     private final String me, zone;
     private final RosterTrust roster;
     private final HiddenFates fates;
+    private final ListedNodes nodes;
     private final OriginPace pace;
     private final KeyOpening keys;
     private final Map<OpId, Taken> taken = new HashMap<>();
@@ -71,15 +77,18 @@
 
     /**
      * instances: the configured number of proxies, which counts where fewer are remembered; me, zone: this
-     * member and where it is; mayProbe: whether nodes may be asked how they fare.
+     * member and where it is; originKind: which of the listed nodes is the origin; mayProbe: whether nodes
+     * may be asked how they fare.
      */
     public Recovery(RecoverySettings settings, Trusted trusted, List<Category> categories, int instances,
-            boolean mayProbe, String me, String zone, RandomGenerator chance, long now, RecoveryHost host) {
+            MachineKind originKind, boolean mayProbe, String me, String zone, RandomGenerator chance,
+                    long now, RecoveryHost host) {
         this.settings = settings;
         this.host = host;
         this.chance = chance;
         this.categories = categories;
         this.mayProbe = mayProbe;
+        nodes = new ListedNodes(originKind);
         this.me = me;
         this.zone = zone;
         expected = Math.max(trusted.peers() + 1, instances);
@@ -120,8 +129,23 @@
         turn(now);
     }
 
+    /** A list is in use: discovery's, or where its scope is CACHED another's. */
+    public void listed(Event.Roster list, long now) {
+        nodes.tells(list);
+        if (list.scope() == Scope.CACHED) {
+            guessed(list.version(), nodes.newest(), now);
+        } else if (list.scope() != Scope.FAILED) {
+            listed(list.version(), nodes.newest(), now);
+        }
+    }
+
+    /** Discovery tells a list that is older than the floor; it is not in use. */
+    public void older(long version, long now) {
+        listed(version, nodes.newest(), now);
+    }
+
     /** A list that did not come from discovery is in use; newest: when the last of its nodes began. */
-    public void guessed(long version, long newest, long now) {
+    void guessed(long version, long newest, long now) {
         roster.guessed(version);
         fates.nodes(newest);
         if (sight != null) {
@@ -131,7 +155,7 @@
     }
 
     /** Discovery has told its list. */
-    public void listed(long version, long newest, long now) {
+    void listed(long version, long newest, long now) {
         if (roster.listed(version, now)) {
             fates.nodes(newest);
         }
@@ -143,8 +167,16 @@
         return roster.floor();
     }
 
+    /** A node was asked how it fares. */
+    public void probed(NodeId node, Ending ending, long now) {
+        if (nodes.isOrigin(node)) {
+            // An error is an answer as well: the origin is there.
+            probed(ending == Ending.ACKED || ending == Ending.ERROR, now);
+        }
+    }
+
     /** The origin was asked how it fares. */
-    public void probed(boolean good, long now) {
+    void probed(boolean good, long now) {
         origin |= good;
         turn(now);
     }
@@ -295,8 +327,14 @@
         return Verdict.nack(why, least / 2 + chance.nextLong(least));
     }
 
-    /** A push of the op's has ended; at the origin: how, and after how long. */
-    public void pushEnded(OpId op, boolean atOrigin, boolean good, long took, long now) {
+    /** A push of the op's has ended: where, how, and after how long. */
+    public void pushEnded(OpId op, NodeId node, Ending ending, long took, long now) {
+        boolean says = ending != Ending.CALLED_OFF && ending != Ending.NEVER_SENT;
+        pushEnded(op, says && nodes.isOrigin(node), ending == Ending.ACKED, took, now);
+    }
+
+    /** As above, where it is known whether the end says anything of the origin. */
+    void pushEnded(OpId op, boolean atOrigin, boolean good, long took, long now) {
         if (phase == Phase.ALL) {
             return;
         }
@@ -320,6 +358,11 @@
 
     // What is told.
 
+    /** The node that is the origin; null while no list names it. */
+    public NodeId origin() {
+        return nodes.origin();
+    }
+
     public Phase phase() {
         return phase;
     }
--- a/src/main/java/cairnbridge/recovery/StateKeeper.java
+++ b/src/main/java/cairnbridge/recovery/StateKeeper.java
@@ -1,6 +1,9 @@
 package cairnbridge.recovery;
 
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Learnt;
 import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.view.View;
 import cairnbridge.store.Entry;
 import cairnbridge.store.FolderDisk;
 import cairnbridge.store.Kept;
@@ -9,7 +12,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -28,7 +33,7 @@
 
     private final RecoverySettings settings;
     private final Store store;
-    private final Optional<Kept> kept;
+    private final Kept kept;
     private final Trusted trusted;
     private final long life;
     private final String boot = boot();
@@ -37,15 +42,15 @@
             throws InterruptedException {
         this.settings = settings;
         this.store = store;
-        kept = store.start(OPEN_MILLIS);
-        trusted = Trust.judge(kept.orElse(Kept.nothing(settings.store().cluster())),
-                settings.store().cluster(),
-                boot, System.currentTimeMillis(), settings.mostAge() / 10);
+        Optional<Kept> opened = store.start(OPEN_MILLIS);
+        kept = opened.orElse(Kept.nothing(settings.store().cluster()));
+        trusted = Trust.judge(kept, settings.store().cluster(), boot, System.currentTimeMillis(),
+                settings.mostAge() / 10);
         trusted.lines().forEach(line -> log.accept("recovery: " + line));
         life = Math.max(firstLife, trusted.life() + 1);
         CompletableFuture<Boolean> written = store.keep(Entry.Kind.LIFE, life);
         try {
-            written.get(kept.isPresent() ? LIFE_MILLIS : 1, TimeUnit.MILLISECONDS);
+            written.get(opened.isPresent() ? LIFE_MILLIS : 1, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             // The store says so; another life of this number is then kept apart by the machine's clock alone.
             store.look();
@@ -82,9 +87,23 @@
         return life;
     }
 
-    /** What was read back, whether or not it is trusted. */
-    public Kept kept() {
-        return kept.orElse(Kept.nothing(settings.store().cluster()));
+    /** What was learnt of the nodes, as far as that is trusted. */
+    public Learnt learnt() {
+        if (!trusted.trust()) {
+            return Learnt.NOTHING;
+        }
+        Map<NodeId, Learnt.Trust> nodes = new HashMap<>();
+        kept.nodes().forEach(each -> nodes.put(new NodeId(each.id()), new Learnt.Trust(each.started(),
+                each.share())));
+        return new Learnt(kept.learntAt(), kept.originSpan(), kept.sendRate(), nodes);
+    }
+
+    /** The members of a view but oneself, as they are kept. */
+    public static List<Kept.Peer> peers(View view) {
+        return view.members().stream().filter(claim -> !claim.id().equals(view.self()))
+                .map(claim -> new Kept.Peer(claim.id().name(), claim.at().toString(),
+                        claim.incarnation().life(),
+                        claim.incarnation().turn(), claim.standing().isLiving())).toList();
     }
 
     public Store store() {
--- a/src/test/java/cairnbridge/config/FleetConfigTest.java
+++ b/src/test/java/cairnbridge/config/FleetConfigTest.java
@@ -69,7 +69,8 @@
         "zones.hold = 3 | fleet.zones.hold: is no key of this table",
         "recovery = 3 | fleet.recovery: is not a table",
         "recovery.most-age-s = 3 | fleet.recovery.folder: is not set",
-        "recovery = {folder = \"s\", most-age-s = 0} | fleet.recovery.most-age-s: is not a number from 1 to 1000000",
+        "recovery = {folder = \"s\", most-age-s = 0} | fleet.recovery.most-age-s: is not a "
+            + "number from 1 to 1000000",
         "recovery = {folder = \"s\", origin = 4} | fleet.recovery.origin: is no key of this table",
         "view = 3 | fleet.view: is not a table",
         "view.probe-every-s = \"1\" | fleet.view.probe-every-s: is not a number from 0.05 to 1000000",
--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -177,7 +177,9 @@
         }
     }
 
-    /** Guards against a hold that the younger of two processes refuses as it starts, and that then nobody has. */
+    /**
+     * Guards against a hold that the younger of two processes refuses as it starts, and that then nobody has.
+     */
     @Test
     void aHoldThatComesBeforeAnyListIsTaken() throws Exception {
         cache = new StandIn(request -> cacheDoes.apply(request));
--- a/src/test/java/cairnbridge/recovery/RecoveryTest.java
+++ b/src/test/java/cairnbridge/recovery/RecoveryTest.java
@@ -6,6 +6,7 @@
 
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.decision.Ids.KeyId;
+import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.OpId;
 import cairnbridge.decision.Settings.Category;
 import cairnbridge.decision.Settings.Effect;
@@ -74,7 +75,7 @@
         Trusted trusted = new Trusted(List.of(), 3, 5, version, version == 0 ? "" : "{}", List.of(), peers,
                 true,
                 List.of());
-        return new Recovery(SETTINGS, trusted, CATEGORIES, 5, true, "p1", "a",
+        return new Recovery(SETTINGS, trusted, CATEGORIES, 5, new MachineKind(1), true, "p1", "a",
                 RandomGeneratorFactory.of("L64X128MixRandom").create(1), now, host);
     }
 
