--- a/src/main/java/cairnbridge/cli/SimulateCommand.java
+++ b/src/main/java/cairnbridge/cli/SimulateCommand.java
@@ -23,6 +23,11 @@
     private double hours;
     @Option(names = "--freezes", defaultValue = "0", description = "Freezes of 3 s an hour, with --hours.")
     private int freezes;
+    @Option(names = "--killed", defaultValue = "0",
+            description = "Kills this part of the members in one instant instead, from 0 to 1.")
+    private double killed;
+    @Option(names = "--seeds", defaultValue = "20", description = "Courses, with --killed: ${DEFAULT-VALUE}.")
+    private int seeds;
     @Option(names = "--loss", defaultValue = "0", description = "Part of datagrams lost, from 0 to 1.")
     private double loss;
     @Option(names = "--seed", defaultValue = "1", description = "Of all chance.")
@@ -30,14 +35,21 @@
 
     @Override
     public Integer call() {
-        if (members < 4 || !(loss >= 0 && loss <= 1) || changes < 1) {
-            throw new ConfigFault(members < 4 ? "--members" : changes < 1 ? "--changes"
-                    : "--loss",
-                    "is out of range");
-        }
-        spec.commandLine().getOut().println(hours > 0 ? ViewRuns.falseDeaths(members, loss, freezes, hours,
-                seed)
+        check(members >= 4, "--members");
+        check(changes >= 1, "--changes");
+        check(loss >= 0 && loss <= 1, "--loss");
+        check(killed >= 0 && killed < 1, "--killed");
+        check(seeds >= 1, "--seeds");
+        spec.commandLine().getOut().println(hours > 0
+                ? ViewRuns.falseDeaths(members, loss, freezes, hours, seed)
+                : killed > 0 ? ViewRuns.killedAtOnce(members, killed, loss, seeds, seed)
                 : ViewRuns.spread(members, changes, loss, seed));
         return 0;
     }
+
+    private static void check(boolean holds, String key) {
+        if (!holds) {
+            throw new ConfigFault(key, "is out of range");
+        }
+    }
 }
--- a/src/main/java/cairnbridge/drill/simulated/SimulatedNet.java
+++ b/src/main/java/cairnbridge/drill/simulated/SimulatedNet.java
@@ -313,7 +313,10 @@
         return nodes.stream().filter(node -> node.running && !node.frozen).toList();
     }
 
-    /** Empty where all that run hold exactly those that run as alive; else what is wrong, in one line. */
+    /**
+     * Empty where all that run hold those that run as alive and all others as gone, not merely as suspect;
+     * else what is wrong, in one line.
+     */
     public String disagreement() {
         List<Node> running = running();
         Set<MemberId> there = new HashSet<>();
@@ -321,8 +324,9 @@
         for (Node node : running) {
             for (Node other : nodes) {
                 Claim claim = node.machine.of(other.id);
-                boolean held = claim != null && claim.standing() == Standing.ALIVE;
-                if (held != there.contains(other.id)) {
+                boolean alive = claim != null && claim.standing() == Standing.ALIVE;
+                boolean gone = claim == null || !claim.standing().isLiving();
+                if (!(there.contains(other.id) ? alive : gone)) {
                     return node.id + " holds " + other.id + " "
                             + (claim == null ? "unknown" : claim.standing())
                             + (there.contains(other.id) ? ", it runs" : ", it does not run");
--- a/src/main/java/cairnbridge/drill/simulated/ViewRuns.java
+++ b/src/main/java/cairnbridge/drill/simulated/ViewRuns.java
@@ -135,6 +135,43 @@
         return net.nodes().stream().mapToLong(node -> node.bytes).sum();
     }
 
+    /**
+     * How long a part of the fleet that dies in one instant stays in the view of anybody.
+     *
+     * @param part of the members that die, from 0 to 1
+     * @param seeds how many courses, each from a seed of its own, from seed on
+     */
+    public static String killedAtOnce(int members, double part, double loss, int seeds, long seed) {
+        long[] took = new long[seeds];
+        int falsely = 0;
+        for (int i = 0; i < seeds; i++) {
+            SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed + i);
+            Node first = net.add("m0");
+            for (int m = 1; m < members; m++) {
+                net.add("m" + m, first);
+            }
+            net.pass(20 * SECOND);
+            net.loss = loss;
+            int[] wrong = new int[1];
+            int killed = (int) Math.max(1, Math.round(members * part));
+            net.nodes().subList(1, 1 + killed).forEach(net::crash);
+            Map<MemberId, Node> byName = new HashMap<>();
+            net.nodes().forEach(node -> byName.put(node.id, node));
+            net.watcher = (holder, was, is, why) ->
+                    wrong[0] += is != null && is.standing() == Standing.DEAD && byName.get(is.id()).running
+                            ? 1 : 0;
+            long agreed = net.untilAgreed(MOST_WAIT, SECOND / 10);
+            took[i] = agreed < 0 ? Long.MAX_VALUE : agreed;
+            falsely += wrong[0];
+        }
+        Arrays.sort(took);
+        return String.format(Locale.ROOT, "%d members, %.0f%% killed in one instant, loss %.0f%%, %d seeds: "
+                + "known to all after %s s (median), %s s (the longest), %d never; "
+                + "%d times one that lives was held dead in a view", members, 100 * part, 100 * loss, seeds,
+                seconds(took[seeds / 2]), seconds(took[seeds - 1]),
+                Arrays.stream(took).filter(span -> span == Long.MAX_VALUE).count(), falsely);
+    }
+
     /**
      * How often one that lives is held dead, by anybody; freezes: how many members an hour stand still for 3
      * s.
--- a/src/main/java/cairnbridge/fleet/view/FleetSettings.java
+++ b/src/main/java/cairnbridge/fleet/view/FleetSettings.java
@@ -28,6 +28,6 @@
 
     /** For fleets of up to some thousand members on one another's networks. */
     public static final FleetSettings USUAL = new FleetSettings(SECOND / 2, SECOND / 5, 3, SECOND / 5, 3, 4,
-            3, 2,
+            2, 3,
             10 * SECOND, SECOND, 3600 * SECOND, 600 * SECOND, SECOND, 16_384, 1_200);
 }
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -33,6 +33,11 @@
     /** How many of a fleet's members may tell new figures in a second, all together. */
     private static final double FIGURES_A_SECOND = 20;
     private static final int MOST_CLASHES = 5;
+    /** So many of those who hear of a suspicion probe the suspect at once, on average. */
+    private static final int SECOND_OPINIONS = 5;
+    /** While somebody fell suspect so lately, pings go so many times as often, for so long at most. */
+    private static final long LATELY_SUSPECTED = 2 * FleetSettings.SECOND, QUICK = 3,
+            QUICK_FOR = 5 * FleetSettings.SECOND;
 
     final FleetSettings settings;
     final FleetHost host;
@@ -46,7 +51,7 @@
     private Claim self;
     /** Told by the owner, not yet by the member. */
     private Told wanted;
-    private long toldAt, changedAt, turnedAt;
+    private long toldAt, changedAt, turnedAt, suspectedAt = Long.MIN_VALUE / 2, troubledSince;
     private boolean tellDue, started;
     private long suspicions, refutations, deaths, cameBack, joins, leaves, challenges, strayed, stoodStill;
     private int clashes;
@@ -409,6 +414,16 @@
         return now - changedAt < span;
     }
 
+    /**
+     * Guards against a third of a fleet, dead in one instant, of whom the last is pinged seconds after the
+     * first: who falls suspect is seldom alone. Not for longer than a while, as where much is lost somebody
+     * in a large fleet is suspect at all times.
+     */
+    long probeEvery() {
+        boolean lately = now - suspectedAt < LATELY_SUSPECTED && now - troubledSince < QUICK_FOR;
+        return lately ? settings.probeEvery() / QUICK : settings.probeEvery();
+    }
+
     private long startedAt() {
         return syncs.startedAt();
     }
@@ -477,6 +492,11 @@
         watch(member, member.suspicion);
         Suspicion suspicion = member.suspicion;
         timers.at(now + least / 2, () -> askSuspect(member, suspicion));
+        troubledSince = now - suspectedAt < LATELY_SUSPECTED ? troubledSince : now;
+        suspectedAt = now;
+        if (!by.equals(me()) && chance.nextDouble() * livingWithMe() < SECOND_OPINIONS) {
+            probes.challenge(member, fresh.bare());
+        }
     }
 
     /**
--- a/src/main/java/cairnbridge/fleet/view/Probes.java
+++ b/src/main/java/cairnbridge/fleet/view/Probes.java
@@ -72,7 +72,7 @@
     }
 
     private void next() {
-        fleet.timers.at(fleet.now + fleet.settings.probeEvery() * fleet.doubt.factor(), this::next);
+        fleet.timers.at(fleet.now + fleet.probeEvery() * fleet.doubt.factor(), this::next);
         if (fleet.self().standing() == Standing.LEFT) {
             return;
         }
--- a/src/main/java/cairnbridge/zones/Zones.java
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -4,6 +4,7 @@
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
+import cairnbridge.store.FolderDisk;
 import cairnbridge.zones.agree.Attempt;
 import cairnbridge.zones.agree.Ballot;
 import cairnbridge.zones.agree.Register;
@@ -19,6 +20,7 @@
 import cairnbridge.zones.plan.ZoneInput;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,13 +67,18 @@
         this.host = host;
         this.chance = chance;
         health = new ZoneHealth(rates);
-        file = config.agreed() && config.voters().contains(me) ? Optional.of(new RegisterFile(config.state()))
+        file = config.agreed() && config.voters().contains(me) ? Optional.of(register(config.state()))
                 : Optional.empty();
         if (file.isPresent()) {
             register = file.get().read();
         }
     }
 
+    private static RegisterFile register(Path state) {
+        Path file = state.toAbsolutePath();
+        return new RegisterFile(new FolderDisk(file.getParent()), file.getFileName().toString());
+    }
+
     Plan plan() {
         return plan;
     }
--- a/src/main/java/cairnbridge/zones/agree/RegisterFile.java
+++ b/src/main/java/cairnbridge/zones/agree/RegisterFile.java
@@ -1,34 +1,33 @@
 package cairnbridge.zones.agree;
 
+import cairnbridge.store.Disk;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.zip.CRC32C;
 
 /**
- * Keeps a voter's register over its process's end: a checksum and the register, written beside the old one,
- * forced to the disk and put in its place whole. Guards against a voter that forgets, after a restart, what
- * it has promised.
+ * Keeps a voter's register over its process's end and over a loss of power: a checksum and the register,
+ * written beside the old one, forced, put in its place whole, and the folder's names forced as well. Guards
+ * against a voter that forgets what it has promised.
  */
 public final class RegisterFile {
-    private final Path file;
+    private final Disk disk;
+    private final String name;
 
-    public RegisterFile(Path file) {
-        this.file = file;
+    /** A file of that name on a disk. Calls wait as long as the disk does. */
+    public RegisterFile(Disk disk, String name) {
+        this.disk = disk;
+        this.name = name;
     }
 
     /** Empty where there is no file yet; an IOException where there is one that cannot be believed. */
     public Register read() throws IOException {
-        if (!Files.exists(file)) {
+        if (!disk.names().contains(name)) {
             return Register.EMPTY;
         }
-        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
+        ByteBuffer bytes = ByteBuffer.wrap(disk.read(name));
         if (bytes.remaining() < Long.BYTES) {
-            throw new IOException("is cut short: " + file);
+            throw new IOException("is cut short: " + name);
         }
         long sum = bytes.getLong();
         byte[] rest = new byte[bytes.remaining()];
@@ -38,24 +37,20 @@
                 return VoteCodec.readRegister(rest);
             }
         } catch (IllegalArgumentException e) {
-            throw new IOException("is no register: " + file, e);
+            throw new IOException("is no register: " + name, e);
         }
-        throw new IOException("has another checksum: " + file);
+        throw new IOException("has another checksum: " + name);
     }
 
+    /** Once it returns, a loss of power does not bring the old one back; on an IOException it may. */
     public void write(Register register) throws IOException {
         byte[] bytes = VoteCodec.write(register);
-        Path fresh = file.resolveSibling(file.getFileName() + ".new");
-        try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer all = ByteBuffer.allocate(Long.BYTES + bytes.length).putLong(sum(bytes)).put(bytes)
-                    .flip();
-            while (all.hasRemaining()) {
-                out.write(all);
-            }
-            out.force(true);
-        }
-        Files.move(fresh, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        String fresh = name + ".new";
+        disk.write(fresh, ByteBuffer.allocate(Long.BYTES + bytes.length).putLong(sum(bytes)).put(bytes)
+                .array());
+        disk.sync(fresh);
+        disk.rename(fresh, name);
+        disk.syncNames();
     }
 
     private static long sum(byte[] bytes) {
--- a/src/test/java/cairnbridge/zones/agree/AgreementTest.java
+++ b/src/test/java/cairnbridge/zones/agree/AgreementTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
+import cairnbridge.drill.simulated.SimulatedDisk;
+import cairnbridge.store.FolderDisk;
 import cairnbridge.zones.plan.Plan;
 import cairnbridge.zones.plan.Row;
 import cairnbridge.zones.plan.Why;
@@ -222,10 +224,38 @@
         return after;
     }
 
+    /**
+     * Guards against a voter that takes part again with an older register than one it has answered by: the
+     * bytes were forced, their name in the folder was not.
+     */
+    @Test
+    void aLossOfPowerNeverBringsBackARegisterThatWasAnsweredBy() throws IOException {
+        for (int seed = 0; seed < 500; seed++) {
+            RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+            SimulatedDisk disk = new SimulatedDisk(chance);
+            RegisterFile file = new RegisterFile(disk, "register");
+            int answered = 0;
+            for (int round = 1; round <= 20; round++) {
+                disk.fails(chance.nextInt(4) == 0 ? 0.2 : 0);
+                try {
+                    file.write(new Register(new Ballot(round, "p1"), Ballot.NONE, Plan.FIRST));
+                    answered = round;
+                } catch (IOException e) {
+                    assertTrue(e.getMessage().contains("No space"), e.toString());
+                }
+                if (chance.nextInt(3) == 0) {
+                    disk.losePower();
+                    long read = file.read().promised().round();
+                    assertTrue(read >= answered, "seed " + seed + ": " + read + " after " + answered);
+                }
+            }
+        }
+    }
+
     @Test
     void aRegisterIsReadAsItWasWrittenAndASpoiltOneIsRefused(@TempDir Path folder) throws IOException {
         Path path = folder.resolve("register");
-        RegisterFile file = new RegisterFile(path);
+        RegisterFile file = new RegisterFile(new FolderDisk(folder), "register");
         assertEquals(Register.EMPTY, file.read());
         Plan plan = new Plan(7, Map.of(new Zone("a"), new Row(Map.of(new Zone("b"), 400), 600, Why.GONE)),
                 Map.of(new Zone("c"), 5L), "p1");
