--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -30,20 +30,22 @@
     /**
      * load and limit in ops in flight, rate in ops taken a second; zones are triples of a zone's hash, pushes
      * that ended there lately and those of them late or failed; unreachable are node ids; roster is the
-     * version of the list of nodes, and listing says whether that list comes in right now.
+     * version of the list of nodes, and listing says whether that list comes in right now; out are hashes of
+     * zones where nothing was reached lately.
      */
     public record Figures(long load, long limit, long rate, long roster, boolean listing,
             List<Long> unreachable,
-                          List<Long> zones) {
+                          List<Long> zones, List<Long> out) {
         public static final Figures NONE = new Figures(0, 0, 0, false, List.of());
 
         public Figures {
             unreachable = List.copyOf(unreachable);
             zones = List.copyOf(zones);
+            out = List.copyOf(out);
         }
 
         public Figures(long load, long limit, long roster, boolean listing, List<Long> unreachable) {
-            this(load, limit, 0, roster, listing, unreachable, List.of());
+            this(load, limit, 0, roster, listing, unreachable, List.of(), List.of());
         }
     }
 
@@ -93,6 +95,9 @@
             cbor.writeBooleanField("listing", figures.listing());
             numbers(cbor, "unreachable", figures.unreachable(), MOST_UNREACHABLE);
             numbers(cbor, "zones", figures.zones(), 3 * MOST_ZONES);
+            if (!figures.out().isEmpty()) {
+                numbers(cbor, "out", figures.out(), MOST_ZONES);
+            }
             cbor.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e); // There is no I/O in it.
@@ -211,7 +216,7 @@
                     number(fields, "rate", 0), number(fields, "roster", 0),
                     Boolean.TRUE.equals(fields.get("listing")),
                             numbers(fields, "unreachable", MOST_UNREACHABLE),
-                    numbers(fields, "zones", 3 * MOST_ZONES)));
+                    numbers(fields, "zones", 3 * MOST_ZONES), numbers(fields, "out", MOST_ZONES)));
         }
     }
 
--- a/src/main/java/cairnbridge/fleet/use/FleetTally.java
+++ b/src/main/java/cairnbridge/fleet/use/FleetTally.java
@@ -8,8 +8,10 @@
 import cairnbridge.decision.Settings;
 import cairnbridge.zones.use.ZoneTally;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
@@ -20,7 +22,12 @@
     /** A push called off with less than this left of its op's time had met silence. */
     private static final long SILENT = 200;
     private static final double SECOND = 10_000, LEAST_SECONDS = 0.5, SMOOTH_SECONDS = 2;
-    private final ReachReport reach = new ReachReport();
+    private static final long PROBE_EVERY = 10_000;
+    private static final int NODE_ENOUGH = 2, ZONE_ENOUGH = 4, PROBES = 4;
+    private final ReachReport reach = new ReachReport(NODE_ENOUGH);
+    /** By the hash of a zone's name: where it has many nodes, each is met too seldom to be found out. */
+    private final ReachReport zoneReach = new ReachReport(ZONE_ENOUGH);
+    private final Set<Long> known = new HashSet<>();
     private final ZoneTally zones = new ZoneTally();
     /** Hashes of the zones' names, by cache. */
     private final Map<NodeId, Long> zoneOf = new HashMap<>();
@@ -28,7 +35,8 @@
     private final MachineKind originKind;
     private final long[] targets;
     private final AtomicLongArray taken;
-    private volatile List<Long> unreachable = List.of(), triples = List.of();
+    private volatile List<Long> unreachable = List.of(), triples = List.of(), out = List.of();
+    private long probedAt;
     /** Ops taken a second by category, smoothed, and what that was reckoned from. */
     private final double[] lately;
     private final long[] counted;
@@ -50,16 +58,27 @@
     }
 
     public void listed(Event.Roster roster) {
+        if (roster.scope() != Event.Scope.CHANGES && !roster.entries().isEmpty()) {
+            known.clear();
+            zoneOf.clear();
+        }
         for (Event.Entry entry : roster.entries()) {
             int zone = entry.zone().value();
             // Guards against a zone that looks well to all because the origin stands in it.
             boolean origin = entry.kind().equals(originKind);
+            if (entry.state() == Event.State.GONE) {
+                known.remove(entry.node().value());
+            } else {
+                known.add(entry.node().value());
+            }
             if (entry.state() == Event.State.GONE || zone >= zoneNames.size() || origin) {
                 zoneOf.remove(entry.node());
             } else {
                 zoneOf.put(entry.node(), Names.hash(zoneNames.get(zone)));
             }
         }
+        reach.retain(known);
+        zoneReach.retain(zoneOf.values());
     }
 
     public void probed(NodeId node, Ending ending, long now) {
@@ -81,6 +100,10 @@
             boolean none = ending == Ending.TIMED_OUT || ending == Ending.CALLED_OFF
                     || ending == Ending.NO_CONNECTION || ending == Ending.BROKEN;
             reach.ended(node.value(), !none, now);
+            Long zone = zoneOf.get(node);
+            if (zone != null) {
+                zoneReach.ended(zone, !none, now);
+            }
         }
     }
 
@@ -93,12 +116,33 @@
     public void publish(long now) {
         unreachable = reach.unreachable(now);
         triples = zones.triples(now);
+        out = zoneReach.unreachable(now);
     }
 
     public List<Long> unreachable() {
         return unreachable;
     }
 
+    /** Hashes of the names of zones where nothing was reached lately. */
+    public List<Long> out() {
+        return out;
+    }
+
+    /**
+     * Nodes to be probed now, those first of whom it is longest that anything was found; once a second some.
+     * Guards against a zone that is given its traffic back because nobody has tried it for a while. One
+     * thread's.
+     */
+    public List<NodeId> doubtful(long now) {
+        if (now - probedAt < PROBE_EVERY) {
+            return List.of();
+        }
+        probedAt = now;
+        List<Long> nodes = unreachable;
+        return nodes.subList(Math.max(0, nodes.size() - PROBES), nodes.size()).stream().map(NodeId::new)
+                .toList();
+    }
+
     /** How pushes went lately, by zone, as members tell it. */
     public List<Long> zones() {
         return triples;
--- a/src/main/java/cairnbridge/fleet/use/ReachReport.java
+++ b/src/main/java/cairnbridge/fleet/use/ReachReport.java
@@ -1,17 +1,19 @@
 package cairnbridge.fleet.use;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Which nodes this proxy cannot reach, by how its own pushes and probes ended: twice in a row no connection
- * or no word, and nothing good since. What is old says nothing. Times are tenths of a millisecond.
+ * Which nodes, or zones, this proxy cannot reach, by how its own pushes and probes ended: some times in a row
+ * no connection or no word, and nothing good since. What is old says nothing. Times are tenths of a
+ * millisecond.
  */
 public final class ReachReport {
     private static final long SECOND = 10_000, OLD = 10 * SECOND;
-    private static final int ENOUGH = 2;
+    private final int enough;
 
     private static final class Reach {
         int failed;
@@ -20,6 +22,16 @@
 
     private final Map<Long, Reach> nodes = new HashMap<>();
 
+    /** enough: so many times in a row. */
+    public ReachReport(int enough) {
+        this.enough = enough;
+    }
+
+    /** Only these are there any more. */
+    public void retain(Collection<Long> known) {
+        nodes.keySet().retainAll(known);
+    }
+
     /** reached: the node said anything at all, be it an error. */
     public void ended(long node, boolean reached, long now) {
         if (reached) {
@@ -35,7 +47,7 @@
     public List<Long> unreachable(long now) {
         nodes.values().removeIf(reach -> now - reach.at > OLD);
         List<Long> out = new ArrayList<>();
-        nodes.entrySet().stream().filter(each -> each.getValue().failed >= ENOUGH)
+        nodes.entrySet().stream().filter(each -> each.getValue().failed >= enough)
                 .sorted((a, b) -> Long.compare(b.getValue().at, a.getValue().at))
                 .forEach(each -> out.add(each.getKey()));
         return out;
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -33,6 +33,8 @@
     /** How many of a fleet's members may tell new figures in a second, all together. */
     private static final double FIGURES_A_SECOND = 20;
     private static final int MOST_CLASHES = 5;
+    /** So many members, on average, tell out of turn that a zone is lost. */
+    private static final int URGENT = 120;
     /** So many of those who hear of a suspicion probe the suspect at once, on average. */
     private static final int SECOND_OPINIONS = 5;
     /** While somebody fell suspect so lately, pings go so many times as often, for so long at most. */
@@ -52,7 +54,9 @@
     /** Told by the owner, not yet by the member. */
     private Told wanted;
     private long toldAt, changedAt, turnedAt, suspectedAt = Long.MIN_VALUE / 2, troubledSince;
-    private boolean tellDue, started;
+    private long tellAt = Long.MAX_VALUE;
+    private List<Long> drawnFor = List.of();
+    private boolean urgent, started;
     private long suspicions, refutations, deaths, cameBack, joins, leaves, challenges, strayed, stoodStill;
     private int clashes;
     long now;
@@ -164,7 +168,7 @@
             return;
         }
         boolean figures = self.told() != null && sameButFigures(wanted, self.told());
-        long due = figures ? toldAt + figuresEvery() : now;
+        long due = figures ? toldAt + (isUrgent() ? settings.figuresEvery() : figuresEvery()) : now;
         if (due <= now) {
             toldAt = now;
             self = self.tells(self.counter() + 1, wanted);
@@ -173,15 +177,31 @@
             } else {
                 rumours.standing(self);
             }
-        } else if (!tellDue) {
-            tellDue = true;
+        } else if (due < tellAt) {
+            tellAt = due;
             timers.at(due, () -> {
-                tellDue = false;
+                tellAt = tellAt == due ? Long.MAX_VALUE : tellAt;
                 tell();
             });
         }
     }
 
+    /**
+     * A zone lost is told out of turn, in a large fleet by some: enough of them to outweigh what others have
+     * said of it a moment ago.
+     */
+    private boolean isUrgent() {
+        List<Long> out = wanted.figures().out();
+        if (out.equals(self.told().figures().out())) {
+            return false;
+        }
+        if (!out.equals(drawnFor)) {
+            drawnFor = out;
+            urgent = chance.nextDouble() * livingWithMe() < URGENT;
+        }
+        return urgent;
+    }
+
     private static boolean sameButFigures(Told one, Told other) {
         return one.state() == other.state() && one.zone().equals(other.zone())
                 && one.region().equals(other.region())
--- a/src/main/java/cairnbridge/lab/model/ProxyModel.java
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -361,8 +361,13 @@
         boolean good = there != null
                 && (nodes.origin(node) != null || cache != null && cache.answersProbes());
         long span = there == null ? net.span(zone, zone) : net.span(zone, there) + net.span(there, zone);
-        agenda.in(span, () -> tell(new Event.ProbeEnded(node, good ? Ending.ACKED : Ending.NO_CONNECTION,
-                agenda.now() - sent, null)));
+        Ending ending = good ? Ending.ACKED : Ending.NO_CONNECTION;
+        agenda.in(span, () -> {
+            if (zones != null) {
+                zones.tally().probed(node, ending, agenda.now());
+            }
+            tell(new Event.ProbeEnded(node, ending, agenda.now() - sent, null));
+        });
     }
 
     @Override
--- a/src/main/java/cairnbridge/lab/model/ZonesModel.java
+++ b/src/main/java/cairnbridge/lab/model/ZonesModel.java
@@ -119,8 +119,8 @@
         placedAt = agenda.now();
         Zone home = new Zone(proxy.zone());
         proxy.tell(new Event.Placed(ZonePlacement.of(home, zones.plan().row(home),
-                ZonePlacement.outOfReach(servers(), tally.unreachable()), config.alonePart(), zoneNames,
-                settings.categories(), tally.mix(), counts)));
+                ZonePlacement.outOfReach(servers(), tally.unreachable(), tally.out()), config.alonePart(),
+                zoneNames, settings.categories(), tally.mix(), counts)));
     }
 
     @Override
--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -300,6 +300,7 @@
                     plans == null ? 0 : plans.plan().epoch(), told, figures(plans, back))));
             if (plans != null) {
                 plans.viewed(member.machine.view());
+                plans.tally().doubtful(agenda.now()).forEach(proxy::probe);
             }
             if (returns) {
                 back.seen(Sight.of(member.machine.view()));
@@ -318,6 +319,6 @@
         long version = back == null ? 0 : back.version();
         return plans == null ? new Told.Figures(0, 0, version, true, List.of())
                 : new Told.Figures(0, 0, plans.tally().rate(agenda.now()), version, true,
-                        plans.tally().unreachable(), plans.tally().zones());
+                        plans.tally().unreachable(), plans.tally().zones(), plans.tally().out());
     }
 }
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -33,6 +33,8 @@
     /** Null where nothing is kept over a loss of power. */
     private final RecoveryLink recovery;
     private volatile Fleet fleet;
+    /** Whether plans over zones are on. */
+    private volatile boolean zoned;
 
     FleetLink(ProxyConfig config, Clock clock, Listen listen, Decide decide, FleetTally tally,
             RosterWatch watch, Inbox inbox, RecoveryLink recovery) {
@@ -60,7 +62,7 @@
     public Told.Figures figures() {
         return new Told.Figures(decide.live(), config.sockets() / CLIENTS_PART, tally.rate(clock.now()),
                 watch.version(),
-                watch.isListing(), tally.unreachable(), tally.zones());
+                watch.isListing(), tally.unreachable(), tally.zones(), tally.out());
     }
 
     @Override
@@ -80,6 +82,7 @@
 
     @Override
     public void placed(Zone home, Row row, Set<Zone> out, double alonePart) {
+        zoned = true;
         inbox.first(new Notice.Hint(new Event.Placed(ZonePlacement.of(home, row, out, alonePart,
                 config.zones(), config.settings().categories(), tally.mix(), placed))));
     }
@@ -97,6 +100,9 @@
 
     @Override
     public void seen(View view) {
+        if (zoned) {
+            tally.doubtful(clock.now()).forEach(node -> probe(node.value()));
+        }
         if (recovery != null) {
             recovery.seen(view);
         }
--- a/src/main/java/cairnbridge/zones/ZoneMember.java
+++ b/src/main/java/cairnbridge/zones/ZoneMember.java
@@ -4,6 +4,7 @@
 import cairnbridge.fleet.carrier.Carrier;
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
 import cairnbridge.store.FolderDisk;
 import cairnbridge.zones.agree.Register;
@@ -155,7 +156,8 @@
     }
 
     private void place(Plan plan) {
-        Set<Zone> out = ZonePlacement.outOfReach(proxy.servers(), proxy.figures().unreachable());
+        Told.Figures figures = proxy.figures();
+        Set<Zone> out = ZonePlacement.outOfReach(proxy.servers(), figures.unreachable(), figures.out());
         proxy.placed(home, plan.row(home), out, config.alonePart());
     }
 
--- a/src/main/java/cairnbridge/zones/plan/Planner.java
+++ b/src/main/java/cairnbridge/zones/plan/Planner.java
@@ -184,14 +184,18 @@
 
     private Map<Zone, Parts> aims(Map<Zone, Parts> from, Map<Zone, ZoneInput> zones, Map<Zone,
             Long> drained) {
+        // What has a place stays up to the whole room, what is new there comes up to a part of it: guards
+        // against parts that follow every breath of the demand while a zone is full.
         Map<Zone, Double> free = new HashMap<>();
+        Map<Zone, Double> whole = new HashMap<>();
         Map<Zone, Parts> aims = new TreeMap<>();
         for (ZoneInput zone : zones.values()) {
             Parts aim = atHome(from.get(zone.zone()), zone, drained);
             aims.put(zone.zone(), aim);
             if (bears(zone, drained)) {
-                free.put(zone.zone(), Math.max(0,
-                        settings.fill() * zone.room() - aim.to(zone.zone()) * zone.demand()));
+                double own = aim.to(zone.zone()) * zone.demand();
+                free.put(zone.zone(), Math.max(0, settings.fill() * zone.room() - own));
+                whole.put(zone.zone(), Math.max(0, zone.room() - own));
             }
         }
         // Guards against parts that change places as the rooms breathe: what has a place keeps it first.
@@ -199,7 +203,8 @@
         zones.values().forEach(zone -> regions.computeIfAbsent(zone.region(), r -> new ArrayList<>())
                 .add(zone));
         for (ZoneInput zone : zones.values()) {
-            keep(zone, from.get(zone.zone()), aims.get(zone.zone()), zones, regions.get(zone.region()), free);
+            keep(zone, from.get(zone.zone()), aims.get(zone.zone()), zones, regions.get(zone.region()), free,
+                    whole);
         }
         for (ZoneInput zone : zones.values()) {
             Parts aim = aims.get(zone.zone());
@@ -245,8 +250,7 @@
     }
 
     private void keep(ZoneInput zone, Parts held, Parts aim, Map<Zone, ZoneInput> zones,
-            List<ZoneInput> region,
-            Map<Zone, Double> free) {
+            List<ZoneInput> region, Map<Zone, Double> free, Map<Zone, Double> whole) {
         if (held.to.keySet().stream().allMatch(zone.zone()::equals)) {
             return;
         }
@@ -261,10 +265,11 @@
             if (far && near > each.getValue() * zone.demand()) {
                 continue; // There is room nearer by, and some to spare.
             }
-            double bears = zone.demand() <= 0 ? 1 : free.get(each.getKey()) / zone.demand();
+            double bears = zone.demand() <= 0 ? 1 : Math.max(0, whole.get(each.getKey()) / zone.demand());
             double kept = Math.min(Math.min(each.getValue(), bears), left(aim));
             aim.add(each.getKey(), kept);
             free.merge(each.getKey(), -kept * zone.demand(), Double::sum);
+            whole.merge(each.getKey(), -kept * zone.demand(), Double::sum);
         }
     }
 
--- a/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -2,6 +2,8 @@
 
 import cairnbridge.config.Names;
 import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.Incarnation;
+import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Told;
 import cairnbridge.zones.plan.ZoneInput.Condition;
 import java.util.ArrayList;
@@ -21,6 +23,9 @@
     private static final long SECOND = 10_000, ILL_AFTER = 15_000, WELL_AFTER = 3 * SECOND;
     private static final double ILL_FROM = 0.25, WELL_UNDER = 0.1;
     private static final long LEAST_ENDED = 10;
+    /** What members have told so lately counts, where it is enough of them. */
+    private static final long FRESH = 3 * SECOND;
+    private static final int LEAST_FRESH = 6;
 
     /**
      * @param nodeRate ops a second that a warm node of size one bears, as the operator states it
@@ -34,12 +39,17 @@
         boolean ill;
     }
 
+    /** When a member last told something new. */
+    private record Heard(Incarnation incarnation, long counter, long at) {
+    }
+
     /** What one member tells of one zone. */
     private record Report(long ended, long bad) {
     }
 
     private final Rates rates;
     private final Map<Zone, Found> found = new HashMap<>();
+    private final Map<MemberId, Heard> heard = new HashMap<>();
 
     public ZoneHealth(Rates rates) {
         this.rates = rates;
@@ -58,19 +68,21 @@
                 byZone.computeIfAbsent(zone, each -> new ArrayList<>());
             }
         }
+        List<Claim> fresh = fresh(living, now);
         List<ZoneInput> inputs = new ArrayList<>();
         byZone.forEach((zone, nodes) -> {
             Condition condition = Condition.WELL;
             double room = 0;
-            Set<Long> lost = lost(living, nodes, zone);
+            Set<Long> lost = lost(fresh, nodes, zone);
             for (Server server : nodes) {
                 if (server.ready() && !lost.contains(server.node())) {
                     room += server.size() * rates.nodeRate() * warmth(server, unixMillis);
                 }
             }
-            if (room <= 0) {
+            if (room <= 0 || isOut(zone, fresh)) {
+                room = 0;
                 condition = Condition.GONE;
-            } else if (isIll(zone, living, now)) {
+            } else if (isIll(zone, fresh, now)) {
                 condition = Condition.ILL;
             }
             inputs.add(new ZoneInput(zone, rates.regions().getOrDefault(zone.name(), ""), room,
@@ -79,6 +91,51 @@
         return inputs;
     }
 
+    /**
+     * Those whose last word is new. Guards against a large fleet, in which each tells seldom so that all
+     * together don't talk of nothing else, and most still say how it was: those who told lately are a fair
+     * sample.
+     */
+    private List<Claim> fresh(List<Claim> living, long now) {
+        Set<MemberId> there = new HashSet<>();
+        List<Claim> fresh = new ArrayList<>();
+        for (Claim claim : living) {
+            there.add(claim.id());
+            Heard before = heard.get(claim.id());
+            if (before == null || before.counter != claim.counter()
+                    || before.incarnation.life() != claim.incarnation().life()) {
+                heard.put(claim.id(), new Heard(claim.incarnation(), claim.counter(), now));
+                fresh.add(claim);
+            } else if (now - before.at <= FRESH) {
+                fresh.add(claim);
+            }
+        }
+        heard.keySet().retainAll(there);
+        return fresh.size() < LEAST_FRESH ? living : fresh;
+    }
+
+    /** Most of those who send there, or try it, have reached nothing there lately. */
+    private static boolean isOut(Zone zone, List<Claim> members) {
+        long hash = Names.hash(zone.name());
+        int senders = 0;
+        int finding = 0;
+        for (Claim claim : members) {
+            if (claim.told() != null && claim.told().state() != Told.State.STARTING) {
+                boolean out = claim.told().figures().out().contains(hash);
+                senders += out || report(claim.told().figures(), zone).ended > 0 ? 1 : 0;
+                finding += out ? 1 : 0;
+            }
+        }
+        return 2 * finding > senders && finding >= leastFinding(members, zone, senders);
+    }
+
+    /** One that is alone in its zone, and the only one to send there, is all there is to go by. */
+    private static long leastFinding(List<Claim> members, Zone zone, int senders) {
+        long inZone = members.stream().filter(claim -> claim.told() != null
+                && claim.told().zone().equals(zone.name())).count();
+        return senders == 1 && inZone == 1 ? 1 : 2;
+    }
+
     private double warmth(Server server, long unixMillis) {
         long age = (unixMillis - server.started()) * 10;
         if (server.started() <= 0 || rates.warmUp() <= 0 || age >= rates.warmUp()) {
@@ -108,10 +165,7 @@
             }
         }
         Set<Long> lost = new HashSet<>();
-        // One that is alone in its zone, and the only one to send there, is all there is to go by.
-        long inZone = living.stream().filter(claim -> claim.told() != null
-                && claim.told().zone().equals(zone.name())).count();
-        long least = senders == 1 && inZone == 1 ? 1 : 2;
+        long least = leastFinding(living, zone, senders);
         int all = senders;
         without.forEach((node, count) -> {
             if (2 * count > all && count >= least) {
--- a/src/main/java/cairnbridge/zones/use/ZonePlacement.java
+++ b/src/main/java/cairnbridge/zones/use/ZonePlacement.java
@@ -1,5 +1,6 @@
 package cairnbridge.zones.use;
 
+import cairnbridge.config.Names;
 import cairnbridge.decision.Ids.ZoneId;
 import cairnbridge.decision.Mix;
 import cairnbridge.decision.Placement;
@@ -74,13 +75,15 @@
                 ShedByBenefit.parts(categories, mix, (double) row.shed() / Row.ALL), counts);
     }
 
-    /** Zones none of whose ready caches a proxy reaches; unreachable as it tells its fleet. */
-    public static Set<Zone> outOfReach(List<Server> servers, List<Long> unreachable) {
+    /** Zones none of whose ready caches a proxy reaches, by the figures that it tells its fleet. */
+    public static Set<Zone> outOfReach(List<Server> servers, List<Long> unreachable, List<Long> zonesOut) {
         Set<Zone> out = new HashSet<>();
         Set<Zone> within = new HashSet<>();
         for (Server server : servers) {
             if (server.ready()) {
-                (unreachable.contains(server.node()) ? out : within).add(server.zone());
+                boolean none = unreachable.contains(server.node())
+                        || zonesOut.contains(Names.hash(server.zone().name()));
+                (none ? out : within).add(server.zone());
             }
         }
         out.removeAll(within);
--- a/src/test/java/cairnbridge/fleet/use/UsesTest.java
+++ b/src/test/java/cairnbridge/fleet/use/UsesTest.java
@@ -4,6 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cairnbridge.config.Names;
+import cairnbridge.config.SettingsReader;
+import cairnbridge.config.Tree;
+import cairnbridge.decision.Event;
+import cairnbridge.decision.Ids.CellId;
+import cairnbridge.decision.Ids.MachineKind;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.decision.Settings;
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.member.Incarnation;
@@ -98,7 +107,7 @@
 
     @Test
     void whatCannotBeReachedIsToldAfterTwoFailuresUntilItSaysAWordOrThatIsLongAgo() {
-        ReachReport reach = new ReachReport();
+        ReachReport reach = new ReachReport(2);
         reach.ended(1, false, 0);
         reach.ended(2, false, 0);
         reach.ended(2, false, 10);
@@ -117,6 +126,48 @@
         assertEquals(Told.MOST_UNREACHABLE, told.figures().unreachable().size(), "as many as are told");
     }
 
+    /**
+     * Guards against a lost zone of many caches, of which a proxy meets each too seldom to find it out, and
+     * against one that is given its traffic back because nobody has tried it for a while.
+     */
+    @Test
+    void aZoneOfManyCachesIsOutAfterFourFailuresAndStaysSoWhileItsProbesFail() {
+        Settings settings = SettingsReader.read(Tree.parse("{\"domain\":{\"mode\":\"aside\","
+                + "\"origin-kind\":1}}", "settings"));
+        FleetTally tally = new FleetTally(List.of("a", "b"), settings, 0);
+        List<Event.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            entries.add(new Event.Entry(new NodeId(i), Event.State.READY, new MachineKind(0), 1, 0,
+                    new CellId(0), new ZoneId(i < 10 ? 0 : 1)));
+        }
+        tally.listed(new Event.Roster(Event.Scope.FULL, 1, entries));
+        for (int i = 0; i < 8; i++) {
+            tally.ended(new NodeId(i), 0, Event.Ending.NO_CONNECTION, 10, 5_000, SECOND + i);
+            tally.ended(new NodeId(10 + i), 0, i == 3 ? Event.Ending.ACKED : Event.Ending.BROKEN, 10, 5_000,
+                    SECOND + i);
+        }
+        tally.publish(2 * SECOND);
+        assertEquals(List.of(), tally.unreachable(), "each cache was met once");
+        assertEquals(List.of(Names.hash("b"), Names.hash("a")).stream().sorted().toList(),
+                tally.out().stream().sorted().toList());
+        tally.probed(new NodeId(12), Event.Ending.ACKED, 2 * SECOND);
+        for (int i = 0; i < 8; i++) {
+            tally.probed(new NodeId(i), Event.Ending.NO_CONNECTION, 2 * SECOND);
+        }
+        for (long now = 3 * SECOND; now < 60 * SECOND; now += SECOND / 4) {
+            tally.publish(now);
+            for (NodeId node : tally.doubtful(now)) {
+                tally.probed(node, Event.Ending.NO_CONNECTION, now);
+            }
+            assertEquals(List.of(Names.hash("a")), tally.out());
+        }
+        assertEquals(8, tally.unreachable().size());
+        tally.listed(new Event.Roster(Event.Scope.FULL, 2, entries.subList(10, 20)));
+        tally.publish(60 * SECOND);
+        assertEquals(List.of(), tally.unreachable(), "who is gone is not asked for ever");
+        assertEquals(List.of(), tally.out());
+    }
+
     @Test
     void eachDutyHasOneOwnerAndOnlyThoseOfTheDeadMove() {
         View before = members(1, 12, "a").view();
--- a/src/test/java/cairnbridge/lab/LabTest.java
+++ b/src/test/java/cairnbridge/lab/LabTest.java
@@ -112,7 +112,7 @@
 
     /** As on sockets: out of use in 3 s, home again after one reversal, no cold cache felled. */
     @ParameterizedTest
-    @CsvSource({"zone-lost, 1", "zone-lost, 4", "zone-full, 1", "zone-grey, 1", "zone-proposer, 1",
+    @CsvSource({"zone-lost, 1", "zone-lost, 8", "zone-full, 1", "zone-grey, 1", "zone-proposer, 1",
         "zone-drain, 1", "zone-region, 1", "zone-cut, 1", "zone-two, 1", "zone-lists, 1", "zone-behind, 1"})
     void plansOverZonesHoldOnModelsAsTheyDoOnSockets(String name, int size) throws Exception {
         Scenario scenario = ScenarioFile.read(Files.readString(Path.of("drills", name + ".drill")));
@@ -120,6 +120,14 @@
         assertTrue(outcome.held(), outcome.checks().toString());
     }
 
+    /** A zone that stays lost for a minute is not given its traffic back to see whether it is there. */
+    @Test
+    void aZoneThatStaysLostIsNotTriedWithClientsOps() throws Exception {
+        Outcome outcome = run(Files.readString(Path.of("lab", "zone-lost-for-long.drill")),
+                Policy.Kind.ROUTER, 1);
+        assertTrue(outcome.held(), outcome.checks().toString());
+    }
+
     /** What the literature says of each, which a wrong model would not show. */
     @Test
     void theBaselinesDifferAsTheyShould() throws Exception {
--- a/src/test/java/cairnbridge/zones/ZonesTest.java
+++ b/src/test/java/cairnbridge/zones/ZonesTest.java
@@ -144,7 +144,7 @@
                     new Recovering(0, 0, floor),
                             new Told.Figures(0, 0, 100, 1, true,
                                     unreachable.getOrDefault(member.name, List.of()),
-                            List.of(Names.hash(zone), 50L, 0L)));
+                            List.of(Names.hash(zone), 50L, 0L), List.of()));
             claims.add(new Claim(new MemberId(member.name), new Endpoint("10.0.0.1", 1),
                     new Incarnation(1, 0),
                     dead ? Standing.DEAD : Standing.ALIVE, null, 1, told));
