lab report: one page of plots about runs and experiments, with a library's progress bar

Change: cairnbridge.lab.report reads records and results and draws with JFreeChart, as SVG in one HTML page and as PNG files; samples of a run tell zones, members, plans and the return as well, sums the whole span histogram. The same files give the same page (JFreeSVG's prefix is a time unless it is set). A file that is no record is named with its line, status 2. experiment shows progressbar's bar.

--- a/src/main/java/cairnbridge/cli/LabCommand.java
+++ b/src/main/java/cairnbridge/cli/LabCommand.java
@@ -9,6 +9,7 @@
 import cairnbridge.lab.experiment.Results;
 import cairnbridge.lab.hunt.Hunt;
 import cairnbridge.lab.policy.Policy;
+import cairnbridge.lab.report.Report;
 import cairnbridge.lab.run.Emulation;
 import cairnbridge.lab.run.Outcome;
 import cairnbridge.lab.run.RunRecord;
@@ -20,8 +21,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
+import me.tongfei.progressbar.ProgressBar;
+import me.tongfei.progressbar.ProgressBarBuilder;
+import me.tongfei.progressbar.ProgressBarStyle;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -34,7 +39,7 @@
         description = "Plays scenarios on models, in simulated time, with the real decision code.",
         subcommands = {LabCommand.RunCommand.class, LabCommand.ExperimentCommand.class,
             LabCommand.HuntCommand.class,
-            LabCommand.ListCommand.class})
+            LabCommand.ReportCommand.class, LabCommand.ListCommand.class})
 final class LabCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -110,6 +115,7 @@
             description = "Runs what a file names, side by side, and compares.",
             footer = "Example: lab experiment lab/policies.toml --out target/policies.jsonl")
     static final class ExperimentCommand implements Callable<Integer> {
+        private static final int BAR_MILLIS = 500;
         @Spec
         private CommandSpec spec;
         @Parameters(paramLabel = "FILE", description = "An experiment, TOML.")
@@ -126,11 +132,14 @@
         public Integer call() throws IOException, InterruptedException {
             Experiment experiment = ExperimentFile.read(path(file));
             int many = threads > 0 ? threads : Runtime.getRuntime().availableProcessors();
-            List<Results.Line> lines = Results.run(experiment, path(out), commit, many, (done, all) -> {
-                spec.commandLine().getErr().printf("\r%d of %d runs%s", done, all, done.equals(all) ? "\n"
-                        : "");
-                spec.commandLine().getErr().flush();
-            });
+            List<Results.Line> lines;
+            try (ProgressBar bar = new ProgressBarBuilder().setTaskName("runs").setInitialMax(1)
+                    .setStyle(ProgressBarStyle.ASCII).setUpdateIntervalMillis(BAR_MILLIS).build()) {
+                lines = Results.run(experiment, path(out), commit, many, (done, all) -> {
+                    bar.maxHint(all);
+                    bar.stepTo(done);
+                });
+            }
             spec.commandLine().getOut().print(Comparison.table(experiment, lines));
             spec.commandLine().getOut().flush();
             return 0;
@@ -171,6 +180,33 @@
         }
     }
 
+    @Command(name = "report", mixinStandardHelpOptions = true,
+            description = "Makes one page with plots of what runs and experiments wrote.",
+            footer = "Example: lab report target/run.jsonl target/policies.jsonl --out target/report.html")
+    static final class ReportCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(arity = "1..*", paramLabel = "FILE",
+                description = "Records of `lab run --out` and results of `lab experiment --out`.")
+        private List<String> files;
+        @Option(names = "--out", required = true, paramLabel = "FILE",
+                description = "Where the page goes, HTML.")
+        private String out;
+        @Option(names = "--png", paramLabel = "FOLDER", description = "Where each plot goes as a picture.")
+        private String png;
+        @Option(names = "--title", defaultValue = "The laboratory", description = "${DEFAULT-VALUE}.")
+        private String title;
+
+        @Override
+        public Integer call() throws IOException {
+            System.setProperty("java.awt.headless", "true");
+            List<String> plots = Report.write(title, files.stream().map(LabCommand::path).toList(), path(out),
+                    Optional.ofNullable(png).map(LabCommand::path));
+            spec.commandLine().getOut().println(plots.size() + " plots in " + out);
+            return 0;
+        }
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true,
             description = "Says which scenarios of a folder can be played on models, and why others cannot.",
             footer = "Example: lab list drills")
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -674,6 +674,11 @@
                 now - changedAt);
     }
 
+    /** How many are held alive or suspect, oneself counted unless it has taken its leave. */
+    public int living() {
+        return livingWithMe();
+    }
+
     /** How many words on members are still to be passed on. */
     public int rumoursWaiting() {
         return rumours.waiting();
--- a/src/main/java/cairnbridge/lab/model/ClientsModel.java
+++ b/src/main/java/cairnbridge/lab/model/ClientsModel.java
@@ -5,6 +5,8 @@
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.lab.model.ProxyModel.Answer;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
@@ -25,6 +27,12 @@
         public long asked, served, refused, failed, lost, repeats;
         /** Of ops that were served, from the first try on, in tenths of a millisecond. */
         public final Histogram spans = new Histogram(LONGEST, 3);
+        /** By the zone of the proxy: ops asked, and served. */
+        public final Map<String, long[]> zones = new TreeMap<>();
+
+        private long[] zone(String zone) {
+            return zones.computeIfAbsent(zone, name -> new long[2]);
+        }
 
         public long ended() {
             return served + refused + failed + lost;
@@ -71,6 +79,7 @@
             switch (answer.status()) {
                 case Answer.OK -> {
                     counts.served++;
+                    counts.zone(proxy.zone())[1]++;
                     counts.spans.recordValue(Math.max(1, agenda.now() - began));
                 }
                 case Answer.NACKED -> {
@@ -132,6 +141,7 @@
         if (!places.isEmpty()) {
             counts.asked++;
             ProxyModel place = places.get(chance.nextInt(places.size()));
+            counts.zone(place.zone())[0]++;
             boolean write = keys.writes(chance);
             new Asking(write, keys.next(chance)).ask(place);
         }
--- a/src/main/java/cairnbridge/lab/run/Emulation.java
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -27,6 +27,7 @@
 import cairnbridge.zones.plan.Zone;
 import cairnbridge.zones.use.ZonePlacement;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -40,6 +41,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.HdrHistogram.HistogramIterationValue;
 
 /**
  * Plays a drill's scenario on models, with the real decision code at every proxy, in simulated time. Make one
@@ -51,6 +53,7 @@
     static final long STARTS = Agenda.SECOND;
     private static final long SAMPLE = Agenda.SECOND / 2, QUIET = 4 * Agenda.SECOND, EPOCH = 1_700_000_000L
             * Agenda.SECOND;
+    private static final int TICKS_A_HALVING = 4;
     private static final double SAME_ZONE_MS = 0.25, OTHER_ZONE_MS = 0.25, TAIL_MS = 0.1;
 
     private final Scenario scenario;
@@ -154,13 +157,43 @@
                 origin.turnedAway(), origin.twice(), felled,
                 proxies.values().stream().mapToLong(ProxyModel::pushes).sum(), agenda.done(),
                 counts.spans.getValueAtPercentile(50) / 10.0, counts.spans.getValueAtPercentile(99) / 10.0,
+                spans(),
                 List.copyOf(samples), List.copyOf(checks), crashes);
     }
 
+    private Map<String, Outcome.ZoneCount> zoneCounts() {
+        Map<String, Outcome.ZoneCount> zones = new LinkedHashMap<>();
+        counts.zones.forEach((zone, count) -> zones.put(zone, new Outcome.ZoneCount(count[0], count[1])));
+        return zones;
+    }
+
+    private List<Outcome.Span> spans() {
+        List<Outcome.Span> spans = new ArrayList<>();
+        if (counts.spans.getTotalCount() > 0) {
+            for (HistogramIterationValue each : counts.spans.percentiles(TICKS_A_HALVING)) {
+                spans.add(new Outcome.Span(each.getPercentileLevelIteratedTo(),
+                        each.getValueIteratedTo() / 10.0));
+            }
+        }
+        return spans;
+    }
+
+    private Map<String, Integer> homeParts() {
+        Map<String, Integer> parts = new LinkedHashMap<>();
+        planning().stream().max(Comparator.comparingLong(proxy -> proxy.zones().plan().epoch()))
+                .ifPresent(proxy -> scenario.zones().forEach(name -> parts.put(name,
+                        proxy.zones().plan().row(new Zone(name)).to(new Zone(name)))));
+        return parts;
+    }
+
     private void sample() {
         long fetched = origin.fetches() + origin.writes();
         samples.add(new Outcome.Sample((agenda.now() - EPOCH) / Agenda.MILLI, counts.asked, counts.served,
-                counts.refused, counts.failed, counts.lost, counts.repeats, fetched));
+                counts.refused, counts.failed, counts.lost, counts.repeats, fetched, zoneCounts(),
+                (int) proxies.values().stream().filter(ProxyModel::isRunning).count(),
+                (int) taking.values().stream().filter(ProxyModel::isRunning).count(), fleet.leastHeld(),
+                fleet.mostHeld(), (int) proxies.values().stream().filter(proxy -> proxy.isRunning()
+                        && proxy.back() != null && proxy.back().phase() != Phase.ALL).count(), homeParts()));
         if (samples.size() > 2) {
             peak = Math.max(peak, fetched - samples.get(samples.size() - 3).fetches());
         }
--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -234,6 +234,17 @@
         return 4 + ways.nextInt(36);
     }
 
+    /** The fewest members that one that runs holds alive, itself counted; 0 where there are none. */
+    int leastHeld() {
+        return members.values().stream().filter(member -> member.running && !member.frozen)
+                .mapToInt(member -> member.machine.living()).min().orElse(0);
+    }
+
+    int mostHeld() {
+        return members.values().stream().filter(member -> member.running && !member.frozen)
+                .mapToInt(member -> member.machine.living()).max().orElse(0);
+    }
+
     /** Of a zone's home part over all plans so far. */
     int reversals() {
         return homeParts.reversals();
--- a/src/main/java/cairnbridge/lab/run/Outcome.java
+++ b/src/main/java/cairnbridge/lab/run/Outcome.java
@@ -13,11 +13,28 @@
  */
 public record Outcome(boolean held, long simulatedMillis, long asked, long served, long refused, long failed,
                       long lost, long repeats, long fetches, long turnedAway, long twice, long felled,
-                      long pushes, long events, double medianSpan, double span99, List<Sample> samples,
-                      List<Check> checks, Map<String, String> crashes) {
-    /** Counts so far, at a time in milliseconds from the start. */
+                      long pushes, long events, double medianSpan, double span99, List<Span> spans,
+                      List<Sample> samples, List<Check> checks, Map<String, String> crashes) {
+    /** Within so many milliseconds so many per cent of what was served were served. */
+    public record Span(double percent, double millis) {
+    }
+
+    /**
+     * Counts so far, and what is so, at a time in milliseconds from the start.
+     *
+     * @param zones by the zone of the proxy
+     * @param running proxies that run, taking: of those, the ones that take clients
+     * @param leastHeld the fewest members that any member holds alive, itself counted; 0 where all are alone
+     * @param returning proxies that still hold something back after a loss of power
+     * @param home by zone, what part of its traffic the newest plan serves at home, in thousandths
+     */
     public record Sample(long millis, long asked, long served, long refused, long failed, long lost,
-                         long repeats, long fetches) {
+                         long repeats, long fetches, Map<String, ZoneCount> zones, int running, int taking,
+                         int leastHeld, int mostHeld, int returning, Map<String, Integer> home) {
+    }
+
+    /** Ops that clients brought to a zone's proxies, and those served there. */
+    public record ZoneCount(long asked, long served) {
     }
 
     /** One line of the scenario that had to hold, and its figures. */
--- a/src/main/java/cairnbridge/lab/run/RunRecord.java
+++ b/src/main/java/cairnbridge/lab/run/RunRecord.java
@@ -42,12 +42,23 @@
     public static String lines(Outcome outcome) {
         StringBuilder text = new StringBuilder();
         for (Outcome.Sample each : outcome.samples()) {
-            text.append(line(JSON.createObjectNode().put("ms", each.millis()).put("asked", each.asked())
+            ObjectNode sample = JSON.createObjectNode().put("ms", each.millis()).put("asked", each.asked())
                     .put("served", each.served()).put("refused", each.refused()).put("failed", each.failed())
-                    .put("lost", each.lost()).put("repeats", each.repeats()).put("fetches", each.fetches())))
-                    .append('\n');
+                    .put("lost", each.lost()).put("repeats", each.repeats()).put("fetches", each.fetches())
+                    .put("running", each.running()).put("taking", each.taking())
+                    .put("least-held", each.leastHeld()).put("most-held", each.mostHeld())
+                    .put("returning", each.returning());
+            ObjectNode zones = sample.putObject("zones");
+            each.zones().forEach((zone, count) -> zones.putObject(zone).put("asked", count.asked())
+                    .put("served", count.served()));
+            ObjectNode home = sample.putObject("home");
+            each.home().forEach(home::put);
+            text.append(line(sample)).append('\n');
         }
-        return text.append(line(sums(outcome))).append('\n').toString();
+        ObjectNode sums = sums(outcome);
+        ArrayNode spans = sums.putArray("spans");
+        outcome.spans().forEach(each -> spans.addArray().add(each.percent()).add(each.millis()));
+        return text.append(line(sums)).append('\n').toString();
     }
 
     public static String line(ObjectNode node) {
