--- a/src/main/java/cairnbridge/lab/report/ResultPlots.java
+++ b/src/main/java/cairnbridge/lab/report/ResultPlots.java
@@ -139,7 +139,8 @@
                         took.computeIfAbsent(group.policy() + ", line "
                                 + check.path("line").asInt() + " " + check.path("step").asText(),
                                 key -> new TreeMap<>())
-                                .computeIfAbsent(group.size(), key -> new ArrayList<>()).add(Double.parseDouble(span.group(1)) / 1000);
+                                .computeIfAbsent(group.size(), key -> new ArrayList<>())
+                                .add(Double.parseDouble(span.group(1)) / 1000);
                     }
                 }
             }
--- a/src/main/java/cairnbridge/lab/report/RunPlots.java
+++ b/src/main/java/cairnbridge/lab/report/RunPlots.java
@@ -124,8 +124,8 @@
     private Plot plans() {
         Set<String> zones = new TreeSet<>();
         run.samples().forEach(each -> each.path("home").fieldNames().forEachRemaining(zones::add));
-        return plot("plans", "Plans over zones", "The part of each zone's traffic that the newest plan serves "
-                + "at home.", "thousandths", true, zones.stream()
+        return plot("plans", "Plans over zones", "The part of each zone's traffic that the newest plan "
+                + "serves at home.", "thousandths", true, zones.stream()
                 .map(zone -> level("zone " + zone, each -> each.path("home").path(zone).asDouble(MILLIS)))
                 .toArray(XYSeries[]::new));
     }
--- a/src/test/java/cairnbridge/lab/ReportTest.java
+++ b/src/test/java/cairnbridge/lab/ReportTest.java
@@ -69,7 +69,7 @@
         assertTrue(pictures.get(1).contains("zone a served") && pictures.get(1).contains("<path"));
         String text = Files.readString(page);
         assertTrue(text.contains("<h1>a &lt;page&gt;</h1>") && text.contains("zone a is out of use after"));
-        assertTrue(!text.contains("src=\"http") && !text.contains("<script"), "it needs nothing beside itself");
+        assertTrue(!text.contains("src=\"http") && !text.contains("<script"), "it needs nothing else");
         for (String name : names) {
             assertEquals(860, ImageIO.read(folder.resolve("png").resolve(name + ".png").toFile()).getWidth());
         }
@@ -81,7 +81,8 @@
     @Test
     void anExperimentsPageComparesPoliciesAndSizesOverSeedsAndNamesWhatDidNotHold() throws Exception {
         Files.writeString(folder.resolve("small.drill"), "fleet 2\nalone\ncaches 3\nclients 60\n"
-                + "start all\nwait 3s\nserved at-least 99%\ncache-fails c1..c3 yes\nwait 1s\nserved at-least 99%\n");
+                + "start all\nwait 3s\nserved at-least 99%\ncache-fails c1..c3 yes\nwait 1s\n"
+                + "served at-least 99%\n");
         Path file = Files.writeString(folder.resolve("e.toml"), "scenarios = [\"small.drill\"]\n"
                 + "sizes = [1, 2]\npolicies = [\"router\", \"ring\"]\nseeds = 2\n");
         Path results = folder.resolve("e.jsonl");
