--- a/src/main/java/cairnbridge/lab/report/Report.java
+++ b/src/main/java/cairnbridge/lab/report/Report.java
@@ -34,7 +34,7 @@
             throws IOException {
         StringBuilder html = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head>"
                 + "<meta charset=\"utf-8\"><title>").append(text(title)).append("</title><style>")
-                .append(STYLE)                .append("</style></head>\n<body><h1>").append(text(title)).append("</h1>\n");
+                .append(STYLE).append("</style></head>\n<body><h1>").append(text(title)).append("</h1>\n");
         List<String> names = new ArrayList<>();
         for (Path file : files) {
             Lines lines = Lines.read(file);
