What cold nodes may be sent is dealt out by tenths of a second, not by whole spans

On models served ops went 85, 21, 121, 36, 134 by halves of a second: the budget of a cold cache was counted anew each second, by its warmth at that moment, was gone after half of it, and what came then was refused.

Checked: the origin had room (21 to 106 fetches of 800), the return's own phases held nothing back. It is a tenth always now; the budget over a span is the same, and parts under one are still a chance and add up.

--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -1055,7 +1055,7 @@
             }
             if (now >= node.windowEnds) {
                 // Guards against a least of one at hundreds of proxies: part is a chance, and adds up unused.
-                long window = now - begun < fallSpan ? Math.min(BEAT, fallSpan) : fallSpan;
+                long window = Math.min(BEAT, fallSpan);
                 double windows = 1 + (double) (now - node.windowEnds) / window;
                 node.windowEnds = now + window;
                 double budget = coldBudget * warmth * rate() * node.weight * window / fallSpan;
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -417,6 +417,31 @@
         assertTrue(sent[0] < 40 && sent[1] > sent[0] + 10 && sent[1] < 75, sent[0] + " and " + sent[1]);
     }
 
+    /**
+     * Guards against caches that are all cold, whose share of a second is sent in its first half, so that
+     * nothing is served in the other.
+     */
+    @Test
+    void whatColdCachesMayBeSentIsSpreadOverTheSecond() {
+        FakeHost host = new FakeHost(Effect.REDELIVERABLE).followsKnowing(40).listed(5);
+        for (long node = 1; node <= 5; node++) {
+            host.changed(entry(node, State.READY, host.clock));
+        }
+        int[] sent = new int[8];
+        for (long op = 0; op < 400; op++) { // Four seconds of 100 ops, by halves.
+            int before = host.pushes.size();
+            host.op(op, op, SECOND).pass(SECOND / 100);
+            if (host.pushes.size() > before && host.lastNode() <= 5) {
+                sent[(int) (op / 50)]++;
+                host.ends(Ending.ACKED, 0);
+            }
+        }
+        for (int half = 2; half < sent.length; half++) {
+            assertTrue(sent[half] > sent[half - 1] * 0.6, "by halves of a second: "
+                    + java.util.Arrays.toString(sent));
+        }
+    }
+
     /** What is handed on is what was sent a second for a cache of size one. */
     @Test
     void theRateThatAWarmCacheIsSentIsLearnt() {
