Parts of a fleet that start at once meet within two seconds, not after five

At fault: Syncs.join ends with the first answer, also of one that knows nobody, and seeds that are not known are asked after five to ten seconds. They are asked after a half, one, two and four seconds as well. A story of two pairs fails without it.

--- a/src/main/java/cairnbridge/fleet/view/Syncs.java
+++ b/src/main/java/cairnbridge/fleet/view/Syncs.java
@@ -19,7 +19,8 @@
 final class Syncs {
     /** The interval grows with every doubling of the fleet beyond this (as in memberlist's pushPullScale). */
     private static final int FEW = 32;
-    private static final long JOIN_AGAIN = FleetSettings.SECOND, SEEDS_AGAIN = 5 * FleetSettings.SECOND;
+    private static final long JOIN_AGAIN = FleetSettings.SECOND, SEEDS_FIRST = FleetSettings.SECOND / 2,
+            SEEDS_AGAIN = 5 * FleetSettings.SECOND;
     /** Nothing new for so long, and another's view differs: gossip has not done it. */
     private static final long STEADY = 3 * FleetSettings.SECOND, LEAST_GAP = FleetSettings.SECOND / 5;
     private static final int SOON = 3_000;
@@ -49,7 +50,7 @@
         joined = seeds.isEmpty() && remembered.isEmpty();
         join();
         fleet.timers.at(fleet.now + every(), this::atInterval);
-        fleet.timers.at(fleet.now + SEEDS_AGAIN, this::seedsMissed);
+        seedsMissed(SEEDS_FIRST);
         again(1, FIRST_AFTER);
     }
 
@@ -105,10 +106,18 @@
     }
 
     /**
-     * Guards against a fleet whose parts have forgotten one another: seeds that nobody here knows are asked.
+     * Guards against a fleet whose parts have forgotten one another, and against one that starts at once and
+     * falls into parts, as the first seed that answers knew nobody itself: seeds that nobody here knows are
+     * asked, soon at first.
      */
-    private void seedsMissed() {
-        fleet.timers.at(fleet.now + SEEDS_AGAIN + fleet.chance.nextLong(SEEDS_AGAIN), this::seedsMissed);
+    private void seedsMissed(long span) {
+        fleet.timers.at(fleet.now + span + fleet.chance.nextLong(span), () -> {
+            askMissed();
+            seedsMissed(Math.min(2 * span, SEEDS_AGAIN));
+        });
+    }
+
+    private void askMissed() {
         List<Endpoint> missed = seeds.stream().filter(each -> !lives(each)).toList();
         if (!missed.isEmpty() && joined) {
             begin(missed.get(fleet.chance.nextInt(missed.size())));
--- a/src/test/java/cairnbridge/fleet/view/MembershipTest.java
+++ b/src/test/java/cairnbridge/fleet/view/MembershipTest.java
@@ -76,6 +76,26 @@
         assertTrue(agreed(7) > 0);
     }
 
+    /**
+     * Guards against parts of a fleet that starts at once, each joined through one that knew nobody: they
+     * found each other only when the seeds that were missed were asked, after five seconds and more.
+     */
+    @Test
+    void twoPairsThatMetFirstAreOneFleetWithinTwoSeconds() {
+        Node[] seeds = {net.add("p1"), net.add("p2"), net.add("p3"), net.add("p4")};
+        List.of(seeds).forEach(net::crash);
+        net.pass(SECOND);
+        // By its life the first asks the second, the third the last.
+        long[] lives = {3_000, 3_003, 3_002, 3_005};
+        for (int i = 0; i < seeds.length; i++) {
+            net.start(seeds[i], lives[i], seeds);
+        }
+        net.pass(SECOND / 10);
+        assertEquals(2, seeds[0].machine.living(), "two pairs");
+        assertEquals(2, seeds[3].machine.living(), "two pairs");
+        assertTrue(agreed(2) > 0);
+    }
+
     @Test
     void aThirdThatDiesInOneInstantIsKnownByAllWithinFiveSeconds() {
         List<Node> nodes = fleet(48);
