--- a/src/main/java/cairnbridge/zones/Zones.java
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -28,8 +28,8 @@
 /**
  * One member's part in plans over zones: as a learner always, as a voter and as the proposer where it is one.
  * Make one with its host, call viewed some times a second with the fleet's view and asked for all that other
- * members say; it acts by calls on the host and reads neither clock nor disk. One thread's. Times in tenths of
- * a millisecond of the carrier's clock.
+ * members say; it acts by calls on the host and reads neither clock nor disk. One thread's. Times in tenths
+ * of a millisecond of the carrier's clock.
  */
 public final class Zones {
     static final String VOTE = "zones-vote", PLAN = "zones-plan", STAFF = "zones-staff";
