Read once more: the report calls the lab's median and keys, a view is made once a round

ResultPlots worked out medians and took keys apart that Comparison and Experiment.Trial own; Comparison.median is called now, and Trial.of stands beside the key that it reads. FleetSide made a member's view twice in a round where a proxy has plans and returns as well, and listed members twice for two figures. FleetTally had a second by two names.

--- a/src/main/java/cairnbridge/fleet/use/FleetTally.java
+++ b/src/main/java/cairnbridge/fleet/use/FleetTally.java
@@ -21,8 +21,8 @@
 public final class FleetTally {
     /** A push called off with less than this left of its op's time had met silence. */
     private static final long SILENT = 200;
-    private static final double SECOND = 10_000, LEAST_SECONDS = 0.5, SMOOTH_SECONDS = 2;
-    private static final long PROBE_EVERY = 10_000;
+    private static final long SECOND = 10_000;
+    private static final double LEAST_SECONDS = 0.5, SMOOTH_SECONDS = 2;
     private static final int NODE_ENOUGH = 2, ZONE_ENOUGH = 4, PROBES = 4;
     private final ReachReport reach = new ReachReport(NODE_ENOUGH);
     /** By the hash of a zone's name: where it has many nodes, each is met too seldom to be found out. */
@@ -134,7 +134,7 @@
      * thread's.
      */
     public List<NodeId> doubtful(long now) {
-        if (now - probedAt < PROBE_EVERY) {
+        if (now - probedAt < SECOND) {
             return List.of();
         }
         probedAt = now;
@@ -150,7 +150,7 @@
 
     /** Ops taken a second, as of the last half second or more; smoothed. */
     public synchronized long rate(long now) {
-        double seconds = (now - ratedAt) / SECOND;
+        double seconds = (double) (now - ratedAt) / SECOND;
         if (seconds >= LEAST_SECONDS) {
             for (int i = 0; i < lately.length; i++) {
                 long all = taken.get(i);
--- a/src/main/java/cairnbridge/lab/experiment/Comparison.java
+++ b/src/main/java/cairnbridge/lab/experiment/Comparison.java
@@ -62,7 +62,8 @@
                 sorted.get(sorted.size() - 1));
     }
 
-    private static double median(List<Double> figures) {
+    /** Of one figure at least. */
+    public static double median(List<Double> figures) {
         List<Double> sorted = figures.stream().sorted().toList();
         int half = sorted.size() / 2;
         return sorted.size() % 2 == 1 ? sorted.get(half) : (sorted.get(half - 1) + sorted.get(half)) / 2;
--- a/src/main/java/cairnbridge/lab/experiment/Experiment.java
+++ b/src/main/java/cairnbridge/lab/experiment/Experiment.java
@@ -3,8 +3,12 @@
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.lab.policy.Policy;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * What is to be run and compared.
@@ -17,9 +21,20 @@
                          List<Policy.Kind> policies, List<Long> seeds) {
     /** One run of many; its key names it in results. */
     public record Trial(String scenario, int size, Policy.Kind policy, long seed) {
+        private static final Pattern KEY = Pattern.compile("(.+) x([0-9]{1,6}) ([a-z]+) (-?[0-9]{1,18})");
+
         public String key() {
             return scenario + " x" + size + " " + policy.word() + " " + seed;
         }
+
+        /** The run that a key names; empty where it is no key of any. */
+        public static Optional<Trial> of(String key) {
+            Matcher parts = KEY.matcher(key);
+            return parts.matches() ? Arrays.stream(Policy.Kind.values())
+                    .filter(kind -> kind.word().equals(parts.group(3))).findFirst()
+                    .map(kind -> new Trial(parts.group(1), Integer.parseInt(parts.group(2)), kind,
+                            Long.parseLong(parts.group(4)))) : Optional.empty();
+        }
     }
 
     /** All runs in the order in which results are written. */
--- a/src/main/java/cairnbridge/lab/report/ResultPlots.java
+++ b/src/main/java/cairnbridge/lab/report/ResultPlots.java
@@ -1,7 +1,10 @@
 package cairnbridge.lab.report;
 
+import cairnbridge.lab.experiment.Comparison;
+import cairnbridge.lab.experiment.Experiment;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,8 +25,7 @@
  * seed are left out.
  */
 final class ResultPlots {
-    private static final Pattern KEY = Pattern.compile("(.+) x([0-9]+) ([a-z]+) (-?[0-9]+)"),
-            TOOK = Pattern.compile("after ([0-9]+) ms");
+    private static final Pattern TOOK = Pattern.compile("after ([0-9]+) ms");
     private static final int TWO = 2;
 
     /** What one combination came to, by seed. */
@@ -31,17 +33,16 @@
     }
 
     private final String name;
-    private final Map<String, Group> groups = new LinkedHashMap<>();
+    /** By their runs without the seed. */
+    private final Map<Experiment.Trial, Group> groups = new LinkedHashMap<>();
 
     private ResultPlots(Lines results) {
         name = results.name();
         for (JsonNode line : results.lines()) {
-            Matcher key = KEY.matcher(line.path("key").asText());
-            if (key.matches()) {
-                groups.computeIfAbsent(key.group(1) + " x" + key.group(2) + " " + key.group(3), each ->
-                        new Group(key.group(1), Integer.parseInt(key.group(2)), key.group(3),
-                                new ArrayList<>())).sums().add(line.path("sums"));
-            }
+            Experiment.Trial.of(line.path("key").asText()).ifPresent(trial -> groups.computeIfAbsent(
+                    new Experiment.Trial(trial.scenario(), trial.size(), trial.policy(), 0), each ->
+                    new Group(trial.scenario(), trial.size(), trial.policy().word(), new ArrayList<>()))
+                    .sums().add(line.path("sums")));
         }
         groups.values().removeIf(group -> group.sums().size() < TWO);
     }
@@ -66,11 +67,7 @@
     }
 
     private static void add(YIntervalSeries series, double at, List<Double> figures) {
-        List<Double> sorted = figures.stream().sorted().toList();
-        int half = sorted.size() / 2;
-        double median = sorted.size() % 2 == 1 ? sorted.get(half)
-                : (sorted.get(half - 1) + sorted.get(half)) / 2;
-        series.add(at, median, sorted.get(0), sorted.get(sorted.size() - 1));
+        series.add(at, Comparison.median(figures), Collections.min(figures), Collections.max(figures));
     }
 
     private static XYErrorRenderer points(boolean lines) {
--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -15,6 +15,7 @@
 import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.FleetEvent;
 import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.fleet.view.View;
 import cairnbridge.lab.model.ProxyModel;
 import cairnbridge.lab.model.ReturnModel;
 import cairnbridge.lab.model.RosterModel;
@@ -41,6 +42,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
 
 /**
  * What proxies of a fleet have beside their policy: the view, by the program's own Membership on a simulated
@@ -236,13 +238,16 @@
 
     /** The fewest members that one that runs holds alive, itself counted; 0 where there are none. */
     int leastHeld() {
-        return members.values().stream().filter(member -> member.running && !member.frozen)
-                .mapToInt(member -> member.machine.living()).min().orElse(0);
+        return held().min().orElse(0);
     }
 
     int mostHeld() {
+        return held().max().orElse(0);
+    }
+
+    private IntStream held() {
         return members.values().stream().filter(member -> member.running && !member.frozen)
-                .mapToInt(member -> member.machine.living()).max().orElse(0);
+                .mapToInt(member -> member.machine.living());
     }
 
     /** Of a zone's home part over all plans so far. */
@@ -309,12 +314,13 @@
             net.tell(member, new FleetEvent.Tell(Told.of(proxy.zone(), region(proxy.zone()), 2,
                     starts ? Told.State.STARTING : Told.State.SERVING, "", "",
                     plans == null ? 0 : plans.plan().epoch(), told, figures(plans, back))));
+            View view = plans != null || returns ? member.machine.view() : null;
             if (plans != null) {
-                plans.viewed(member.machine.view());
+                plans.viewed(view);
                 plans.tally().doubtful(agenda.now()).forEach(proxy::probe);
             }
             if (returns) {
-                back.seen(Sight.of(member.machine.view()));
+                back.seen(Sight.of(view));
             }
             if (back != null) {
                 back.turn();
