An attempt carries its permission; a told end is answered before SIGKILL; closes linger

Checked: the node's log ends without its line on its end, 3.7 s after SIGTERM: it was killed while it served. Ruled out: the module, which answers before each op's TTL. The spans now come from decision.Bounds, and ops already under way at SIGTERM are told the new end too (Event.StopBy). With it: Permission, asked where an attempt's bytes leave and revoked on the reactor as its client goes; a list that says draining withdraws attempts that wait for a connection, as a hold did; a client's planned close shuts the output down and reads to the client's end before the socket goes (LingeringSession); bytes before a client's end no longer hide it; an overdue connection is looked at again on the reactor; an empty whole list no longer empties the pool's addresses. The figures' text in OperatorsTest has four more lines, the refusals by cause.

--- a/src/main/java/cairnbridge/adapter/WireHost.java
+++ b/src/main/java/cairnbridge/adapter/WireHost.java
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public void push(OpId op, NodeId node, long timeOut) {
+    public void push(OpId op, NodeId node, long timeOut, long latestBegin) {
         action("ATTEMPT", () -> {
             out.writeNumber(op.value());
             out.writeNumber(node.value());
--- a/src/main/java/cairnbridge/admin/Figures.java
+++ b/src/main/java/cairnbridge/admin/Figures.java
@@ -6,15 +6,21 @@
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /** What staff may read at any time, waiting for no thread: counted where an op or a push really ends. */
 public final class Figures {
     /** How an op ended; the words are those of the figures' form. */
     public enum End { SUCCESS, BUSY, FAILURE }
 
+    /** Why an attempt that was decided did not begin. */
+    public enum Refusal { CLIENT_GONE, OP_OVER, NODE_CLOSED, TOO_LATE }
+
     private final Map<String, LongAdder[]> ends = new LinkedHashMap<>();
     private final LongAdder[][] byNumber;
     private final LongAdder taken = new LongAdder(), over = new LongAdder(), pushes = new LongAdder();
+    private final LongAdder[] refusals = Stream.generate(LongAdder::new).limit(Refusal.values().length)
+            .toArray(LongAdder[]::new);
     private volatile int listed, avoided;
     /** Further figures by name, where a part that is switched on has some. */
     private volatile Supplier<Map<String, Long>> further = Map::of;
@@ -46,6 +52,11 @@
         pushes.increment();
     }
 
+    /** An attempt's permission was asked again, and it may not begin any more. */
+    public void refused(Refusal why) {
+        refusals[why.ordinal()].increment();
+    }
+
     public void lists(int nodes) {
         listed = nodes;
     }
@@ -74,6 +85,10 @@
         line(text, "inflight", taken.sum() - ended, 'g');
         line(text, "hosts_listed", listed, 'g');
         line(text, "hosts_down", avoided, 'g');
+        for (Refusal why : Refusal.values()) {
+            line(text, "attempts_refused." + why.name().toLowerCase(Locale.ROOT), refusals[why.ordinal()].sum(),
+                    'c');
+        }
         further.get().forEach((name, value) -> line(text, name, value, name.endsWith("_total") ? 'c' : 'g'));
         return text.toString();
     }
--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -62,6 +62,10 @@
     record Placed(Placement placement) implements Event {
     }
 
+    /** The proxy is to end: no op may be kept beyond this time, whatever its TTL. */
+    record StopBy(long time) implements Event {
+    }
+
     enum Scope { CACHED, FULL, CHANGES, FAILED }
 
     enum State { GONE, READY, DRAINING }
--- a/src/main/java/cairnbridge/decision/Host.java
+++ b/src/main/java/cairnbridge/decision/Host.java
@@ -10,8 +10,11 @@
  * Calls take effect in the order they are made, at the time of the event being handled.
  */
 public interface Host {
-    /** Starts a push; pushes of an op are numbered 0, 1, 2 ... in the order of these calls. */
-    void push(OpId op, NodeId node, long timeOut);
+    /**
+     * Starts a push; pushes of an op are numbered 0, 1, 2 ... in the order of these calls. Its last byte may
+     * leave before latestBegin, a time of the clock, or not at all.
+     */
+    void push(OpId op, NodeId node, long timeOut, long latestBegin);
 
     void cancel(OpId op, int push);
 
--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -56,6 +56,20 @@
         return false;
     }
 
+    /**
+     * The last time at which one more push may begin: within the TTL, and within the idempotency window,
+     * which counts from the first push that may have run.
+     */
+    long latestBegin(long tick) {
+        long latest = expires - tick;
+        for (Push push : pushes) {
+            if (push.mayHaveRun && plan.effect() == Effect.DEDUPLICATED) {
+                latest = Math.min(latest, push.sent + plan.span() - tick);
+            }
+        }
+        return latest;
+    }
+
     boolean triedAt(Node node) {
         for (Push push : pushes) {
             if (push.node == node) {
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -841,6 +841,9 @@
                 ended(ended);
             } else if (event instanceof Event.OpDropped dropped && ops.get(dropped.op()) != null) {
                 finish(ops.get(dropped.op()));
+            } else if (event instanceof Event.StopBy stop) {
+                // Guards against ops that would outlast the process: they are answered as at their TTL.
+                ops.values().forEach(op -> loop.wake(this, Math.max(0, stop.time() - margin - now), expiry(op)));
             } else if (event instanceof Event.StreamBegan began && ops.get(began.op()) != null) {
                 ops.get(began.op()).streaming = true;
                 loop.post(origin, new Note(What.BEGUN, ops.get(began.op())));
@@ -856,10 +859,14 @@
                 loop.post(gate, new Note(What.GIVE_UP, op));
                 return;
             }
-            loop.wake(this, op.expires - now - margin, new Note(What.EXPIRE, op, null, null, null, LONGEST));
+            loop.wake(this, op.expires - now - margin, expiry(op));
             loop.post(admission, new Note(What.ASK, op));
         }
 
+        private static Note expiry(Op op) {
+            return new Note(What.EXPIRE, op, null, null, null, LONGEST);
+        }
+
         private void route(Op op) {
             boolean toOrigin = origin.aside && (op.write || origin.fetching(op.key));
             loop.post(toOrigin ? origin : ring, new Note(toOrigin ? What.WANT : What.PLACE, op));
@@ -910,7 +917,7 @@
                 op.missedAt = op.missedAt == null ? push.node : op.missedAt;
                 loop.post(origin, new Note(What.WANT, op));
             } else {
-                again(op, push, event.ending() == Ending.NO_CONNECTION ? 0 : 1);
+                again(op, push, event.ending() == Ending.NO_CONNECTION || event.ending() == Ending.NEVER_SENT ? 0 : 1);
             }
         }
 
@@ -974,13 +981,14 @@
                 loop.post(desk, new Note(What.STUCK, op));
                 return;
             }
+            long latest = op.latestBegin(tick);
             Push push = new Push(node, now, fetch);
             op.pushes.add(push);
             op.open++;
             node.coldLeft--;
             rate();
             sends += node.slot >= 0 ? 1 : 0;
-            host.push(op.id, node.id, 0);
+            host.push(op.id, node.id, 0, latest);
             loop.post(desk, new Note(What.SENT, op, node, push, null, 0));
         }
 
@@ -993,21 +1001,16 @@
 
         /** Rule 2 for deduplicated ops (group and span), rule 3 (drains), rule 4 (cold nodes). */
         private boolean mayPushTo(Op op, Node node) {
-            boolean room = node.serves() && (origin.is(node) || coldRoom(node));
-            if (!room || op.plan.effect() != Effect.DEDUPLICATED) {
-                return room;
-            }
+            boolean room = now < op.latestBegin(tick) && node.serves() && (origin.is(node) || coldRoom(node));
             for (Push push : op.pushes) {
                 boolean same = switch (op.plan.group()) {
                     case ALL -> true;
                     case ZONE -> push.node.entry.zone().equals(node.entry.zone());
                     case CELL -> push.node.entry.cell().equals(node.entry.cell());
                 };
-                if (push.mayHaveRun && (!same || now - push.sent >= op.plan.span() - tick)) {
-                    return false;
-                }
+                room &= same || !push.mayHaveRun || op.plan.effect() != Effect.DEDUPLICATED;
             }
-            return true;
+            return room;
         }
 
         /** The one place of final answers; a nack is made only where a repeat is harmless. */
--- a/src/main/java/cairnbridge/lab/model/ProxyModel.java
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -265,7 +265,7 @@
     }
 
     @Override
-    public void push(OpId id, NodeId node, long timeOut) {
+    public void push(OpId id, NodeId node, long timeOut, long latestBegin) {
         Live op = ops.get(id);
         if (op == null || op.answered) {
             throw new IllegalStateException("a push after the answer");
--- a/src/main/java/cairnbridge/lab/policy/Baseline.java
+++ b/src/main/java/cairnbridge/lab/policy/Baseline.java
@@ -136,7 +136,7 @@
         op.pushes++;
         all++;
         inFlight.merge(node, 1, Integer::sum);
-        host.push(op.arrived.op(), node, 0);
+        host.push(op.arrived.op(), node, 0, op.arrived.expires());
     }
 
     private void ended(Event.PushEnded ended) {
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -1,6 +1,7 @@
 package cairnbridge.proxy;
 
 import cairnbridge.admin.Figures;
+import cairnbridge.admin.Figures.Refusal;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
@@ -248,6 +249,7 @@
                 recovery.listed(listed.roster(), clock.now());
             }
             tell(clock.now(), listed.roster());
+            withdraw();
         } else if (notice instanceof Notice.Probed probed) {
             if (tally != null) {
                 tally.probed(probed.node(), probed.ending(), clock.now());
@@ -275,6 +277,8 @@
             bodyEnded(ended);
         } else if (notice instanceof Notice.Held held) {
             held(held);
+        } else if (notice instanceof Notice.StopBy stop) {
+            stopBy(stop.time());
         } else if (notice instanceof Notice.Last) {
             stopped = true;
         } else if (notice instanceof Notice.Crowded) {
@@ -330,6 +334,10 @@
             return;
         }
         op.open--;
+        // Guards against a further push for a client that has gone, of whom no notice has been taken yet.
+        if (call.client.hasGone()) {
+            left(call.client);
+        }
         if (tally != null) {
             long now = clock.now();
             tally.ended(call.node, call.client.category.value(), over.ending(), call.took(over.ended()),
@@ -373,6 +381,17 @@
         tell(now, new Event.StreamBegan(call.client.op, call.number, call.node, call.took(now)));
     }
 
+    /** The process is to end: what it has taken is answered before. */
+    private void stopBy(long time) {
+        for (Live op : ops.values()) {
+            if (op.expires > time) {
+                op.expires = time;
+                timers.add(new Timer(time, ++lastRank, null, null, op.client.op));
+            }
+        }
+        tell(clock.now(), new Event.StopBy(time));
+    }
+
     private void bodyEnded(Notice.BodyEnded ended) {
         Live op = ops.get(ended.client().op);
         if (op != null && op.client == ended.client()) {
@@ -381,23 +400,43 @@
         }
     }
 
-    /** Guards against a push that reaches a node after the yes, as its connection comes up. */
     private void held(Notice.Held held) {
         push.hold(held.node(), held.on());
         tell(clock.now(), new Event.Held(held.node(), held.on()));
+        withdraw();
+        held.done().complete(true);
+    }
+
+    /** Guards against a push that reaches a node after the word that nothing may, as its connection comes up. */
+    private void withdraw() {
         for (Live op : ops.values()) {
             for (PushCall call : op.pushes) {
-                if (held.on() && call.node.equals(held.node()) && call.isWaiting()) {
-                    abandon(call, Ending.NEVER_SENT);
+                if (call.isWaiting() && !push.takes(call.node)) {
+                    call.permission.revoke(Refusal.NODE_CLOSED);
+                    refuse(call, Refusal.NODE_CLOSED);
                 }
             }
         }
-        held.done().complete(true);
     }
 
+    private void refuse(PushCall call, Refusal why) {
+        figures.refused(why);
+        abandon(call, Ending.NEVER_SENT);
+    }
+
+    /** Guards against a second way to a node that is asked about nothing any more. */
     private void unsent(PushCall call) {
         call.connection.close();
-        if (call.isWaiting() && !push.start(call)) {
+        if (call.isWaiting()) {
+            start(call);
+        }
+    }
+
+    private void start(PushCall call) {
+        Refusal why = call.permission.refusal(clock.now());
+        if (why != null) {
+            refuse(call, why);
+        } else if (!push.start(call)) {
             abandon(call, Ending.NO_CONNECTION);
         }
     }
@@ -435,23 +474,24 @@
     }
 
     @Override
-    public void push(OpId id, NodeId node, long timeOut) {
+    public void push(OpId id, NodeId node, long timeOut, long latestBegin) {
         Live op = ops.get(id);
         if (!holds.that(op != null && !op.answered, "nothing is sent for an op after its answer")) {
             return;
         }
         long now = clock.now();
-        PushCall call = new PushCall(op.client, node, op.pushes.size(), op.expires, inbox, clock,
+        PushCall call = new PushCall(op.client, node, op.pushes.size(), op.expires, latestBegin, inbox, clock,
                 figures);
         op.pushes.add(call);
         op.open++;
         long due = timeOut > 0 ? Math.min(op.expires, now + timeOut) : op.expires;
         if (due <= now) {
             abandon(call, Ending.NEVER_SENT);
-        } else if (push.start(call)) {
+            return;
+        }
+        start(call);
+        if (call.isOpen()) {
             timers.add(new Timer(due, ++lastRank, null, call, null));
-        } else {
-            abandon(call, Ending.NO_CONNECTION);
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -1,6 +1,7 @@
 package cairnbridge.proxy;
 
 import cairnbridge.admin.Figures;
+import cairnbridge.admin.Figures.Refusal;
 import cairnbridge.config.Names;
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.decision.Ids.KeyId;
@@ -38,7 +39,9 @@
     private final Runnable cut;
     /** over: its answer has begun; finished: the answer's last byte is handed over, or the client is gone. */
     private final AtomicBoolean over = new AtomicBoolean();
-    private volatile boolean taken, told, last, counted, rehearsed, finished, streaming;
+    /** That of all attempts for it. */
+    final Permission permission = new Permission();
+    private volatile boolean taken, told, gone, last, counted, rehearsed, finished, streaming;
     private volatile long came;
     private volatile Figures.End end;
     private ResponseChannel channel;
@@ -75,6 +78,11 @@
         return finished;
     }
 
+    /** The client has left before its answer. */
+    boolean hasGone() {
+        return gone;
+    }
+
     /** Guards against a next request refused because it came before this thread knew that it may. */
     boolean isAnswered() {
         return finished || over.get() && (!streaming || rest instanceof Pipe answer && answer.isLastOut());
@@ -307,6 +315,7 @@
         if (!over.compareAndSet(false, true)) {
             return false;
         }
+        permission.revoke(Refusal.OP_OVER);
         HttpResponse response = new BasicHttpResponse(code);
         if (retryAfter > 0) {
             // Without a formatter: nacks come by hundreds just when time is short.
@@ -361,6 +370,9 @@
 
     @Override
     public void failed(Exception cause) {
+        // Guards against an attempt that begins while the owner has not yet heard that its client has gone.
+        permission.revoke(Refusal.CLIENT_GONE);
+        gone = true;
         boolean unanswered = over.compareAndSet(false, true);
         if (streaming && !finished) {
             LOG.info("an answer that passed through broke off at the client: " + cause);
--- a/src/main/java/cairnbridge/proxy/Notice.java
+++ b/src/main/java/cairnbridge/proxy/Notice.java
@@ -73,6 +73,10 @@
     record Woken() implements Notice {
     }
 
+    /** The process is to end, and no op may be kept beyond this time. */
+    record StopBy(long time) implements Notice {
+    }
+
     /** The owner thread is to end here. */
     record Last() implements Notice {
     }
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -31,7 +31,8 @@
 
     /** Learns where the nodes are. Kept connections to a node that is no longer ready, or not named, go. */
     void listed(Event.Roster roster, Map<NodeId, InetSocketAddress> fresh) {
-        if (roster.scope() == Scope.CACHED || roster.scope() == Scope.FULL) {
+        // Guards against a list that has lost its contents: as in the module, what is held stays in use.
+        if (!fresh.isEmpty() && (roster.scope() == Scope.CACHED || roster.scope() == Scope.FULL)) {
             addresses.clear();
         }
         addresses.putAll(fresh);
@@ -75,10 +76,14 @@
         return addresses.get(node);
     }
 
+    /** Whether anything new may go to a node: the list names it as ready, and staff have not taken it out. */
+    boolean takes(NodeId node) {
+        return addresses.containsKey(node) && !held.contains(node);
+    }
+
     /** Sends a push over a kept connection or a new one; false where there is none to be had. */
     boolean start(PushCall call) {
-        InetSocketAddress address = addresses.get(call.node);
-        if (address == null || held.contains(call.node)) {
+        if (!takes(call.node)) {
             return false;
         }
         ArrayDeque<Connection> kept = idle.get(call.node);
@@ -93,7 +98,7 @@
         if (sockets.isFull() && !closeOldest()) {
             return false;
         }
-        sockets.dial(address, dialTimeOut, call).node = call.node;
+        sockets.dial(addresses.get(call.node), dialTimeOut, call).node = call.node;
         return true;
     }
 
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -1,6 +1,7 @@
 package cairnbridge.proxy;
 
 import cairnbridge.admin.Figures;
+import cairnbridge.admin.Figures.Refusal;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Ids.NodeId;
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
@@ -31,6 +33,7 @@
     final NodeId node;
     final int number;
     final long sent;
+    final Permission permission;
     private final byte[] value;
     private final long expires;
     private final Inbox inbox;
@@ -46,7 +49,8 @@
     private long headAt, came;
     private volatile long writtenAt;
 
-    PushCall(Exchange client, NodeId node, int number, long expires, Inbox inbox, Clock clock,
+    /** latestBegin: its last byte leaves before that, or not at all. */
+    PushCall(Exchange client, NodeId node, int number, long expires, long latestBegin, Inbox inbox, Clock clock,
             Figures figures) {
         this.figures = figures;
         this.client = client;
@@ -57,6 +61,7 @@
         this.inbox = inbox;
         this.clock = clock;
         sent = clock.now();
+        permission = client.permission.attempt(latestBegin);
     }
 
     /** Gives the push up: its ending, or null where it had ended. The caller closes the connection. */
@@ -99,6 +104,7 @@
         if (!isWaiting()) {
             throw new IOException("push given up");
         }
+        refuse(permission.refusal(clock.now()));
         begins();
         if (!stage.compareAndSet(Stage.WAITING, Stage.HANDED)) {
             throw new IOException("push given up");
@@ -129,6 +135,26 @@
         }
     }
 
+    /** Guards against a last byte that leaves late: a node begins with it, however early the first one left. */
+    @Override
+    public void produce(DataStreamChannel out) throws IOException {
+        if (!isWritten()) {
+            refuse(permission.refusalOfRest(clock.now()));
+        }
+        super.produce(out);
+    }
+
+    /** Ends as never sent, which is proven: its last byte has not left, and the connection ends. */
+    private void refuse(Refusal why) throws IOException {
+        if (why != null) {
+            if (isOpen()) {
+                figures.refused(why);
+            }
+            end(Ending.NEVER_SENT, null);
+            throw new IOException("attempt refused, " + why);
+        }
+    }
+
     @Override
     void written() {
         writtenAt = clock.now();
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -6,6 +6,7 @@
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.FleetConfig;
 import cairnbridge.config.ProxyConfig;
+import cairnbridge.decision.Bounds;
 import cairnbridge.decision.Learnt;
 import cairnbridge.fleet.Fleet;
 import cairnbridge.fleet.use.FleetTally;
@@ -26,8 +27,8 @@
 /** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
 public final class Serve implements Staff {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
-    /** The platform kills a proxy no sooner than the longest TTL and 0.7 s after it is told to end. */
-    private static final long SPARE_MILLIS = 600, LAST_MILLIS = 600, CLOSING_MILLIS = 200;
+    /** After the last op in time, until no more connections are taken. */
+    private static final long CLOSING_MILLIS = 200;
     private static final long STEP_MILLIS = 10, LOOK_MILLIS = 200, KEEP_MILLIS = 1000;
     /** Each connection has a few notices out at most, so that this queue is never full in practice. */
     private static final int NOTICES_PER_SOCKET = 8;
@@ -243,16 +244,20 @@
         }
         LOG.info(config.name() + " drains, " + decide.live() + " ops under way");
         long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
-        long spared = longest + SPARE_MILLIS * Clock.MILLI;
-        long until = System.nanoTime() + spared * Clock.NANOS;
-        listen.endsBy(listen.clock.now() + spared);
+        long longestMillis = longest / Clock.MILLI;
+        // Guards against a TTL of the settings that is longer than the platform waits before it kills.
+        long serves = Bounds.stopServesMillis(longestMillis);
+        long until = System.nanoTime() + Bounds.stopEndsMillis(longestMillis) * 1_000_000;
+        long answers = listen.clock.now() + Bounds.stopAnswersMillis(longestMillis) * Clock.MILLI;
+        listen.endsBy(answers);
+        inbox.post(new Notice.StopBy(answers));
         try {
             if (beside.isReplaced()) {
-                handOver(until - LAST_MILLIS * 1_000_000);
+                handOver(until - (Bounds.stopEndsMillis(longestMillis) - serves) * 1_000_000);
             } else {
                 // Guards against a gap while the one restarted before is not ready yet: clients whose
                 // connections stay open go on being served here, no op being kept beyond the end.
-                Thread.sleep(Math.max(0, spared / Clock.MILLI - LAST_MILLIS));
+                Thread.sleep(serves);
                 listen.drain();
                 Thread.sleep(CLOSING_MILLIS);
                 stopping = true;
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadFactory;
@@ -54,11 +56,15 @@
      * guards against idle connections that keep others out, as clients get a third of all for their requests.
      */
     private static final double CROWDED = 0.35, FULL = 0.75, LAST = 1;
+    /** Of the same: what connections may hold that only wait for their client's end. */
+    private static final double LINGERING = 0.0625;
     private static final int MOST_ACCEPTED = 8, MOST_MORE = 15;
     /** A connection this long without a byte has no request on its way, as far as can be known. */
     private static final long QUIET_MILLIS = 150, FRESH_MILLIS = 1000;
     /** To read one request but for a long body, or for the first to come; and for the next to come. */
     private static final long READ_MILLIS = 2200, KEEP_MILLIS = 5000;
+    /** For a client to end its side once ours has ended; and what it may still send until then, or mid-answer. */
+    private static final long LINGER_MILLIS = 2000, MOST_THROWN_AWAY = 1 << 20;
     private static final int BUFFER = 4096;
     /** Of a head, in bytes and in fields: more is no request and no answer of this protocol. */
     private static final int MOST_LINE = 4096, MOST_FIELDS = 40;
@@ -78,6 +84,8 @@
     private final AtomicInteger accepted = new AtomicInteger();
     private final Set<Incoming> clients = ConcurrentHashMap.newKeySet();
     private final Inbox inbox;
+    /** Reactor only, the longest first. */
+    private final ArrayDeque<LingeringSession> lingering = new ArrayDeque<>();
     private final int crowded, most, last;
     private final Listen listen;
     private Accept accept;
@@ -211,9 +219,11 @@
     private void paced(Incoming client) {
         int held = held();
         listen.crowded = held >= crowded;
-        if (held >= most) {
+        if (held >= most && lingering.isEmpty()) {
             closeIdleClient();
             inbox.post(new Notice.Crowded());
+        } else if (held >= most) {
+            lingering.forEach(LingeringSession::release); // Each leaves this list as it is disconnected.
         }
         if (isSpent()) {
             client.refuse();
@@ -225,7 +235,7 @@
         long now = System.nanoTime();
         clients.forEach(client -> {
             if (client.isOverdue(now)) {
-                client.refuse();
+                client.lookAgain();
             } else if (listen.state() == Listen.State.STANDBY && client.isSentAway()) {
                 client.finish();
             }
@@ -265,8 +275,17 @@
         }
         Exchanges exchanges = new Exchanges(session);
         ServerHttp1StreamDuplexerFactory incoming = new ServerHttp1StreamDuplexerFactory(answers, exchanges,
-                http, null, null, () -> new RequestHead(http, exchanges::isBusy), null, null, null);
-        return new Incoming(session, incoming.create("http", session), exchanges);
+                http, null, null, () -> new RequestHead(http, exchanges::isPipelined), null, null, null);
+        LingeringSession client = new LingeringSession(session, this::lingers);
+        return new Incoming(client, incoming.create("http", client), exchanges);
+    }
+
+    /** Guards against descriptors spent on clients that have their answer and do not close. */
+    private void lingers(LingeringSession client) {
+        lingering.add(client);
+        if (lingering.size() > LINGERING / LAST * last) {
+            lingering.remove().release();
+        }
     }
 
     private interface Reading {
@@ -315,6 +334,8 @@
         private final IOSession session;
         private volatile Exchange latest;
         private volatile int made;
+        /** Reactor only: nothing more is read as a request. */
+        private boolean pipelined;
 
         Exchanges(IOSession session) {
             this.session = session;
@@ -333,9 +354,12 @@
             return last == null || last.isOver() ? made == before : !last.isTaken();
         }
 
-        boolean isBusy() {
+        /** Asked about bytes that have come: they come before the answer to what came before them. */
+        boolean isPipelined() {
             Exchange last = latest;
-            return last != null && (!last.isAnswered() || last.isLast());
+            boolean busy = last != null && (!last.isAnswered() || last.isLast());
+            pipelined |= busy;
+            return busy;
         }
 
         @Override
@@ -348,11 +372,13 @@
 
     /** A client's connection. The library goes on after a client's close; this ends the exchange instead. */
     private final class Incoming extends ServerHttp1IOEventHandler {
-        private final IOSession session;
+        private final LingeringSession session;
         private final Exchanges exchanges;
         private volatile long begunAt;
+        /** How many requests had begun when it was found overdue; under 0 where it was not. */
+        private volatile int madeThen = -1;
 
-        Incoming(IOSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
+        Incoming(LingeringSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
             super(duplexer);
             this.session = session;
             this.exchanges = exchanges;
@@ -360,6 +386,9 @@
 
         /** Guards against those who connect and say nothing, or never come to the end of what they say. */
         boolean isOverdue(long now) {
+            if (session.isClosing()) {
+                return session.lingers(now) >= LINGER_MILLIS;
+            }
             Exchange latest = exchanges.latest;
             if (latest != null && latest.isStill(now)) {
                 LOG.info("what passes through stands still: " + latest.trace + " is cut");
@@ -397,6 +426,12 @@
             session.close(CloseMode.IMMEDIATE);
         }
 
+        /** Guards against an end that meets a request which the reactor is just taking: that looks itself. */
+        void lookAgain() {
+            madeThen = exchanges.made;
+            session.setEvent(SelectionKey.OP_WRITE);
+        }
+
         long idleSince() {
             return session.getLastEventTime();
         }
@@ -414,8 +449,47 @@
             paced(this);
         }
 
+        @Override
+        public void outputReady(IOSession up) throws IOException {
+            int then = madeThen;
+            madeThen = -1;
+            if (then >= 0 && isIdle() && begunAt == 0 && !session.isClosing()) {
+                if (then == exchanges.made) {
+                    finish(); // The look itself is an event: only what has come since can speak against it.
+                }
+            } else if (then >= 0 && isOverdue(System.nanoTime())) {
+                refuse();
+            }
+            if (session.isClosing()) {
+                up.setEventMask(SelectionKey.OP_READ);
+            } else {
+                super.outputReady(up);
+            }
+        }
+
+        /** The request has been read and its answer is owed, and the library reads no more requests. */
+        private boolean readsNoMore() {
+            Exchange latest = exchanges.latest;
+            return latest != null && latest.isTaken() && !latest.isOver()
+                    && (exchanges.pipelined || !isOpen());
+        }
+
+        /** Guards against a client's end that is not seen because bytes lie before it. */
+        private void throwAway(IOSession up) throws IOException {
+            if (session.throwAway() > MOST_THROWN_AWAY || session.hasEnded()) {
+                up.close(CloseMode.IMMEDIATE);
+            }
+        }
+
         @Override
         public void inputReady(IOSession up, ByteBuffer src) throws IOException {
+            if (session.isClosing()) {
+                session.linger(MOST_THROWN_AWAY);
+                return;
+            } else if (readsNoMore()) {
+                throwAway(up);
+                return;
+            }
             int before = exchanges.made;
             super.inputReady(up, src);
             Exchange reading = exchanges.latest;
@@ -424,14 +498,17 @@
             }
             begunAt = !exchanges.isReading(before) ? 0 : begunAt == 0 ? System.nanoTime() : begunAt;
             // Guards against ops worked on for a client that has closed its connection.
-            if (!isOpen() && !isIdle()) {
+            if (session.hasEnded() && !isIdle()) {
                 up.close(CloseMode.IMMEDIATE);
+            } else if (readsNoMore()) {
+                up.setEvent(SelectionKey.OP_READ);
             }
         }
 
         @Override
         public void disconnected(IOSession up) {
             super.disconnected(up);
+            lingering.remove(session);
             if (clients.remove(this)) {
                 listen.crowded = open.decrementAndGet() >= crowded;
             }
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -183,7 +183,7 @@
     }
 
     @Override
-    public void push(OpId op, NodeId node, long timeOut) {
+    public void push(OpId op, NodeId node, long timeOut, long latestBegin) {
         int number = counts.merge(op.value(), 1, Integer::sum) - 1;
         pushes.add(new Pushed(op.value(), number, node.value()));
     }
--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -146,6 +146,10 @@
                 lb.inflight:0|g
                 lb.hosts_listed:1|g
                 lb.hosts_down:0|g
+                lb.attempts_refused.client_gone:0|c
+                lb.attempts_refused.op_over:0|c
+                lb.attempts_refused.node_closed:0|c
+                lb.attempts_refused.too_late:0|c
                 EOF
                 """, stats);
     }
