Discovery: every wait is derived from the 6 s in which a change counts as told

At fault: RosterWatch's constants. Now decision.Bounds shares the term out: silence 3.5 s (a heartbeat and three quarters), a look each 0.1 s, a call without an answer given up after 1.4 s, a wait of at most 2.1 s, of which RosterWatch takes half so that one more call may fail at once after the return. The wait is bounded whoever else of a fleet may be to call. Where the list must be asked for, the module's wait has the same bound (RouterTest now checks that, which is stricter). Also: a line that cannot be used is a change missed for good: the whole list is asked for again; a list may come indented.

--- a/src/main/java/cairnbridge/decision/Bounds.java
+++ b/src/main/java/cairnbridge/decision/Bounds.java
@@ -17,9 +17,10 @@
     public static final long SILENCE_MILLIS = HEARTBEAT_MILLIS * 7 / 4;
     /** A call that has brought nothing by then, not so much as a connection, is given up. */
     public static final long CALL_MILLIS = TOLD_MILLIS - TOLD_SLACK_MILLIS - SILENCE_MILLIS - LOOK_MILLIS;
-    /** The longest wait between two calls, jitter included: what two calls leave of the term. */
-    public static final long MOST_WAIT_MILLIS = Math.min(1500,
-            TOLD_MILLIS - TOLD_SLACK_MILLIS - 2 * CALL_MILLIS - LOOK_MILLIS);
+    /** The longest wait between a call that hangs as discovery returns and the one that has the change. */
+    public static final long MOST_WAIT_MILLIS = TOLD_MILLIS - TOLD_SLACK_MILLIS - 2 * CALL_MILLIS - LOOK_MILLIS;
+    /** The longest wait between two calls, jitter included, so that one more may fail at once after the return. */
+    public static final long MOST_BACKOFF_MILLIS = MOST_WAIT_MILLIS / 2;
     public static final long LEAST_WAIT_MILLIS = 50;
 
     /** The platform counts TTLs up to this one when it sets the time from SIGTERM to SIGKILL. */
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -319,7 +319,8 @@
                 // Guards against a list of fixed capacity that all ask at once: waits grow, one at a time.
                 if (now >= askAt) {
                     long wait = BEAT + chance.nextLong(SECOND << Math.min(failures++, 2));
-                    askAt = now + Math.min(wait, Math.max(BEAT, settings.askWithin() / 3));
+                    long most = Math.min(settings.askWithin() / 3, Bounds.MOST_WAIT_MILLIS * SECOND / 1000);
+                    askAt = now + Math.min(wait, Math.max(BEAT, most));
                     loop.wake(this, askAt - now, new Note(What.SUBSCRIBE, 0));
                 }
                 return;
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -5,6 +5,7 @@
 import cairnbridge.config.Names;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.config.Tree;
+import cairnbridge.decision.Bounds;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Event.Entry;
@@ -34,8 +35,6 @@
 final class RosterWatch {
     private static final Logger LOG = Logger.getLogger(RosterWatch.class.getName());
     private static final String LIST = "/api/targets";
-    private static final long BEAT_MILLIS = 2000, SILENCE_NANOS = 5_000_000_000L;
-    private static final long LEAST_WAIT_MILLIS = 50, MOST_WAIT_MILLIS = 2000;
     private static final int OK = 200, UNKNOWN = 1 << 20;
 
     private final ProxyConfig config;
@@ -49,7 +48,7 @@
      * Whether to call now, by how many milliseconds ago this proxy last did; a fleet shares the calls out.
      */
     private volatile LongPredicate mayCall = sinceCalled -> true;
-    private long calledAt = System.nanoTime();
+    private long calledAt = System.nanoTime(), endedAt = calledAt;
     /** Guards against a fleet killed together that asks together, again and again: waits are scattered. */
     private final RandomGenerator chance;
     private volatile long version;
@@ -57,7 +56,7 @@
     private volatile long believed;
     /** Null where lists are not kept over a loss of power. */
     private RosterBook book;
-    private long waitMillis = LEAST_WAIT_MILLIS;
+    private long waitMillis = Bounds.LEAST_WAIT_MILLIS;
     private boolean started, wanted, listed, discovered, lost;
     private final OddityLog odd = new OddityLog(LOG, "roster");
     /** The list's nodes, and whether each is a cache. */
@@ -89,7 +88,7 @@
                 open();
             }
         });
-        timer.scheduleWithFixedDelay(this::look, BEAT_MILLIS / 4, BEAT_MILLIS / 4, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(this::look, Bounds.LOOK_MILLIS, Bounds.LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     void subscribe(boolean on) {
@@ -123,8 +122,7 @@
     /** Whether the list comes in right now: one that has missed a beat may be about to be lost. */
     boolean isListing() {
         Watching now = watching;
-        return now != null && now.code == OK && System.nanoTime() - now.heard < BEAT_MILLIS * 3 / 2
-                * 1_000_000;
+        return now != null && now.code == OK && millisSince(now.heard) < Bounds.HEARTBEAT_MILLIS * 3 / 2;
     }
 
     /** Lists are put down in the book from now on; before the start. */
@@ -178,7 +176,7 @@
             }
             discovery = there;
             listed = false;
-            waitMillis = LEAST_WAIT_MILLIS;
+            waitMillis = Bounds.LEAST_WAIT_MILLIS;
             Watching old = watching;
             if (wanted) {
                 open();
@@ -189,11 +187,24 @@
         });
     }
 
-    /** Guards against a watch that is open but dead: discovery writes at least a beat's empty line. */
+    private static long millisSince(long nanoTime) {
+        return (System.nanoTime() - nanoTime) / 1_000_000;
+    }
+
+    /**
+     * Guards against a watch that is open but dead, as discovery writes at least a heartbeat's empty line, and
+     * against a call that hangs while discovery is down and goes on hanging once it is back.
+     */
     private void look() {
-        if (watching != null && System.nanoTime() - watching.heard > SILENCE_NANOS) {
-            LOG.warning("roster: the watch is silent, dialling again");
-            watching.connection.close();
+        Watching call = watching;
+        if (call == null) {
+            return;
+        }
+        long most = call.code == 0 ? Bounds.CALL_MILLIS : Bounds.SILENCE_MILLIS;
+        if (millisSince(call.heard) >= most) {
+            LOG.warning("roster: the " + (call.code == 0 ? "call" : "watch") + " is silent, dialling again");
+            call.connection.close();
+            ended(call); // Whatever becomes of the connection: the next call does not wait for its end.
         }
     }
 
@@ -202,6 +213,11 @@
             return;
         }
         watching = null;
+        endedAt = System.nanoTime();
+        // Guards against a wait grown long before: one that has held for a while is called again at once.
+        if (call.code == OK && millisSince(call.began) >= Bounds.HEARTBEAT_MILLIS) {
+            waitMillis = Bounds.LEAST_WAIT_MILLIS;
+        }
         if (config.settings().mustSubscribe()) {
             wanted = false;
             inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, version, List.of()), Map.of()));
@@ -214,17 +230,21 @@
         }
     }
 
+    /** Backoff with jitter, bounded from the end of the last call on, whoever else may be to call. */
     private void callAgain() {
+        long left = Bounds.MOST_BACKOFF_MILLIS - millisSince(endedAt);
+        long wait = waitMillis / 2 + chance.nextLong(waitMillis / 2 + 1);
+        waitMillis = Math.min(Bounds.MOST_BACKOFF_MILLIS, waitMillis * 2);
         timer.schedule(() -> {
             if (wanted && watching == null) {
-                if (mayCall.test((System.nanoTime() - calledAt) / 1_000_000)) {
+                boolean due = millisSince(endedAt) >= Bounds.MOST_BACKOFF_MILLIS;
+                if (due || mayCall.test(millisSince(calledAt))) {
                     open();
                 } else {
                     callAgain();
                 }
             }
-        }, waitMillis / 2 + chance.nextLong(waitMillis), TimeUnit.MILLISECONDS);
-        waitMillis = Math.min(MOST_WAIT_MILLIS, waitMillis * 2);
+        }, Math.max(1, Math.min(wait, left)), TimeUnit.MILLISECONDS);
     }
 
     private void heard(Watching call, String text) {
@@ -244,13 +264,19 @@
                 book.tells(text);
             }
             tell(tree, tree.flag("all") ? Scope.FULL : Scope.CHANGES);
-            waitMillis = LEAST_WAIT_MILLIS;
+            waitMillis = Bounds.LEAST_WAIT_MILLIS;
             if (lost) {
                 lost = false;
                 LOG.info("roster: the watch is back, version " + version);
             }
         } catch (ConfigFault e) {
-            odd.say("line ignored, " + e.getMessage());
+            odd.say("line cannot be used, asking for the whole list, " + e.getMessage());
+            // Guards against a change that is missed for good: what comes behind it says nothing of it.
+            listed = false;
+            if (watching == call) {
+                call.connection.close();
+                ended(call);
+            }
         }
     }
 
@@ -336,11 +362,32 @@
         return at < 0 ? UNKNOWN : at;
     }
 
+    /** How many braces the line opens and does not close. */
+    private static int braces(String text) {
+        int depth = 0;
+        boolean quoted = false;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == '"') {
+                quoted = !quoted;
+            } else if (quoted) {
+                i += c == '\\' ? 1 : 0;
+            } else {
+                depth += c == '{' ? 1 : c == '}' ? -1 : 0;
+            }
+        }
+        return depth;
+    }
+
     /** One call to discovery: the standing watch, or a list asked for once. */
     private final class Watching extends Get {
         private final InetSocketAddress address;
         private final boolean standing;
-        private volatile long heard = System.nanoTime();
+        private final long began = System.nanoTime();
+        /** Of an object that goes over several lines, what has come. */
+        private final StringBuilder part = new StringBuilder();
+        private int depth;
+        private volatile long heard = began;
         private volatile int code;
 
         Watching(InetSocketAddress address, String target, boolean standing) {
@@ -358,8 +405,17 @@
         @Override
         void line(String text) {
             heard = System.nanoTime();
-            if (code == OK && !text.isBlank()) {
-                timer.execute(() -> heard(this, text));
+            if (code != OK || text.isBlank() && part.length() == 0) {
+                return;
+            }
+            // Guards against a list that comes indented; no heartbeat comes amid one, so that ends it anyhow.
+            part.append(text).append('\n');
+            depth += braces(text);
+            if (text.isBlank() || depth <= 0) {
+                depth = 0;
+                String whole = part.toString();
+                part.setLength(0);
+                timer.execute(() -> heard(this, whole));
             }
         }
 
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -316,7 +316,7 @@
             while (host.calls.isEmpty()) {
                 host.pass(SECOND / 10);
             }
-            assertTrue(host.clock - from <= FakeHost.ASK_WITHIN / 3 + SECOND / 10);
+            assertTrue(host.clock - from <= Bounds.MOST_WAIT_MILLIS * SECOND / 1000 + SECOND / 10);
             assertEquals(List.of("subscribe true"), host.calls, "two failures are one call");
             asked += host.clock - from;
         }
--- a/src/test/java/cairnbridge/proxy/ProxyTest.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTest.java
@@ -223,6 +223,7 @@
 
     @Test
     void aSilentWatchIsGivenUp() throws Exception {
+        discoveryDoes = request -> SILENT;
         start();
         until(() -> discovery.seen.size() == 2);
         until(() -> discovery.ended.get() == 1);
--- a/src/test/java/cairnbridge/proxy/Stories.java
+++ b/src/test/java/cairnbridge/proxy/Stories.java
@@ -30,14 +30,14 @@
 @Timeout(20)
 abstract class Stories {
     static final String HIT = "200 OK|X-Store: hit|kept", MISS = "404 Not Found|X-Store: miss|",
-            RESET = "reset", CLOSING = "and close: ", SILENT = "silent",
+            RESET = "reset", CLOSING = "and close: ", SILENT = "silent", QUIET = "quiet",
             EMPTY = "200 OK||{\"rev\":1,\"all\":false,\"targets\":[]}\n";
 
     @TempDir
     Path folder;
     final List<AutoCloseable> opened = new ArrayList<>();
     Does cacheDoes = request -> HIT, originDoes = request -> "200 OK||fetched",
-            discoveryDoes = request -> SILENT;
+            discoveryDoes = request -> QUIET;
     int sockets = 256, port;
     double idleSeconds = 60;
     /** More of the configuration and of its settings, for a deployment of another shape. */
@@ -100,6 +100,8 @@
                             .getBytes(StandardCharsets.ISO_8859_1));
                     socket.close();
                     return null;
+                } else if (answer.equals(QUIET)) {
+                    quiet(socket);
                 } else if (answer.startsWith("HTTP/")) {
                     socket.getOutputStream().write(answer.replace(";", "\r\n")
                             .getBytes(StandardCharsets.ISO_8859_1));
@@ -114,6 +116,15 @@
             return null;
         }
 
+        /** A watch on which nothing changes: an empty line now and then, until the other side closes. */
+        private void quiet(Socket socket) throws IOException, InterruptedException {
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+            while (true) {
+                Thread.sleep(100);
+                socket.getOutputStream().write("1\r\n\n\r\n".getBytes());
+            }
+        }
+
         @Override
         public void close() throws IOException, InterruptedException {
             server.close();
