--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -781,7 +781,7 @@
         }
 
         private boolean excess(int tenant) {
-            if (tenant >= quotas.length || quotas[tenant] <= 0) {
+            if (tenant < 0 || tenant >= quotas.length || quotas[tenant] <= 0) {
                 return false;
             }
             for (int i = 0; i < tokens.length; i++) {
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -30,7 +30,8 @@
 final class Decide implements Host, Runnable {
     private static final Logger LOG = Logger.getLogger(Decide.class.getName());
     private static final int BATCH = 64;
-    private static final TenantId NO_TENANT = new TenantId(0);
+    /** Guards against one tenant's quota counted against the ops of all: on sockets nobody says whose they are. */
+    private static final TenantId NO_TENANT = new TenantId(-1);
     private static final long MOST_SWEEP = Clock.SECOND / 2;
     /** An idle process looks round this often, so that it notices when it was held up. */
     private static final long REST = 20 * Clock.MILLI;
