Stories of discovery: failing, hung, silent, cut and spoilt calls; descriptors full under a real limit

The time that an op waits for its withdrawn attempt is now less than the dial: without Decide.withdraw the story had passed by the dial's own end.

--- a/src/test/java/cairnbridge/proxy/CrossingsTest.java
+++ b/src/test/java/cairnbridge/proxy/CrossingsTest.java
@@ -77,7 +77,7 @@
                 target("o", origin.address(), "origin", "Ready")));
         client[0] = client();
         int held = proxy.held();
-        send(client[0], "GET /view/1", ttl(15_000), "");
+        send(client[0], "GET /view/1", ttl(4000), ""); // Less than the dial may take.
         until(() -> proxy.held() >= held + 2); // The client's, and the dial under way.
         return late;
     }
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/DiscoveryTest.java
@@ -0,0 +1,260 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.decision.Bounds;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A change is in hand within the time in which it counts as told, whatever became of the calls before. */
+class DiscoveryTest extends Stories {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** What discovery does with each call in turn; the last stays. */
+    private interface Turn {
+        void take(Socket socket, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    private StandIn discovery(Turn... turns) throws IOException {
+        AtomicInteger calls = new AtomicInteger();
+        return new StandIn(request -> "") {
+            @Override
+            Void serve(Socket socket) throws IOException, InterruptedException {
+                String request = message(socket);
+                if (request != null) {
+                    seen.add(request);
+                    turns[Math.min(calls.getAndIncrement(), turns.length - 1)].take(socket,
+                            socket.getOutputStream());
+                }
+                return null;
+            }
+        };
+    }
+
+    private static void hang(Socket socket, OutputStream out) throws IOException {
+        message(socket); // Until the other side ends it.
+    }
+
+    private static void reset(Socket socket, OutputStream out) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    private void startWith(StandIn at) throws Exception {
+        cache = new StandIn(request -> HIT);
+        origin = new StandIn(request -> "200 OK||fetched");
+        discovery = at;
+        proxy = serve(list(1, true, target("o", origin.address(), "origin", "Ready")));
+    }
+
+    /** A list that names the cache; it is in use once a read is answered by that. */
+    private String change(int version) {
+        return list(version, false, target("c", cache.address(), "cache", "Ready"));
+    }
+
+    private void untilInUse() throws IOException, InterruptedException {
+        until(() -> code(ask("GET /view/1", ttl(300), "")) == 200 && !cache.seen.isEmpty());
+    }
+
+    private void tell(OutputStream out, String text) throws IOException {
+        out.write((HEAD + chunk(text)).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Calls fail in every way, the wait has grown, and the last hangs as discovery comes back. */
+    @Test
+    void afterCallsThatFailInEveryWayAChangeIsInHandInTime() throws Exception {
+        AtomicLong back = new AtomicLong();
+        Turn failing = DiscoveryTest::reset;
+        startWith(discovery(failing, (socket, out) -> out.write("HTTP/1.1 503 Down\r\n\r\n".getBytes()), failing,
+                (socket, out) -> tell(out, "{\"rev\":1,\"all\":fal"), failing, failing, failing, (socket, out) -> {
+                    back.set(System.nanoTime()); // From here on discovery would answer; this call hangs on.
+                    hang(socket, out);
+                }, failing, (socket, out) -> {
+                    tell(out, change(2) + "\n");
+                    hang(socket, out);
+                }));
+        untilInUse();
+        long millis = (System.nanoTime() - back.get()) / 1_000_000;
+        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2, "in hand after " + millis);
+    }
+
+    /** Guards against a watch that is open and dead, whatever it brought last. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\n", "{\"rev\":1,\"all\":false,\"targets\":[]}\n", "{\"rev\":"})
+    void whatASilentWatchMissesIsInHandInTime(String last) throws Exception {
+        AtomicLong silent = new AtomicLong();
+        startWith(discovery((socket, out) -> {
+            out.write(HEAD.getBytes(StandardCharsets.ISO_8859_1));
+            if (!last.isEmpty()) {
+                out.write(chunk(last).getBytes(StandardCharsets.ISO_8859_1));
+            }
+            silent.set(System.nanoTime());
+            hang(socket, out);
+        }, (socket, out) -> {
+            tell(out, change(2) + "\n");
+            hang(socket, out);
+        }));
+        untilInUse();
+        long millis = (System.nanoTime() - silent.get()) / 1_000_000;
+        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS, "in hand after " + millis);
+    }
+
+    /** Guards against a change that is missed for good, as what comes behind it says nothing of it. */
+    @Test
+    void aLineThatCannotBeUsedHasTheWholeListAskedFor() throws Exception {
+        startWith(discovery((socket, out) -> {
+            tell(out, "{\"rev\":2,\"all\":false,\"targets\":[{\"uid\":\"c\",oops}]}\n");
+            hang(socket, out);
+        }, (socket, out) -> {
+            tell(out, change(3).replace("false", "true").replace("]}", ","
+                    + target("o", origin.address(), "origin", "Ready") + "]}") + "\n");
+            hang(socket, out);
+        }));
+        untilInUse();
+        assertFalse(discovery.seen.get(1).contains("after="), discovery.seen.get(1));
+    }
+
+    /** Lists may come indented; words in quotes may hold braces, and a blank line is a heartbeat. */
+    @Test
+    void aListThatGoesOverSeveralLinesIsOneList() throws Exception {
+        startWith(discovery((socket, out) -> {
+            tell(out, "\n" + change(2).replace("{", "{\n    ").replace(",", ",\n  ")
+                    .replace("\"az\":\"a\"", "\"az\":\"a}\\\"{\"") + "\n\n");
+            hang(socket, out);
+        }));
+        untilInUse();
+        assertEquals(1, discovery.seen.size());
+    }
+
+    /** Guards against half a line taken for a line, and one that is told only behind it. */
+    @Test
+    void aWatchThatEndsAmidALineIsAskedForWhatItMissed() throws Exception {
+        startWith(discovery((socket, out) -> {
+            String text = change(7) + "\n";
+            out.write((HEAD + Integer.toHexString(text.length()) + "\r\n" + text.substring(0, 30)).getBytes());
+            reset(socket, out);
+        }, (socket, out) -> {
+            tell(out, change(7) + "\n");
+            hang(socket, out);
+        }));
+        untilInUse();
+        assertTrue(discovery.seen.get(1).contains("after=1 "), discovery.seen.get(1));
+    }
+
+    /** Where the list must be asked for, the module asks again in time as well. */
+    @Test
+    void aListThatMustBeAskedForIsInHandInTimeToo() throws Exception {
+        shape = "\"registry-mode\":\"subscribe\",\"rules\":{\"ask-within-s\":60},";
+        AtomicLong back = new AtomicLong();
+        Turn failing = DiscoveryTest::reset;
+        startWith(discovery(failing, failing, failing, (socket, out) -> {
+            back.set(System.nanoTime());
+            hang(socket, out);
+        }, (socket, out) -> {
+            tell(out, change(2) + "\n");
+            hang(socket, out);
+        }));
+        untilInUse();
+        long millis = (System.nanoTime() - back.get()) / 1_000_000;
+        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2, "in hand after " + millis);
+    }
+
+    /** A real limit on the process: clients that say nothing hold all that it may, and discovery comes back. */
+    @Test
+    void idleClientsThatFillTheDescriptorsDoNotKeepTheListAway() throws Exception {
+        sockets = 96;
+        CountDownLatch up = new CountDownLatch(1);
+        startWith(discovery((socket, out) -> {
+            if (up.getCount() > 0) {
+                reset(socket, out);
+            } else {
+                tell(out, change(2) + "\n");
+                hang(socket, out);
+            }
+        }));
+        proxy.stop();
+        config(list(1, true, target("o", origin.address(), "origin", "Ready")), discovery.address());
+        String classes = System.getProperty("java.class.path");
+        // The program is one file; here each of its libraries is one, and is held open.
+        long limit = sockets + classes.split(File.pathSeparator).length;
+        ProcessBuilder builder = new ProcessBuilder("bash", "-c", "ulimit -n " + limit + "; exec \"$@\"", "-",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", classes,
+                "cairnbridge.cli.Main", "serve");
+        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        Process process = builder.start();
+        opened.add(process::destroyForcibly);
+        BufferedReader log = log(process);
+        int port = port(log);
+        daemon(() -> {
+            while (log.readLine() != null) {
+                Thread.onSpinWait(); // Its log is taken, so that it never waits for that.
+            }
+            return null;
+        });
+        List<Socket> idle = new ArrayList<>();
+        Thread crowd = daemon(() -> {
+            while (true) {
+                // More than the process may hold, opened anew as it ends them.
+                idle.removeIf(Socket::isClosed);
+                for (int i = idle.size(); i < 150; i++) {
+                    idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
+                }
+                for (Socket each : idle) {
+                    each.setSoTimeout(1);
+                    try {
+                        if (each.getInputStream().read() < 0) {
+                            each.close();
+                        }
+                    } catch (IOException e) {
+                        if (!(e instanceof java.net.SocketTimeoutException)) {
+                            each.close();
+                        }
+                    }
+                }
+            }
+        });
+        until(() -> idle.size() >= 150);
+        int calls = discovery.seen.size();
+        until(() -> discovery.seen.size() >= calls + 3);
+        long back = System.nanoTime();
+        up.countDown();
+        until(() -> discovery.seen.size() >= calls + 4);
+        int last = discovery.seen.size();
+        until(() -> !cache.seen.isEmpty() || oneRead(port));
+        long millis = (System.nanoTime() - back) / 1_000_000;
+        assertTrue(millis <= Bounds.TOLD_MILLIS, "the list is in use after " + millis + ", calls " + last);
+        assertTrue(crowd.isAlive(), "the crowd has stayed");
+    }
+
+    private boolean oneRead(int port) throws IOException {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.setSoTimeout(500);
+            send(client, "GET /view/1", ttl(300), "");
+            String answer = message(client);
+            return answer != null && code(answer) == 200 && !cache.seen.isEmpty();
+        } catch (IOException e) {
+            return false; // One of the crowd was faster.
+        }
+    }
+}
