A look at an overdue connection that ends just then does not end all looks

Read, not seen: setEvent on a key that is being cancelled throws, and a task that throws is never run again by its timer. Nothing is written any more after such a connection has been refused.

--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
@@ -65,10 +66,7 @@
     private static final long QUIET_MILLIS = 150, FRESH_MILLIS = 1000;
     /** To read one request but for a long body, or for the first to come; and for the next to come. */
     private static final long READ_MILLIS = 2200, KEEP_MILLIS = 5000;
-    /**
-     * For a client to end its side once ours has ended; and what it may still send until then, or mid-
-     * answer.
-     */
+    /** For a client to end its side once ours has ended; what it may send until then, or amid its answer. */
     private static final long LINGER_MILLIS = 2000, MOST_THROWN_AWAY = 1 << 20;
     private static final int BUFFER = 4096;
     /** Of a head, in bytes and in fields: more is no request and no answer of this protocol. */
@@ -448,7 +446,12 @@
         /** Guards against an end that meets a request which the reactor is just taking: that looks itself. */
         void lookAgain() {
             madeThen = exchanges.made;
-            session.setEvent(SelectionKey.OP_WRITE);
+            try {
+                session.setEvent(SelectionKey.OP_WRITE);
+            } catch (CancelledKeyException e) {
+                // Guards against an end of all looks, as one connection ends just then: nothing is left to do.
+                madeThen = -1;
+            }
         }
 
         long idleSince() {
@@ -478,6 +481,7 @@
                 }
             } else if (then >= 0 && isOverdue(System.nanoTime())) {
                 refuse();
+                return;
             }
             if (session.isClosing()) {
                 up.setEventMask(SelectionKey.OP_READ);
