--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -449,7 +449,7 @@
             try {
                 session.setEvent(SelectionKey.OP_WRITE);
             } catch (CancelledKeyException e) {
-                // Guards against an end of all looks, as one connection ends just then: nothing is left to do.
+                // Guards against an end of all looks, as one connection ends just then.
                 madeThen = -1;
             }
         }
