A starting proxy takes clients once discovery's word is in, or there is none to be had

Checked: the logs: 71 of 102 processes start anew (Picked up at 15.25 s of the log, ready at 17.0), nobody logs anything between the watch's return at 11.9 s and that; 79 sends to about as many new processes. Ruled out: the watch's return, told to all within one tenth at 11.909. Likely, not traced to a process: what the agent has counts as told from a process's first moment, and Serve.start listened before it called discovery, so that first ops went by the list of the configuration. At fault: the order in Serve.start. It now waits for the first list, 0.1 s after a head without one, the call's failure, or 1.5 s, and listens then. Test: DiscoveryTest.aStartingProxySendsNothingByItsOldList..., the list held back until 30 clients have tried.

--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
@@ -58,6 +59,8 @@
     private RosterBook book;
     private long waitMillis = Bounds.LEAST_WAIT_MILLIS;
     private boolean started, wanted, listed, discovered, lost;
+    /** Open until the first call has brought something, or has failed. */
+    private final CountDownLatch first = new CountDownLatch(1);
     private final OddityLog odd = new OddityLog(LOG, "roster");
     /** The list's nodes, and whether each is a cache. */
     private final Map<NodeId, Boolean> nodes = new ConcurrentHashMap<>();
@@ -92,6 +95,14 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Waits until discovery's word has gone to the owner, or there is none to be had. Guards against ops sent
+     * by the list of the configuration: what discovery has counts as told from a process's first moment.
+     */
+    void awaitFirst() throws InterruptedException {
+        first.await(Bounds.CALL_MILLIS + Bounds.LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     void subscribe(boolean on) {
         timer.execute(() -> {
             wanted = on;
@@ -214,6 +225,7 @@
             return;
         }
         watching = null;
+        first.countDown();
         endedAt = System.nanoTime();
         // Guards against a wait grown long before: one that has held for a while is called again at once.
         if (call.code == OK && millisSince(call.began) >= Bounds.HEARTBEAT_MILLIS) {
@@ -316,6 +328,9 @@
         version = (long) tree.number("rev", version);
         listed = true;
         inbox.post(new Notice.Listed(new Event.Roster(scope, version, entries), addresses));
+        if (scope != Scope.CACHED) {
+            first.countDown();
+        }
     }
 
     /** A kind that nobody has named is a cache's, as in the module. */
@@ -401,6 +416,8 @@
         void begun(int status) {
             code = status;
             heard = System.nanoTime();
+            // What there is to tell comes with the head; nothing has changed where nothing does.
+            timer.schedule(first::countDown, Bounds.LOOK_MILLIS, TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -159,10 +159,11 @@
         boolean alone = !beside.isShared();
         beside.runs();
         sockets.start();
+        watch.start();
+        watch.awaitFirst();
         if (alone) {
             sockets.listen(config.listen());
         }
-        watch.start();
         timer.scheduleWithFixedDelay(maintenance::look, Maintenance.LOOK_MILLIS, Maintenance.LOOK_MILLIS,
                 TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(() -> {
--- a/src/test/java/cairnbridge/proxy/CrossingsTest.java
+++ b/src/test/java/cairnbridge/proxy/CrossingsTest.java
@@ -6,6 +6,7 @@
 
 import cairnbridge.decision.Bounds;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -64,15 +66,24 @@
     private Late waiting(Socket[] client, CountDownLatch change, String state) throws Exception {
         dialSeconds = 5;
         Late late = new Late();
-        discoveryDoes = request -> {
-            change.await();
-            return discovery.seen.size() > 1 ? QUIET : "200 OK||" + list(2, false,
-                    target("late", late.address(), "cache", state),
-                    target("c", cache.address(), "cache", "Ready")) + "\n";
-        };
         cache = new StandIn(request -> HIT);
         origin = new StandIn(request -> "200 OK||fetched");
-        discovery = new StandIn(request -> discoveryDoes.apply(request));
+        String told = list(2, false, target("late", late.address(), "cache", state),
+                target("c", cache.address(), "cache", "Ready")) + "\n";
+        discovery = new StandIn(request -> "") {
+            @Override
+            Void serve(Socket socket) throws IOException, InterruptedException {
+                seen.add(message(socket));
+                OutputStream out = socket.getOutputStream();
+                out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+                while (!change.await(100, TimeUnit.MILLISECONDS)) {
+                    out.write("1\r\n\n\r\n".getBytes());
+                }
+                out.write((Integer.toHexString(told.length()) + "\r\n" + told + "\r\n").getBytes());
+                message(socket); // Until the other side ends it.
+                return null;
+            }
+        };
         proxy = serve(list(1, true, target("late", late.address(), "cache", "Ready"),
                 target("o", origin.address(), "origin", "Ready")));
         int held = proxy.held();
--- a/src/test/java/cairnbridge/proxy/DiscoveryTest.java
+++ b/src/test/java/cairnbridge/proxy/DiscoveryTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -80,6 +81,34 @@
         out.write((HEAD + chunk(text)).getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** What discovery has counts as told from a process's first moment: nothing goes by an older list. */
+    @Test
+    void aStartingProxySendsNothingByItsOldListWhileDiscoverysIsOnItsWay() throws Exception {
+        StandIn gone = new StandIn(request -> HIT);
+        AtomicInteger tries = new AtomicInteger();
+        startWith(discovery((socket, out) -> {
+            until(() -> tries.get() >= 30); // Clients come all the while.
+            tell(out, list(2, false, target("c", cache.address(), "cache", "Ready"),
+                    target("gone", gone.address(), "cache", "Terminating")) + "\n");
+            hang(socket, out);
+        }));
+        proxy.stop();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Thread clients = daemon(() -> {
+            for (int code = 0; code != 200; tries.incrementAndGet()) {
+                code = oneRead(port);
+            }
+            return null;
+        });
+        proxy = serve(list(1, true, target("gone", gone.address(), "cache", "Ready"),
+                target("o", origin.address(), "origin", "Ready")));
+        clients.join();
+        assertEquals(List.of(), gone.seen);
+        assertEquals(1, cache.seen.size());
+    }
+
     /** Calls fail in every way, the wait has grown, and the last hangs as discovery comes back. */
     @Test
     void afterCallsThatFailInEveryWayAChangeIsInHandInTime() throws Exception {
