--- a/src/main/java/cairnbridge/decision/Bounds.java
+++ b/src/main/java/cairnbridge/decision/Bounds.java
@@ -31,9 +31,6 @@
     /** Of that, what the last answers need on their way, and what the process needs to end. */
     public static final long LAST_ANSWER_MILLIS = 100, EXIT_MILLIS = 100;
 
-    /** A client that has gone: nothing begins for it later than this. */
-    public static final long GONE_MILLIS = 100;
-
     private Bounds() {
     }
 
--- a/src/main/java/cairnbridge/proxy/Permission.java
+++ b/src/main/java/cairnbridge/proxy/Permission.java
@@ -37,8 +37,10 @@
     /** Why the first byte may not go out now; null where it may. */
     Refusal refusal(long now) {
         Refusal why = revoked.get();
-        return why != null ? why : op != null && op.refusal(now) != null ? op.refusal(now)
-                : now >= latestBegin ? Refusal.TOO_LATE : null;
+        if (why == null && op != null) {
+            why = op.refusal(now);
+        }
+        return why == null && now >= latestBegin ? Refusal.TOO_LATE : why;
     }
 
     /**
