--- a/src/test/java/cairnbridge/proxy/AttemptTest.java
+++ b/src/test/java/cairnbridge/proxy/AttemptTest.java
@@ -104,7 +104,7 @@
         }
     }
 
-    /** Guards against a node that goes on with an answer whose client was gone as it began to be passed on. */
+    /** Guards against a node that goes on with an answer whose client was gone as it began to pass. */
     @Test
     void aClientWhoseConnectionBreaksUnderTheHeadOfAnAnswerHasGone() throws Exception {
         BasicHttpRequest request = new BasicHttpRequest("GET", "/view/1");
