--- a/src/main/java/cairnbridge/adapter/Adapter.java
+++ b/src/main/java/cairnbridge/adapter/Adapter.java
@@ -40,15 +40,16 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Speaks the bench's JSON wire: one batch a line in, one reply a line out, one Router an instance. */
+/**
+ * Speaks the bench's JSON wire: one batch a line in, one reply a line out, one Router an instance.
+ */
 public final class Adapter {
     private static final Logger LOG = Logger.getLogger(Adapter.class.getName());
     private static final int TABLES = 16;
     private static final int KEY_DIGITS = 16;
 
     /** One hosted instance; nothing in it is shared with another. */
-    private record Instance(Router router, WireHost host, int reportWidth) {
-    }
+    private record Instance(Router router, WireHost host, int reportWidth) {}
 
     private final JsonParser parser;
     private final JsonGenerator out;
@@ -75,7 +76,8 @@
                 batch();
             }
         } catch (JsonProcessingException e) {
-            throw reader.fault("not valid JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw reader.fault(
+                    "not valid JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
     }
 
@@ -127,7 +129,8 @@
             case "CRASH_NOW" -> instances.remove(id);
             case "ORDER" -> deliver(id, arrived());
             case "FINISHED" -> deliver(id, ended(id));
-            case "WAKEUP" -> deliver(id, new Event.TimerFired(new TimerId(reader.whole("key-back"))));
+            case "WAKEUP" ->
+                    deliver(id, new Event.TimerFired(new TimerId(reader.whole("key-back"))));
             case "GONE" -> deliver(id, new Event.OpDropped(new OpId(reader.whole("rid"))));
             case "STREAMING" -> {
                 OpId op = new OpId(reader.whole("rid"));
@@ -140,7 +143,9 @@
                 long took = tenths(reader.number("rtt-s"));
                 Ending ending = ending(reader.text("reason", true));
                 NodeId node = new NodeId(reader.whole("node"));
-                deliver(id, new Event.ProbeEnded(node, ending, took, reader.row("usage", width(id))));
+                deliver(
+                        id,
+                        new Event.ProbeEnded(node, ending, took, reader.row("usage", width(id))));
             }
             case "NEIGHBOUR_SAYS" -> {
                 PeerId from = new PeerId((int) reader.whole("from"));
@@ -165,8 +170,12 @@
         } catch (ConfigFault e) {
             throw reader.fault(e.getMessage());
         }
-        instances.put(id, new Instance(new Router(settings, seed, clock, host, Learnt.NOTHING), host,
-                settings.reportColumns().size()));
+        instances.put(
+                id,
+                new Instance(
+                        new Router(settings, seed, clock, host, Learnt.NOTHING),
+                        host,
+                        settings.reportColumns().size()));
     }
 
     private void deliver(int id, Event event) {
@@ -197,8 +206,8 @@
         long work = tenths(reader.number("work-s", 0));
         long size = reader.whole("size", -1);
         boolean again = reader.flag("repeat");
-        return new Event.OpArrived(op, category, tenant, key, expires, work, size, again,
-                reader.flag("is-write"));
+        return new Event.OpArrived(
+                op, category, tenant, key, expires, work, size, again, reader.flag("is-write"));
     }
 
     private KeyId key(String digits) {
@@ -220,7 +229,8 @@
         boolean over = reader.flag("no-more");
         NodeId node = new NodeId(reader.whole("node"));
         long took = tenths(reader.number("rtt-s", 0));
-        return new Event.PushEnded(op, push, node, ending, note, took, over, reader.row("usage", width(id)));
+        return new Event.PushEnded(
+                op, push, node, ending, note, took, over, reader.row("usage", width(id)));
     }
 
     private Ending ending(String code) {
@@ -243,7 +253,9 @@
         long version = reader.whole("index", 0);
         int table = (int) reader.whole("table", 0);
         boolean failed = scope == Scope.FAILED.ordinal();
-        if (scope < 0 || scope >= Scope.values().length || !failed && (table < 0 || table >= TABLES)) {
+        if (scope < 0
+                || scope >= Scope.values().length
+                || !failed && (table < 0 || table >= TABLES)) {
             throw reader.fault("scope or table is out of range");
         }
         List<Entry> entries = failed ? List.of() : tables.get(table);
@@ -267,8 +279,15 @@
             double size = reader.number("power-hint", 1);
             long started = tenths(reader.number("ready-at-s", 0));
             NodeId node = new NodeId(reader.whole("node"));
-            entries.add(new Entry(node, State.values()[state], kind, size, started, cell,
-                    new ZoneId((int) reader.whole("dc", 0))));
+            entries.add(
+                    new Entry(
+                            node,
+                            State.values()[state],
+                            kind,
+                            size,
+                            started,
+                            cell,
+                            new ZoneId((int) reader.whole("dc", 0))));
             reader.close();
         }
         tables.set(table, entries);
--- a/src/main/java/cairnbridge/adapter/WireHost.java
+++ b/src/main/java/cairnbridge/adapter/WireHost.java
@@ -47,27 +47,33 @@
 
     @Override
     public void push(OpId op, NodeId node, long timeOut, long latestBegin) {
-        action("ATTEMPT", () -> {
-            out.writeNumber(op.value());
-            out.writeNumber(node.value());
-            seconds(timeOut);
-        });
+        action(
+                "ATTEMPT",
+                () -> {
+                    out.writeNumber(op.value());
+                    out.writeNumber(node.value());
+                    seconds(timeOut);
+                });
     }
 
     @Override
     public void cancel(OpId op, int push) {
-        action("ABORT_ATTEMPT", () -> {
-            out.writeNumber(op.value());
-            out.writeNumber(push);
-        });
+        action(
+                "ABORT_ATTEMPT",
+                () -> {
+                    out.writeNumber(op.value());
+                    out.writeNumber(push);
+                });
     }
 
     @Override
     public void nack(OpId op, long retryAfter) {
-        action("PUSH_BACK", () -> {
-            out.writeNumber(op.value());
-            seconds(retryAfter);
-        });
+        action(
+                "PUSH_BACK",
+                () -> {
+                    out.writeNumber(op.value());
+                    seconds(retryAfter);
+                });
     }
 
     @Override
@@ -77,10 +83,12 @@
 
     @Override
     public void timer(long in, TimerId timer) {
-        action("REMIND", () -> {
-            seconds(in);
-            out.writeNumber(timer.value());
-        });
+        action(
+                "REMIND",
+                () -> {
+                    seconds(in);
+                    out.writeNumber(timer.value());
+                });
     }
 
     @Override
@@ -90,10 +98,12 @@
 
     @Override
     public void tellPeer(PeerId peer, byte[] body) {
-        action("NOTIFY", () -> {
-            out.writeNumber(peer == null ? ALL_PEERS : peer.value());
-            out.writeString(HexFormat.of().formatHex(body));
-        });
+        action(
+                "NOTIFY",
+                () -> {
+                    out.writeNumber(peer == null ? ALL_PEERS : peer.value());
+                    out.writeString(HexFormat.of().formatHex(body));
+                });
     }
 
     @Override
@@ -103,8 +113,7 @@
 
     @Override
     public void fetchRoster() {
-        action("LIST_ALL", () -> {
-        });
+        action("LIST_ALL", () -> {});
     }
 
     @Override
--- a/src/main/java/cairnbridge/adapter/WireReader.java
+++ b/src/main/java/cairnbridge/adapter/WireReader.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 
-/** Reads the positional values of one message; a value that is null or left out takes its default. */
+/**
+ * Reads the positional values of one message; a value that is null or left out takes its default.
+ */
 final class WireReader {
     private final JsonParser parser;
     private boolean ended;
--- a/src/main/java/cairnbridge/admin/Door.java
+++ b/src/main/java/cairnbridge/admin/Door.java
@@ -23,6 +23,7 @@
 public final class Door implements Runnable {
     /** Descriptors that it may hold, its listener and its selector among them. */
     public static final int MOST_SOCKETS = 36;
+
     private static final Logger LOG = Logger.getLogger(Door.class.getName());
     private static final int MOST_CALLERS = 32, MOST_LINE = 512, LOOK_MILLIS = 200;
     private static final long MOST_NANOS = 5_000_000_000L, MOST_WAIT_MILLIS = 800;
@@ -33,8 +34,10 @@
     private final Selector selector;
     private final ServerSocketChannel listener;
     private final List<Caller> callers = new ArrayList<>();
+
     /** Callers whose answer came from another thread. */
     private final Queue<Caller> answered = new ConcurrentLinkedQueue<>();
+
     private volatile boolean stopped;
 
     public Door(InetSocketAddress address, Staff staff, Figures figures) throws IOException {
@@ -56,7 +59,8 @@
 
     @Override
     public void run() {
-        try (selector; listener) {
+        try (selector;
+                listener) {
             while (!stopped) {
                 turn();
             }
@@ -146,7 +150,8 @@
                 called = true;
                 key.interestOps(0);
                 if (end >= 0 && !text.substring(end).isBlank()) {
-                    say(NO + "one line to a connection"); // Guards against half of what a caller wants done.
+                    say(NO + "one line to a connection"); // Guards against half of what a
+                    // caller wants done.
                 } else {
                     call((end < 0 ? text : text.substring(0, end)).strip());
                 }
@@ -170,35 +175,62 @@
                 }
                 case "maint-on" -> later(staff.hold(id, true), YES + "out", NO + "no such node");
                 case "maint-off" -> later(staff.hold(id, false), YES + "back", NO + "no such node");
-                case "members", "members-json", "member" -> say(staff.fleet(word[0], id)
-                        .orElse(NO + (word[0].equals("member") ? "no such member" : "no fleet")));
-                case "recovery" -> say(staff.recovery().map(told -> told + "EOF")
-                        .orElse(NO + "nothing is kept over a loss of power"));
+                case "members", "members-json", "member" ->
+                        say(
+                                staff.fleet(word[0], id)
+                                        .orElse(
+                                                NO
+                                                        + (word[0].equals("member")
+                                                                ? "no such member"
+                                                                : "no fleet")));
+                case "recovery" ->
+                        say(
+                                staff.recovery()
+                                        .map(told -> told + "EOF")
+                                        .orElse(NO + "nothing is kept over a loss of power"));
                 case "zones", "zone-drain", "zone-restore" ->
-                        staff.zones(text).ifPresentOrElse(this::laterText,
-                        () -> say(NO + "no plans over zones"));
+                        staff.zones(text)
+                                .ifPresentOrElse(
+                                        this::laterText, () -> say(NO + "no plans over zones"));
                 default -> say(NO + "no such call");
             }
         }
 
-        /** Guards against a caller left without a word while the owner of the decisions is behind. */
+        /**
+         * Guards against a caller left without a word while the owner of the decisions is behind.
+         */
         private void later(CompletableFuture<Boolean> done, String yes, String no) {
-            done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((taken, late) -> {
-                boolean notKept = late instanceof CompletionException && late.getCause() instanceof NotKept;
-                say(notKept ? YES + "in force, but a loss of power would undo it"
-                        : late instanceof TimeoutException ? NO + "not in force yet, call again"
-                        : late != null ? NO + "cannot be kept, nothing has changed" : taken ? yes : no);
-                answered.add(this);
-                selector.wakeup();
-            });
+            done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                    .whenComplete(
+                            (taken, late) -> {
+                                boolean notKept =
+                                        late instanceof CompletionException
+                                                && late.getCause() instanceof NotKept;
+                                say(
+                                        notKept
+                                                ? YES
+                                                        + "in force, but a loss of power would undo"
+                                                        + " it"
+                                                : late instanceof TimeoutException
+                                                        ? NO + "not in force yet, call again"
+                                                        : late != null
+                                                                ? NO
+                                                                        + "cannot be kept, nothing"
+                                                                        + " has changed"
+                                                                : taken ? yes : no);
+                                answered.add(this);
+                                selector.wakeup();
+                            });
         }
 
         private void laterText(CompletableFuture<String> done) {
-            done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((text, late) -> {
-                say(late != null ? NO + "no answer yet, call again" : text);
-                answered.add(this);
-                selector.wakeup();
-            });
+            done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                    .whenComplete(
+                            (text, late) -> {
+                                say(late != null ? NO + "no answer yet, call again" : text);
+                                answered.add(this);
+                                selector.wakeup();
+                            });
         }
 
         private void say(String text) {
@@ -210,7 +242,8 @@
             if (answer.hasRemaining()) {
                 key.interestOps(SelectionKey.OP_WRITE);
             } else {
-                // Guards against an answer that is reset by what the caller has said behind its line.
+                // Guards against an answer that is reset by what the caller has said behind its
+                // line.
                 channel.read(ByteBuffer.allocate(MOST_LINE));
                 close();
             }
--- a/src/main/java/cairnbridge/admin/DoorClient.java
+++ b/src/main/java/cairnbridge/admin/DoorClient.java
@@ -7,8 +7,7 @@
 
 /** The other side of a door: one call and all of its answer. */
 public final class DoorClient {
-    private DoorClient() {
-    }
+    private DoorClient() {}
 
     /** millis: how long to wait for the connection, and for each part of the answer. */
     public static String ask(InetSocketAddress door, String call, int millis) throws IOException {
--- a/src/main/java/cairnbridge/admin/Figures.java
+++ b/src/main/java/cairnbridge/admin/Figures.java
@@ -8,27 +8,45 @@
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
-/** What staff may read at any time, waiting for no thread: counted where an op or a push really ends. */
+/**
+ * What staff may read at any time, waiting for no thread: counted where an op or a push really
+ * ends.
+ */
 public final class Figures {
     /** How an op ended; the words are those of the figures' form. */
-    public enum End { SUCCESS, BUSY, FAILURE }
+    public enum End {
+        SUCCESS,
+        BUSY,
+        FAILURE
+    }
 
     /** Why an attempt that was decided did not begin. */
-    public enum Refusal { CLIENT_GONE, OP_OVER, NODE_CLOSED, TOO_LATE }
+    public enum Refusal {
+        CLIENT_GONE,
+        OP_OVER,
+        NODE_CLOSED,
+        TOO_LATE
+    }
 
     private final Map<String, LongAdder[]> ends = new LinkedHashMap<>();
     private final LongAdder[][] byNumber;
-    private final LongAdder taken = new LongAdder(), over = new LongAdder(), pushes = new LongAdder();
-    private final LongAdder[] refusals = Stream.generate(LongAdder::new).limit(Refusal.values().length)
-            .toArray(LongAdder[]::new);
+    private final LongAdder taken = new LongAdder(),
+            over = new LongAdder(),
+            pushes = new LongAdder();
+    private final LongAdder[] refusals =
+            Stream.generate(LongAdder::new)
+                    .limit(Refusal.values().length)
+                    .toArray(LongAdder[]::new);
     private volatile int listed, avoided;
+
     /** Further figures by name, where a part that is switched on has some. */
     private volatile Supplier<Map<String, Long>> further = Map::of;
 
     /** Categories are known by their place in this list; one that is named twice has one row. */
     public Figures(List<String> categories) {
         for (String name : categories) {
-            ends.putIfAbsent(name, new LongAdder[] {new LongAdder(), new LongAdder(), new LongAdder()});
+            ends.putIfAbsent(
+                    name, new LongAdder[] {new LongAdder(), new LongAdder(), new LongAdder()});
         }
         byNumber = categories.stream().map(ends::get).toArray(LongAdder[][]::new);
     }
@@ -73,14 +91,16 @@
     /** One figure a line: its name, its value, c for what only grows and g for what is so now. */
     public String text() {
         StringBuilder text = new StringBuilder(256);
-        ends.forEach((name, each) -> {
-            for (End end : End.values()) {
-                String kind = end.name().toLowerCase(Locale.ROOT);
-                line(text, "calls." + name + "." + kind, each[end.ordinal()].sum(), 'c');
-            }
-        });
+        ends.forEach(
+                (name, each) -> {
+                    for (End end : End.values()) {
+                        String kind = end.name().toLowerCase(Locale.ROOT);
+                        line(text, "calls." + name + "." + kind, each[end.ordinal()].sum(), 'c');
+                    }
+                });
         line(text, "backend_calls", pushes.sum(), 'c');
-        // Read first: guards against an op that ends between the two sums and makes the gauge negative.
+        // Read first: guards against an op that ends between the two sums and makes the gauge
+        // negative.
         long ended = over.sum();
         line(text, "inflight", taken.sum() - ended, 'g');
         line(text, "hosts_listed", listed, 'g');
@@ -89,11 +109,20 @@
             String name = "attempts_refused." + why.name().toLowerCase(Locale.ROOT);
             line(text, name, refusals[why.ordinal()].sum(), 'c');
         }
-        further.get().forEach((name, value) -> line(text, name, value, name.endsWith("_total") ? 'c' : 'g'));
+        further.get()
+                .forEach(
+                        (name, value) ->
+                                line(text, name, value, name.endsWith("_total") ? 'c' : 'g'));
         return text.toString();
     }
 
     private static void line(StringBuilder text, String name, long value, char kind) {
-        text.append("lb.").append(name).append(':').append(value).append('|').append(kind).append('\n');
+        text.append("lb.")
+                .append(name)
+                .append(':')
+                .append(value)
+                .append('|')
+                .append(kind)
+                .append('\n');
     }
 }
--- a/src/main/java/cairnbridge/admin/Listener.java
+++ b/src/main/java/cairnbridge/admin/Listener.java
@@ -9,12 +9,15 @@
 
 /** Opens a place to listen at, for staff and for clients alike. */
 public final class Listener {
-    private Listener() {
-    }
+    private Listener() {}
 
-    /** Bound and known to the selector, which is closed where it cannot be; beside others if it is shared. */
-    public static ServerSocketChannel open(InetSocketAddress address, int backlog, boolean shared,
-            Selector selector) throws IOException {
+    /**
+     * Bound and known to the selector, which is closed where it cannot be; beside others if it is
+     * shared.
+     */
+    public static ServerSocketChannel open(
+            InetSocketAddress address, int backlog, boolean shared, Selector selector)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
--- a/src/main/java/cairnbridge/admin/Staff.java
+++ b/src/main/java/cairnbridge/admin/Staff.java
@@ -7,11 +7,15 @@
 public interface Staff {
     boolean isReady();
 
-    /** Takes a node out, or puts it back; true once that is in force, false where no such node is known. */
+    /**
+     * Takes a node out, or puts it back; true once that is in force, false where no such node is
+     * known.
+     */
     CompletableFuture<Boolean> hold(String node, boolean on);
 
     /**
-     * What the fleet's view says: members, members-json, or member with an id; empty where that says nothing.
+     * What the fleet's view says: members, members-json, or member with an id; empty where that
+     * says nothing.
      */
     default Optional<String> fleet(String call, String id) {
         return Optional.empty();
@@ -22,7 +26,9 @@
         return Optional.empty();
     }
 
-    /** How far the return after a loss of power is, and what was kept; empty where nothing is kept. */
+    /**
+     * How far the return after a loss of power is, and what was kept; empty where nothing is kept.
+     */
     default Optional<String> recovery() {
         return Optional.empty();
     }
--- a/src/main/java/cairnbridge/cli/DoorCall.java
+++ b/src/main/java/cairnbridge/cli/DoorCall.java
@@ -11,8 +11,7 @@
 final class DoorCall {
     private static final int MOST_MILLIS = 3000;
 
-    private DoorCall() {
-    }
+    private DoorCall() {}
 
     /** Prints the answer; the command's status: 1 where it is a refusal or there is none. */
     static int make(CommandSpec spec, String door, String call) {
--- a/src/main/java/cairnbridge/cli/DrillCommand.java
+++ b/src/main/java/cairnbridge/cli/DrillCommand.java
@@ -18,16 +18,26 @@
 import picocli.CommandLine.Spec;
 
 /** Plays scenarios, one after another; the status is 1 where one does not hold. */
-@Command(name = "drill", mixinStandardHelpOptions = true,
-        description = "Starts proxies and stand-ins on loopback addresses and breaks things between them.")
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
+        description =
+                "Starts proxies and stand-ins on loopback addresses and breaks things between"
+                        + " them.")
 final class DrillCommand implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
+
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Scenarios, as in drills/.")
     private List<String> files;
-    @Option(names = "--out", paramLabel = "FOLDER",
-            description = "Where records of events and the processes' files go; if not given, a new folder.")
+
+    @Option(
+            names = "--out",
+            paramLabel = "FOLDER",
+            description =
+                    "Where records of events and the processes' files go; if not given, a new"
+                            + " folder.")
     private String out;
+
     @Option(names = "--check", description = "Reads the scenarios and plays none.")
     private boolean check;
 
@@ -40,7 +50,8 @@
                 continue;
             }
             String name = Path.of(file).getFileName().toString().replace(".drill", "");
-            Path folder = out == null ? Files.createTempDirectory("drill-" + name) : Path.of(out, name);
+            Path folder =
+                    out == null ? Files.createTempDirectory("drill-" + name) : Path.of(out, name);
             say(name + ": " + scenario.title());
             Drill.Verdict verdict = new Drill(scenario, folder, line -> say("  " + line)).run();
             say(name + (verdict.held() ? " HELD" : " DID NOT HOLD") + ", record in " + folder);
--- a/src/main/java/cairnbridge/cli/FuzzCommand.java
+++ b/src/main/java/cairnbridge/cli/FuzzCommand.java
@@ -9,14 +9,21 @@
 import picocli.CommandLine.Spec;
 
 /** Drives a store's files through losses of power and rot for as long as it is told. */
-@Command(name = "fuzz", mixinStandardHelpOptions = true,
-        description = "Reads a store back after losses of power, faults and rot on a simulated disk.")
+@Command(
+        name = "fuzz",
+        mixinStandardHelpOptions = true,
+        description =
+                "Reads a store back after losses of power, faults and rot on a simulated disk.")
 final class FuzzCommand implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
+
     @Option(names = "--minutes", defaultValue = "10", description = "How long: ${DEFAULT-VALUE}.")
     private double minutes;
-    @Option(names = "--seed", defaultValue = "1", description = "The first seed; the next ones follow it.")
+
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            description = "The first seed; the next ones follow it.")
     private long seed;
 
     @Override
--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -5,8 +5,8 @@
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.FleetConfig;
 import cairnbridge.config.ProxyConfig;
-import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.decision.Learnt;
+import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.proxy.Serve;
 import cairnbridge.recovery.StateKeeper;
 import java.io.IOException;
@@ -22,26 +22,44 @@
 import sun.misc.Signal;
 
 /** The command line of the service. */
-@Command(name = "cairnbridge", mixinStandardHelpOptions = true, version = "cairnbridge 0.1.0",
+@Command(
+        name = "cairnbridge",
+        mixinStandardHelpOptions = true,
+        version = "cairnbridge 0.1.0",
         description = "Routes ops to a fleet of cache servers.",
-        subcommands = {Main.AdapterCommand.class, Main.ServeCommand.class, Main.RehearseCommand.class,
-                MembersCommand.class, DrillCommand.class, DemoCommand.class, SimulateCommand.class,
-                ZonesCommand.class, RecoveryCommand.class, FuzzCommand.class, LabCommand.class})
+        subcommands = {
+            Main.AdapterCommand.class,
+            Main.ServeCommand.class,
+            Main.RehearseCommand.class,
+            MembersCommand.class,
+            DrillCommand.class,
+            DemoCommand.class,
+            SimulateCommand.class,
+            ZonesCommand.class,
+            RecoveryCommand.class,
+            FuzzCommand.class,
+            LabCommand.class
+        })
 public final class Main implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
 
     /** The exit status of a proxy that cannot go on; the platform starts it again. */
     private static final int BROKEN = 4;
+
     private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
 
     public static void main(String[] args) {
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
-        // Guards against a slow restart: the library's classes are too old for the class archive, and loading
+        // Guards against a slow restart: the library's classes are too old for the class archive,
+        // and loading
         // them takes a quarter of the start. The plain form of the command does without them.
-        System.exit(args.length == 1 && args[0].equals("serve") ? serve()
-                : new CommandLine(new Main()).setExecutionExceptionHandler(Main::faulty).execute(args));
+        System.exit(
+                args.length == 1 && args[0].equals("serve")
+                        ? serve()
+                        : new CommandLine(new Main())
+                                .setExecutionExceptionHandler(Main::faulty)
+                                .execute(args));
     }
 
     private static int serve() {
@@ -56,7 +74,8 @@
     }
 
     /** What cannot be used is said in one line; any other exception is the library's to show. */
-    private static int faulty(Exception e, CommandLine command, ParseResult parsed) throws Exception {
+    private static int faulty(Exception e, CommandLine command, ParseResult parsed)
+            throws Exception {
         if (!(e instanceof Malformed || e instanceof ConfigFault || e instanceof ScenarioFault)) {
             throw e;
         }
@@ -73,7 +92,9 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
     }
 
-    @Command(name = "adapter", description = "Speaks the bench's wire on standard input and output.")
+    @Command(
+            name = "adapter",
+            description = "Speaks the bench's wire on standard input and output.")
     static final class AdapterCommand implements Callable<Integer> {
         @Override
         public Integer call() throws IOException {
@@ -84,7 +105,9 @@
 
     @Command(name = "serve", description = "Runs one proxy on sockets, as its environment says.")
     static final class ServeCommand implements Callable<Integer> {
-        @Option(names = "--fleet", paramLabel = "FILE",
+        @Option(
+                names = "--fleet",
+                paramLabel = "FILE",
                 description = "Joins the fleet that this file describes (deploy/fleet.toml).")
         private String fleet;
 
@@ -93,15 +116,21 @@
             ProxyConfig config = ProxyConfig.read(System.getenv());
             FleetConfig member = fleet == null ? null : FleetConfig.read(fleet, config.name());
             Optional<StateKeeper> keeper = member == null ? Optional.empty() : keeper(member);
-            Serve serve = new Serve(config, Main::end,
-                    keeper.map(StateKeeper::learnt).orElse(Learnt.NOTHING));
+            Serve serve =
+                    new Serve(
+                            config,
+                            Main::end,
+                            keeper.map(StateKeeper::learnt).orElse(Learnt.NOTHING));
             try {
                 if (member != null) {
-                    serve.join(keeper.map(mine -> member.remembering(mine.life(), mine.remembered()))
-                            .orElse(member), keeper);
+                    serve.join(
+                            keeper.map(mine -> member.remembering(mine.life(), mine.remembered()))
+                                    .orElse(member),
+                            keeper);
                 }
                 // Guards against the machine's own answer to a hang-up, which is to end.
-                Signal.handle(new Signal("HUP"),
+                Signal.handle(
+                        new Signal("HUP"),
                         signal -> serve.reload(() -> ProxyConfig.read(System.getenv())));
                 Runtime.getRuntime().addShutdownHook(new Thread(serve::drain, "drain"));
                 serve.start();
@@ -116,13 +145,20 @@
     }
 
     private static Optional<StateKeeper> keeper(FleetConfig member) throws InterruptedException {
-        return member.recovery().isEmpty() ? Optional.empty() : Optional.of(StateKeeper.open(
-                member.recovery().get(), member.carrier().life(), line ->
-                        Logger.getLogger(Main.class.getName()).info(line)));
+        return member.recovery().isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        StateKeeper.open(
+                                member.recovery().get(),
+                                member.carrier().life(),
+                                line -> Logger.getLogger(Main.class.getName()).info(line)));
     }
 
-    @Command(name = "rehearse", hidden = true,
-            description = "Starts a proxy, warms it and ends; the build records the classes it needs.")
+    @Command(
+            name = "rehearse",
+            hidden = true,
+            description =
+                    "Starts a proxy, warms it and ends; the build records the classes it needs.")
     static final class RehearseCommand implements Callable<Integer> {
         @Override
         public Integer call() throws IOException, InterruptedException {
--- a/src/main/java/cairnbridge/cli/RecoveryCommand.java
+++ b/src/main/java/cairnbridge/cli/RecoveryCommand.java
@@ -7,12 +7,18 @@
 import picocli.CommandLine.Spec;
 
 /** Shows how far a proxy's return after a loss of power is, and what it had kept. */
-@Command(name = "recovery", mixinStandardHelpOptions = true,
-        description = "Shows how far a proxy's return after a loss of power is, and what it had kept.")
+@Command(
+        name = "recovery",
+        mixinStandardHelpOptions = true,
+        description =
+                "Shows how far a proxy's return after a loss of power is, and what it had kept.")
 final class RecoveryCommand implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
-    @Option(names = "--door", required = true, paramLabel = "ADDR",
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--door",
+            required = true,
+            paramLabel = "ADDR",
             description = "Address and port of the door.")
     private String door;
 
--- a/src/main/java/cairnbridge/cli/SimulateCommand.java
+++ b/src/main/java/cairnbridge/cli/SimulateCommand.java
@@ -9,32 +9,66 @@
 import picocli.CommandLine.Spec;
 
 /** Measures the fleet's view on a simulated net. */
-@Command(name = "simulate", mixinStandardHelpOptions = true,
-        description = "Measures the fleet's view on a simulated net; the same seed gives the same figures.")
+@Command(
+        name = "simulate",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures the fleet's view on a simulated net; the same seed gives the same"
+                        + " figures.")
 final class SimulateCommand implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
-    @Option(names = "--members", defaultValue = "100", description = "Size of the fleet: ${DEFAULT-VALUE}.")
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--members",
+            defaultValue = "100",
+            description = "Size of the fleet: ${DEFAULT-VALUE}.")
     private int members;
-    @Option(names = "--changes", defaultValue = "60",
+
+    @Option(
+            names = "--changes",
+            defaultValue = "60",
             description = "Crashes, leaves and joins, one a second.")
     private int changes;
-    @Option(names = "--quiet", defaultValue = "20",
+
+    @Option(
+            names = "--quiet",
+            defaultValue = "20",
             description = "Seconds without a change before these: ${DEFAULT-VALUE}.")
     private int quiet;
+
     @Option(names = "--settled", description = "Begins with members who know one another already.")
     private boolean settled;
-    @Option(names = "--hours", defaultValue = "0", description = "Counts false deaths over so long instead.")
+
+    @Option(
+            names = "--hours",
+            defaultValue = "0",
+            description = "Counts false deaths over so long instead.")
     private double hours;
-    @Option(names = "--freezes", defaultValue = "0", description = "Freezes of 3 s an hour, with --hours.")
+
+    @Option(
+            names = "--freezes",
+            defaultValue = "0",
+            description = "Freezes of 3 s an hour, with --hours.")
     private int freezes;
-    @Option(names = "--killed", defaultValue = "0",
+
+    @Option(
+            names = "--killed",
+            defaultValue = "0",
             description = "Kills this part of the members in one instant instead, from 0 to 1.")
     private double killed;
-    @Option(names = "--seeds", defaultValue = "20", description = "Courses, with --killed: ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--seeds",
+            defaultValue = "20",
+            description = "Courses, with --killed: ${DEFAULT-VALUE}.")
     private int seeds;
-    @Option(names = "--loss", defaultValue = "0", description = "Part of datagrams lost, from 0 to 1.")
+
+    @Option(
+            names = "--loss",
+            defaultValue = "0",
+            description = "Part of datagrams lost, from 0 to 1.")
     private double loss;
+
     @Option(names = "--seed", defaultValue = "1", description = "Of all chance.")
     private long seed;
 
@@ -46,10 +80,15 @@
         check(loss >= 0 && loss <= 1, "--loss");
         check(killed >= 0 && killed < 1, "--killed");
         check(seeds >= 1, "--seeds");
-        spec.commandLine().getOut().println(hours > 0
-                ? ViewRuns.falseDeaths(members, loss, freezes, hours, seed)
-                : killed > 0 ? ViewRuns.killedAtOnce(members, killed, loss, seeds, seed)
-                : ViewRuns.spread(members, changes, quiet, loss, settled, seed));
+        spec.commandLine()
+                .getOut()
+                .println(
+                        hours > 0
+                                ? ViewRuns.falseDeaths(members, loss, freezes, hours, seed)
+                                : killed > 0
+                                        ? ViewRuns.killedAtOnce(members, killed, loss, seeds, seed)
+                                        : ViewRuns.spread(
+                                                members, changes, quiet, loss, settled, seed));
         return 0;
     }
 
--- a/src/main/java/cairnbridge/config/FleetConfig.java
+++ b/src/main/java/cairnbridge/config/FleetConfig.java
@@ -23,30 +23,83 @@
 import java.util.Set;
 
 /**
- * The operator's file of a fleet (deploy/fleet.toml), read by Jackson's TOML and checked here alone. Every
- * fault is a ConfigFault that begins with its key; keys that mean nothing here are faults too, as they are
- * mostly misspelt.
+ * The operator's file of a fleet (deploy/fleet.toml), read by Jackson's TOML and checked here
+ * alone. Every fault is a ConfigFault that begins with its key; keys that mean nothing here are
+ * faults too, as they are mostly misspelt.
  */
-public record FleetConfig(CarrierSettings carrier, FleetSettings view, String zone, String region,
-                          boolean sharesFollow, boolean hintsNodes, boolean probesNodes, long probeNodesEvery,
-                          boolean dividesListCalls, Optional<ZonesConfig> zones,
-                          Optional<RecoverySettings> recovery) {
-    private static final Set<String> KEYS = Set.of("cluster", "secret-file", "name", "bind", "advertise",
-            "seeds",
-            "zone", "region", "protocol", "bytes-per-s", "life", "routes", "view", "use", "zones",
+public record FleetConfig(
+        CarrierSettings carrier,
+        FleetSettings view,
+        String zone,
+        String region,
+        boolean sharesFollow,
+        boolean hintsNodes,
+        boolean probesNodes,
+        long probeNodesEvery,
+        boolean dividesListCalls,
+        Optional<ZonesConfig> zones,
+        Optional<RecoverySettings> recovery) {
+    private static final Set<String> KEYS =
+            Set.of(
+                    "cluster",
+                    "secret-file",
+                    "name",
+                    "bind",
+                    "advertise",
+                    "seeds",
+                    "zone",
+                    "region",
+                    "protocol",
+                    "bytes-per-s",
+                    "life",
+                    "routes",
+                    "view",
+                    "use",
+                    "zones",
                     "recovery");
-    private static final Set<String> VIEW = Set.of("probe-every-s", "probe-timeout-s", "gossip-every-s",
-            "sync-every-s", "remember-dead-s", "remember-left-s", "members", "datagram");
-    private static final Set<String> USE = Set.of("shares", "hints", "probes", "probe-nodes-every-s",
-            "list-calls");
-    private static final Set<String> ZONES = Set.of("agreed", "voters", "state", "node-ops-per-s", "regions",
-            "step-away", "step-back", "step-every-s", "hold-s", "origin-fetches-per-s", "alone-part");
-    private static final Set<String> RECOVERY = Set.of("folder", "snapshot-every-s", "bytes-per-s",
-            "most-age-s",
-            "alone-after-s", "origin-in-flight", "open-after-s");
-    private static final double SNAPSHOT_S = 2, MOST_AGE_S = 86_400, ALONE_S = 10, ORIGIN = 16, OPEN_S = 120,
+    private static final Set<String> VIEW =
+            Set.of(
+                    "probe-every-s",
+                    "probe-timeout-s",
+                    "gossip-every-s",
+                    "sync-every-s",
+                    "remember-dead-s",
+                    "remember-left-s",
+                    "members",
+                    "datagram");
+    private static final Set<String> USE =
+            Set.of("shares", "hints", "probes", "probe-nodes-every-s", "list-calls");
+    private static final Set<String> ZONES =
+            Set.of(
+                    "agreed",
+                    "voters",
+                    "state",
+                    "node-ops-per-s",
+                    "regions",
+                    "step-away",
+                    "step-back",
+                    "step-every-s",
+                    "hold-s",
+                    "origin-fetches-per-s",
+                    "alone-part");
+    private static final Set<String> RECOVERY =
+            Set.of(
+                    "folder",
+                    "snapshot-every-s",
+                    "bytes-per-s",
+                    "most-age-s",
+                    "alone-after-s",
+                    "origin-in-flight",
+                    "open-after-s");
+    private static final double SNAPSHOT_S = 2,
+            MOST_AGE_S = 86_400,
+            ALONE_S = 10,
+            ORIGIN = 16,
+            OPEN_S = 120,
             SNAPSHOT_BYTES = 1e6;
-    private static final int LEAST_SECRET = 16, LEAST_DATAGRAM = 1_000, MOST_DATAGRAM = 8_000,
+    private static final int LEAST_SECRET = 16,
+            LEAST_DATAGRAM = 1_000,
+            MOST_DATAGRAM = 8_000,
             MOST_MEMBERS = 100_000;
     private static final int MOST_VOTERS = 9;
     private static final double ALONE = 0.2, PROBE_NODES_S = 2, BYTES = 60_000, TENTHS = 10_000;
@@ -73,35 +126,61 @@
             throw top.fault("name", "is no member's name: " + own);
         }
         String advertise = top.text("advertise", "");
-        CarrierSettings carrier = new CarrierSettings(new MemberId(own), top.needed("cluster"),
-                secret(top, folder), bind(top), advertise.isEmpty() ? Optional.empty()
-                        : Optional.of(endpoint(top, "advertise", advertise)),
-                seeds(top), List.of(), routes(top),
-                        (int) top.number("protocol", CarrierSettings.NEWEST_PROTOCOL, 1,
-                        CarrierSettings.NEWEST_PROTOCOL),
-                (long) top.number("bytes-per-s", BYTES, 2_000, 1e9),
-                (long) top.number("life", System.currentTimeMillis(), 1, 1e18));
-        return new FleetConfig(carrier, view(view), top.text("zone", ""), top.text("region", ""),
-                use.flag("shares", true), use.flag("hints", true), use.flag("probes", false),
-                use.span("probe-nodes-every-s", PROBE_NODES_S, 0.1), use.flag("list-calls", true),
-                root.has("zones") ? Optional.of(zones(root.path("zones"), folder)) : Optional.empty(),
-                root.has("recovery") ? Optional.of(recovery(root.path("recovery"), folder,
-                        carrier.cluster())) : Optional.empty());
+        CarrierSettings carrier =
+                new CarrierSettings(
+                        new MemberId(own),
+                        top.needed("cluster"),
+                        secret(top, folder),
+                        bind(top),
+                        advertise.isEmpty()
+                                ? Optional.empty()
+                                : Optional.of(endpoint(top, "advertise", advertise)),
+                        seeds(top),
+                        List.of(),
+                        routes(top),
+                        (int)
+                                top.number(
+                                        "protocol",
+                                        CarrierSettings.NEWEST_PROTOCOL,
+                                        1,
+                                        CarrierSettings.NEWEST_PROTOCOL),
+                        (long) top.number("bytes-per-s", BYTES, 2_000, 1e9),
+                        (long) top.number("life", System.currentTimeMillis(), 1, 1e18));
+        return new FleetConfig(
+                carrier,
+                view(view),
+                top.text("zone", ""),
+                top.text("region", ""),
+                use.flag("shares", true),
+                use.flag("hints", true),
+                use.flag("probes", false),
+                use.span("probe-nodes-every-s", PROBE_NODES_S, 0.1),
+                use.flag("list-calls", true),
+                root.has("zones")
+                        ? Optional.of(zones(root.path("zones"), folder))
+                        : Optional.empty(),
+                root.has("recovery")
+                        ? Optional.of(recovery(root.path("recovery"), folder, carrier.cluster()))
+                        : Optional.empty());
     }
 
     /**
-     * Only what a file says of recovery, where all else of it does not matter; empty where that is nothing.
+     * Only what a file says of recovery, where all else of it does not matter; empty where that is
+     * nothing.
      */
     public static Optional<RecoverySettings> recoveryOf(String text, String cluster) {
         JsonNode root = Toml.read(text, "fleet");
-        return root.has("recovery") ? Optional.of(recovery(root.path("recovery"), Path.of(""), cluster))
+        return root.has("recovery")
+                ? Optional.of(recovery(root.path("recovery"), Path.of(""), cluster))
                 : Optional.empty();
     }
 
     /** Only what a file says of zones; empty where that is nothing. */
     public static Optional<ZonesConfig> zonesOf(String text) {
         JsonNode root = Toml.read(text, "fleet");
-        return root.has("zones") ? Optional.of(zones(root.path("zones"), Path.of(""))) : Optional.empty();
+        return root.has("zones")
+                ? Optional.of(zones(root.path("zones"), Path.of("")))
+                : Optional.empty();
     }
 
     private static RecoverySettings recovery(JsonNode node, Path folder, String cluster) {
@@ -112,18 +191,35 @@
         } catch (InvalidPathException e) {
             throw part.fault("folder", "is no path");
         }
-        return new RecoverySettings(new StoreSettings(store, cluster,
-                part.span("snapshot-every-s", SNAPSHOT_S, 0.1) / MILLI,
-                (long) part.number("bytes-per-s", SNAPSHOT_BYTES, 1_000, 1e9)),
-                part.span("most-age-s", MOST_AGE_S, 1), part.span("alone-after-s", ALONE_S, 0.5),
-                part.number("origin-in-flight", ORIGIN, 1, 1e6), part.span("open-after-s", OPEN_S, 1));
+        return new RecoverySettings(
+                new StoreSettings(
+                        store,
+                        cluster,
+                        part.span("snapshot-every-s", SNAPSHOT_S, 0.1) / MILLI,
+                        (long) part.number("bytes-per-s", SNAPSHOT_BYTES, 1_000, 1e9)),
+                part.span("most-age-s", MOST_AGE_S, 1),
+                part.span("alone-after-s", ALONE_S, 0.5),
+                part.number("origin-in-flight", ORIGIN, 1, 1e6),
+                part.span("open-after-s", OPEN_S, 1));
     }
 
-    /** The same with what was kept over a loss of power: this life's number, and members to be asked. */
+    /**
+     * The same with what was kept over a loss of power: this life's number, and members to be
+     * asked.
+     */
     public FleetConfig remembering(long life, List<Endpoint> others) {
-        return new FleetConfig(carrier.remembering(life, others), view, zone, region, sharesFollow,
+        return new FleetConfig(
+                carrier.remembering(life, others),
+                view,
+                zone,
+                region,
+                sharesFollow,
                 hintsNodes,
-                probesNodes, probeNodesEvery, dividesListCalls, zones, recovery);
+                probesNodes,
+                probeNodesEvery,
+                dividesListCalls,
+                zones,
+                recovery);
     }
 
     private static ZonesConfig zones(JsonNode node, Path folder) {
@@ -136,24 +232,37 @@
             }
             voters.add(new MemberId(each.asText()));
         }
-        if (agreed && (voters.size() % 2 == 0 || voters.size() > MOST_VOTERS
-                || Set.copyOf(voters).size() < voters.size())) {
-            throw zones.fault("voters", "are not an odd number up to " + MOST_VOTERS + ", each named once");
+        if (agreed
+                && (voters.size() % 2 == 0
+                        || voters.size() > MOST_VOTERS
+                        || Set.copyOf(voters).size() < voters.size())) {
+            throw zones.fault(
+                    "voters", "are not an odd number up to " + MOST_VOTERS + ", each named once");
         }
         Map<String, String> regions = new HashMap<>();
-        for (Iterator<Map.Entry<String, JsonNode>> all = node.path("regions").fields(); all.hasNext();) {
+        for (Iterator<Map.Entry<String, JsonNode>> all = node.path("regions").fields();
+                all.hasNext(); ) {
             Map.Entry<String, JsonNode> each = all.next();
             regions.put(each.getKey(), each.getValue().asText());
         }
         PlanSettings usual = PlanSettings.USUAL;
-        PlanSettings plan = new PlanSettings(zones.number("step-away", usual.stepAway(), 0.01, 1),
-                zones.number("step-back", usual.stepBack(), 0.01, 1),
-                zones.span("step-every-s", usual.stepEvery() / TENTHS, 0.1),
-                zones.span("hold-s", usual.hold() / TENTHS, 0), usual.fill(), usual.backFill(), usual.trial(),
-                zones.number("origin-fetches-per-s", usual.movedPerStep(), 1, 1e9));
-        return new ZonesConfig(agreed, List.copyOf(voters),
+        PlanSettings plan =
+                new PlanSettings(
+                        zones.number("step-away", usual.stepAway(), 0.01, 1),
+                        zones.number("step-back", usual.stepBack(), 0.01, 1),
+                        zones.span("step-every-s", usual.stepEvery() / TENTHS, 0.1),
+                        zones.span("hold-s", usual.hold() / TENTHS, 0),
+                        usual.fill(),
+                        usual.backFill(),
+                        usual.trial(),
+                        zones.number("origin-fetches-per-s", usual.movedPerStep(), 1, 1e9));
+        return new ZonesConfig(
+                agreed,
+                List.copyOf(voters),
                 folder.resolve(zones.text("state", "zones.state")),
-                zones.number("node-ops-per-s", Double.NaN, 0.001, 1e9), Map.copyOf(regions), plan,
+                zones.number("node-ops-per-s", Double.NaN, 0.001, 1e9),
+                Map.copyOf(regions),
+                plan,
                 zones.number("alone-part", ALONE, 0, 1));
     }
 
@@ -164,13 +273,20 @@
         if (timeOut * 2 > every) {
             throw view.fault("probe-timeout-s", "is over half of probe-every-s");
         }
-        return new FleetSettings(every, timeOut, usual.others(),
-                view.span("gossip-every-s", usual.gossipEvery() / TENTHS, 0.01), usual.fanout(),
-                        usual.spread(),
-                usual.suspicionLeast(), usual.suspicionMost(),
-                view.span("sync-every-s", usual.syncEvery() / TENTHS, 0.1), usual.askDeadEvery(),
+        return new FleetSettings(
+                every,
+                timeOut,
+                usual.others(),
+                view.span("gossip-every-s", usual.gossipEvery() / TENTHS, 0.01),
+                usual.fanout(),
+                usual.spread(),
+                usual.suspicionLeast(),
+                usual.suspicionMost(),
+                view.span("sync-every-s", usual.syncEvery() / TENTHS, 0.1),
+                usual.askDeadEvery(),
                 view.span("remember-dead-s", usual.rememberDead() / TENTHS, 1),
-                view.span("remember-left-s", usual.rememberLeft() / TENTHS, 1), usual.figuresEvery(),
+                view.span("remember-left-s", usual.rememberLeft() / TENTHS, 1),
+                usual.figuresEvery(),
                 (int) view.number("members", usual.mostMembers(), 2, MOST_MEMBERS),
                 (int) view.number("datagram", usual.datagram(), LEAST_DATAGRAM, MOST_DATAGRAM));
     }
@@ -180,7 +296,8 @@
         try {
             byte[] secret = Files.readString(folder.resolve(file)).strip().getBytes();
             if (secret.length < LEAST_SECRET) {
-                throw top.fault("secret-file", "holds fewer than " + LEAST_SECRET + " bytes: " + file);
+                throw top.fault(
+                        "secret-file", "holds fewer than " + LEAST_SECRET + " bytes: " + file);
             }
             return secret;
         } catch (IOException | InvalidPathException e) {
@@ -225,9 +342,10 @@
         if (!map.isMissingNode() && !map.isObject()) {
             throw top.fault("routes", "is not a table");
         }
-        for (Iterator<Map.Entry<String, JsonNode>> all = map.fields(); all.hasNext();) {
+        for (Iterator<Map.Entry<String, JsonNode>> all = map.fields(); all.hasNext(); ) {
             Map.Entry<String, JsonNode> each = all.next();
-            routes.put(endpoint(top, "routes", each.getKey()),
+            routes.put(
+                    endpoint(top, "routes", each.getKey()),
                     endpoint(top, "routes", each.getValue().asText()));
         }
         return Map.copyOf(routes);
@@ -244,11 +362,13 @@
             if (!node.isMissingNode() && !node.isObject()) {
                 throw new ConfigFault(path, "is not a table");
             }
-            node.fieldNames().forEachRemaining(key -> {
-                if (!keys.contains(key)) {
-                    throw fault(key, "is no key of this table");
-                }
-            });
+            node.fieldNames()
+                    .forEachRemaining(
+                            key -> {
+                                if (!keys.contains(key)) {
+                                    throw fault(key, "is no key of this table");
+                                }
+                            });
         }
 
         ConfigFault fault(String key, String what) {
@@ -274,14 +394,17 @@
         double number(String key, double absent, double least, double most) {
             JsonNode value = node.path(key);
             double number = value.asDouble(absent);
-            if (!value.isMissingNode() && !value.isNumber() || !(number >= least && number <= most)) {
+            if (!value.isMissingNode() && !value.isNumber()
+                    || !(number >= least && number <= most)) {
                 throw fault(key, "is not a number from " + plain(least) + " to " + plain(most));
             }
             return number;
         }
 
         private static String plain(double number) {
-            return number == Math.rint(number) ? String.valueOf((long) number) : String.valueOf(number);
+            return number == Math.rint(number)
+                    ? String.valueOf((long) number)
+                    : String.valueOf(number);
         }
 
         /** Seconds in the file, tenths of a millisecond here. */
--- a/src/main/java/cairnbridge/config/LearntFile.java
+++ b/src/main/java/cairnbridge/config/LearntFile.java
@@ -16,8 +16,7 @@
 final class LearntFile {
     private static final Logger LOG = Logger.getLogger(LearntFile.class.getName());
 
-    private LearntFile() {
-    }
+    private LearntFile() {}
 
     static Learnt read(Path file) {
         if (!Files.exists(file)) {
@@ -31,10 +30,14 @@
                 if (!(share >= 0 && share <= 1)) {
                     throw each.fault("share", "is not from 0 to 1");
                 }
-                nodes.put(new NodeId(Long.parseUnsignedLong(each.text("id", ""), 16)),
+                nodes.put(
+                        new NodeId(Long.parseUnsignedLong(each.text("id", ""), 16)),
                         new Learnt.Trust((long) each.number("started", 0), share));
             }
-            return new Learnt((long) root.number("at", 0), Math.max(0, root.number("origin-span", 0)), 0,
+            return new Learnt(
+                    (long) root.number("at", 0),
+                    Math.max(0, root.number("origin-span", 0)),
+                    0,
                     nodes);
         } catch (IOException | ConfigFault | NumberFormatException e) {
             // Guards against a start that fails for want of what it can learn anew.
@@ -46,7 +49,8 @@
     static void write(Path file, Learnt learnt) throws IOException {
         // Guards against a half written file, where the platform kills the proxy meanwhile.
         Path whole = file.resolveSibling(file.getFileName() + ".new");
-        try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(whole))) {
+        try (JsonGenerator out =
+                new JsonFactory().createGenerator(Files.newBufferedWriter(whole))) {
             out.writeStartObject();
             out.writeNumberField("at", learnt.at());
             out.writeNumberField("origin-span", learnt.originSpan());
@@ -61,6 +65,7 @@
             out.writeEndArray();
             out.writeEndObject();
         }
-        Files.move(whole, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        Files.move(
+                whole, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
     }
 }
--- a/src/main/java/cairnbridge/config/Names.java
+++ b/src/main/java/cairnbridge/config/Names.java
@@ -2,8 +2,7 @@
 
 /** What the names of nodes and keys are turned into. */
 public final class Names {
-    private Names() {
-    }
+    private Names() {}
 
     /** The same number for a text at every proxy and after every start (FNV-1a, 64 bits). */
     public static long hash(String text) {
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -13,12 +13,27 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** All that one proxy is told at its start; the only place that reads variables and the file they name. */
+/**
+ * All that one proxy is told at its start; the only place that reads variables and the file they
+ * name.
+ */
 public record ProxyConfig(
-        String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        List<String> categories, List<String> kinds, List<String> zones, boolean reports,
-        long dialTimeOut, long idleLimit, Settings settings, Tree known, Optional<Path> learntFile,
-        Optional<InetSocketAddress> door, Optional<Path> folder) {
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        List<String> categories,
+        List<String> kinds,
+        List<String> zones,
+        boolean reports,
+        long dialTimeOut,
+        long idleLimit,
+        Settings settings,
+        Tree known,
+        Optional<Path> learntFile,
+        Optional<InetSocketAddress> door,
+        Optional<Path> folder) {
     private static final String FILE = "LB_CONFIG", DOOR = "admin_addr";
     private static final int LEAST_SOCKETS = 64, DEFAULT_SOCKETS = 1024;
     private static final double DIAL_S = 0.25, IDLE_S = 15;
@@ -36,20 +51,28 @@
     }
 
     /**
-     * A small configuration on the loopback address, for the start that the build rehearses. Guards against a
-     * start that loads anew what it needs for the door and the marks: both are in use there as well.
+     * A small configuration on the loopback address, for the start that the build rehearses. Guards
+     * against a start that loads anew what it needs for the door and the marks: both are in use
+     * there as well.
      */
     public static ProxyConfig rehearsal() {
-        return of(Tree.parse("""
-                {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "known": {"all": true, "targets": []},
-                 "admin_addr": "127.0.0.1:0", "learnt": "",
-                 "settings": {"categories": [{"name": "read", "effect": "repeatable"}],
-                  "host-types": ["cache", "origin"], "domain": {"mode": "aside", "origin-kind": 1},
-                  "limits": {"most-pushes": 2, "cancel": true, "second-copies": true}}}
-                """, "rehearsal"), Map.of("TMPDIR", System.getProperty("java.io.tmpdir")));
+        return of(
+                Tree.parse(
+                        """
+                        {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "known": {"all": true, "targets": []},
+                         "admin_addr": "127.0.0.1:0", "learnt": "",
+                         "settings": {"categories": [{"name": "read", "effect": "repeatable"}],
+                          "host-types": ["cache", "origin"], "domain": {"mode": "aside", "origin-kind": 1},
+                          "limits": {"most-pushes": 2, "cancel": true, "second-copies": true}}}
+                        """,
+                        "rehearsal"),
+                Map.of("TMPDIR", System.getProperty("java.io.tmpdir")));
     }
 
-    /** The file's figures; a variable of its own stands for a name or an address that the file lacks. */
+    /**
+     * The file's figures; a variable of its own stands for a name or an address that the file
+     * lacks.
+     */
     static ProxyConfig of(Tree root, Map<String, String> variables) {
         Tree settings = root.map("settings");
         Tree limits = settings.map("limits");
@@ -57,23 +80,35 @@
         long idle = positive(limits, "keepalive-s", IDLE_S);
         int sockets = (int) root.map("limits").number("sockets", DEFAULT_SOCKETS);
         SettingsCheck.least(root.map("limits"), "sockets", LEAST_SOCKETS);
-        List<String> categories = settings.trees("categories").stream()
-                .map(c -> c.text("name", "")).toList();
+        List<String> categories =
+                settings.trees("categories").stream().map(c -> c.text("name", "")).toList();
         if (categories.isEmpty() || categories.contains("")) {
             throw settings.fault("categories", "needs at least one, each with a name");
         }
         SettingsCheck.check(settings);
-        Optional<Path> folder = Optional.ofNullable(variables.get("TMPDIR"))
-                .filter(each -> !each.isEmpty()).map(Path::of);
+        Optional<Path> folder =
+                Optional.ofNullable(variables.get("TMPDIR"))
+                        .filter(each -> !each.isEmpty())
+                        .map(Path::of);
         return new ProxyConfig(
                 root.text("name", variables.getOrDefault("LB_NAME", "proxy")),
                 address(root, "listen", variables.get("LB_LISTEN")),
-                address(root, "discovery", variables.get("LB_DISCOVERY")), seed(root), sockets, categories,
-                settings.texts("host-types"), settings.texts("azs"),
+                address(root, "discovery", variables.get("LB_DISCOVERY")),
+                seed(root),
+                sockets,
+                categories,
+                settings.texts("host-types"),
+                settings.texts("azs"),
                 !settings.map("load-info").text("how", "none").equals("none"),
-                dial, idle, SettingsReader.read(settings), root.map("known"),
-                root.has("learnt") ? file(root, "learnt") : folder.map(each -> each.resolve("learnt")),
-                door(root, variables.get("LB_ADMIN_ADDR")), folder);
+                dial,
+                idle,
+                SettingsReader.read(settings),
+                root.map("known"),
+                root.has("learnt")
+                        ? file(root, "learnt")
+                        : folder.map(each -> each.resolve("learnt")),
+                door(root, variables.get("LB_ADMIN_ADDR")),
+                folder);
     }
 
     /** What the proxy before this one learnt, where it was kept. */
--- a/src/main/java/cairnbridge/config/SettingsCheck.java
+++ b/src/main/java/cairnbridge/config/SettingsCheck.java
@@ -3,12 +3,13 @@
 import java.util.HashSet;
 import java.util.List;
 
-/** Refuses settings that a proxy cannot act on; the absent keep defaults, unknown keys are ignored. */
+/**
+ * Refuses settings that a proxy cannot act on; the absent keep defaults, unknown keys are ignored.
+ */
 final class SettingsCheck {
     private static final int MOST_COLUMNS = 4;
 
-    private SettingsCheck() {
-    }
+    private SettingsCheck() {}
 
     static void check(Tree root) {
         least(root, "instances", 1);
@@ -16,7 +17,8 @@
         one(root, "registry-mode", "automatic", "subscribe");
         Tree rules = root.map("rules");
         above(rules, "ask-within-s");
-        for (String key : List.of("answer-slack-s", "cold-from", "warm-up-s", "fall-multiple", "fall-s")) {
+        for (String key :
+                List.of("answer-slack-s", "cold-from", "warm-up-s", "fall-multiple", "fall-s")) {
             least(rules, key, 0);
         }
         most(rules, "cold-from", 1);
--- a/src/main/java/cairnbridge/config/SettingsReader.java
+++ b/src/main/java/cairnbridge/config/SettingsReader.java
@@ -12,7 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Turns the start-up settings into the module's; unknown keys are ignored, absent ones defaulted. */
+/**
+ * Turns the start-up settings into the module's; unknown keys are ignored, absent ones defaulted.
+ */
 public final class SettingsReader {
     private static final double TTL_DEFAULT_S = 1.0;
 
@@ -32,42 +34,68 @@
         Tree domain = root.map("domain");
         Tree prices = root.map("prices");
         return new Settings(
-                new PeerId((int) root.number("me", 0)), (int) root.number("instances", 1),
+                new PeerId((int) root.number("me", 0)),
+                (int) root.number("instances", 1),
                 new ZoneId((int) root.number("zone", 0)),
                 domain.text("mode", "").equals("aside"),
                 new MachineKind((int) domain.number("origin-kind", -1)),
-                domain.number("origin-fall-multiple", 0), down(domain, "origin-fall-s", 0),
-                root.text("registry-mode", "").equals("subscribe"), down(rules, "ask-within-s", 10),
-                up(root.number("granularity-s", 0.001)), down(rules, "answer-slack-s", 0),
-                rules.number("cold-from", 1), up(rules.number("warm-up-s", 0)),
-                rules.number("fall-multiple", 0), up(rules.number("fall-s", 0)),
-                (int) limits.number("most-pushes", 1), limits.flag("cancel"), limits.flag("may-probe"),
-                limits.flag("peer-messages"), limits.flag("retry-after"), limits.flag("second-copies"),
-                down(limits, "max-retry-after-s", 0), root.number("excess-benefit", 1),
+                domain.number("origin-fall-multiple", 0),
+                down(domain, "origin-fall-s", 0),
+                root.text("registry-mode", "").equals("subscribe"),
+                down(rules, "ask-within-s", 10),
+                up(root.number("granularity-s", 0.001)),
+                down(rules, "answer-slack-s", 0),
+                rules.number("cold-from", 1),
+                up(rules.number("warm-up-s", 0)),
+                rules.number("fall-multiple", 0),
+                up(rules.number("fall-s", 0)),
+                (int) limits.number("most-pushes", 1),
+                limits.flag("cancel"),
+                limits.flag("may-probe"),
+                limits.flag("peer-messages"),
+                limits.flag("retry-after"),
+                limits.flag("second-copies"),
+                down(limits, "max-retry-after-s", 0),
+                root.number("excess-benefit", 1),
                 root.map("callers").flag("marks-retry"),
-                new Prices(prices.number("cross-zone", 0), prices.number("waste", 0),
-                        prices.number("probe", 0), prices.number("peer", 0),
+                new Prices(
+                        prices.number("cross-zone", 0),
+                        prices.number("waste", 0),
+                        prices.number("probe", 0),
+                        prices.number("peer", 0),
                         prices.number("late-fail", 0)),
-                root.map("load-info").texts("columns"), categories(), tenants());
+                root.map("load-info").texts("columns"),
+                categories(),
+                tenants());
     }
 
     private List<Category> categories() {
         List<Category> result = new ArrayList<>();
         for (Tree c : root.trees("categories")) {
-            Effect effect = switch (c.text("effect", "once")) {
-                case "repeatable" -> Effect.REDELIVERABLE;
-                case "by_key" -> Effect.DEDUPLICATED;
-                default -> Effect.AT_MOST_ONCE;
-            };
-            Group group = switch (c.text("group", "cell")) {
-                case "all" -> Group.ALL;
-                case "zone" -> Group.ZONE;
-                default -> Group.CELL;
-            };
+            Effect effect =
+                    switch (c.text("effect", "once")) {
+                        case "repeatable" -> Effect.REDELIVERABLE;
+                        case "by_key" -> Effect.DEDUPLICATED;
+                        default -> Effect.AT_MOST_ONCE;
+                    };
+            Group group =
+                    switch (c.text("group", "cell")) {
+                        case "all" -> Group.ALL;
+                        case "zone" -> Group.ZONE;
+                        default -> Group.CELL;
+                    };
             double ttl = c.number("ttl-s", TTL_DEFAULT_S);
-            result.add(new Category(effect, group, down(c, "memory-span-s", 0),
-                    tenths(c.number("target-latency-s", ttl)), c.number("aim-stretch", 0), tenths(ttl),
-                    c.number("benefit", 1), c.number("overdue-benefit", 0), c.flag("stream")));
+            result.add(
+                    new Category(
+                            effect,
+                            group,
+                            down(c, "memory-span-s", 0),
+                            tenths(c.number("target-latency-s", ttl)),
+                            c.number("aim-stretch", 0),
+                            tenths(ttl),
+                            c.number("benefit", 1),
+                            c.number("overdue-benefit", 0),
+                            c.flag("stream")));
         }
         if (result.isEmpty()) {
             long ttl = tenths(TTL_DEFAULT_S);
--- a/src/main/java/cairnbridge/config/Toml.java
+++ b/src/main/java/cairnbridge/config/Toml.java
@@ -6,8 +6,7 @@
 
 /** Reads an operator's file. */
 public final class Toml {
-    private Toml() {
-    }
+    private Toml() {}
 
     /** what: how the file is called in a ConfigFault, which names the line that is no TOML. */
     public static JsonNode read(String text, String what) {
@@ -15,8 +14,8 @@
             return new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
             int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            throw new ConfigFault(what, "line " + line + " is no TOML: "
-                    + e.getOriginalMessage().split("\n")[0]);
+            throw new ConfigFault(
+                    what, "line " + line + " is no TOML: " + e.getOriginalMessage().split("\n")[0]);
         }
     }
 }
--- a/src/main/java/cairnbridge/config/Tree.java
+++ b/src/main/java/cairnbridge/config/Tree.java
@@ -9,7 +9,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** A JSON object read whole. Absent and null values give the default; a value of a wrong type is a fault. */
+/**
+ * A JSON object read whole. Absent and null values give the default; a value of a wrong type is a
+ * fault.
+ */
 public final class Tree {
     private static final JsonFactory JSON = new JsonFactory();
 
--- a/src/main/java/cairnbridge/decision/Host.java
+++ b/src/main/java/cairnbridge/decision/Host.java
@@ -11,8 +11,8 @@
  */
 public interface Host {
     /**
-     * Starts a push; pushes of an op are numbered 0, 1, 2 ... in the order of these calls. Its last byte may
-     * leave before latestBegin, a time of the clock, or not at all.
+     * Starts a push; pushes of an op are numbered 0, 1, 2 ... in the order of these calls. Its last
+     * byte may leave before latestBegin, a time of the clock, or not at all.
      */
     void push(OpId op, NodeId node, long timeOut, long latestBegin);
 
--- a/src/main/java/cairnbridge/decision/Ids.java
+++ b/src/main/java/cairnbridge/decision/Ids.java
@@ -2,36 +2,25 @@
 
 /** The kinds of id that cross the module's interface; each is a type of its own. */
 public final class Ids {
-    private Ids() {
-    }
+    private Ids() {}
 
-    public record OpId(long value) {
-    }
+    public record OpId(long value) {}
 
-    public record NodeId(long value) {
-    }
+    public record NodeId(long value) {}
 
-    public record KeyId(long value) {
-    }
+    public record KeyId(long value) {}
 
-    public record CategoryId(int value) {
-    }
+    public record CategoryId(int value) {}
 
-    public record TenantId(int value) {
-    }
+    public record TenantId(int value) {}
 
-    public record ZoneId(int value) {
-    }
+    public record ZoneId(int value) {}
 
-    public record CellId(int value) {
-    }
+    public record CellId(int value) {}
 
-    public record MachineKind(int value) {
-    }
+    public record MachineKind(int value) {}
 
-    public record PeerId(int value) {
-    }
+    public record PeerId(int value) {}
 
-    public record TimerId(long value) {
-    }
+    public record TimerId(long value) {}
 }
--- a/src/main/java/cairnbridge/decision/Learnt.java
+++ b/src/main/java/cairnbridge/decision/Learnt.java
@@ -4,14 +4,16 @@
 import java.util.Map;
 
 /**
- * What a router has learnt that means the same to one that takes its place with other settings: how far each
- * node is to be trusted, how long the origin takes, and how many ops a second a warm cache of size one was
- * sent by this proxy, 0 where that is not told. Times are tenths of a millisecond; at is when.
+ * What a router has learnt that means the same to one that takes its place with other settings: how
+ * far each node is to be trusted, how long the origin takes, and how many ops a second a warm cache
+ * of size one was sent by this proxy, 0 where that is not told. Times are tenths of a millisecond;
+ * at is when.
  */
 public record Learnt(long at, double originSpan, double sendRate, Map<NodeId, Trust> nodes) {
     public static final Learnt NOTHING = new Learnt(0, 0, 0, Map.of());
 
-    /** The part of its offers that the node takes, 1 where all went well; started names its process. */
-    public record Trust(long started, double share) {
-    }
+    /**
+     * The part of its offers that the node takes, 1 where all went well; started names its process.
+     */
+    public record Trust(long started, double share) {}
 }
--- a/src/main/java/cairnbridge/decision/Loop.java
+++ b/src/main/java/cairnbridge/decision/Loop.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Carries notes between the parts of one router: into inboxes now, or when a timer of the host fires. */
+/**
+ * Carries notes between the parts of one router: into inboxes now, or when a timer of the host
+ * fires.
+ */
 final class Loop {
-    private record Wake(Part to, Note note) {
-    }
+    private record Wake(Part to, Note note) {}
 
     private final Host host;
     private final ArrayDeque<Part> ready = new ArrayDeque<>();
--- a/src/main/java/cairnbridge/decision/Mix.java
+++ b/src/main/java/cairnbridge/decision/Mix.java
@@ -1,11 +1,12 @@
 package cairnbridge.decision;
 
-/** Spreads numbers that lie close together over all 64 bits: SplitMix64 (Steele, Lea, Flood 2014). */
+/**
+ * Spreads numbers that lie close together over all 64 bits: SplitMix64 (Steele, Lea, Flood 2014).
+ */
 public final class Mix {
     private static final long GAMMA = 0x9E3779B97F4A7C15L;
 
-    private Mix() {
-    }
+    private Mix() {}
 
     public static long of(long value) {
         return finish(value + GAMMA);
--- a/src/main/java/cairnbridge/decision/Note.java
+++ b/src/main/java/cairnbridge/decision/Note.java
@@ -6,9 +6,35 @@
 /** What one part of the router tells another; the fields that a kind does not need are null. */
 class Note {
     enum What {
-        EVENT, BEAT, SUBSCRIBE, LISTED, HELD, MEMBERS, ASK, ADMITTED, GIVE_UP, EXPIRE, PLACE, OFFER, TAKE,
-        SEND, SENT, BEGUN, VETOED, STUCK, IMPATIENT, ENDED, LOAD, RESTLESS, TOLD, GHOST_GONE, WANT, FORGET,
-        FINISH, CALL_OFF, DOUBTED
+        EVENT,
+        BEAT,
+        SUBSCRIBE,
+        LISTED,
+        HELD,
+        MEMBERS,
+        ASK,
+        ADMITTED,
+        GIVE_UP,
+        EXPIRE,
+        PLACE,
+        OFFER,
+        TAKE,
+        SEND,
+        SENT,
+        BEGUN,
+        VETOED,
+        STUCK,
+        IMPATIENT,
+        ENDED,
+        LOAD,
+        RESTLESS,
+        TOLD,
+        GHOST_GONE,
+        WANT,
+        FORGET,
+        FINISH,
+        CALL_OFF,
+        DOUBTED
     }
 
     final What what;
--- a/src/main/java/cairnbridge/decision/Op.java
+++ b/src/main/java/cairnbridge/decision/Op.java
@@ -17,8 +17,10 @@
     final long point;
     final long arrived;
     final long expires;
+
     /** An answer after this is worth nothing. */
     final long useful;
+
     final boolean write;
     final boolean repeat;
     final List<Push> pushes = new ArrayList<>(2);
@@ -57,8 +59,8 @@
     }
 
     /**
-     * The last time at which one more push may begin: within the TTL, and within the idempotency window,
-     * which counts from the first push that may have run.
+     * The last time at which one more push may begin: within the TTL, and within the idempotency
+     * window, which counts from the first push that may have run.
      */
     long latestBegin(long tick) {
         long latest = expires - tick;
@@ -80,14 +82,31 @@
     }
 
     /** What decisions use of a category. */
-    record Plan(Effect effect, Group group, long span, long target, double benefit, boolean lateCounts,
-                Spans hits, Settings.Category category) {
+    record Plan(
+            Effect effect,
+            Group group,
+            long span,
+            long target,
+            double benefit,
+            boolean lateCounts,
+            Spans hits,
+            Settings.Category category) {
         static Plan of(Settings.Category c) {
-            return new Plan(c.effect(), c.group(), c.memorySpan(), c.target(), c.benefit(),
-                    c.lateBenefit() > 0, new Spans(), c);
+            return new Plan(
+                    c.effect(),
+                    c.group(),
+                    c.memorySpan(),
+                    c.target(),
+                    c.benefit(),
+                    c.lateBenefit() > 0,
+                    new Spans(),
+                    c);
         }
 
-        /** A hit that took longer than this waited behind others: some times the usual, within the target. */
+        /**
+         * A hit that took longer than this waited behind others: some times the usual, within the
+         * target.
+         */
         long late() {
             return Math.max(target / 5, Math.min(target * 3 / 5, 5 * hits.floor()));
         }
--- a/src/main/java/cairnbridge/decision/Points.java
+++ b/src/main/java/cairnbridge/decision/Points.java
@@ -4,8 +4,9 @@
 import java.util.BitSet;
 
 /**
- * The sorted points of a ring, one long each: the place in the high bits, then the slot of the node that
- * owns the point and the point's rank among that node's own. Changed in place: a list change costs one pass.
+ * The sorted points of a ring, one long each: the place in the high bits, then the slot of the node
+ * that owns the point and the point's rank among that node's own. Changed in place: a list change
+ * costs one pass.
  */
 final class Points {
     private static final int RANK_BITS = 10, LOW_BITS = 26;
--- a/src/main/java/cairnbridge/decision/Reports.java
+++ b/src/main/java/cairnbridge/decision/Reports.java
@@ -2,9 +2,16 @@
 
 import java.util.List;
 
-/** Reads load reports by the meaning of their columns; a figure that is absent or cannot be is below 0. */
+/**
+ * Reads load reports by the meaning of their columns; a figure that is absent or cannot be is below
+ * 0.
+ */
 final class Reports {
-    private static final double UNKNOWN = -1, SECOND = 10_000, MILLI = 10, MOST_BUSY = 0.95, CROWDED = 0.5;
+    private static final double UNKNOWN = -1,
+            SECOND = 10_000,
+            MILLI = 10,
+            MOST_BUSY = 0.95,
+            CROWDED = 0.5;
     private final int held, rate, latency, busy, width;
 
     Reports(List<String> columns) {
@@ -15,9 +22,15 @@
         width = columns.size();
     }
 
-    /** How long an op stays there just now: by Little's law, or as work shares a core that is so busy. */
+    /**
+     * How long an op stays there just now: by Little's law, or as work shares a core that is so
+     * busy.
+     */
     double span(double[] row) {
-        double ops = at(row, held), each = at(row, rate), took = at(row, latency), used = at(row, busy);
+        double ops = at(row, held),
+                each = at(row, rate),
+                took = at(row, latency),
+                used = at(row, busy);
         if (ops >= 0 && each > 0) {
             return ops / each * SECOND;
         }
@@ -26,7 +39,10 @@
 
     /** How long an op would take on the idle node. */
     double work(double[] row) {
-        double ops = at(row, held), each = at(row, rate), took = at(row, latency), used = at(row, busy);
+        double ops = at(row, held),
+                each = at(row, rate),
+                took = at(row, latency),
+                used = at(row, busy);
         if (ops > 0 && each > 0) {
             return ops / (1 + ops) / each * SECOND;
         }
@@ -35,8 +51,12 @@
 
     /** Guards against one bad figure: a row of another width is dropped, or the figure alone. */
     private double at(double[] row, int column) {
-        boolean sound = row != null && row.length == width && column >= 0 && row[column] >= 0
-                && row[column] < Double.POSITIVE_INFINITY;
+        boolean sound =
+                row != null
+                        && row.length == width
+                        && column >= 0
+                        && row[column] >= 0
+                        && row[column] < Double.POSITIVE_INFINITY;
         return sound ? row[column] : UNKNOWN;
     }
 }
--- a/src/main/java/cairnbridge/decision/Settings.java
+++ b/src/main/java/cairnbridge/decision/Settings.java
@@ -7,26 +7,62 @@
 
 /** What a router is told at its start. Times are tenths of a millisecond. */
 public record Settings(
-        PeerId me, int proxies, ZoneId zone, boolean aside, MachineKind originKind, double originFallMultiple,
-        long originFallSpan, boolean mustSubscribe, long askWithin, long tick, long answerSlack,
-        double coldFrom, long warmUp, double fallMultiple, long fallSpan, int mostPushes,
-        boolean mayCancel, boolean mayProbe, boolean mayTellPeers, boolean mayAdviseRetry,
-        boolean maySecondCopy, long maxRetryAfter, double excessBenefit, boolean clientsMarkRepeats,
-        Prices prices, List<String> reportColumns, List<Category> categories, List<Tenant> tenants) {
+        PeerId me,
+        int proxies,
+        ZoneId zone,
+        boolean aside,
+        MachineKind originKind,
+        double originFallMultiple,
+        long originFallSpan,
+        boolean mustSubscribe,
+        long askWithin,
+        long tick,
+        long answerSlack,
+        double coldFrom,
+        long warmUp,
+        double fallMultiple,
+        long fallSpan,
+        int mostPushes,
+        boolean mayCancel,
+        boolean mayProbe,
+        boolean mayTellPeers,
+        boolean mayAdviseRetry,
+        boolean maySecondCopy,
+        long maxRetryAfter,
+        double excessBenefit,
+        boolean clientsMarkRepeats,
+        Prices prices,
+        List<String> reportColumns,
+        List<Category> categories,
+        List<Tenant> tenants) {
 
-    public enum Effect { REDELIVERABLE, DEDUPLICATED, AT_MOST_ONCE }
-
-    public enum Group { ALL, ZONE, CELL }
+    public enum Effect {
+        REDELIVERABLE,
+        DEDUPLICATED,
+        AT_MOST_ONCE
+    }
 
-    public record Category(Effect effect, Group group, long memorySpan, long target, double targetStretch,
-                           long ttl, double benefit, double lateBenefit, boolean stream) {
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
     }
 
+    public record Category(
+            Effect effect,
+            Group group,
+            long memorySpan,
+            long target,
+            double targetStretch,
+            long ttl,
+            double benefit,
+            double lateBenefit,
+            boolean stream) {}
+
     /** quota is ops a second over all proxies together. */
-    public record Tenant(double quota, double fraction) {
-    }
+    public record Tenant(double quota, double fraction) {}
 
     /** Points of service for one unit of each. */
-    public record Prices(double crossZone, double waste, double probe, double peer, double lateFail) {
-    }
+    public record Prices(
+            double crossZone, double waste, double probe, double peer, double lateFail) {}
 }
--- a/src/main/java/cairnbridge/decision/Spans.java
+++ b/src/main/java/cairnbridge/decision/Spans.java
@@ -1,6 +1,8 @@
 package cairnbridge.decision;
 
-/** A coarse histogram of spans: bins grow by the square root of two; halved when it has seen enough. */
+/**
+ * A coarse histogram of spans: bins grow by the square root of two; halved when it has seen enough.
+ */
 final class Spans {
     private static final int BINS = 40;
     private static final int ENOUGH = 400;
@@ -9,7 +11,8 @@
     private double floor = Double.MAX_VALUE;
 
     void add(long span) {
-        int bin = (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
+        int bin =
+                (int) Math.min(BINS - 1, Math.round(2 * Math.log(Math.max(1, span)) / Math.log(2)));
         bins[bin]++;
         if (++total % 32 == 0 || total == 8 || total == 16) {
             floor = Math.min(floor * 1.02, quantile(0.5, Long.MAX_VALUE));
--- a/src/main/java/cairnbridge/drill/link/LinkRule.java
+++ b/src/main/java/cairnbridge/drill/link/LinkRule.java
@@ -1,8 +1,8 @@
 package cairnbridge.drill.link;
 
 /**
- * What one way between two processes does to what passes. loss, doubled and reordered are parts of datagrams
- * from 0 to 1; on a stream a loss is a delay, as TCP sends again. Delays in milliseconds.
+ * What one way between two processes does to what passes. loss, doubled and reordered are parts of
+ * datagrams from 0 to 1; on a stream a loss is a delay, as TCP sends again. Delays in milliseconds.
  */
 public record LinkRule(boolean cut, double loss, double doubled, double reordered, long delay) {
     public static final LinkRule CLEAR = new LinkRule(false, 0, 0, 0, 0);
--- a/src/main/java/cairnbridge/drill/link/Links.java
+++ b/src/main/java/cairnbridge/drill/link/Links.java
@@ -7,15 +7,14 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * The rules of all ways between processes, by their names; each way has a chance of its own, from one seed.
+ * The rules of all ways between processes, by their names; each way has a chance of its own, from
+ * one seed.
  */
 public final class Links {
-    private record Way(String from, String to) {
-    }
+    private record Way(String from, String to) {}
 
     /** What happens to one datagram: how many copies arrive, and each how late in milliseconds. */
-    record Fate(int copies, long delay, long secondDelay) {
-    }
+    record Fate(int copies, long delay, long secondDelay) {}
 
     private static final int REORDERED_MILLIS = 30;
     private final Map<Way, LinkRule> rules = new ConcurrentHashMap<>();
@@ -28,7 +27,9 @@
 
     /** Changes the rule of one way. */
     public void change(String from, String to, UnaryOperator<LinkRule> change) {
-        rules.compute(new Way(from, to), (way, rule) -> change.apply(rule == null ? LinkRule.CLEAR : rule));
+        rules.compute(
+                new Way(from, to),
+                (way, rule) -> change.apply(rule == null ? LinkRule.CLEAR : rule));
     }
 
     public void heal() {
@@ -44,14 +45,25 @@
         if (rule.equals(LinkRule.CLEAR)) {
             return new Fate(1, 0, 0);
         }
-        RandomGenerator chance = chances.computeIfAbsent(new Way(from, to), way -> RandomGeneratorFactory
-                .of("L64X128MixRandom").create(seed + 31L * way.from.hashCode() + way.to.hashCode()));
+        RandomGenerator chance =
+                chances.computeIfAbsent(
+                        new Way(from, to),
+                        way ->
+                                RandomGeneratorFactory.of("L64X128MixRandom")
+                                        .create(
+                                                seed
+                                                        + 31L * way.from.hashCode()
+                                                        + way.to.hashCode()));
         synchronized (chance) {
             boolean lost = rule.cut() || chance.nextDouble() < rule.loss();
-            long late = rule.delay() + (chance.nextDouble() < rule.reordered()
-                    ? 1 + chance.nextInt(REORDERED_MILLIS) : 0);
+            long late =
+                    rule.delay()
+                            + (chance.nextDouble() < rule.reordered()
+                                    ? 1 + chance.nextInt(REORDERED_MILLIS)
+                                    : 0);
             boolean twice = chance.nextDouble() < rule.doubled();
-            return new Fate(lost ? 0 : twice ? 2 : 1, late, late + 1 + chance.nextInt(REORDERED_MILLIS));
+            return new Fate(
+                    lost ? 0 : twice ? 2 : 1, late, late + 1 + chance.nextInt(REORDERED_MILLIS));
         }
     }
 }
--- a/src/main/java/cairnbridge/drill/link/Relay.java
+++ b/src/main/java/cairnbridge/drill/link/Relay.java
@@ -13,19 +13,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * Stands on every way between two processes, UDP and TCP, on one thread: to each process that is reached
- * through it a port is opened, and who comes is told by the address that it comes from. What the links' rules
- * say is done to what passes. A stream that is cut stays open and silent, as one through a broken network
- * does.
+ * Stands on every way between two processes, UDP and TCP, on one thread: to each process that is
+ * reached through it a port is opened, and who comes is told by the address that it comes from.
+ * What the links' rules say is done to what passes. A stream that is cut stays open and silent, as
+ * one through a broken network does.
  */
 public final class Relay implements Runnable, AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Relay.class.getName());
@@ -55,10 +55,14 @@
         thread.start();
     }
 
-    /** Opens a port, for both protocols, that leads to a process; who names the process behind an address. */
-    public InetSocketAddress open(String to, InetSocketAddress there, Function<InetAddress, String> who)
+    /**
+     * Opens a port, for both protocols, that leads to a process; who names the process behind an
+     * address.
+     */
+    public InetSocketAddress open(
+            String to, InetSocketAddress there, Function<InetAddress, String> who)
             throws IOException {
-        for (int tries = 16;; tries--) {
+        for (int tries = 16; ; tries--) {
             ServerSocketChannel server = ServerSocketChannel.open();
             DatagramChannel datagrams = DatagramChannel.open();
             try {
@@ -79,7 +83,8 @@
     }
 
     /** Opens a port for streams alone, of one process that comes and one that is reached. */
-    public InetSocketAddress openStream(String from, String to, InetSocketAddress there) throws IOException {
+    public InetSocketAddress openStream(String from, String to, InetSocketAddress there)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         listen(server, to, there, address -> from);
@@ -88,39 +93,48 @@
 
     /** All ways to a process that has gone: who comes is refused, what is open is reset. */
     public void shut(String to) {
-        tasks.add(() -> {
-            for (SelectionKey key : selector.keys()) {
-                if (key.isValid() && key.channel() instanceof ServerSocketChannel server
-                        && to.equals(servers.get(server))) {
-                    servers.remove(server);
-                    try {
-                        server.close();
-                    } catch (IOException e) {
-                        LOG.log(Level.FINE, "relay: {0}", e.toString());
+        tasks.add(
+                () -> {
+                    for (SelectionKey key : selector.keys()) {
+                        if (key.isValid()
+                                && key.channel() instanceof ServerSocketChannel server
+                                && to.equals(servers.get(server))) {
+                            servers.remove(server);
+                            try {
+                                server.close();
+                            } catch (IOException e) {
+                                LOG.log(Level.FINE, "relay: {0}", e.toString());
+                            }
+                        }
                     }
-                }
-            }
-            List.copyOf(halves).stream().filter(half -> half.receiver.equals(to)).forEach(Half::shut);
-        });
+                    List.copyOf(halves).stream()
+                            .filter(half -> half.receiver.equals(to))
+                            .forEach(Half::shut);
+                });
         selector.wakeup();
     }
 
-    private void listen(ServerSocketChannel server, String to, InetSocketAddress there,
-            Function<InetAddress, String> who) throws IOException {
+    private void listen(
+            ServerSocketChannel server,
+            String to,
+            InetSocketAddress there,
+            Function<InetAddress, String> who)
+            throws IOException {
         servers.put(server, to);
         register(server, SelectionKey.OP_ACCEPT, () -> accept(server, to, there, who));
     }
 
-    private void register(java.nio.channels.SelectableChannel channel, int ops,
-            Work work) throws IOException {
+    private void register(java.nio.channels.SelectableChannel channel, int ops, Work work)
+            throws IOException {
         channel.configureBlocking(false);
-        tasks.add(() -> {
-            try {
-                channel.register(selector, ops, work);
-            } catch (IOException e) {
-                LOG.log(Level.WARNING, "relay: {0}", e.toString());
-            }
-        });
+        tasks.add(
+                () -> {
+                    try {
+                        channel.register(selector, ops, work);
+                    } catch (IOException e) {
+                        LOG.log(Level.WARNING, "relay: {0}", e.toString());
+                    }
+                });
         selector.wakeup();
     }
 
@@ -149,7 +163,10 @@
     }
 
     private void turn() throws IOException {
-        long wait = later.isEmpty() ? 50 : Math.max(1, later.peek().due - System.nanoTime() / 1_000_000);
+        long wait =
+                later.isEmpty()
+                        ? 50
+                        : Math.max(1, later.peek().due - System.nanoTime() / 1_000_000);
         selector.select(Math.min(50, wait));
         for (SelectionKey key : selector.selectedKeys()) {
             try {
@@ -180,10 +197,15 @@
         }
     }
 
-    private void pass(DatagramChannel channel, String to, InetSocketAddress there,
-            Function<InetAddress, String> who) throws IOException {
+    private void pass(
+            DatagramChannel channel,
+            String to,
+            InetSocketAddress there,
+            Function<InetAddress, String> who)
+            throws IOException {
         in.clear();
-        for (InetSocketAddress from = (InetSocketAddress) channel.receive(in); from != null;
+        for (InetSocketAddress from = (InetSocketAddress) channel.receive(in);
+                from != null;
                 from = (InetSocketAddress) channel.receive(in)) {
             byte[] bytes = new byte[in.flip().remaining()];
             in.get(bytes);
@@ -191,19 +213,28 @@
             String sender = who.apply(from.getAddress());
             Links.Fate fate = links.fate(sender, to);
             for (int i = 0; i < fate.copies(); i++) {
-                after(i == 0 ? fate.delay() : fate.secondDelay(), () -> {
-                    try {
-                        channel.send(ByteBuffer.wrap(bytes), there);
-                    } catch (IOException e) {
-                        LOG.log(Level.FINE, "relay: {0}", e.toString()); // Nobody listens there.
-                    }
-                });
+                after(
+                        i == 0 ? fate.delay() : fate.secondDelay(),
+                        () -> {
+                            try {
+                                channel.send(ByteBuffer.wrap(bytes), there);
+                            } catch (IOException e) {
+                                LOG.log(
+                                        Level.FINE,
+                                        "relay: {0}",
+                                        e.toString()); // Nobody listens there.
+                            }
+                        });
             }
         }
     }
 
-    private void accept(ServerSocketChannel server, String to, InetSocketAddress there,
-            Function<InetAddress, String> who) throws IOException {
+    private void accept(
+            ServerSocketChannel server,
+            String to,
+            InetSocketAddress there,
+            Function<InetAddress, String> who)
+            throws IOException {
         for (SocketChannel near = server.accept(); near != null; near = server.accept()) {
             String from = who.apply(((InetSocketAddress) near.getRemoteAddress()).getAddress());
             SocketChannel far = SocketChannel.open();
@@ -219,7 +250,10 @@
             if (far.connect(there)) {
                 far.register(selector, SelectionKey.OP_READ, (Work) back::read);
             } else {
-                far.register(selector, SelectionKey.OP_CONNECT, (Work) () -> connected(far, back, forth));
+                far.register(
+                        selector,
+                        SelectionKey.OP_CONNECT,
+                        (Work) () -> connected(far, back, forth));
             }
         }
     }
@@ -272,8 +306,11 @@
                 waiting.add(copy);
                 bytes += count;
                 LinkRule rule = links.rule(sender, receiver);
-                long late = rule.delay() + (rule.loss() > 0 && links.fate(sender, receiver).copies() == 0
-                        ? SENT_AGAIN_MILLIS : 0);
+                long late =
+                        rule.delay()
+                                + (rule.loss() > 0 && links.fate(sender, receiver).copies() == 0
+                                        ? SENT_AGAIN_MILLIS
+                                        : 0);
                 readyAt = Math.max(readyAt, System.nanoTime() / 1_000_000 + late);
                 if (bytes > MOST_WAITING) {
                     shut();
@@ -284,7 +321,9 @@
 
         /** Passes on what may go by now. */
         void look() {
-            if (closed || links.rule(sender, receiver).cut() || System.nanoTime() / 1_000_000 < readyAt
+            if (closed
+                    || links.rule(sender, receiver).cut()
+                    || System.nanoTime() / 1_000_000 < readyAt
                     || !to.isConnected()) {
                 return;
             }
--- a/src/main/java/cairnbridge/drill/rig/Demo.java
+++ b/src/main/java/cairnbridge/drill/rig/Demo.java
@@ -10,11 +10,12 @@
 import java.util.function.Consumer;
 
 /**
- * Three proxies in two zones that keep a view of one another, four caches, an origin and clients, in the
- * foreground.
+ * Three proxies in two zones that keep a view of one another, four caches, an origin and clients,
+ * in the foreground.
  */
 public final class Demo {
-    private static final String SCENARIO = """
+    private static final String SCENARIO =
+            """
             # a small fleet at work
             fleet 3
             seeds p1
@@ -78,15 +79,26 @@
     private void where(Rig rig) {
         ProxyProcess first = rig.proxy("p1");
         out.accept("three proxies, four caches, an origin and " + 60 + " ops a second; try:");
-        out.accept("  curl -i -H 'X-Trace-Id: 1' -H 'X-Expires-In: 800m' http://" + Rig.text(first.clients)
-                + "/view/7f3a");
+        out.accept(
+                "  curl -i -H 'X-Trace-Id: 1' -H 'X-Expires-In: 800m' http://"
+                        + Rig.text(first.clients)
+                        + "/view/7f3a");
         out.accept("  java -jar target/cairnbridge.jar members --door " + Rig.text(first.door));
-        out.accept("  echo stats | nc -q 1 " + first.door.getAddress().getHostAddress() + " "
-                + first.door.getPort());
+        out.accept(
+                "  echo stats | nc -q 1 "
+                        + first.door.getAddress().getHostAddress()
+                        + " "
+                        + first.door.getPort());
         for (ProxyProcess proxy : rig.proxies()) {
-            out.accept("  kill -9 " + proxy.pid() + "    # " + proxy.name + ", zone " + proxy.zone
-                    + ", and watch "
-                    + "the others find out");
+            out.accept(
+                    "  kill -9 "
+                            + proxy.pid()
+                            + "    # "
+                            + proxy.name
+                            + ", zone "
+                            + proxy.zone
+                            + ", and watch "
+                            + "the others find out");
         }
         out.accept("  less " + folder.resolve("events.jsonl") + "    # all that happens");
     }
@@ -99,9 +111,15 @@
                 alive = Math.max(alive, proxy.figure("fleet.alive"));
             }
         }
-        out.accept(String.format(Locale.ROOT,
-                "%d ops, %.2f%% served, %d refused, %d failed, %d lost; %d members alive",
-                clients.asked.sum(), 100 * clients.share(), clients.refused.sum(), clients.failed.sum(),
-                clients.lost.sum(), alive));
+        out.accept(
+                String.format(
+                        Locale.ROOT,
+                        "%d ops, %.2f%% served, %d refused, %d failed, %d lost; %d members alive",
+                        clients.asked.sum(),
+                        100 * clients.share(),
+                        clients.refused.sum(),
+                        clients.failed.sum(),
+                        clients.lost.sum(),
+                        alive));
     }
 }
--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -11,8 +11,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -23,15 +23,17 @@
 import java.util.regex.Pattern;
 
 /**
- * Plays one scenario: steps are done in order, and what must hold is looked at until it does or its time is
- * up. Leaves a record of events in a folder and gives a verdict.
+ * Plays one scenario: steps are done in order, and what must hold is looked at until it does or its
+ * time is up. Leaves a record of events in a folder and gives a verdict.
  */
 public final class Drill {
     private static final long LOOK_MILLIS = 100, START_MILLIS = 60_000, QUIET_MILLIS = 4_000;
 
-    /** held: whether all that must hold did; lines: one a step that says something, with its figures. */
-    public record Verdict(boolean held, List<String> lines) {
-    }
+    /**
+     * held: whether all that must hold did; lines: one a step that says something, with its
+     * figures.
+     */
+    public record Verdict(boolean held, List<String> lines) {}
 
     /** What no time will mend. */
     private static final class Hopeless extends RuntimeException {
@@ -53,20 +55,28 @@
     private final int patience;
     private final List<String> lines = new ArrayList<>();
     private final List<Set<String>> parts = new ArrayList<>();
+
     /** Each member's life when it was last agreed on, and the time before. */
     private final Map<String, Long> agreed = new HashMap<>(), agreedBefore = new HashMap<>();
+
     private EventLog events;
     private Rig rig;
     private PowerLoss power;
     private boolean held = true;
     private long served, ended, calls, near, placed, cpu, cpuAt;
 
-    /** folder: where the record and the processes' files go; out is told each line of the verdict at once. */
+    /**
+     * folder: where the record and the processes' files go; out is told each line of the verdict at
+     * once.
+     */
     public Drill(Scenario scenario, Path folder, Consumer<String> out) {
         this(scenario, folder, out, 1);
     }
 
-    /** patience: by how many times each limit of time is longer, on a machine that others use as well. */
+    /**
+     * patience: by how many times each limit of time is longer, on a machine that others use as
+     * well.
+     */
     public Drill(Scenario scenario, Path folder, Consumer<String> out, int patience) {
         this.patience = patience;
         this.scenario = scenario;
@@ -74,11 +84,13 @@
         this.out = out;
     }
 
-    /** Ends at the first step that does not hold; every process it started is gone when it returns. */
+    /**
+     * Ends at the first step that does not hold; every process it started is gone when it returns.
+     */
     public Verdict run() throws IOException, InterruptedException {
         Files.createDirectories(folder);
-        try (EventLog log = new EventLog(folder.resolve("events.jsonl")); Rig fleet = new Rig(scenario,
-                folder, log)) {
+        try (EventLog log = new EventLog(folder.resolve("events.jsonl"));
+                Rig fleet = new Rig(scenario, folder, log)) {
             events = log;
             rig = fleet;
             power = new PowerLoss(this, fleet, log);
@@ -87,8 +99,15 @@
             rig.load("", scenario.caches() > 0 ? scenario.load() : 0);
             rig.countPeak();
             for (Step step : scenario.steps()) {
-                events.event("step", "drill", "line " + step.line() + ": " + step.verb().word() + " "
-                        + String.join(" ", step.words()));
+                events.event(
+                        "step",
+                        "drill",
+                        "line "
+                                + step.line()
+                                + ": "
+                                + step.verb().word()
+                                + " "
+                                + String.join(" ", step.words()));
                 take(step);
                 for (ProxyProcess proxy : rig.proxies()) {
                     if (proxy.running && !proxy.isAlive()) {
@@ -122,7 +141,8 @@
 
     List<String> members(Step step, int word) {
         List<String> names = step.names(word);
-        return names.equals(List.of("all")) ? rig.proxies().stream().map(proxy -> proxy.name).toList()
+        return names.equals(List.of("all"))
+                ? rig.proxies().stream().map(proxy -> proxy.name).toList()
                 : names;
     }
 
@@ -142,9 +162,11 @@
                 }
             }
             case LIFE -> members(step, 0).forEach(name -> rig.life(name, step.words().get(1)));
-            case PROTOCOL -> members(step, 0).forEach(name -> rig.protocol(name, step.words().get(1)));
+            case PROTOCOL ->
+                    members(step, 0).forEach(name -> rig.protocol(name, step.words().get(1)));
             case CUT -> cut(step);
-            case ONE_WAY -> rig.change(step.words().get(0), step.words().get(1), rule -> rule.cut(true));
+            case ONE_WAY ->
+                    rig.change(step.words().get(0), step.words().get(1), rule -> rule.cut(true));
             case LOSS -> rig.changeAll(rule -> rule.loses(step.part(0)));
             case DOUBLE -> rig.changeAll(rule -> rule.doubles(step.part(0)));
             case REORDER -> rig.changeAll(rule -> rule.reorders(step.part(0)));
@@ -154,13 +176,20 @@
                 rig.heal();
             }
             case CACHE_SLOW -> rig.cache(step.words().get(0)).span(step.millis(1));
-            case CACHE_FAILS -> step.names(0).forEach(uid ->
-                    rig.cache(uid).fails(step.words().get(1).equals("yes")));
-            case CACHE_GREY -> step.names(0).forEach(uid ->
-                    rig.cache(uid).grey(step.words().get(1).equals("yes")));
+            case CACHE_FAILS ->
+                    step.names(0)
+                            .forEach(
+                                    uid -> rig.cache(uid).fails(step.words().get(1).equals("yes")));
+            case CACHE_GREY ->
+                    step.names(0)
+                            .forEach(uid -> rig.cache(uid).grey(step.words().get(1).equals("yes")));
             case ORIGIN_SLOW -> rig.origin().span(step.millis(0));
-            case DISCOVERY -> rig.discovery(step.words().get(0).equals("up"), step.words().size() > 1
-                    ? members(step, 1) : rig.proxies().stream().map(proxy -> proxy.name).toList());
+            case DISCOVERY ->
+                    rig.discovery(
+                            step.words().get(0).equals("up"),
+                            step.words().size() > 1
+                                    ? members(step, 1)
+                                    : rig.proxies().stream().map(proxy -> proxy.name).toList());
             case CACHE_LISTED -> step.names(0).forEach(uid -> rig.lists(uid, step.words().get(1)));
             case LOAD -> rig.load("", step.number(0));
             case ZONE_LOAD -> rig.load(step.words().get(0), step.number(1));
@@ -188,18 +217,25 @@
             rig.start(name);
         }
         long from = events.millis();
-        until(step, START_MILLIS, () -> {
-            for (String name : names) {
-                ProxyProcess proxy = rig.proxy(name);
-                if (!proxy.isAlive()) {
-                    throw new Hopeless(name + " has ended at its start, its last line: " + proxy.lastLine);
-                }
-                if (!proxy.serves) {
-                    return name + " does not serve yet";
-                }
-            }
-            return "";
-        }, "all serve");
+        until(
+                step,
+                START_MILLIS,
+                () -> {
+                    for (String name : names) {
+                        ProxyProcess proxy = rig.proxy(name);
+                        if (!proxy.isAlive()) {
+                            throw new Hopeless(
+                                    name
+                                            + " has ended at its start, its last line: "
+                                            + proxy.lastLine);
+                        }
+                        if (!proxy.serves) {
+                            return name + " does not serve yet";
+                        }
+                    }
+                    return "";
+                },
+                "all serve");
         events.event("started", "drill", names.size() + " in " + (events.millis() - from) + " ms");
     }
 
@@ -210,7 +246,8 @@
         String[] words = String.join("", step.words()).split("\\|");
         for (String word : words) {
             if (!word.equals("rest")) {
-                Set<String> part = new HashSet<>(new Step(step.line(), step.verb(), List.of(word)).names(0));
+                Set<String> part =
+                        new HashSet<>(new Step(step.line(), step.verb(), List.of(word)).names(0));
                 parts.add(part);
                 left.removeAll(part);
             }
@@ -221,7 +258,10 @@
         for (Set<String> one : parts) {
             for (Set<String> other : parts) {
                 if (one != other) {
-                    one.forEach(from -> other.forEach(to -> rig.change(from, to, rule -> rule.cut(true))));
+                    one.forEach(
+                            from ->
+                                    other.forEach(
+                                            to -> rig.change(from, to, rule -> rule.cut(true))));
                 }
             }
         }
@@ -243,8 +283,12 @@
     }
 
     private long ended() {
-        return sum(clients -> clients.served.sum() + clients.refused.sum() + clients.failed.sum()
-                + clients.lost.sum());
+        return sum(
+                clients ->
+                        clients.served.sum()
+                                + clients.refused.sum()
+                                + clients.failed.sum()
+                                + clients.lost.sum());
     }
 
     /** A figure over all that run. */
@@ -261,18 +305,25 @@
     }
 
     private void staff(Step step) throws IOException {
-        String call = step.verb() == Step.Verb.DRAIN ? "zone-drain " + step.words().get(0) + " "
-                + step.words().get(1) : "zone-restore " + step.words().get(0);
+        String call =
+                step.verb() == Step.Verb.DRAIN
+                        ? "zone-drain " + step.words().get(0) + " " + step.words().get(1)
+                        : "zone-restore " + step.words().get(0);
         String answer = rig.running().get(0).ask(call).strip();
         holds(step, answer.startsWith("200 "), answer, answer);
     }
 
     /**
-     * The part of a zone's traffic that is served at home by the plan in force at a proxy, in thousandths.
+     * The part of a zone's traffic that is served at home by the plan in force at a proxy, in
+     * thousandths.
      */
     private static int homePart(ProxyProcess proxy, String zone) throws IOException {
-        String row = proxy.ask("zones").lines().filter(line -> line.startsWith(zone + " -> ")).findFirst()
-                .orElse(zone + " -> " + zone + " 1000");
+        String row =
+                proxy.ask("zones")
+                        .lines()
+                        .filter(line -> line.startsWith(zone + " -> "))
+                        .findFirst()
+                        .orElse(zone + " -> " + zone + " 1000");
         Matcher part = Pattern.compile("[>,] " + zone + " (\\d+)").matcher(row);
         return part.find() ? Integer.parseInt(part.group(1)) : 0;
     }
@@ -280,50 +331,96 @@
     private void zones(Step step) throws IOException, InterruptedException {
         String zone = step.words().isEmpty() ? "" : step.words().get(0);
         switch (step.verb()) {
-            case ZONE_OUT, ZONE_HOME -> until(step, step.millis(2), () -> {
-                for (ProxyProcess proxy : rig.running()) {
-                    int part = homePart(proxy, zone);
-                    if (part != (step.verb() == Step.Verb.ZONE_OUT ? 0 : 1000)) {
-                        return "zone " + zone + " serves " + part + " of its own at " + proxy.name;
-                    }
-                }
-                return "";
-            }, "zone " + zone + (step.verb() == Step.Verb.ZONE_OUT ? " is out of use" : " serves its own"));
+            case ZONE_OUT, ZONE_HOME ->
+                    until(
+                            step,
+                            step.millis(2),
+                            () -> {
+                                for (ProxyProcess proxy : rig.running()) {
+                                    int part = homePart(proxy, zone);
+                                    if (part != (step.verb() == Step.Verb.ZONE_OUT ? 0 : 1000)) {
+                                        return "zone "
+                                                + zone
+                                                + " serves "
+                                                + part
+                                                + " of its own at "
+                                                + proxy.name;
+                                    }
+                                }
+                                return "";
+                            },
+                            "zone "
+                                    + zone
+                                    + (step.verb() == Step.Verb.ZONE_OUT
+                                            ? " is out of use"
+                                            : " serves its own"));
             case ZONES_SETTLED -> {
                 Map<String, String> last = new HashMap<>();
                 long[] since = {events.millis()};
-                until(step, step.millis(1), () -> {
-                    Set<String> epochs = new TreeSet<>();
-                    for (ProxyProcess proxy : rig.running()) {
-                        epochs.add(proxy.ask("zones").lines().findFirst().orElse("").split(" by ")[0]);
-                    }
-                    if (!epochs.toString().equals(last.put("", epochs.toString()))) {
-                        since[0] = events.millis();
-                    }
-                    return epochs.size() == 1 && events.millis() - since[0] >= QUIET_MILLIS ? ""
-                            : "epochs are " + epochs + " or new";
-                }, "one epoch, no step for " + QUIET_MILLIS / 1000 + " s");
+                until(
+                        step,
+                        step.millis(1),
+                        () -> {
+                            Set<String> epochs = new TreeSet<>();
+                            for (ProxyProcess proxy : rig.running()) {
+                                epochs.add(
+                                        proxy.ask("zones")
+                                                .lines()
+                                                .findFirst()
+                                                .orElse("")
+                                                .split(" by ")[0]);
+                            }
+                            if (!epochs.toString().equals(last.put("", epochs.toString()))) {
+                                since[0] = events.millis();
+                            }
+                            return epochs.size() == 1 && events.millis() - since[0] >= QUIET_MILLIS
+                                    ? ""
+                                    : "epochs are " + epochs + " or new";
+                        },
+                        "one epoch, no step for " + QUIET_MILLIS / 1000 + " s");
             }
-            case REVERSALS -> holds(step, rig.reversals() <= step.number(1), "at most " + rig.reversals()
-                    + " reversals of a zone", rig.reversals() + " reversals of a zone");
+            case REVERSALS ->
+                    holds(
+                            step,
+                            rig.reversals() <= step.number(1),
+                            "at most " + rig.reversals() + " reversals of a zone",
+                            rig.reversals() + " reversals of a zone");
             case NEAR -> {
                 long nearNow = figure("zones.near_total") - near;
-                long all = Math.max(1, figure("zones.near_total") + figure("zones.far_total")
-                        + figure("zones.shed_total") - placed);
-                String figures = String.format(Locale.ROOT, "%.4f of %d ops placed near",
-                        (double) nearNow / all, all);
+                long all =
+                        Math.max(
+                                1,
+                                figure("zones.near_total")
+                                        + figure("zones.far_total")
+                                        + figure("zones.shed_total")
+                                        - placed);
+                String figures =
+                        String.format(
+                                Locale.ROOT,
+                                "%.4f of %d ops placed near",
+                                (double) nearNow / all,
+                                all);
                 holds(step, (double) nearNow / all >= step.part(1), figures, figures);
             }
-            case ORIGIN_PEAK -> holds(step, rig.originPeak() <= step.number(1), rig.originPeak()
-                    + " fetches in the worst second", rig.originPeak() + " fetches in the worst second");
+            case ORIGIN_PEAK ->
+                    holds(
+                            step,
+                            rig.originPeak() <= step.number(1),
+                            rig.originPeak() + " fetches in the worst second",
+                            rig.originPeak() + " fetches in the worst second");
             case ANSWERED_IN_TIME -> {
                 long lost = sum(clients -> clients.lost.sum());
                 double part = 1 - (double) lost / Math.max(1, ended());
-                String figures = String.format(Locale.ROOT, "%.4f of %d ops were answered", part, ended());
+                String figures =
+                        String.format(Locale.ROOT, "%.4f of %d ops were answered", part, ended());
                 holds(step, part >= step.part(1), figures, figures);
             }
-            default -> holds(step, rig.felled() == 0, "no cold cache was pushed over", rig.felled()
-                    + " times a cold cache was pushed over");
+            default ->
+                    holds(
+                            step,
+                            rig.felled() == 0,
+                            "no cold cache was pushed over",
+                            rig.felled() + " times a cold cache was pushed over");
         }
     }
 
@@ -332,87 +429,143 @@
             case AGREE -> {
                 Set<String> names = new TreeSet<>();
                 rig.running().forEach(proxy -> names.add(proxy.name));
-                until(step, step.millis(1), () -> disagreement(names), "all " + names.size() + " agree");
+                until(
+                        step,
+                        step.millis(1),
+                        () -> disagreement(names),
+                        "all " + names.size() + " agree");
             }
-            case PARTS_AGREE -> until(step, step.millis(1), () -> {
-                for (Set<String> part : parts) {
-                    Set<String> names = new TreeSet<>();
-                    rig.running().stream().filter(proxy -> part.contains(proxy.name))
-                            .forEach(proxy -> names.add(proxy.name));
-                    String wrong = disagreement(names);
-                    if (!wrong.isEmpty()) {
-                        return wrong;
-                    }
-                }
-                return "";
-            }, parts.size() + " parts agree, each");
-            case NOBODY_FALSELY_DEAD -> holds(step, rig.falseDeaths().isEmpty(),
-                    "nobody that could be heard was held "
-                    + "dead", String.join(", ", rig.falseDeaths()));
+            case PARTS_AGREE ->
+                    until(
+                            step,
+                            step.millis(1),
+                            () -> {
+                                for (Set<String> part : parts) {
+                                    Set<String> names = new TreeSet<>();
+                                    rig.running().stream()
+                                            .filter(proxy -> part.contains(proxy.name))
+                                            .forEach(proxy -> names.add(proxy.name));
+                                    String wrong = disagreement(names);
+                                    if (!wrong.isEmpty()) {
+                                        return wrong;
+                                    }
+                                }
+                                return "";
+                            },
+                            parts.size() + " parts agree, each");
+            case NOBODY_FALSELY_DEAD ->
+                    holds(
+                            step,
+                            rig.falseDeaths().isEmpty(),
+                            "nobody that could be heard was held " + "dead",
+                            String.join(", ", rig.falseDeaths()));
             case SAME_LIFE, NEW_LIFE -> {
                 for (String name : members(step, 0)) {
-                    boolean same = agreed.get(name) != null
-                            && agreed.get(name).equals(agreedBefore.get(name));
-                    holds(step, same == (step.verb() == Step.Verb.SAME_LIFE), name + " has "
-                            + (same ? "the same life" : "a new life"), name + " had life "
+                    boolean same =
+                            agreed.get(name) != null
+                                    && agreed.get(name).equals(agreedBefore.get(name));
+                    holds(
+                            step,
+                            same == (step.verb() == Step.Verb.SAME_LIFE),
+                            name + " has " + (same ? "the same life" : "a new life"),
+                            name
+                                    + " had life "
                                     + agreedBefore.get(name)
-                            + " and has " + agreed.get(name));
+                                    + " and has "
+                                    + agreed.get(name));
                 }
             }
             case SERVED -> {
                 long all = Math.max(1, ended() - ended);
                 double part = (double) (sum(clients -> clients.served.sum()) - served) / all;
-                String figures = String.format(Locale.ROOT, "%.4f of %d ops were served", part,
-                        all);
+                String figures =
+                        String.format(Locale.ROOT, "%.4f of %d ops were served", part, all);
                 holds(step, part >= step.part(1), figures, figures);
             }
-            case NO_EFFECT_TWICE -> holds(step, rig.world().twice() == 0, "no effect twice",
-                    rig.world().twice()
-                    + " effects twice");
+            case NO_EFFECT_TWICE ->
+                    holds(
+                            step,
+                            rig.world().twice() == 0,
+                            "no effect twice",
+                            rig.world().twice() + " effects twice");
             case HINTED -> {
                 String node = Long.toHexString(Names.hash(step.words().get(0)));
-                until(step, step.millis(2), () -> {
-                    for (ProxyProcess proxy : rig.running()) {
-                        if (!rig.hints().contains(proxy.name + " " + node)) {
-                            return proxy.name + " has no hint of " + step.words().get(0);
-                        }
-                    }
-                    return "";
-                }, "all have the hint");
+                until(
+                        step,
+                        step.millis(2),
+                        () -> {
+                            for (ProxyProcess proxy : rig.running()) {
+                                if (!rig.hints().contains(proxy.name + " " + node)) {
+                                    return proxy.name + " has no hint of " + step.words().get(0);
+                                }
+                            }
+                            return "";
+                        },
+                        "all have the hint");
             }
             case COST -> {
                 List<ProxyProcess> all = rig.running();
-                double cores = (double) (all.stream().mapToLong(ProxyProcess::cpuMillis).sum() - cpu)
-                        / Math.max(1, events.millis() - cpuAt) / all.size();
-                double megabytes = all.stream().mapToLong(ProxyProcess::residentKilobytes).sum() / 1024.0
-                        / all.size();
-                String figures = String.format(Locale.ROOT, "%.2f%% of a core and %.1f MB a process",
-                        100 * cores, megabytes);
+                double cores =
+                        (double) (all.stream().mapToLong(ProxyProcess::cpuMillis).sum() - cpu)
+                                / Math.max(1, events.millis() - cpuAt)
+                                / all.size();
+                double megabytes =
+                        all.stream().mapToLong(ProxyProcess::residentKilobytes).sum()
+                                / 1024.0
+                                / all.size();
+                String figures =
+                        String.format(
+                                Locale.ROOT,
+                                "%.2f%% of a core and %.1f MB a process",
+                                100 * cores,
+                                megabytes);
                 holds(step, cores <= step.part(1), figures, figures);
             }
-            case SHARES -> until(step, step.millis(2), () -> {
-                for (ProxyProcess proxy : rig.running()) {
-                    long shares = proxy.figure("fleet.shares");
-                    if (shares != step.number(0)) {
-                        return proxy.name + " shares among " + shares;
-                    }
-                }
-                return "";
-            }, "all share among " + step.number(0));
+            case SHARES ->
+                    until(
+                            step,
+                            step.millis(2),
+                            () -> {
+                                for (ProxyProcess proxy : rig.running()) {
+                                    long shares = proxy.figure("fleet.shares");
+                                    if (shares != step.number(0)) {
+                                        return proxy.name + " shares among " + shares;
+                                    }
+                                }
+                                return "";
+                            },
+                            "all share among " + step.number(0));
             case PROBED -> probed(step);
-            case ZONE_OUT, ZONE_HOME, ZONES_SETTLED, REVERSALS, NEAR, ORIGIN_PEAK, NONE_FELLED,
+            case ZONE_OUT,
+                    ZONE_HOME,
+                    ZONES_SETTLED,
+                    REVERSALS,
+                    NEAR,
+                    ORIGIN_PEAK,
+                    NONE_FELLED,
                     ANSWERED_IN_TIME ->
-                zones(step);
+                    zones(step);
             case LIST_CALLS -> {
                 long made = rig.listCalls() - calls;
-                holds(step, made <= step.number(1), made + " calls for lists", made + " calls for lists");
+                holds(
+                        step,
+                        made <= step.number(1),
+                        made + " calls for lists",
+                        made + " calls for lists");
             }
             default -> {
                 long refused = 0;
                 for (ProxyProcess proxy : rig.running()) {
-                    refused += Math.max(0, proxy.figure("fleet.refused." + step.words().get(0) + "_total"));
+                    refused +=
+                            Math.max(
+                                    0,
+                                    proxy.figure(
+                                            "fleet.refused." + step.words().get(0) + "_total"));
                 }
-                holds(step, refused > 0, refused + " datagrams refused: " + step.words().get(0),
+                holds(
+                        step,
+                        refused > 0,
+                        refused + " datagrams refused: " + step.words().get(0),
                         "none were refused");
             }
         }
@@ -448,8 +601,8 @@
         }
     }
 
-    void until(Step step, long most, Looks looks, String good) throws IOException,
-            InterruptedException {
+    void until(Step step, long most, Looks looks, String good)
+            throws IOException, InterruptedException {
         long from = events.millis();
         String wrong = "nothing was seen";
         while (true) {
--- a/src/main/java/cairnbridge/drill/rig/EventLog.java
+++ b/src/main/java/cairnbridge/drill/rig/EventLog.java
@@ -11,7 +11,9 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** The record of one drill: a line of JSON an event, with its time in milliseconds from the start. */
+/**
+ * The record of one drill: a line of JSON an event, with its time in milliseconds from the start.
+ */
 final class EventLog implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(EventLog.class.getName());
     private static final JsonFactory JSON = new JsonFactory();
--- a/src/main/java/cairnbridge/drill/rig/FullKnowledge.java
+++ b/src/main/java/cairnbridge/drill/rig/FullKnowledge.java
@@ -8,21 +8,21 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * What nobody could do better: a controller that knows the stand-ins serves, tick by tick, every hit at once
- * and as many misses and writes as the origin can take in that tick; what is left over waits, as clients come
- * again, for as long as they do. It gives the time until so great a part of what is asked is served over a
- * second.
+ * What nobody could do better: a controller that knows the stand-ins serves, tick by tick, every
+ * hit at once and as many misses and writes as the origin can take in that tick; what is left over
+ * waits, as clients come again, for as long as they do. It gives the time until so great a part of
+ * what is asked is served over a second.
  */
 final class FullKnowledge {
     private static final int TICKS_A_SECOND = 100, MOST_SECONDS = 300;
 
-    private record Waiting(long key, boolean write, int until) {
-    }
+    private record Waiting(long key, boolean write, int until) {}
 
-    private FullKnowledge() {
-    }
+    private FullKnowledge() {}
 
-    /** In milliseconds; perSecond: ops asked for, origin: fetches and writes it can take a second. */
+    /**
+     * In milliseconds; perSecond: ops asked for, origin: fetches and writes it can take a second.
+     */
     static long millisTo(double part, int perSecond, double origin, long seed) {
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         Set<Long> held = new HashSet<>();
@@ -38,8 +38,11 @@
             asked[tick] = ops;
             for (int i = 0; i < ops; i++) {
                 boolean write = Clients.writes(chance);
-                waiting.add(new Waiting(Clients.key(chance, Clients.KEYS), write,
-                        tick + Clients.TTL_MILLIS * TICKS_A_SECOND / 1000));
+                waiting.add(
+                        new Waiting(
+                                Clients.key(chance, Clients.KEYS),
+                                write,
+                                tick + Clients.TTL_MILLIS * TICKS_A_SECOND / 1000));
             }
             for (int i = waiting.size(); i > 0; i--) {
                 Waiting op = waiting.poll();
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -30,13 +30,22 @@
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 
-/** One process of the program, at a loopback address of its own, with its files, its log and its door. */
+/**
+ * One process of the program, at a loopback address of its own, with its files, its log and its
+ * door.
+ */
 final class ProxyProcess {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int DOOR_MILLIS = 1500, LET_GO_MILLIS = 200;
-    private static final List<String> MACHINE = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-Xms24m",
-            "-Xmx64m", "-Xss512k", "-XX:-UsePerfData", "-ea");
+    private static final List<String> MACHINE =
+            List.of(
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xms24m",
+                    "-Xmx64m",
+                    "-Xss512k",
+                    "-XX:-UsePerfData",
+                    "-ea");
 
     final String name, zone;
     final InetAddress ip;
@@ -45,15 +54,24 @@
     private final BiConsumer<ProxyProcess, String> said;
     private Process process;
     volatile boolean running, frozen, serves;
+
     /** What it said last. */
     volatile String lastLine = "nothing";
+
     /** When it was last within reach of all again, in milliseconds of the drill. */
     volatile long undisturbedSince;
+
     /** Whether its next life can write no file. */
     volatile boolean diskFull;
+
     private final Queue<String> saidLines = new ConcurrentLinkedQueue<>();
 
-    ProxyProcess(String name, String zone, int number, Path folder, BiConsumer<ProxyProcess, String> said)
+    ProxyProcess(
+            String name,
+            String zone,
+            int number,
+            Path folder,
+            BiConsumer<ProxyProcess, String> said)
             throws IOException {
         this.name = name;
         this.zone = zone;
@@ -68,11 +86,12 @@
         }
         this.said = said;
         ip = address(1, number);
-        // Guards against a stream of the fleet's, which starts from its address, that takes the clients'
+        // Guards against a stream of the fleet's, which starts from its address, that takes the
+        // clients'
         // port.
         InetAddress front = address(2, number);
-        try (ServerSocket one = new ServerSocket(0, 1, front); ServerSocket two = new ServerSocket(0, 1,
-                front);
+        try (ServerSocket one = new ServerSocket(0, 1, front);
+                ServerSocket two = new ServerSocket(0, 1, front);
                 ServerSocket three = new ServerSocket(0, 1, ip)) {
             clients = new InetSocketAddress(front, one.getLocalPort());
             door = new InetSocketAddress(front, two.getLocalPort());
@@ -80,10 +99,13 @@
         }
     }
 
-    /** Loopback addresses that are this process's alone, so that nobody takes a port of theirs meanwhile. */
+    /**
+     * Loopback addresses that are this process's alone, so that nobody takes a port of theirs
+     * meanwhile.
+     */
     private static InetAddress address(int kind, int number) throws IOException {
-        return InetAddress.getByAddress(new byte[] {127, (byte) kind, (byte) (number / 250),
-            (byte) (number % 250 + 1)});
+        return InetAddress.getByAddress(
+                new byte[] {127, (byte) kind, (byte) (number / 250), (byte) (number % 250 + 1)});
     }
 
     /** fleetFile is null where it is to run alone. */
@@ -98,8 +120,12 @@
         }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(MACHINE);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "cairnbridge.cli.Main",
-                "serve"));
+        command.addAll(
+                List.of(
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "cairnbridge.cli.Main",
+                        "serve"));
         if (fleetFile != null) {
             Path fleetPath = folder.resolve("fleet.toml");
             Files.writeString(fleetPath, fleetFile);
@@ -113,8 +139,9 @@
         process = builder.start();
         running = true;
         frozen = false;
-        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8));
+        BufferedReader log =
+                new BufferedReader(
+                        new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         Thread reader = new Thread(() -> read(log), "log of " + name);
         reader.setDaemon(true);
         reader.start();
@@ -135,14 +162,22 @@
 
     /** Processor time of this life so far, in milliseconds; 0 where the machine does not tell. */
     long cpuMillis() {
-        return process == null ? 0 : process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+        return process == null
+                ? 0
+                : process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
     }
 
-    /** Memory that is its own or mapped by it at present, in kilobytes; 0 where the machine does not tell. */
+    /**
+     * Memory that is its own or mapped by it at present, in kilobytes; 0 where the machine does not
+     * tell.
+     */
     long residentKilobytes() {
-        try (Stream<String> lines = Files.lines(Path.of("/proc", String.valueOf(pid()), "status"))) {
-            return lines.filter(line -> line.startsWith("VmRSS:")).findFirst()
-                    .map(line -> Long.parseLong(line.replaceAll("\\D", ""))).orElse(0L);
+        try (Stream<String> lines =
+                Files.lines(Path.of("/proc", String.valueOf(pid()), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:"))
+                    .findFirst()
+                    .map(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                    .orElse(0L);
         } catch (IOException e) {
             return 0;
         }
@@ -174,8 +209,8 @@
             new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor();
         } else if (Files.exists(pipe) && !Files.isRegularFile(pipe)) {
             // Reads and writes at once, so that opening it waits for nobody.
-            try (FileChannel end = FileChannel.open(pipe, StandardOpenOption.READ,
-                    StandardOpenOption.WRITE)) {
+            try (FileChannel end =
+                    FileChannel.open(pipe, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
                 Files.delete(pipe);
                 Thread.sleep(LET_GO_MILLIS);
                 end.read(ByteBuffer.allocate(1));
@@ -186,8 +221,13 @@
     private Optional<Path> newestSnapshot() throws IOException {
         try (Stream<Path> files = Files.list(folder.resolve("store"))) {
             return files.filter(file -> file.getFileName().toString().matches("snapshot-[0-9]+"))
-                    .max(Comparator.comparingLong(file -> Long.parseLong(file.getFileName().toString()
-                            .substring("snapshot-".length()))));
+                    .max(
+                            Comparator.comparingLong(
+                                    file ->
+                                            Long.parseLong(
+                                                    file.getFileName()
+                                                            .toString()
+                                                            .substring("snapshot-".length()))));
         }
     }
 
@@ -255,8 +295,14 @@
 
     /** One of its figures; -1 where it has none of this name. */
     long figure(String figure) throws IOException {
-        return ask("stats").lines().filter(line -> line.startsWith("lb." + figure + ":")).findFirst()
-                .map(line -> Long.parseLong(line.substring(line.indexOf(':') + 1, line.indexOf('|'))))
-                        .orElse(-1L);
+        return ask("stats")
+                .lines()
+                .filter(line -> line.startsWith("lb." + figure + ":"))
+                .findFirst()
+                .map(
+                        line ->
+                                Long.parseLong(
+                                        line.substring(line.indexOf(':') + 1, line.indexOf('|'))))
+                .orElse(-1L);
     }
 }
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -27,21 +27,24 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
-import java.util.regex.Matcher;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * A fleet of real processes on loopback addresses, with its stand-ins, and a relay on every way between two
- * of them. It does what it is told and says what it sees; whether that is well is the drill's to say.
+ * A fleet of real processes on loopback addresses, with its stand-ins, and a relay on every way
+ * between two of them. It does what it is told and says what it sees; whether that is well is the
+ * drill's to say.
  */
 final class Rig implements AutoCloseable {
     /** A death is false if its subject could be heard for so long before. */
     private static final long HEARD_MILLIS = 8_000;
+
     private static final int SAMPLE_MILLIS = 100;
     private static final Pattern DEATH = Pattern.compile("fleet: (\\S+) at \\S+ is dead, was");
-    private static final Pattern ROW = Pattern.compile("zones: epoch (\\d+) by \\S+: (\\S+) -> (.*):");
+    private static final Pattern ROW =
+            Pattern.compile("zones: epoch (\\d+) by \\S+: (\\S+) -> (.*):");
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Scenario scenario;
@@ -61,13 +64,17 @@
     private final List<String> falseDeaths = new CopyOnWriteArrayList<>(),
             hints = new CopyOnWriteArrayList<>();
     private final Origin origin;
+
     /** Clients of one zone's proxies by zone, and those of all under an empty name. */
     private final Map<String, Clients> clients = new ConcurrentHashMap<>();
+
     private final HomeParts homeParts = new HomeParts();
     private final List<CacheNode> gone = new ArrayList<>();
     private final List<Clients> ended = new ArrayList<>();
+
     /** Ops served so far, every tenth of a second: the time and the count. */
     private final List<long[]> servedAt = new CopyOnWriteArrayList<>();
+
     private final Map<String, Long> servesSince = new ConcurrentHashMap<>();
     private volatile long peak;
     private Thread sampler;
@@ -82,16 +89,29 @@
         for (int i = 1; i <= scenario.caches(); i++) {
             CacheNode cache = new CacheNode(world, "c" + i, zone(i));
             caches.put(cache.uid(), cache);
-            roster.put(new Discovery.Entry(cache.uid(), text(cache.address()), cache.zone(), "cache", "Ready",
-                    0, 0));
+            roster.put(
+                    new Discovery.Entry(
+                            cache.uid(),
+                            text(cache.address()),
+                            cache.zone(),
+                            "cache",
+                            "Ready",
+                            0,
+                            0));
         }
-        roster.put(new Discovery.Entry("origin", text(origin.address()), zone(1), "origin", "Ready", 0, 0));
+        roster.put(
+                new Discovery.Entry(
+                        "origin", text(origin.address()), zone(1), "origin", "Ready", 0, 0));
         for (int i = 1; i <= scenario.members(); i++) {
             ProxyProcess proxy = new ProxyProcess("p" + i, zone(i), i, folder, this::said);
             proxies.put(proxy.name, proxy);
             byAddress.put(proxy.ip, proxy.name);
-            relayed.put(proxy.name, relay.open(proxy.name, proxy.fleet,
-                    address -> byAddress.getOrDefault(address, "stranger")));
+            relayed.put(
+                    proxy.name,
+                    relay.open(
+                            proxy.name,
+                            proxy.fleet,
+                            address -> byAddress.getOrDefault(address, "stranger")));
             agents.put(proxy.name, new Discovery(roster, entry -> seenBy(proxy.name, entry)));
         }
     }
@@ -110,14 +130,22 @@
         if (cache == null) {
             return entry;
         }
-        InetSocketAddress at = streams.computeIfAbsent(proxy + ">" + cache.uid(), way -> {
-            try {
-                return relay.openStream(proxy, cache.uid(), cache.address());
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            }
-        });
-        return new Discovery.Entry(entry.uid(), text(at), entry.zone(), entry.kind(), entry.state(),
+        InetSocketAddress at =
+                streams.computeIfAbsent(
+                        proxy + ">" + cache.uid(),
+                        way -> {
+                            try {
+                                return relay.openStream(proxy, cache.uid(), cache.address());
+                            } catch (IOException e) {
+                                throw new java.io.UncheckedIOException(e);
+                            }
+                        });
+        return new Discovery.Entry(
+                entry.uid(),
+                text(at),
+                entry.zone(),
+                entry.kind(),
+                entry.state(),
                 entry.began(),
                 entry.rev());
     }
@@ -136,17 +164,26 @@
         Matcher row = ROW.matcher(line);
         if (row.find()) {
             Matcher home = Pattern.compile("\\b" + row.group(2) + " (\\d+)").matcher(row.group(3));
-            homeParts.tell(row.group(2), Long.parseLong(row.group(1)),
+            homeParts.tell(
+                    row.group(2),
+                    Long.parseLong(row.group(1)),
                     home.find() ? Integer.parseInt(home.group(1)) : 0);
         }
         Matcher death = DEATH.matcher(line);
         if (death.find()) {
             ProxyProcess subject = proxies.get(death.group(1));
-            boolean wrong = subject != null && subject.running && !subject.frozen && proxy.running
-                    && !proxy.frozen
-                    && events.millis() - Math.max(subject.undisturbedSince,
-                            proxy.undisturbedSince) > HEARD_MILLIS
-                    && !links.rule(proxy.name, subject.name).cut()
+            boolean wrong =
+                    subject != null
+                            && subject.running
+                            && !subject.frozen
+                            && proxy.running
+                            && !proxy.frozen
+                            && events.millis()
+                                            - Math.max(
+                                                    subject.undisturbedSince,
+                                                    proxy.undisturbedSince)
+                                    > HEARD_MILLIS
+                            && !links.rule(proxy.name, subject.name).cut()
                             && !links.rule(subject.name, proxy.name).cut();
             if (wrong) {
                 falseDeaths.add(proxy.name + " held " + subject.name + " dead");
@@ -195,27 +232,30 @@
     void countPeak() {
         peak = 0;
         if (sampler == null) {
-            sampler = new Thread(() -> {
-                long last = origin.fetches.sum();
-                int tenths = 0;
-                while (!Thread.currentThread().isInterrupted()) {
-                    try {
-                        Thread.sleep(SAMPLE_MILLIS);
-                    } catch (InterruptedException e) {
-                        return;
-                    }
-                    servedAt.add(new long[] {events.millis(), served()});
-                    if (tenths % 5 == 0) {
-                        events.event("clients", "all", tally());
-                    }
-                    if (++tenths % (1000 / SAMPLE_MILLIS) != 0) {
-                        continue;
-                    }
-                    long now = origin.fetches.sum();
-                    peak = Math.max(peak, now - last);
-                    last = now;
-                }
-            }, "origin's rate");
+            sampler =
+                    new Thread(
+                            () -> {
+                                long last = origin.fetches.sum();
+                                int tenths = 0;
+                                while (!Thread.currentThread().isInterrupted()) {
+                                    try {
+                                        Thread.sleep(SAMPLE_MILLIS);
+                                    } catch (InterruptedException e) {
+                                        return;
+                                    }
+                                    servedAt.add(new long[] {events.millis(), served()});
+                                    if (tenths % 5 == 0) {
+                                        events.event("clients", "all", tally());
+                                    }
+                                    if (++tenths % (1000 / SAMPLE_MILLIS) != 0) {
+                                        continue;
+                                    }
+                                    long now = origin.fetches.sum();
+                                    peak = Math.max(peak, now - last);
+                                    last = now;
+                                }
+                            },
+                            "origin's rate");
             sampler.setDaemon(true);
             sampler.start();
         }
@@ -232,9 +272,22 @@
             sums[4] += each.lost.sum();
             sums[5] += each.repeats.sum();
         }
-        return "asked " + sums[0] + ", served " + sums[1] + ", refused " + sums[2] + ", failed " + sums[3]
-                + ", lost " + sums[4] + ", repeats " + sums[5] + "; origin fetches " + origin.fetches.sum()
-                + ", turned away " + origin.turnedAway.sum();
+        return "asked "
+                + sums[0]
+                + ", served "
+                + sums[1]
+                + ", refused "
+                + sums[2]
+                + ", failed "
+                + sums[3]
+                + ", lost "
+                + sums[4]
+                + ", repeats "
+                + sums[5]
+                + "; origin fetches "
+                + origin.fetches.sum()
+                + ", turned away "
+                + origin.turnedAway.sum();
     }
 
     private long served() {
@@ -259,7 +312,10 @@
 
     /** When the first of those that serve began to, after a time of the drill. */
     long firstServing(long after) {
-        return servesSince.values().stream().mapToLong(each -> each).filter(each -> each >= after).min()
+        return servesSince.values().stream()
+                .mapToLong(each -> each)
+                .filter(each -> each >= after)
+                .min()
                 .orElse(after);
     }
 
@@ -268,10 +324,12 @@
         return clients.values().stream().mapToInt(Clients::perSecond).sum();
     }
 
-    /** Proxies and caches stop in one instant; what was in memory or under a proxy's TMPDIR is gone. */
+    /**
+     * Proxies and caches stop in one instant; what was in memory or under a proxy's TMPDIR is gone.
+     */
     void losePower(List<String> names) throws IOException, InterruptedException {
-        List<ProxyProcess> lost = proxies.values().stream().filter(proxy ->
-                names.contains(proxy.name)).toList();
+        List<ProxyProcess> lost =
+                proxies.values().stream().filter(proxy -> names.contains(proxy.name)).toList();
         lost.forEach(proxy -> taking.remove(proxy.name));
         lost.forEach(ProxyProcess::end);
         names.stream().filter(caches::containsKey).forEach(this::killCache);
@@ -284,17 +342,21 @@
 
     /** Starts all, each at a time of its own within the span. */
     void startOver(List<String> names, long millis) {
-        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(scenario.seed());
+        RandomGenerator chance =
+                RandomGeneratorFactory.of("L64X128MixRandom").create(scenario.seed());
         for (String name : names) {
             long in = chance.nextLong(millis + 1);
-            Thread thread = new Thread(() -> {
-                try {
-                    Thread.sleep(in);
-                    start(name);
-                } catch (IOException | InterruptedException e) {
-                    events.event("start", name, "failed: " + e);
-                }
-            }, "start of " + name);
+            Thread thread =
+                    new Thread(
+                            () -> {
+                                try {
+                                    Thread.sleep(in);
+                                    start(name);
+                                } catch (IOException | InterruptedException e) {
+                                    events.event("start", name, "failed: " + e);
+                                }
+                            },
+                            "start of " + name);
             thread.setDaemon(true);
             thread.start();
         }
@@ -331,8 +393,15 @@
         CacheNode cache = new CacheNode(world, uid, caches.get(uid).zone());
         caches.put(uid, cache);
         streams.keySet().removeIf(way -> way.endsWith(">" + uid));
-        roster.put(new Discovery.Entry(uid, text(cache.address()), cache.zone(), "cache", "Ready",
-                cache.began(), 0));
+        roster.put(
+                new Discovery.Entry(
+                        uid,
+                        text(cache.address()),
+                        cache.zone(),
+                        "cache",
+                        "Ready",
+                        cache.began(),
+                        0));
         events.event("start", uid, "cold");
     }
 
@@ -396,7 +465,8 @@
     /** Changes all ways between two different members. */
     void changeAll(UnaryOperator<LinkRule> change) {
         for (String from : proxies.keySet()) {
-            proxies.keySet().stream().filter(to -> !to.equals(from))
+            proxies.keySet().stream()
+                    .filter(to -> !to.equals(from))
                     .forEach(to -> links.change(from, to, change));
         }
     }
@@ -415,7 +485,10 @@
         roster.change(uid, state);
     }
 
-    /** Clients of one zone's proxies, or of all where it is empty, so many ops a second; those before end. */
+    /**
+     * Clients of one zone's proxies, or of all where it is empty, so many ops a second; those
+     * before end.
+     */
     void load(String zone, int perSecond) {
         Clients before = clients.remove(zone);
         if (before != null) {
@@ -423,32 +496,52 @@
             ended.add(before);
         }
         if (perSecond > 0) {
-            clients.put(zone, new Clients(() -> taking.entrySet().stream()
-                    .filter(each -> zone.isEmpty() || proxies.get(each.getKey()).zone.equals(zone))
-                    .map(Map.Entry::getValue).toList(), perSecond, Clients.KEYS, scenario.seed()
-                            + zone.hashCode()));
+            clients.put(
+                    zone,
+                    new Clients(
+                            () ->
+                                    taking.entrySet().stream()
+                                            .filter(
+                                                    each ->
+                                                            zone.isEmpty()
+                                                                    || proxies.get(each.getKey())
+                                                                            .zone
+                                                                            .equals(zone))
+                                            .map(Map.Entry::getValue)
+                                            .toList(),
+                            perSecond,
+                            Clients.KEYS,
+                            scenario.seed() + zone.hashCode()));
         }
     }
 
     private String config(ProxyProcess proxy) {
         ObjectNode root = JSON.createObjectNode();
-        root.put("name", proxy.name).put("listen", text(proxy.clients)).put("admin_addr", text(proxy.door));
-        root.put("discovery", text(agents.get(proxy.name).address())).put("seed", Integer.toHexString(
-                proxy.name.hashCode() + (int) scenario.seed()));
+        root.put("name", proxy.name)
+                .put("listen", text(proxy.clients))
+                .put("admin_addr", text(proxy.door));
+        root.put("discovery", text(agents.get(proxy.name).address()))
+                .put("seed", Integer.toHexString(proxy.name.hashCode() + (int) scenario.seed()));
         root.putObject("limits").put("sockets", 512);
         root.putObject("known").put("all", true).putArray("targets");
         root.set("settings", ProxySettings.of(scenario));
         return root.toPrettyString();
     }
 
-    /** A member says that it is where the relay listens for it, so that all who come pass through. */
+    /**
+     * A member says that it is where the relay listens for it, so that all who come pass through.
+     */
     private String fleetFile(ProxyProcess proxy) {
         StringBuilder text = new StringBuilder();
-        text.append("cluster = \"drill\"\nsecret-file = \"../fleet.secret\"\nzone = \"").append(proxy.zone)
-                .append("\"\nregion = \"r\"\nbind = \"").append(text(proxy.fleet))
-                        .append("\"\nadvertise = \"")
-                .append(text(relayed.get(proxy.name))).append("\"\nseeds = [");
-        scenario.seeds().forEach(seed -> text.append('"').append(text(relayed.get(seed))).append("\", "));
+        text.append("cluster = \"drill\"\nsecret-file = \"../fleet.secret\"\nzone = \"")
+                .append(proxy.zone)
+                .append("\"\nregion = \"r\"\nbind = \"")
+                .append(text(proxy.fleet))
+                .append("\"\nadvertise = \"")
+                .append(text(relayed.get(proxy.name)))
+                .append("\"\nseeds = [");
+        scenario.seeds()
+                .forEach(seed -> text.append('"').append(text(relayed.get(seed))).append("\", "));
         text.append("]\n");
         if (protocols.containsKey(proxy.name)) {
             text.append("protocol = ").append(protocols.get(proxy.name)).append('\n');
@@ -457,15 +550,24 @@
             text.append("life = ").append(lives.remove(proxy.name)).append('\n');
         }
         Map<String, List<String>> tables = new LinkedHashMap<>();
-        scenario.keys().forEach((key, value) -> {
-            int dot = key.indexOf('.');
-            tables.computeIfAbsent(dot < 0 ? "" : key.substring(0, dot), table -> new ArrayList<>())
-                    .add(key.substring(dot + 1) + " = " + value);
-        });
+        scenario.keys()
+                .forEach(
+                        (key, value) -> {
+                            int dot = key.indexOf('.');
+                            tables.computeIfAbsent(
+                                            dot < 0 ? "" : key.substring(0, dot),
+                                            table -> new ArrayList<>())
+                                    .add(key.substring(dot + 1) + " = " + value);
+                        });
         tables.getOrDefault("", List.of()).forEach(line -> text.append(line).append('\n'));
         tables.remove("");
-        tables.forEach((table, lines) -> text.append('[').append(table).append("]\n")
-                .append(String.join("\n", lines)).append('\n'));
+        tables.forEach(
+                (table, lines) ->
+                        text.append('[')
+                                .append(table)
+                                .append("]\n")
+                                .append(String.join("\n", lines))
+                                .append('\n'));
         return text.toString();
     }
 
--- a/src/main/java/cairnbridge/drill/scenario/HomeParts.java
+++ b/src/main/java/cairnbridge/drill/scenario/HomeParts.java
@@ -6,8 +6,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The part of each zone's traffic that is served at home, in thousandths, by the epoch of the plan: what a
- * scenario's steps and their reversals are counted by. Any thread may tell; an epoch's first word counts.
+ * The part of each zone's traffic that is served at home, in thousandths, by the epoch of the plan:
+ * what a scenario's steps and their reversals are counted by. Any thread may tell; an epoch's first
+ * word counts.
  */
 public final class HomeParts {
     private final Map<String, TreeMap<Long, Integer>> parts = new ConcurrentHashMap<>();
--- a/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
+++ b/src/main/java/cairnbridge/drill/scenario/ScenarioFile.java
@@ -9,14 +9,17 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads a scenario: a line a step, words apart by spaces, what follows # left out; the first remark is the
- * title. Lines that describe the fleet come before the first step. docs/operators/fleet.md lists the words.
+ * Reads a scenario: a line a step, words apart by spaces, what follows # left out; the first remark
+ * is the title. Lines that describe the fleet come before the first step. docs/operators/fleet.md
+ * lists the words.
  */
 public final class ScenarioFile {
-    private static final Pattern SPAN = Pattern.compile("([0-9]{1,6})(ms|s)"), PART = Pattern.compile(
-            "([0-9]{1,3}(?:\\.[0-9]+)?)%"),
-                    RANGE = Pattern.compile("([a-z]+)([0-9]{1,4})\\.\\.\\1([0-9]{1,4})"
-                            + "(?:/([1-9][0-9]{0,2}))?"),
+    private static final Pattern SPAN = Pattern.compile("([0-9]{1,6})(ms|s)"),
+            PART = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]+)?)%"),
+            RANGE =
+                    Pattern.compile(
+                            "([a-z]+)([0-9]{1,4})\\.\\.\\1([0-9]{1,4})"
+                                    + "(?:/([1-9][0-9]{0,2}))?"),
             NAME = Pattern.compile("[a-z]+[0-9]{0,4}");
     private static final int MOST_MEMBERS = 200, MOST_CACHES = 64, MOST_LOAD = 5_000;
     private String title = "";
@@ -29,8 +32,7 @@
     private final Map<String, String> keys = new LinkedHashMap<>();
     private final List<Step> steps = new ArrayList<>();
 
-    private ScenarioFile() {
-    }
+    private ScenarioFile() {}
 
     /** ScenarioFault names the line that cannot be used. */
     public static Scenario read(String text) {
@@ -46,9 +48,18 @@
             throw new ScenarioFault(lines.length, "there is no step");
         }
         file.check();
-        return new Scenario(file.title, file.members, file.seeds, file.zones, file.caches, file.load,
+        return new Scenario(
+                file.title,
+                file.members,
+                file.seeds,
+                file.zones,
+                file.caches,
+                file.load,
                 file.seed,
-                file.together, Map.copyOf(file.keys), List.copyOf(file.steps), 1);
+                file.together,
+                Map.copyOf(file.keys),
+                List.copyOf(file.steps),
+                1);
     }
 
     private void line(int number, String whole) {
@@ -74,7 +85,8 @@
             return false;
         }
         if (word.equals("alone") != rest.isEmpty()) {
-            throw new ScenarioFault(line, word + (rest.isEmpty() ? " needs a word" : " takes no word"));
+            throw new ScenarioFault(
+                    line, word + (rest.isEmpty() ? " needs a word" : " takes no word"));
         }
         switch (word) {
             case "fleet" -> members = within(line, rest.get(0), 1, MOST_MEMBERS);
@@ -96,27 +108,46 @@
 
     private void step(int line, List<String> words) {
         String word = words.get(0);
-        Step.Verb verb = Arrays.stream(Step.Verb.values()).filter(each -> each.word().equals(word))
-                .findFirst()
-                .orElseThrow(() -> new ScenarioFault(line, "there is no step " + word));
+        Step.Verb verb =
+                Arrays.stream(Step.Verb.values())
+                        .filter(each -> each.word().equals(word))
+                        .findFirst()
+                        .orElseThrow(() -> new ScenarioFault(line, "there is no step " + word));
         List<String> rest = List.copyOf(words.subList(1, words.size()));
         if (rest.size() < verb.least || rest.size() > verb.most) {
-            throw new ScenarioFault(line, word + " takes " + verb.least
-                    + (verb.most > verb.least ? " words or more" : verb.least == 1 ? " word" : " words"));
+            throw new ScenarioFault(
+                    line,
+                    word
+                            + " takes "
+                            + verb.least
+                            + (verb.most > verb.least
+                                    ? " words or more"
+                                    : verb.least == 1 ? " word" : " words"));
         }
         steps.add(new Step(line, verb, rest));
     }
 
     /**
-     * Every word is read once before anything starts: guards against a drill that ends at a slip near its
-     * end.
+     * Every word is read once before anything starts: guards against a drill that ends at a slip
+     * near its end.
      */
     private void check() {
         seeds.forEach(name -> member(0, name));
         for (Step step : steps) {
             switch (step.verb()) {
-                case START, KILL, STOP, FREEZE, THAW, SAME_LIFE, NEW_LIFE, DISK_FULL, DISK_WELL, DISK_STALLS,
-                        SNAPSHOT_TORN, SAID -> members(step, 0);
+                case START,
+                        KILL,
+                        STOP,
+                        FREEZE,
+                        THAW,
+                        SAME_LIFE,
+                        NEW_LIFE,
+                        DISK_FULL,
+                        DISK_WELL,
+                        DISK_STALLS,
+                        SNAPSHOT_TORN,
+                        SAID ->
+                        members(step, 0);
                 case LIFE, PROTOCOL -> {
                     members(step, 0);
                     step.number(1);
@@ -219,7 +250,7 @@
                     word(step, 0, "at-most");
                     step.number(1);
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -242,7 +273,8 @@
     }
 
     private void any(int line, String name) {
-        boolean cache = name.matches("c[0-9]{1,4}") && Integer.parseInt(name.substring(1)) <= caches;
+        boolean cache =
+                name.matches("c[0-9]{1,4}") && Integer.parseInt(name.substring(1)) <= caches;
         if (!cache && !name.equals("rest")) {
             member(line, name);
         }
@@ -255,8 +287,9 @@
 
     private static void word(Step step, int at, String... expected) {
         if (!List.of(expected).contains(step.words().get(at))) {
-            throw new ScenarioFault(step.line(), "expected " + String.join(" or ", expected) + ", not "
-                    + step.words().get(at));
+            throw new ScenarioFault(
+                    step.line(),
+                    "expected " + String.join(" or ", expected) + ", not " + step.words().get(at));
         }
     }
 
--- a/src/main/java/cairnbridge/drill/simulated/Agenda.java
+++ b/src/main/java/cairnbridge/drill/simulated/Agenda.java
@@ -3,8 +3,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Simulated time: what is to happen when. Same-time events happen in the order in which they were put down,
- * so that a run is the same every time. Times in tenths of a millisecond.
+ * Simulated time: what is to happen when. Same-time events happen in the order in which they were
+ * put down, so that a run is the same every time. Times in tenths of a millisecond.
  */
 public final class Agenda {
     public static final long SECOND = 10_000, MILLI = 10;
--- a/src/main/java/cairnbridge/drill/simulated/SimulatedDisk.java
+++ b/src/main/java/cairnbridge/drill/simulated/SimulatedDisk.java
@@ -12,8 +12,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A disk that forgets: when its power goes, what was not forced is lost, torn or there, by chance and in any
- * order, sector by sector and name by name. It can also fail in the middle of a write.
+ * A disk that forgets: when its power goes, what was not forced is lost, torn or there, by chance
+ * and in any order, sector by sector and name by name. It can also fail in the middle of a write.
  */
 public final class SimulatedDisk implements Disk {
     private static final int SECTOR = 64;
@@ -24,8 +24,7 @@
     }
 
     /** One change of names that was not forced yet; to is null for a deletion. */
-    private record Change(String from, String to, Inode inode) {
-    }
+    private record Change(String from, String to, Inode inode) {}
 
     private final RandomGenerator chance;
     private Map<String, Inode> names = new TreeMap<>();
@@ -157,8 +156,12 @@
             return inode.now;
         }
         boolean longer = chance.nextBoolean();
-        byte[] left = Arrays.copyOf(inode.forced, longer ? inode.now.length
-                : Math.min(inode.now.length, inode.forced.length));
+        byte[] left =
+                Arrays.copyOf(
+                        inode.forced,
+                        longer
+                                ? inode.now.length
+                                : Math.min(inode.now.length, inode.forced.length));
         for (int at = 0; at < left.length; at += SECTOR) {
             int end = Math.min(left.length, at + SECTOR);
             int kind = chance.nextInt(3);
--- a/src/main/java/cairnbridge/drill/simulated/SimulatedNet.java
+++ b/src/main/java/cairnbridge/drill/simulated/SimulatedNet.java
@@ -24,15 +24,18 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * A fleet's state machines on a net that is only computed: add members, break things, let time pass, look at
- * the views. Times are tenths of a millisecond; the same seed and the same calls give the same course.
+ * A fleet's state machines on a net that is only computed: add members, break things, let time
+ * pass, look at the views. Times are tenths of a millisecond; the same seed and the same calls give
+ * the same course.
  */
 public final class SimulatedNet {
     public static final long SECOND = FleetSettings.SECOND;
     private static final int STREAM_FRAME = 96;
     private static final long CALL_TIME_OUT = 2 * SECOND;
+
     /** What RFC 6298 has a sender wait for at first, and what it is on a short way. */
     private static final long SYN_AGAIN = SECOND, DATA_AGAIN = SECOND / 5;
+
     /** What a datagram costs beside its claims, as the carrier writes it. */
     private static final int DATAGRAM_FRAME = 110;
 
@@ -47,8 +50,10 @@
         public final Endpoint at;
         public Membership machine;
         public boolean running, frozen;
+
         /** When it was last thawed. */
         public long thawedAt;
+
         public int side;
         public long bytes, datagrams;
         private final ArrayDeque<Runnable> kept = new ArrayDeque<>();
@@ -66,7 +71,8 @@
 
         @Override
         public void send(Endpoint to, Packet packet) {
-            long size = DATAGRAM_FRAME + packet.body().claims().stream().mapToLong(Claim::bytes).sum();
+            long size =
+                    DATAGRAM_FRAME + packet.body().claims().stream().mapToLong(Claim::bytes).sum();
             bytes += size;
             datagrams++;
             Node other = byPlace.get(to);
@@ -87,17 +93,25 @@
             boolean dead = other == null || !other.running;
             if (dead || other.frozen || isCut(this, other) || isCut(other, this)) {
                 // A process that is gone refuses at once; one that says nothing is waited for.
-                arrive(this, new FleetEvent.Answered(number, null), dead ? 2 * delay() : CALL_TIME_OUT);
+                arrive(
+                        this,
+                        new FleetEvent.Answered(number, null),
+                        dead ? 2 * delay() : CALL_TIME_OUT);
                 return;
             }
             long caller = ++callers;
             open.put(caller, new Open(this, number, machine));
-            arrive(other, new FleetEvent.Called(caller, packet), 2 * delay() + sentAgain(SYN_AGAIN));
-            at(agenda.now() + CALL_TIME_OUT, () -> {
-                if (open.remove(caller) != null) {
-                    arrive(this, new FleetEvent.Answered(number, null), 1);
-                }
-            });
+            arrive(
+                    other,
+                    new FleetEvent.Called(caller, packet),
+                    2 * delay() + sentAgain(SYN_AGAIN));
+            at(
+                    agenda.now() + CALL_TIME_OUT,
+                    () -> {
+                        if (open.remove(caller) != null) {
+                            arrive(this, new FleetEvent.Answered(number, null), 1);
+                        }
+                    });
         }
 
         @Override
@@ -105,7 +119,9 @@
             bytes += STREAM_FRAME + size(packet);
             Open asker = open.remove(caller);
             if (asker != null && asker.machine == asker.node.machine) {
-                arrive(asker.node, new FleetEvent.Answered(asker.number, packet),
+                arrive(
+                        asker.node,
+                        new FleetEvent.Answered(asker.number, packet),
                         2 * delay() + sentAgain(DATA_AGAIN));
             }
         }
@@ -144,8 +160,7 @@
         }
     }
 
-    private record Open(Node node, long number, Membership machine) {
-    }
+    private record Open(Node node, long number, Membership machine) {}
 
     private final FleetSettings settings;
     private final RandomGenerator chance;
@@ -156,8 +171,10 @@
     private final Set<List<MemberId>> oneWay = new HashSet<>();
     public final List<String> said = new ArrayList<>();
     public Watcher watcher;
+
     /** The part of datagrams that is lost, and that comes twice. */
     public double loss, doubled;
+
     private long callers, lives = 1_000;
     private final long seed;
 
@@ -195,8 +212,10 @@
 
     private Node place(String name) {
         int number = nodes.size() + 1;
-        Endpoint at = new Endpoint("10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255),
-                7946);
+        Endpoint at =
+                new Endpoint(
+                        "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255),
+                        7946);
         Node node = new Node(new MemberId(name), at);
         nodes.add(node);
         byPlace.put(at, node);
@@ -215,7 +234,8 @@
 
     /** What a process says of itself at its start. */
     private static Claim first(Node node, long life) {
-        Told told = Told.of("a", "r", 2, Told.State.SERVING, node.at.toString(), "", Told.Figures.NONE);
+        Told told =
+                Told.of("a", "r", 2, Told.State.SERVING, node.at.toString(), "", Told.Figures.NONE);
         return new Claim(node.id, node.at, new Incarnation(life, 0), Standing.ALIVE, null, 1, told);
     }
 
@@ -225,14 +245,16 @@
         node.kept.clear();
         node.armed = Long.MAX_VALUE;
         node.life = self.incarnation().life();
-        node.machine = new Membership(settings, self, seeds, seed * 31 + node.life, agenda.now(), node);
+        node.machine =
+                new Membership(settings, self, seeds, seed * 31 + node.life, agenda.now(), node);
         node.machine.start(agenda.now());
         node.arm();
     }
 
     /**
-     * Makes that many members who know one another already, as a fleet does some while after its start. Where
-     * thousands join one by one, telling each of each takes longer than all that is to be looked at.
+     * Makes that many members who know one another already, as a fleet does some while after its
+     * start. Where thousands join one by one, telling each of each takes longer than all that is to
+     * be looked at.
      *
      * @param members two at least
      */
@@ -246,8 +268,16 @@
             Claim seed = all.get(i == 0 ? 1 : 0);
             begin(node, all.get(i), List.of(seed.at()));
             // The answer that the call of its join waits for.
-            tell(node, new FleetEvent.Answered(node.lastCall, new Packet(seed.id(), seed.at(),
-                    seed.incarnation(), 0, new Message.Entries(List.of(), all))));
+            tell(
+                    node,
+                    new FleetEvent.Answered(
+                            node.lastCall,
+                            new Packet(
+                                    seed.id(),
+                                    seed.at(),
+                                    seed.incarnation(),
+                                    0,
+                                    new Message.Entries(List.of(), all))));
         }
     }
 
@@ -290,10 +320,14 @@
 
     /** Whether nothing gets from one to another. */
     public boolean isCut(Node from, Node to) {
-        return from.side != to.side || !oneWay.isEmpty() && oneWay.contains(List.of(from.id, to.id));
+        return from.side != to.side
+                || !oneWay.isEmpty() && oneWay.contains(List.of(from.id, to.id));
     }
 
-    /** A stream loses nothing, but what is lost on its way comes later: the first try to connect a second. */
+    /**
+     * A stream loses nothing, but what is lost on its way comes later: the first try to connect a
+     * second.
+     */
     private long sentAgain(long wait) {
         long late = 0;
         for (long again = wait; chance.nextDouble() < 1 - (1 - loss) * (1 - loss); again *= 2) {
@@ -350,8 +384,8 @@
     }
 
     /**
-     * Empty where all that run hold those that run as alive and all others as gone, not merely as suspect;
-     * else what is wrong, in one line.
+     * Empty where all that run hold those that run as alive and all others as gone, not merely as
+     * suspect; else what is wrong, in one line.
      */
     public String disagreement() {
         List<Node> running = running();
@@ -363,7 +397,10 @@
                 boolean alive = claim != null && claim.standing() == Standing.ALIVE;
                 boolean gone = claim == null || !claim.standing().isLiving();
                 if (!(there.contains(other.id) ? alive : gone)) {
-                    return node.id + " holds " + other.id + " "
+                    return node.id
+                            + " holds "
+                            + other.id
+                            + " "
                             + (claim == null ? "unknown" : claim.standing())
                             + (there.contains(other.id) ? ", it runs" : ", it does not run");
                 }
@@ -372,7 +409,9 @@
         return "";
     }
 
-    /** Passes time until all agree, in steps; how long it took, or -1 where it did not come to that. */
+    /**
+     * Passes time until all agree, in steps; how long it took, or -1 where it did not come to that.
+     */
     public long untilAgreed(long most, long step) {
         long from = agenda.now();
         while (!disagreement().isEmpty()) {
--- a/src/main/java/cairnbridge/drill/simulated/StoreRuns.java
+++ b/src/main/java/cairnbridge/drill/simulated/StoreRuns.java
@@ -14,8 +14,8 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * Drives a store's files through losses of power, faults and rot on a simulated disk, and says by an
- * IllegalStateException that names the seed what did not hold. The same seed does the same.
+ * Drives a store's files through losses of power, faults and rot on a simulated disk, and says by
+ * an IllegalStateException that names the seed what did not hold. The same seed does the same.
  */
 public final class StoreRuns {
     private static final int STEPS = 40, NODES = 6;
@@ -73,8 +73,7 @@
         }
     }
 
-    private StoreRuns() {
-    }
+    private StoreRuns() {}
 
     private static String roster(long version) {
         return version == 0 ? "" : "list " + version + " ".repeat((int) (version % 300));
@@ -117,9 +116,23 @@
     }
 
     private static void snapshot(Ledger ledger, Model model, long number) {
-        Kept state = new Kept("runs", 0, "boot", number, 0, number, roster(number), List.of(), 0, null, 0, 0,
-                0,
-                List.of(), List.of());
+        Kept state =
+                new Kept(
+                        "runs",
+                        0,
+                        "boot",
+                        number,
+                        0,
+                        number,
+                        roster(number),
+                        List.of(),
+                        0,
+                        null,
+                        0,
+                        0,
+                        0,
+                        List.of(),
+                        List.of());
         model.versions.add(number);
         try {
             ledger.snapshot(state);
@@ -135,7 +148,10 @@
         for (int i = chance.nextInt(3); i >= 0; i--) {
             Entry.Kind kind = Entry.Kind.values()[chance.nextInt(Entry.Kind.values().length)];
             kinds.add(kind);
-            numbers.add(kind == Entry.Kind.HELD || kind == Entry.Kind.FREED ? chance.nextInt(NODES) : number);
+            numbers.add(
+                    kind == Entry.Kind.HELD || kind == Entry.Kind.FREED
+                            ? chance.nextInt(NODES)
+                            : number);
         }
         boolean kept = true;
         try {
@@ -148,7 +164,10 @@
         }
     }
 
-    /** Whatever stands on the disk, reading it gives a state or a refusal; any other exception comes out. */
+    /**
+     * Whatever stands on the disk, reading it gives a state or a refusal; any other exception comes
+     * out.
+     */
     public static void rot(long seed) {
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         SimulatedDisk disk = new SimulatedDisk(chance);
