--- a/src/main/java/cairnbridge/drill/simulated/ViewRuns.java
+++ b/src/main/java/cairnbridge/drill/simulated/ViewRuns.java
@@ -16,7 +16,8 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * Measures the fleet's view on a simulated net, at sizes that processes don't reach. Same seed, same figures.
+ * Measures the fleet's view on a simulated net, at sizes that processes don't reach. Same seed,
+ * same figures.
  */
 public final class ViewRuns {
     private static final long SECOND = SimulatedNet.SECOND, MOST_WAIT = 60 * SECOND;
@@ -26,8 +27,10 @@
     private static final class Change {
         final long at;
         final Standing wanted;
+
         /** Those that ran when it was made, and run still, and do not know of it yet. */
         final Set<MemberId> ignorant = new HashSet<>();
+
         long knownByAll = -1;
 
         Change(SimulatedNet net, Standing wanted) {
@@ -43,8 +46,7 @@
         }
     }
 
-    private ViewRuns() {
-    }
+    private ViewRuns() {}
 
     /**
      * How long changes take to be known everywhere, and what that costs.
@@ -55,8 +57,8 @@
      * @param loss part of datagrams that is lost
      * @param settled begins with members who know one another already
      */
-    public static String spread(int members, int changes, int quiet, double loss, boolean settled,
-            long seed) {
+    public static String spread(
+            int members, int changes, int quiet, double loss, boolean settled, long seed) {
         SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed);
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         if (settled) {
@@ -82,12 +84,13 @@
         double perSecond = (double) (bytes(net) - before) / quiet / members;
         Map<MemberId, Change> open = new HashMap<>();
         List<Change> all = new ArrayList<>();
-        net.watcher = (holder, was, is, why) -> {
-            Change change = is == null ? null : open.get(is.id());
-            if (change != null && is.standing() == change.wanted) {
-                change.knows(holder.id, net.now());
-            }
-        };
+        net.watcher =
+                (holder, was, is, why) -> {
+                    Change change = is == null ? null : open.get(is.id());
+                    if (change != null && is.standing() == change.wanted) {
+                        change.knows(holder.id, net.now());
+                    }
+                };
         before = bytes(net);
         long from = net.now();
         for (int i = 0; i < changes; i++) {
@@ -112,21 +115,43 @@
             }
             net.pass(SECOND);
         }
-        double churn = (double) (bytes(net) - before) / ((net.now() - from) / (double) SECOND) / members;
+        double churn =
+                (double) (bytes(net) - before) / ((net.now() - from) / (double) SECOND) / members;
         net.pass(MOST_WAIT);
-        long[] took = all.stream().mapToLong(change -> change.knownByAll < 0 ? Long.MAX_VALUE
-                : change.knownByAll - change.at).sorted().toArray();
-        String worst = all.stream().max(java.util.Comparator.comparingLong(change ->
-                change.knownByAll - change.at))
-                .map(change -> change.wanted.name().toLowerCase(Locale.ROOT)).orElse("none");
+        long[] took =
+                all.stream()
+                        .mapToLong(
+                                change ->
+                                        change.knownByAll < 0
+                                                ? Long.MAX_VALUE
+                                                : change.knownByAll - change.at)
+                        .sorted()
+                        .toArray();
+        String worst =
+                all.stream()
+                        .max(
+                                java.util.Comparator.comparingLong(
+                                        change -> change.knownByAll - change.at))
+                        .map(change -> change.wanted.name().toLowerCase(Locale.ROOT))
+                        .orElse("none");
         long never = Arrays.stream(took).filter(span -> span == Long.MAX_VALUE).count();
-        return String.format(Locale.ROOT,
-                "%d members, loss %.0f%%, seed %d: %d of %d pairs unknown after the joins; "
-                + "%d changes known everywhere after %s s (median), %s s (99 of 100, one that is %s), %d "
-                + "never; %.0f B/s a member quiet, %.0f B/s with a change a second", members, 100 * loss,
-                        seed,
-                unknown, members * (members - 1), took.length, seconds(took[took.length / 2]),
-                seconds(took[(int) Math.ceil(took.length * 0.99) - 1]), worst, never, perSecond, churn);
+        return String.format(
+                Locale.ROOT,
+                "%d members, loss %.0f%%, seed %d: %d of %d pairs unknown after the joins; %d"
+                    + " changes known everywhere after %s s (median), %s s (99 of 100, one that is"
+                    + " %s), %d never; %.0f B/s a member quiet, %.0f B/s with a change a second",
+                members,
+                100 * loss,
+                seed,
+                unknown,
+                members * (members - 1),
+                took.length,
+                seconds(took[took.length / 2]),
+                seconds(took[(int) Math.ceil(took.length * 0.99) - 1]),
+                worst,
+                never,
+                perSecond,
+                churn);
     }
 
     private static void join(SimulatedNet net, int members, RandomGenerator chance) {
@@ -140,7 +165,9 @@
     }
 
     private static String seconds(long span) {
-        return span == Long.MAX_VALUE ? "never" : String.format(Locale.ROOT, "%.1f", (double) span / SECOND);
+        return span == Long.MAX_VALUE
+                ? "never"
+                : String.format(Locale.ROOT, "%.1f", (double) span / SECOND);
     }
 
     private static long bytes(SimulatedNet net) {
@@ -169,26 +196,40 @@
             net.nodes().subList(1, 1 + killed).forEach(net::crash);
             Map<MemberId, Node> byName = new HashMap<>();
             net.nodes().forEach(node -> byName.put(node.id, node));
-            net.watcher = (holder, was, is, why) ->
-                    wrong[0] += is != null && is.standing() == Standing.DEAD && byName.get(is.id()).running
-                            ? 1 : 0;
+            net.watcher =
+                    (holder, was, is, why) ->
+                            wrong[0] +=
+                                    is != null
+                                                    && is.standing() == Standing.DEAD
+                                                    && byName.get(is.id()).running
+                                            ? 1
+                                            : 0;
             long agreed = net.untilAgreed(MOST_WAIT, SECOND / 10);
             took[i] = agreed < 0 ? Long.MAX_VALUE : agreed;
             falsely += wrong[0];
         }
         Arrays.sort(took);
-        return String.format(Locale.ROOT, "%d members, %.0f%% killed in one instant, loss %.0f%%, %d seeds: "
-                + "known to all after %s s (median), %s s (the longest), %d never; "
-                + "%d times one that lives was held dead in a view", members, 100 * part, 100 * loss, seeds,
-                seconds(took[seeds / 2]), seconds(took[seeds - 1]),
-                Arrays.stream(took).filter(span -> span == Long.MAX_VALUE).count(), falsely);
+        return String.format(
+                Locale.ROOT,
+                "%d members, %.0f%% killed in one instant, loss %.0f%%, %d seeds: "
+                        + "known to all after %s s (median), %s s (the longest), %d never; "
+                        + "%d times one that lives was held dead in a view",
+                members,
+                100 * part,
+                100 * loss,
+                seeds,
+                seconds(took[seeds / 2]),
+                seconds(took[seeds - 1]),
+                Arrays.stream(took).filter(span -> span == Long.MAX_VALUE).count(),
+                falsely);
     }
 
     /**
-     * How often one that lives is held dead, by anybody; freezes: how many members an hour stand still for 3
-     * s.
+     * How often one that lives is held dead, by anybody; freezes: how many members an hour stand
+     * still for 3 s.
      */
-    public static String falseDeaths(int members, double loss, int freezes, double hours, long seed) {
+    public static String falseDeaths(
+            int members, double loss, int freezes, double hours, long seed) {
         SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed);
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         Node first = net.add("m0");
@@ -200,17 +241,20 @@
         net.nodes().forEach(node -> byName.put(node.id, node));
         long[] count = new long[4];
         Set<MemberId> subjects = new HashSet<>();
-        net.watcher = (holder, was, is, why) -> {
-            if (is != null && was != null && was.standing() != is.standing()) {
-                count[0] += is.standing() == Standing.SUSPECT ? 1 : 0;
-                Node subject = byName.get(is.id());
-                if (is.standing() == Standing.DEAD && !subject.frozen) {
-                    boolean justThawed = subject.thawedAt > 0 && net.now() - subject.thawedAt < 2 * SECOND;
-                    count[justThawed ? 3 : 1]++;
-                    subjects.add(is.id());
-                }
-            }
-        };
+        net.watcher =
+                (holder, was, is, why) -> {
+                    if (is != null && was != null && was.standing() != is.standing()) {
+                        count[0] += is.standing() == Standing.SUSPECT ? 1 : 0;
+                        Node subject = byName.get(is.id());
+                        if (is.standing() == Standing.DEAD && !subject.frozen) {
+                            boolean justThawed =
+                                    subject.thawedAt > 0
+                                            && net.now() - subject.thawedAt < 2 * SECOND;
+                            count[justThawed ? 3 : 1]++;
+                            subjects.add(is.id());
+                        }
+                    }
+                };
         net.loss = loss;
         long end = net.now() + (long) (hours * 3600 * SECOND);
         double perSecond = freezes / 3600.0;
@@ -224,11 +268,20 @@
             }
             net.pass(SECOND);
         }
-        return String.format(Locale.ROOT,
-                "%d members, loss %.0f%%, %.1f h, seed %d: %d suspicions in views, "
-                + "%d freezes of 3 s; %d times one that lives was held dead in a view, %d times one thawed "
-                + "within 2 s (%d members); %s at the end", members, 100 * loss, hours, seed, count[0],
-                count[2], count[1], count[3], subjects.size(),
+        return String.format(
+                Locale.ROOT,
+                "%d members, loss %.0f%%, %.1f h, seed %d: %d suspicions in views, %d freezes of 3"
+                        + " s; %d times one that lives was held dead in a view, %d times one thawed"
+                        + " within 2 s (%d members); %s at the end",
+                members,
+                100 * loss,
+                hours,
+                seed,
+                count[0],
+                count[2],
+                count[1],
+                count[3],
+                subjects.size(),
                 net.disagreement().isEmpty() ? "all agree" : net.disagreement());
     }
 }
--- a/src/main/java/cairnbridge/drill/standin/CacheNode.java
+++ b/src/main/java/cairnbridge/drill/standin/CacheNode.java
@@ -10,12 +10,15 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * A cache: it starts empty and slow, takes so many requests at a time, and answers a miss for what it lacks.
- * It can be made slow, silent or failing, and told to drain. A cold one that is pushed over its share refuses
- * for a second.
+ * A cache: it starts empty and slow, takes so many requests at a time, and answers a miss for what
+ * it lacks. It can be made slow, silent or failing, and told to drain. A cold one that is pushed
+ * over its share refuses for a second.
  */
 public final class CacheNode extends Http {
-    public static final long COLD_MILLIS = 3000, DOWN_MILLIS = 1000, LATE_MILLIS = 450, PATIENCE_MILLIS = 20,
+    public static final long COLD_MILLIS = 3000,
+            DOWN_MILLIS = 1000,
+            LATE_MILLIS = 450,
+            PATIENCE_MILLIS = 20,
             SPAN_MILLIS = 2;
     public static final int SLOTS = 32, COLD_FALLS_OVER = 24;
     private static final byte[] NOTHING = {};
@@ -28,8 +31,11 @@
     private final AtomicLong turn = new AtomicLong();
     private volatile long spanMillis = SPAN_MILLIS, downUntil;
     private volatile boolean failing, grey;
-    public final LongAdder hits = new LongAdder(), misses = new LongAdder(), turnedAway = new LongAdder(),
-            fellOver = new LongAdder(), probes = new LongAdder();
+    public final LongAdder hits = new LongAdder(),
+            misses = new LongAdder(),
+            turnedAway = new LongAdder(),
+            fellOver = new LongAdder(),
+            probes = new LongAdder();
 
     public CacheNode(World world, String uid, String zone) throws IOException {
         this.world = world;
--- a/src/main/java/cairnbridge/drill/standin/Discovery.java
+++ b/src/main/java/cairnbridge/drill/standin/Discovery.java
@@ -15,14 +15,21 @@
 import java.util.function.UnaryOperator;
 
 /**
- * The agent of discovery beside one proxy: the whole list, and a watch that goes on; silent while it is down.
+ * The agent of discovery beside one proxy: the whole list, and a watch that goes on; silent while
+ * it is down.
  */
 public final class Discovery extends Http {
     private static final long BEAT_MILLIS = 2000, LOOK_MILLIS = 50;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** One server as the list has it; kind is cache or origin, state as on the wire. */
-    public record Entry(String uid, String endpoint, String zone, String kind, String state, long began,
+    public record Entry(
+            String uid,
+            String endpoint,
+            String zone,
+            String kind,
+            String state,
+            long began,
             long rev) {
         public Entry is(String other, long at) {
             return new Entry(uid, endpoint, zone, kind, other, began, at);
@@ -68,7 +75,8 @@
     public final LongAdder calls = new LongAdder();
 
     /**
-     * seenBy: how an entry looks to this agent's proxy, which may reach a server at an address of its own.
+     * seenBy: how an entry looks to this agent's proxy, which may reach a server at an address of
+     * its own.
      */
     public Discovery(Roster roster, UnaryOperator<Entry> seenBy) throws IOException {
         this.roster = roster;
@@ -93,7 +101,8 @@
         }
     }
 
-    private void watch(HttpExchange exchange, String query) throws IOException, InterruptedException {
+    private void watch(HttpExchange exchange, String query)
+            throws IOException, InterruptedException {
         int at = query.indexOf("after=");
         long seen = at < 0 ? 0 : Long.parseLong(query.substring(at + 6).split("&")[0]);
         exchange.sendResponseHeaders(200, 0);
@@ -133,10 +142,15 @@
             if (whole && entry.state().equals("Gone")) {
                 continue;
             }
-            targets.addObject().put("uid", entry.uid()).put("endpoint", entry.endpoint())
+            targets.addObject()
+                    .put("uid", entry.uid())
+                    .put("endpoint", entry.endpoint())
                     .put("az", entry.zone())
-                    .put("model", entry.kind()).put("pod_group", 0).put("state", entry.state())
-                    .put("capacity_hint", 1.0).put("boot_ms", entry.began());
+                    .put("model", entry.kind())
+                    .put("pod_group", 0)
+                    .put("state", entry.state())
+                    .put("capacity_hint", 1.0)
+                    .put("boot_ms", entry.began());
         }
         return root.toString();
     }
--- a/src/main/java/cairnbridge/drill/standin/Http.java
+++ b/src/main/java/cairnbridge/drill/standin/Http.java
@@ -11,22 +11,26 @@
 /** An HTTP server of the JDK's on a free loopback port; what it answers is the stand-in's. */
 abstract class Http implements AutoCloseable {
     private final HttpServer server;
-    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
-        Thread thread = new Thread(task, "stand-in");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService threads =
+            Executors.newCachedThreadPool(
+                    task -> {
+                        Thread thread = new Thread(task, "stand-in");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
 
     Http() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
         server.setExecutor(threads);
-        server.createContext("/", exchange -> {
-            try (exchange) {
-                answer(exchange);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        server.createContext(
+                "/",
+                exchange -> {
+                    try (exchange) {
+                        answer(exchange);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
         server.start();
     }
 
--- a/src/main/java/cairnbridge/drill/standin/Origin.java
+++ b/src/main/java/cairnbridge/drill/standin/Origin.java
@@ -8,7 +8,8 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * The store behind the caches: slow, takes few requests at a time, and turns away what would wait too long.
+ * The store behind the caches: slow, takes few requests at a time, and turns away what would wait
+ * too long.
  */
 public final class Origin extends Http {
     public static final int SLOTS = 24;
@@ -19,7 +20,9 @@
     private volatile Semaphore slots = new Semaphore(SLOTS, true);
     private volatile int places = SLOTS;
     private volatile long spanMillis = SPAN_MILLIS;
-    public final LongAdder fetches = new LongAdder(), writes = new LongAdder(), turnedAway = new LongAdder();
+    public final LongAdder fetches = new LongAdder(),
+            writes = new LongAdder(),
+            turnedAway = new LongAdder();
 
     public Origin(World world) throws IOException {
         this.world = world;
--- a/src/main/java/cairnbridge/drill/standin/World.java
+++ b/src/main/java/cairnbridge/drill/standin/World.java
@@ -6,11 +6,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * What the stand-ins know of one another, as the platform's own servers do: which caches missed for which
- * request, so that the origin's answer is stored there. And what they count.
+ * What the stand-ins know of one another, as the platform's own servers do: which caches missed for
+ * which request, so that the origin's answer is stored there. And what they count.
  */
 public final class World {
     private final Map<String, Set<CacheNode>> missed = new ConcurrentHashMap<>();
+
     /** How often each at-most-once op has taken effect, by its id. */
     private final Map<String, AtomicLong> effects = new ConcurrentHashMap<>();
 
--- a/src/main/java/cairnbridge/fleet/ChangeLog.java
+++ b/src/main/java/cairnbridge/fleet/ChangeLog.java
@@ -6,8 +6,8 @@
 import java.util.function.Consumer;
 
 /**
- * One line a change of standing; in a flood the first ones, then how many more there were. Tenths of a
- * millisecond.
+ * One line a change of standing; in a flood the first ones, then how many more there were. Tenths
+ * of a millisecond.
  */
 final class ChangeLog {
     private static final int MOST = 20;
@@ -28,9 +28,18 @@
             return; // Figures.
         }
         Claim any = after == null ? before : after;
-        say(any.id() + " at " + any.at() + " is " + word(is) + ", " + (was == null ? "was not known" : "was "
-                + word(was)) + ": " + why.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
-                + (any.by() == null ? "" : " by " + any.by()), now);
+        say(
+                any.id()
+                        + " at "
+                        + any.at()
+                        + " is "
+                        + word(is)
+                        + ", "
+                        + (was == null ? "was not known" : "was " + word(was))
+                        + ": "
+                        + why.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
+                        + (any.by() == null ? "" : " by " + any.by()),
+                now);
     }
 
     void say(String line, long now) {
--- a/src/main/java/cairnbridge/fleet/Fleet.java
+++ b/src/main/java/cairnbridge/fleet/Fleet.java
@@ -24,8 +24,8 @@
 import java.util.logging.Logger;
 
 /**
- * One proxy as a member of its fleet: the carrier, what the view is used for, and what staff ask of it. Make
- * one, start it, stop it; with leave first where the end is meant.
+ * One proxy as a member of its fleet: the carrier, what the view is used for, and what staff ask of
+ * it. Make one, start it, stop it; with leave first where the end is meant.
  */
 public final class Fleet implements Carrier.Listener {
     private static final Logger LOG = Logger.getLogger(Fleet.class.getName());
@@ -41,21 +41,37 @@
     private final ListCalls listCalls;
     private final ChangeLog log = new ChangeLog(LOG::info);
     private final String clients, door;
+
     /** Null where plans over zones are off. */
     private final ZoneMember zones;
-    /** Guards against a member that after a loss of power tells an epoch behind the one it had confirmed. */
+
+    /**
+     * Guards against a member that after a loss of power tells an epoch behind the one it had
+     * confirmed.
+     */
     private final long epochFloor;
+
     private volatile int shares;
 
     /** What is remembered of plans over zones, and how an epoch is kept before it is told. */
     public record Epochs(long floor, LongFunction<CompletableFuture<Boolean>> keeps) {
         /** Nothing is remembered and nothing kept. */
-        public static final Epochs NONE = new Epochs(0, epoch -> CompletableFuture.completedFuture(true));
+        public static final Epochs NONE =
+                new Epochs(0, epoch -> CompletableFuture.completedFuture(true));
     }
 
-    /** instances: the configured number of proxies; IOException names an address that cannot be had. */
-    public Fleet(FleetConfig config, int instances, String clients, String door, long seed, Epochs epochs,
-            FleetProxy proxy) throws IOException {
+    /**
+     * instances: the configured number of proxies; IOException names an address that cannot be had.
+     */
+    public Fleet(
+            FleetConfig config,
+            int instances,
+            String clients,
+            String door,
+            long seed,
+            Epochs epochs,
+            FleetProxy proxy)
+            throws IOException {
         this.config = config;
         this.proxy = proxy;
         this.clients = clients;
@@ -67,8 +83,18 @@
         hints = new NodeHints(config.zone());
         duties = new Duties(me, config.zone(), config.probeNodesEvery());
         listCalls = new ListCalls(me, config.zone());
-        zones = config.zones().isEmpty() ? null : new ZoneMember(me, config.zone(), config.zones().get(),
-                seed, proxy, epochs.floor(), epochs.keeps(), line -> LOG.info(line));
+        zones =
+                config.zones().isEmpty()
+                        ? null
+                        : new ZoneMember(
+                                me,
+                                config.zone(),
+                                config.zones().get(),
+                                seed,
+                                proxy,
+                                epochs.floor(),
+                                epochs.keeps(),
+                                line -> LOG.info(line));
         carrier = new Carrier(config.carrier(), config.view(), told(), seed, this);
         if (zones != null) {
             zones.carriedBy(carrier);
@@ -83,8 +109,13 @@
         Thread thread = new Thread(carrier, "fleet");
         thread.setDaemon(true);
         thread.start();
-        LOG.info("fleet: " + config.carrier().id() + " is at " + carrier.at() + " in cluster "
-                + config.carrier().cluster());
+        LOG.info(
+                "fleet: "
+                        + config.carrier().id()
+                        + " is at "
+                        + carrier.at()
+                        + " in cluster "
+                        + config.carrier().cluster());
     }
 
     public Endpoint at() {
@@ -101,9 +132,16 @@
     }
 
     private Told told() {
-        return Told.of(config.zone(), config.region(), config.carrier().protocol(), proxy.state(), clients,
+        return Told.of(
+                config.zone(),
+                config.region(),
+                config.carrier().protocol(),
+                proxy.state(),
+                clients,
                 door,
-                zones == null ? 0 : Math.max(epochFloor, zones.epoch()), proxy.recovering(), proxy.figures());
+                zones == null ? 0 : Math.max(epochFloor, zones.epoch()),
+                proxy.recovering(),
+                proxy.figures());
     }
 
     @Override
@@ -125,11 +163,17 @@
             }
         }
         if (config.hintsNodes()) {
-            hints.hints(view).forEach(node -> {
-                log.say("most of zone " + config.zone() + " cannot reach node " + Long.toHexString(node),
-                        now);
-                proxy.doubts(node);
-            });
+            hints.hints(view)
+                    .forEach(
+                            node -> {
+                                log.say(
+                                        "most of zone "
+                                                + config.zone()
+                                                + " cannot reach node "
+                                                + Long.toHexString(node),
+                                        now);
+                                proxy.doubts(node);
+                            });
         }
         if (zones != null) {
             zones.viewed(view, now);
@@ -151,14 +195,23 @@
         }
     }
 
-    /** Asks a member for its list of nodes; then is told the answer, or null, on the carrier's thread. */
+    /**
+     * Asks a member for its list of nodes; then is told the answer, or null, on the carrier's
+     * thread.
+     */
     public void askRoster(MemberId member, Consumer<byte[]> then) {
-        carrier.execute(() -> carrier.view().of(member).ifPresentOrElse(
-                claim -> carrier.say(claim.at(), ROSTER, new byte[0], then), () -> then.accept(null)));
+        carrier.execute(
+                () ->
+                        carrier.view()
+                                .of(member)
+                                .ifPresentOrElse(
+                                        claim -> carrier.say(claim.at(), ROSTER, new byte[0], then),
+                                        () -> then.accept(null)));
     }
 
     /**
-     * The epoch that is told as in force here, and its plan; 0 and nothing where plans over zones are off.
+     * The epoch that is told as in force here, and its plan; 0 and nothing where plans over zones
+     * are off.
      */
     public long epoch() {
         return zones == null ? 0 : zones.epoch();
@@ -178,7 +231,9 @@
         log.say(line, now());
     }
 
-    /** Whether this member is to call for a list that is lost; it last did so many milliseconds ago. */
+    /**
+     * Whether this member is to call for a list that is lost; it last did so many milliseconds ago.
+     */
     public boolean mayCallForList(long sinceCalled) {
         return !config.dividesListCalls() || listCalls.mayCall(carrier.view(), sinceCalled);
     }
@@ -187,7 +242,10 @@
         return carrier.view();
     }
 
-    /** What staff read: members, members-json, or member with an id; empty where there is no such member. */
+    /**
+     * What staff read: members, members-json, or member with an id; empty where there is no such
+     * member.
+     */
     public Optional<String> text(String call, String id) {
         View view = carrier.view();
         if (call.equals("members")) {
@@ -196,7 +254,9 @@
         if (call.equals("members-json")) {
             return Optional.of(FleetTexts.json(view));
         }
-        return MemberId.isName(id) ? view.of(new MemberId(id)).map(FleetTexts::json) : Optional.empty();
+        return MemberId.isName(id)
+                ? view.of(new MemberId(id)).map(FleetTexts::json)
+                : Optional.empty();
     }
 
     /** Figures for those that staff read, by name. */
--- a/src/main/java/cairnbridge/fleet/FleetProxy.java
+++ b/src/main/java/cairnbridge/fleet/FleetProxy.java
@@ -20,13 +20,17 @@
     List<Server> servers();
 
     /**
-     * The part of its rate that a node bears at its start, and how long it warms, in tenths of a millisecond.
+     * The part of its rate that a node bears at its start, and how long it warms, in tenths of a
+     * millisecond.
      */
     double coldFrom();
 
     long warmUp();
 
-    /** Where ops of this proxy's zone go from now on; out: zones that it finds out of reach by itself. */
+    /**
+     * Where ops of this proxy's zone go from now on; out: zones that it finds out of reach by
+     * itself.
+     */
     void placed(Zone home, Row row, Set<Zone> out, double alonePart);
 
     /** So many proxies live. */
@@ -42,8 +46,8 @@
     void seen(View view);
 
     /**
-     * The list of nodes in discovery's own form, for a member that has none; empty where this one may not
-     * tell.
+     * The list of nodes in discovery's own form, for a member that has none; empty where this one
+     * may not tell.
      */
     byte[] roster();
 
--- a/src/main/java/cairnbridge/fleet/FleetTexts.java
+++ b/src/main/java/cairnbridge/fleet/FleetTexts.java
@@ -22,8 +22,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final int TENTHS_A_MILLI = 10;
 
-    private FleetTexts() {
-    }
+    private FleetTexts() {}
 
     private static List<Claim> sorted(View view) {
         return view.members().stream().sorted(Comparator.comparing(Claim::id)).toList();
@@ -32,27 +31,55 @@
     /** One member a row. */
     static String table(View view) {
         StringBuilder text = new StringBuilder();
-        row(text, "MEMBER", "STANDING", "STATE", "ZONE", "REGION", "INCARNATION", "PROTOCOL", "LOAD",
-                "ROSTER", "AT");
+        row(
+                text,
+                "MEMBER",
+                "STANDING",
+                "STATE",
+                "ZONE",
+                "REGION",
+                "INCARNATION",
+                "PROTOCOL",
+                "LOAD",
+                "ROSTER",
+                "AT");
         for (Claim claim : sorted(view)) {
             Told told = claim.told();
-            row(text, claim.id() + (claim.id().equals(view.self()) ? "*" : ""), word(claim.standing()),
-                    told == null ? "-" : word(told.state()), told == null ? "-" : told.zone(),
-                    told == null ? "-" : told.region(), claim.incarnation().toString(),
+            row(
+                    text,
+                    claim.id() + (claim.id().equals(view.self()) ? "*" : ""),
+                    word(claim.standing()),
+                    told == null ? "-" : word(told.state()),
+                    told == null ? "-" : told.zone(),
+                    told == null ? "-" : told.region(),
+                    claim.incarnation().toString(),
                     told == null ? "-" : String.valueOf(told.protocol()),
                     told == null ? "-" : String.valueOf(told.figures().load()),
-                    told == null ? "-" : String.valueOf(told.figures().roster()), claim.at().toString());
+                    told == null ? "-" : String.valueOf(told.figures().roster()),
+                    claim.at().toString());
         }
         ViewFigures figures = view.figures();
-        return text.append(figures.alive()).append(" alive, ").append(figures.suspect()).append(" suspect, ")
-                .append(figures.dead()).append(" dead, ").append(figures.left()).append(" left; view ")
-                .append(Long.toHexString(view.whole())).append(", settled for ")
-                .append(figures.settledFor() / 10_000).append(" s\n").toString();
+        return text.append(figures.alive())
+                .append(" alive, ")
+                .append(figures.suspect())
+                .append(" suspect, ")
+                .append(figures.dead())
+                .append(" dead, ")
+                .append(figures.left())
+                .append(" left; view ")
+                .append(Long.toHexString(view.whole()))
+                .append(", settled for ")
+                .append(figures.settledFor() / 10_000)
+                .append(" s\n")
+                .toString();
     }
 
     private static void row(StringBuilder text, String... cells) {
-        text.append(String.format(Locale.ROOT, "%-20s %-8s %-9s %-8s %-8s %-18s %-8s %6s %7s %s%n",
-                (Object[]) cells));
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        "%-20s %-8s %-9s %-8s %-8s %-18s %-8s %6s %7s %s%n",
+                        (Object[]) cells));
     }
 
     private static String word(Enum<?> each) {
--- a/src/main/java/cairnbridge/fleet/carrier/ByteBudget.java
+++ b/src/main/java/cairnbridge/fleet/carrier/ByteBudget.java
@@ -1,7 +1,8 @@
 package cairnbridge.fleet.carrier;
 
 /**
- * At most so many bytes a second, of which one second's may be saved up. Times in tenths of a millisecond.
+ * At most so many bytes a second, of which one second's may be saved up. Times in tenths of a
+ * millisecond.
  */
 final class ByteBudget {
     private static final double SECOND = 10_000;
--- a/src/main/java/cairnbridge/fleet/carrier/Carrier.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Carrier.java
@@ -2,9 +2,9 @@
 
 import cairnbridge.fleet.member.Claim;
 import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.Incarnation;
 import cairnbridge.fleet.member.MemberId;
 import cairnbridge.fleet.member.Message;
-import cairnbridge.fleet.member.Incarnation;
 import cairnbridge.fleet.member.Packet;
 import cairnbridge.fleet.member.Standing;
 import cairnbridge.fleet.member.Told;
@@ -36,8 +36,9 @@
 import java.util.logging.Logger;
 
 /**
- * Carries a member's state machine over UDP and TCP, on one thread with a selector of its own. Make one,
- * start its thread, tell it what this member tells; any thread may read the view. It decides nothing.
+ * Carries a member's state machine over UDP and TCP, on one thread with a selector of its own. Make
+ * one, start its thread, tell it what this member tells; any thread may read the view. It decides
+ * nothing.
  */
 public final class Carrier implements FleetHost, Runnable {
     /** Who listens to it; called by its thread, must not wait. */
@@ -45,8 +46,8 @@
         void changed(Claim before, Claim after, Why why);
 
         /**
-         * A member says something under a topic; then is to be told what is answered, empty where nothing is,
-         * on the carrier's thread, now or later.
+         * A member says something under a topic; then is to be told what is answered, empty where
+         * nothing is, on the carrier's thread, now or later.
          */
         void asked(MemberId from, String topic, byte[] bytes, Consumer<byte[]> then);
 
@@ -57,7 +58,8 @@
     }
 
     private static final Logger LOG = Logger.getLogger(Carrier.class.getName());
-    private static final long NANOS = 100_000, PUBLISH = FleetSettings.SECOND / 10,
+    private static final long NANOS = 100_000,
+            PUBLISH = FleetSettings.SECOND / 10,
             LOOK = FleetSettings.SECOND / 4;
     private static final long MOST_CALL = 2 * FleetSettings.SECOND;
     private static final int MOST_STREAMS = 64, MOST_FRAME = 8 << 20, BATCH = 256, BINDS = 16;
@@ -78,8 +80,10 @@
     private final Queue<FleetEvent> told = new ConcurrentLinkedQueue<>();
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Map<Long, Stream> callers = new HashMap<>();
+
     /** Calls of other parts than the view, and who waits for their answers. */
     private final Map<Long, Consumer<byte[]>> words = new HashMap<>();
+
     private final List<Stream> streams = new ArrayList<>();
     private final ByteBuffer in = ByteBuffer.allocateDirect(LARGEST_DATAGRAM);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -90,7 +94,8 @@
     private volatile boolean stopped;
 
     /** Binds at once; an IOException names the address that cannot be had. */
-    public Carrier(CarrierSettings settings, FleetSettings view, Told first, long seed, Listener listener)
+    public Carrier(
+            CarrierSettings settings, FleetSettings view, Told first, long seed, Listener listener)
             throws IOException {
         this.settings = settings;
         this.view = view;
@@ -102,24 +107,38 @@
         server = ServerSocketChannel.open();
         datagrams = bind(settings.bind());
         int port = ((InetSocketAddress) datagrams.getLocalAddress()).getPort();
-        at = settings.advertised().orElse(new Endpoint(settings.bind().getAddress().getHostAddress(), port));
+        at =
+                settings.advertised()
+                        .orElse(new Endpoint(settings.bind().getAddress().getHostAddress(), port));
         long life = Math.max(1, settings.life());
-        Claim self = new Claim(settings.id(), at, new Incarnation(life, 0), Standing.ALIVE, null, 1, first);
-        machine = new Membership(view, self, settings.seeds(), settings.remembered(), seed, now(), this);
+        Claim self =
+                new Claim(
+                        settings.id(),
+                        at,
+                        new Incarnation(life, 0),
+                        Standing.ALIVE,
+                        null,
+                        1,
+                        first);
+        machine =
+                new Membership(
+                        view, self, settings.seeds(), settings.remembered(), seed, now(), this);
         latest = machine.view();
     }
 
     /** The same port for both; where any will do, another is tried if the second half is taken. */
     private DatagramChannel bind(InetSocketAddress address) throws IOException {
         try {
-            for (int tries = address.getPort() == 0 ? BINDS : 1;; tries--) {
+            for (int tries = address.getPort() == 0 ? BINDS : 1; ; tries--) {
                 DatagramChannel udp = DatagramChannel.open();
                 try {
                     udp.setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
                     udp.bind(address);
                     InetSocketAddress bound = (InetSocketAddress) udp.getLocalAddress();
                     server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-                    server.bind(new InetSocketAddress(address.getAddress(), bound.getPort()), MOST_STREAMS);
+                    server.bind(
+                            new InetSocketAddress(address.getAddress(), bound.getPort()),
+                            MOST_STREAMS);
                     udp.configureBlocking(false);
                     server.configureBlocking(false);
                     udp.register(selector, SelectionKey.OP_READ);
@@ -169,7 +188,10 @@
         selector.wakeup();
     }
 
-    /** Says something to a member under a topic, on the carrier's thread; then gets the answer, or null. */
+    /**
+     * Says something to a member under a topic, on the carrier's thread; then gets the answer, or
+     * null.
+     */
     public void say(Endpoint to, String topic, byte[] bytes, Consumer<byte[]> then) {
         long number = ++lastWord;
         words.put(number, then);
@@ -192,7 +214,9 @@
 
     @Override
     public void run() {
-        try (selector; datagrams; server) {
+        try (selector;
+                datagrams;
+                server) {
             machine.start(now());
             while (!stopped) {
                 turn();
@@ -222,8 +246,10 @@
             task.run();
         }
         for (FleetEvent event = told.poll(); event != null; event = told.poll()) {
-            Consumer<byte[]> waits = event instanceof FleetEvent.Answered answered
-                    ? words.remove(answered.call()) : null;
+            Consumer<byte[]> waits =
+                    event instanceof FleetEvent.Answered answered
+                            ? words.remove(answered.call())
+                            : null;
             if (waits != null) {
                 waits.accept(null);
             } else {
@@ -243,11 +269,21 @@
             dirty = false;
             latest = machine.view();
             List<Claim> living = latest.living();
-            speaks = living.stream().mapToInt(each -> each.told() == null ? Seal.OLDEST
-                    : each.told().protocol()).min().orElse(Seal.OLDEST);
-            // Who knows nobody speaks as the oldest would: a fleet it does not know yet may be one of those.
-            speaks = living.size() < 2 ? Seal.OLDEST : Math.max(Seal.OLDEST,
-                    Math.min(settings.protocol(), speaks));
+            speaks =
+                    living.stream()
+                            .mapToInt(
+                                    each ->
+                                            each.told() == null
+                                                    ? Seal.OLDEST
+                                                    : each.told().protocol())
+                            .min()
+                            .orElse(Seal.OLDEST);
+            // Who knows nobody speaks as the oldest would: a fleet it does not know yet may be one
+            // of those.
+            speaks =
+                    living.size() < 2
+                            ? Seal.OLDEST
+                            : Math.max(Seal.OLDEST, Math.min(settings.protocol(), speaks));
             listener.viewed(latest);
         }
     }
@@ -348,7 +384,8 @@
     private void accept() throws IOException {
         for (SocketChannel channel = next(); channel != null; channel = next()) {
             if (streams.size() >= MOST_STREAMS) {
-                channel.close(); // Guards against strangers who take all there are: each has two seconds.
+                channel.close(); // Guards against strangers who take all there are: each has two
+                // seconds.
                 continue;
             }
             channel.configureBlocking(false);
@@ -386,12 +423,16 @@
         void connect(InetSocketAddress to) {
             try {
                 channel.configureBlocking(false);
-                // From where this member is: guards against a machine of many addresses that others do not
+                // From where this member is: guards against a machine of many addresses that others
+                // do not
                 // know.
                 channel.bind(new InetSocketAddress(settings.bind().getAddress(), 0));
                 boolean there = channel.connect(to);
-                key = channel.register(selector, there ? SelectionKey.OP_WRITE : SelectionKey.OP_CONNECT,
-                        this);
+                key =
+                        channel.register(
+                                selector,
+                                there ? SelectionKey.OP_WRITE : SelectionKey.OP_CONNECT,
+                                this);
             } catch (IOException | RuntimeException e) {
                 fails();
             }
@@ -407,7 +448,8 @@
                 }
                 if (out != null && out.hasRemaining()) {
                     channel.write(out);
-                    key.interestOps(out.hasRemaining() ? SelectionKey.OP_WRITE : SelectionKey.OP_READ);
+                    key.interestOps(
+                            out.hasRemaining() ? SelectionKey.OP_WRITE : SelectionKey.OP_READ);
                     if (called && !out.hasRemaining()) {
                         shut();
                         return;
@@ -431,7 +473,9 @@
             }
             if (whole > taken.capacity() && !taken.hasRemaining()) {
                 // Grows with what has really come: a head alone costs nobody eight megabytes.
-                taken = ByteBuffer.allocate(Math.min(whole, 2 * taken.capacity())).put(taken.flip());
+                taken =
+                        ByteBuffer.allocate(Math.min(whole, 2 * taken.capacity()))
+                                .put(taken.flip());
             }
             if (whole >= 0 && taken.position() >= whole) {
                 Seal.Opened opened = seal.open(taken.flip(), MOST_FRAME);
@@ -452,14 +496,22 @@
             key.interestOps(0);
             Consumer<byte[]> waits = words.remove(number);
             if (called && packet.body() instanceof Message.Word word) {
-                listener.asked(packet.from(), word.topic(), word.bytes(), answer -> {
-                    if (!over) { // Who asked may have given up meanwhile.
-                        out = sealed(machine.packet(new Message.Word(word.topic(), answer)), version,
-                                MOST_FRAME);
-                        figures.streamBytes.add(out.remaining());
-                        ready();
-                    }
-                });
+                listener.asked(
+                        packet.from(),
+                        word.topic(),
+                        word.bytes(),
+                        answer -> {
+                            if (!over) { // Who asked may have given up meanwhile.
+                                out =
+                                        sealed(
+                                                machine.packet(
+                                                        new Message.Word(word.topic(), answer)),
+                                                version,
+                                                MOST_FRAME);
+                                figures.streamBytes.add(out.remaining());
+                                ready();
+                            }
+                        });
             } else if (called) {
                 long caller = ++numbers;
                 callers.put(caller, this);
--- a/src/main/java/cairnbridge/fleet/carrier/CarrierFigures.java
+++ b/src/main/java/cairnbridge/fleet/carrier/CarrierFigures.java
@@ -7,8 +7,11 @@
 /** What has gone over the wire; any thread may read. */
 public final class CarrierFigures {
     private final Map<Refusal, LongAdder> refused = new EnumMap<>(Refusal.class);
-    final LongAdder sentBytes = new LongAdder(), cameBytes = new LongAdder(), overBudget = new LongAdder(),
-            streamBytes = new LongAdder(), failed = new LongAdder();
+    final LongAdder sentBytes = new LongAdder(),
+            cameBytes = new LongAdder(),
+            overBudget = new LongAdder(),
+            streamBytes = new LongAdder(),
+            failed = new LongAdder();
 
     CarrierFigures() {
         for (Refusal why : Refusal.values()) {
--- a/src/main/java/cairnbridge/fleet/carrier/CarrierSettings.java
+++ b/src/main/java/cairnbridge/fleet/carrier/CarrierSettings.java
@@ -20,17 +20,37 @@
  * @param routes where a member is reached from here, if elsewhere than it says
  * @param protocol the newest form to speak and to take
  * @param bytesPerSecond of datagrams, at most
- * @param life the number of this life, greater than any before it; by the clock in milliseconds, as a rule
+ * @param life the number of this life, greater than any before it; by the clock in milliseconds, as
+ *     a rule
  */
-public record CarrierSettings(MemberId id, String cluster, byte[] secret, InetSocketAddress bind,
-                              Optional<Endpoint> advertised, List<Endpoint> seeds, List<Endpoint> remembered,
-                                      Map<Endpoint,
-                                      Endpoint> routes,
-                              int protocol, long bytesPerSecond, long life) {
-    /** As told by what was kept over a loss of power: this life's number, and others to be asked. */
+public record CarrierSettings(
+        MemberId id,
+        String cluster,
+        byte[] secret,
+        InetSocketAddress bind,
+        Optional<Endpoint> advertised,
+        List<Endpoint> seeds,
+        List<Endpoint> remembered,
+        Map<Endpoint, Endpoint> routes,
+        int protocol,
+        long bytesPerSecond,
+        long life) {
+    /**
+     * As told by what was kept over a loss of power: this life's number, and others to be asked.
+     */
     public CarrierSettings remembering(long ownLife, List<Endpoint> others) {
-        return new CarrierSettings(id, cluster, secret, bind, advertised, seeds, others, routes, protocol,
-                bytesPerSecond, ownLife);
+        return new CarrierSettings(
+                id,
+                cluster,
+                secret,
+                bind,
+                advertised,
+                seeds,
+                others,
+                routes,
+                protocol,
+                bytesPerSecond,
+                ownLife);
     }
 
     public static final int NEWEST_PROTOCOL = Seal.NEWEST;
--- a/src/main/java/cairnbridge/fleet/carrier/Codec.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Codec.java
@@ -24,20 +24,29 @@
 import java.util.List;
 
 /**
- * A packet as CBOR (RFC 8949): an array of sender, place, life, turn, digest from version 2 on, kind, what
- * the kind needs, and the claims, each an array of its own. What follows the fields known here is passed
- * over.
+ * A packet as CBOR (RFC 8949): an array of sender, place, life, turn, digest from version 2 on,
+ * kind, what the kind needs, and the claims, each an array of its own. What follows the fields
+ * known here is passed over.
  */
 final class Codec {
     /** More claims than any fleet has members are a fault. */
     private static final int MOST_CLAIMS = 100_000, DIGEST_FROM = 2;
-    private static final CBORFactory CBOR = new CBORFactory();
 
-    private enum Kind { PING, ACK, ASK_OTHER, NO_WORD, GOSSIP, DIGEST, ENTRIES, WORD }
+    private static final CBORFactory CBOR = new CBORFactory();
 
-    private Codec() {
+    private enum Kind {
+        PING,
+        ACK,
+        ASK_OTHER,
+        NO_WORD,
+        GOSSIP,
+        DIGEST,
+        ENTRIES,
+        WORD
     }
 
+    private Codec() {}
+
     /** At most so many bytes: claims that do not fit are left out, the last first. */
     static byte[] write(Packet packet, int version, int most) {
         int claims = packet.body().claims().size();
@@ -76,7 +85,8 @@
         cbor.writeNumber(at.port());
     }
 
-    private static void incarnation(CBORGenerator cbor, Incarnation incarnation) throws IOException {
+    private static void incarnation(CBORGenerator cbor, Incarnation incarnation)
+            throws IOException {
         cbor.writeNumber(incarnation.life());
         cbor.writeNumber(incarnation.turn());
     }
@@ -156,14 +166,16 @@
         return switch (Kind.values()[kind]) {
             case PING -> new Message.Ping(number(cbor), new MemberId(text(cbor)), claims(cbor));
             case ACK -> new Message.Ack(number(cbor), claims(cbor));
-            case ASK_OTHER -> new Message.AskOther(number(cbor), new MemberId(text(cbor)), place(cbor),
-                    claims(cbor));
+            case ASK_OTHER ->
+                    new Message.AskOther(
+                            number(cbor), new MemberId(text(cbor)), place(cbor), claims(cbor));
             case NO_WORD -> new Message.NoWord(number(cbor), claims(cbor));
             case GOSSIP -> new Message.Gossip(claims(cbor));
             case DIGEST -> new Message.Digest(numbers(cbor));
             case WORD -> new Message.Word(text(cbor), bytes(cbor));
-            case ENTRIES -> new Message.Entries(numbers(cbor).stream().map(Long::intValue).toList(),
-                    claims(cbor));
+            case ENTRIES ->
+                    new Message.Entries(
+                            numbers(cbor).stream().map(Long::intValue).toList(), claims(cbor));
         };
     }
 
@@ -200,13 +212,20 @@
         JsonToken told = cbor.nextToken();
         expect(told == JsonToken.VALUE_NULL || told == JsonToken.VALUE_EMBEDDED_OBJECT);
         Told what = told == JsonToken.VALUE_NULL ? null : Told.of(cbor.getBinaryValue());
-        for (JsonToken more = cbor.nextToken(); more != JsonToken.END_ARRAY; more = cbor.nextToken()) {
+        for (JsonToken more = cbor.nextToken();
+                more != JsonToken.END_ARRAY;
+                more = cbor.nextToken()) {
             expect(more != null);
             cbor.skipChildren();
         }
-        return new Claim(id, at, incarnation, Standing.values()[standing], by.isEmpty() ? null
-                : new MemberId(by),
-                counter, what);
+        return new Claim(
+                id,
+                at,
+                incarnation,
+                Standing.values()[standing],
+                by.isEmpty() ? null : new MemberId(by),
+                counter,
+                what);
     }
 
     private static Endpoint place(JsonParser cbor) throws IOException {
--- a/src/main/java/cairnbridge/fleet/carrier/Refusal.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Refusal.java
@@ -1,5 +1,13 @@
 package cairnbridge.fleet.carrier;
 
 /** Why something that came was dropped before the view heard of it. */
-public enum Refusal { FOREIGN, CUT_SHORT, OTHER_CLUSTER, UNKNOWN_VERSION, FORGED, MALFORMED, EARLIER_LIFE,
-        SEEN_BEFORE }
+public enum Refusal {
+    FOREIGN,
+    CUT_SHORT,
+    OTHER_CLUSTER,
+    UNKNOWN_VERSION,
+    FORGED,
+    MALFORMED,
+    EARLIER_LIFE,
+    SEEN_BEFORE
+}
--- a/src/main/java/cairnbridge/fleet/carrier/Seal.java
+++ b/src/main/java/cairnbridge/fleet/carrier/Seal.java
@@ -10,19 +10,22 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * The outer form of all that goes between members: 28 bytes of head, the packet, 16 bytes of HMAC-SHA-256
- * (RFC 2104) over both. Head: magic 2, version 1, 0, cluster 4, the sender's life 8, number 8, length 4. One
- * thread's.
+ * The outer form of all that goes between members: 28 bytes of head, the packet, 16 bytes of
+ * HMAC-SHA-256 (RFC 2104) over both. Head: magic 2, version 1, 0, cluster 4, the sender's life 8,
+ * number 8, length 4. One thread's.
  */
 final class Seal {
     static final int HEAD = 28, TAIL = 16, OLDEST = 1, NEWEST = 2;
     private static final short MAGIC = (short) 0xCB1D;
-    private static final int VERSION_AT = 2, CLUSTER_AT = 4, LIFE_AT = 8, NUMBER_AT = 16, LENGTH_AT = 24;
+    private static final int VERSION_AT = 2,
+            CLUSTER_AT = 4,
+            LIFE_AT = 8,
+            NUMBER_AT = 16,
+            LENGTH_AT = 24;
     private static final String HMAC = "HmacSHA256";
 
     /** What was in it; number is unique in the sender's life. */
-    record Opened(int version, long life, long number, byte[] packet) {
-    }
+    record Opened(int version, long life, long number, byte[] packet) {}
 
     private final Mac mac;
     private final int cluster, newest;
@@ -47,14 +50,22 @@
 
     ByteBuffer seal(int version, long life, long number, byte[] packet) {
         ByteBuffer out = ByteBuffer.allocate(HEAD + packet.length + TAIL);
-        out.putShort(MAGIC).put((byte) version).put((byte) 0).putInt(cluster).putLong(life).putLong(number)
-                .putInt(packet.length).put(packet);
+        out.putShort(MAGIC)
+                .put((byte) version)
+                .put((byte) 0)
+                .putInt(cluster)
+                .putLong(life)
+                .putLong(number)
+                .putInt(packet.length)
+                .put(packet);
         mac.update(out.array(), 0, HEAD + packet.length);
         out.put(mac.doFinal(), 0, TAIL);
         return out.flip();
     }
 
-    /** How many bytes the whole will have, by its head; Refused where it is none of this cluster's. */
+    /**
+     * How many bytes the whole will have, by its head; Refused where it is none of this cluster's.
+     */
     int length(ByteBuffer head, int most) throws Refused {
         if (head.remaining() < 2 || head.getShort(head.position()) != MAGIC) {
             throw new Refused(Refusal.FOREIGN);
@@ -91,7 +102,10 @@
             throw new Refused(Refusal.FORGED);
         }
         ByteBuffer head = ByteBuffer.wrap(bytes);
-        return new Opened(bytes[VERSION_AT], head.getLong(LIFE_AT), head.getLong(NUMBER_AT),
+        return new Opened(
+                bytes[VERSION_AT],
+                head.getLong(LIFE_AT),
+                head.getLong(NUMBER_AT),
                 Arrays.copyOfRange(bytes, HEAD, whole - TAIL));
     }
 }
--- a/src/main/java/cairnbridge/fleet/carrier/SeenNumbers.java
+++ b/src/main/java/cairnbridge/fleet/carrier/SeenNumbers.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Which datagrams of each sender have come: a number counts once, by a window as in RFC 4303, section 3.4.3,
- * and an earlier life not at all. Those heard longest ago are forgotten first.
+ * Which datagrams of each sender have come: a number counts once, by a window as in RFC 4303,
+ * section 3.4.3, and an earlier life not at all. Those heard longest ago are forgotten first.
  */
 final class SeenNumbers {
     private static final int WINDOW = 64;
@@ -18,14 +18,15 @@
     private final Map<MemberId, Window> windows;
 
     SeenNumbers(int most) {
-        windows = new LinkedHashMap<>(64, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
+        windows =
+                new LinkedHashMap<>(64, 0.75f, true) {
+                    private static final long serialVersionUID = 1L;
 
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<MemberId, Window> eldest) {
-                return size() > most;
-            }
-        };
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<MemberId, Window> eldest) {
+                        return size() > most;
+                    }
+                };
     }
 
     /** Notes one that has come; Refused where it does not count. */
--- a/src/main/java/cairnbridge/fleet/member/CborFields.java
+++ b/src/main/java/cairnbridge/fleet/member/CborFields.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 
-/** Reads the next field of a CBOR array as what it has to be; an IOException where it is something else. */
+/**
+ * Reads the next field of a CBOR array as what it has to be; an IOException where it is something
+ * else.
+ */
 public final class CborFields {
-    private CborFields() {
-    }
+    private CborFields() {}
 
     public static long number(JsonParser cbor) throws IOException {
         expect(cbor.nextToken() == JsonToken.VALUE_NUMBER_INT);
--- a/src/main/java/cairnbridge/fleet/member/Claim.java
+++ b/src/main/java/cairnbridge/fleet/member/Claim.java
@@ -1,13 +1,19 @@
 package cairnbridge.fleet.member;
 
 /**
- * What is passed on about one member. by: who says that it is suspect or dead, null otherwise. counter: how
- * often the owner has changed what it tells, in this life; told: those bytes as the owner wrote them, null
- * where only counter is passed on. A claim is never changed, so that one object may stand in many views.
+ * What is passed on about one member. by: who says that it is suspect or dead, null otherwise.
+ * counter: how often the owner has changed what it tells, in this life; told: those bytes as the
+ * owner wrote them, null where only counter is passed on. A claim is never changed, so that one
+ * object may stand in many views.
  */
-public record Claim(MemberId id, Endpoint at, Incarnation incarnation, Standing standing, MemberId by,
+public record Claim(
+        MemberId id,
+        Endpoint at,
+        Incarnation incarnation,
+        Standing standing,
+        MemberId by,
         long counter,
-                    Told told) {
+        Told told) {
 
     /** Whether this one counts over another of the same member. */
     public boolean supersedes(Claim other) {
@@ -21,8 +27,10 @@
             return false;
         }
         boolean later = incarnation.life() > other.incarnation.life();
-        return later || incarnation.life() == other.incarnation.life()
-                && (counter > other.counter || counter == other.counter && other.told == null);
+        return later
+                || incarnation.life() == other.incarnation.life()
+                        && (counter > other.counter
+                                || counter == other.counter && other.told == null);
     }
 
     public Claim is(Standing other, MemberId who) {
@@ -42,6 +50,10 @@
     /** Bytes on the wire, at most; the codec's tests hold it to that. */
     public int bytes() {
         int who = by == null ? 1 : by.name().length() + 2;
-        return 35 + id.name().length() + at.host().length() + who + (told == null ? 1 : told.bytes() + 3);
+        return 35
+                + id.name().length()
+                + at.host().length()
+                + who
+                + (told == null ? 1 : told.bytes() + 3);
     }
 }
--- a/src/main/java/cairnbridge/fleet/member/Endpoint.java
+++ b/src/main/java/cairnbridge/fleet/member/Endpoint.java
@@ -6,8 +6,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Where a member is reached, over UDP and TCP alike: an IP address as text and a port. Names are not looked
- * up.
+ * Where a member is reached, over UDP and TCP alike: an IP address as text and a port. Names are
+ * not looked up.
  */
 public record Endpoint(String host, int port) {
     private static final Pattern HOST = Pattern.compile("[0-9.]{7,15}|[0-9a-fA-F:.]{2,45}");
@@ -27,7 +27,8 @@
         String host = text.substring(0, colon);
         boolean bracketed = host.startsWith("[") && host.endsWith("]");
         try {
-            return new Endpoint(bracketed ? host.substring(1, host.length() - 1) : host,
+            return new Endpoint(
+                    bracketed ? host.substring(1, host.length() - 1) : host,
                     Integer.parseInt(text.substring(colon + 1)));
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException("is no address and port", e);
--- a/src/main/java/cairnbridge/fleet/member/Incarnation.java
+++ b/src/main/java/cairnbridge/fleet/member/Incarnation.java
@@ -1,9 +1,9 @@
 package cairnbridge.fleet.member;
 
 /**
- * Which of a member's own words count: those of its latest life, and in that of its latest turn. A life
- * begins with the process; the member alone raises a turn, to refute what others say of it (SWIM, section
- * 4.2).
+ * Which of a member's own words count: those of its latest life, and in that of its latest turn. A
+ * life begins with the process; the member alone raises a turn, to refute what others say of it
+ * (SWIM, section 4.2).
  */
 public record Incarnation(long life, int turn) implements Comparable<Incarnation> {
     public Incarnation {
@@ -22,7 +22,9 @@
 
     @Override
     public int compareTo(Incarnation other) {
-        return life != other.life ? Long.compare(life, other.life) : Integer.compare(turn, other.turn);
+        return life != other.life
+                ? Long.compare(life, other.life)
+                : Integer.compare(turn, other.turn);
     }
 
     @Override
--- a/src/main/java/cairnbridge/fleet/member/MemberId.java
+++ b/src/main/java/cairnbridge/fleet/member/MemberId.java
@@ -17,8 +17,11 @@
         boolean good = text != null && !text.isEmpty() && text.length() <= MOST;
         for (int i = 0; good && i < text.length(); i++) {
             char c = text.charAt(i);
-            good = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-                    || ".-_".indexOf(c) >= 0;
+            good =
+                    c >= 'a' && c <= 'z'
+                            || c >= 'A' && c <= 'Z'
+                            || c >= '0' && c <= '9'
+                            || ".-_".indexOf(c) >= 0;
         }
         return good;
     }
--- a/src/main/java/cairnbridge/fleet/member/Standing.java
+++ b/src/main/java/cairnbridge/fleet/member/Standing.java
@@ -2,9 +2,14 @@
 
 /** What is held of a member; of two words on one incarnation the later in this order counts. */
 public enum Standing {
-    ALIVE, SUSPECT, DEAD, LEFT;
+    ALIVE,
+    SUSPECT,
+    DEAD,
+    LEFT;
 
-    /** Whether the member is to be reckoned with: one that is suspected lives until its time is up. */
+    /**
+     * Whether the member is to be reckoned with: one that is suspected lives until its time is up.
+     */
     public boolean isLiving() {
         return this == ALIVE || this == SUSPECT;
     }
--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -14,28 +14,41 @@
 import java.util.Map;
 
 /**
- * What a member tells of itself, as the bytes its owner wrote: a CBOR map (RFC 8949) with names as keys. It
- * is passed on as it came, so that what a newer version adds reaches other newer ones through older ones.
- * Missing or odd fields read as if they had not been told.
+ * What a member tells of itself, as the bytes its owner wrote: a CBOR map (RFC 8949) with names as
+ * keys. It is passed on as it came, so that what a newer version adds reaches other newer ones
+ * through older ones. Missing or odd fields read as if they had not been told.
  */
 public final class Told {
     /** A member that tells more is not believed: claims have to fit a datagram. */
     public static final int MOST_BYTES = 800;
+
     public static final int MOST_UNREACHABLE = 16, MOST_TEXT = 64, MOST_ZONES = 8;
     private static final CBORFactory CBOR = new CBORFactory();
 
     /** How far a member is in its life. */
-    public enum State { STARTING, SERVING, STANDBY, DRAINING, UNKNOWN }
+    public enum State {
+        STARTING,
+        SERVING,
+        STANDBY,
+        DRAINING,
+        UNKNOWN
+    }
 
     /**
-     * load and limit in ops in flight, rate in ops taken a second; zones are triples of a zone's hash, pushes
-     * that ended there lately and those of them late or failed; unreachable are node ids; roster is the
-     * version of the list of nodes, and listing says whether that list comes in right now; out are hashes of
-     * zones where nothing was reached lately.
+     * load and limit in ops in flight, rate in ops taken a second; zones are triples of a zone's
+     * hash, pushes that ended there lately and those of them late or failed; unreachable are node
+     * ids; roster is the version of the list of nodes, and listing says whether that list comes in
+     * right now; out are hashes of zones where nothing was reached lately.
      */
-    public record Figures(long load, long limit, long rate, long roster, boolean listing,
+    public record Figures(
+            long load,
+            long limit,
+            long rate,
+            long roster,
+            boolean listing,
             List<Long> unreachable,
-                          List<Long> zones, List<Long> out) {
+            List<Long> zones,
+            List<Long> out) {
         public static final Figures NONE = new Figures(0, 0, 0, false, List.of());
 
         public Figures {
@@ -44,12 +57,14 @@
             out = List.copyOf(out);
         }
 
-        public Figures(long load, long limit, long roster, boolean listing, List<Long> unreachable) {
+        public Figures(
+                long load, long limit, long roster, boolean listing, List<Long> unreachable) {
             this(load, limit, 0, roster, listing, unreachable, List.of(), List.of());
         }
     }
 
     private final byte[] raw;
+
     /** What the bytes say, read when it is first asked for; any thread may be the first. */
     private volatile Read read;
 
@@ -66,14 +81,31 @@
     }
 
     /** protocol: the newest version of the carrier's form that the member speaks. */
-    public static Told of(String zone, String region, int protocol, State state, String clients, String door,
+    public static Told of(
+            String zone,
+            String region,
+            int protocol,
+            State state,
+            String clients,
+            String door,
             Figures figures) {
         return of(zone, region, protocol, state, clients, door, 0, Recovering.NOT, figures);
     }
 
-    /** As above, with the epoch of the plan over zones that is in force here, and how far a return is. */
-    public static Told of(String zone, String region, int protocol, State state, String clients, String door,
-            long epoch, Recovering recovering, Figures figures) {
+    /**
+     * As above, with the epoch of the plan over zones that is in force here, and how far a return
+     * is.
+     */
+    public static Told of(
+            String zone,
+            String region,
+            int protocol,
+            State state,
+            String clients,
+            String door,
+            long epoch,
+            Recovering recovering,
+            Figures figures) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(128);
         try (CBORGenerator cbor = CBOR.createGenerator(out)) {
             cbor.writeStartObject();
@@ -84,7 +116,8 @@
             cbor.writeStringField("clients", cut(clients));
             cbor.writeStringField("door", cut(door));
             cbor.writeNumberField("epoch", epoch);
-            // Only where there is something to tell: what a member tells takes its room in every datagram.
+            // Only where there is something to tell: what a member tells takes its room in every
+            // datagram.
             told(cbor, "recovery", recovering.phase());
             told(cbor, "pace", recovering.pace());
             told(cbor, "epoch-floor", recovering.epochFloor());
@@ -111,8 +144,8 @@
         }
     }
 
-    private static void numbers(CBORGenerator cbor, String field, List<Long> numbers,
-            int most) throws IOException {
+    private static void numbers(CBORGenerator cbor, String field, List<Long> numbers, int most)
+            throws IOException {
         cbor.writeArrayFieldStart(field);
         for (long number : numbers.subList(0, Math.min(most, numbers.size()))) {
             cbor.writeNumber(number);
@@ -153,7 +186,8 @@
     }
 
     public Recovering recovering() {
-        return new Recovering((int) Math.max(0, Math.min(100, number("recovery", 0))),
+        return new Recovering(
+                (int) Math.max(0, Math.min(100, number("recovery", 0))),
                 (int) Math.max(0, Math.min(Integer.MAX_VALUE, number("pace", 0))),
                 Math.max(0, number("epoch-floor", 0)));
     }
@@ -165,7 +199,9 @@
 
     public State state() {
         String name = text("state");
-        return Arrays.stream(State.values()).filter(each -> each.name().equals(name)).findFirst()
+        return Arrays.stream(State.values())
+                .filter(each -> each.name().equals(name))
+                .findFirst()
                 .orElse(State.UNKNOWN);
     }
 
@@ -212,16 +248,23 @@
 
     private record Read(Map<String, Object> fields, Figures figures) {
         static Read of(Map<String, Object> fields) {
-            return new Read(fields, new Figures(number(fields, "load", 0), number(fields, "limit", 0),
-                    number(fields, "rate", 0), number(fields, "roster", 0),
-                    Boolean.TRUE.equals(fields.get("listing")),
+            return new Read(
+                    fields,
+                    new Figures(
+                            number(fields, "load", 0),
+                            number(fields, "limit", 0),
+                            number(fields, "rate", 0),
+                            number(fields, "roster", 0),
+                            Boolean.TRUE.equals(fields.get("listing")),
                             numbers(fields, "unreachable", MOST_UNREACHABLE),
-                    numbers(fields, "zones", 3 * MOST_ZONES), numbers(fields, "out", MOST_ZONES)));
+                            numbers(fields, "zones", 3 * MOST_ZONES),
+                            numbers(fields, "out", MOST_ZONES)));
         }
     }
 
     /**
-     * Texts, whole numbers, truths and flat lists of numbers at the top; all else is left to who knows it.
+     * Texts, whole numbers, truths and flat lists of numbers at the top; all else is left to who
+     * knows it.
      */
     private static Map<String, Object> parse(byte[] raw) {
         Map<String, Object> fields = new HashMap<>();
@@ -237,7 +280,8 @@
                     case VALUE_TRUE, VALUE_FALSE -> fields.put(name, parser.getBooleanValue());
                     case START_ARRAY -> {
                         List<Long> list = new ArrayList<>();
-                        for (JsonToken t = parser.nextToken(); t != JsonToken.END_ARRAY && t != null;
+                        for (JsonToken t = parser.nextToken();
+                                t != JsonToken.END_ARRAY && t != null;
                                 t = parser.nextToken()) {
                             if (t == JsonToken.VALUE_NUMBER_INT) {
                                 list.add(parser.getLongValue());
--- a/src/main/java/cairnbridge/fleet/use/Duties.java
+++ b/src/main/java/cairnbridge/fleet/use/Duties.java
@@ -12,9 +12,10 @@
 import java.util.Map;
 
 /**
- * Who of a zone does what only one needs to do: the living member with the highest hash of name and duty
- * (rendezvous hashing, Thaler and Ravishankar 1998). All who hold the same view name the same one; when it is
- * no longer held alive the next takes over, and nobody else's duties move. Times are tenths of a millisecond.
+ * Who of a zone does what only one needs to do: the living member with the highest hash of name and
+ * duty (rendezvous hashing, Thaler and Ravishankar 1998). All who hold the same view name the same
+ * one; when it is no longer held alive the next takes over, and nobody else's duties move. Times
+ * are tenths of a millisecond.
  */
 public final class Duties {
     private final MemberId me;
@@ -31,14 +32,20 @@
 
     /** Members of the zone that can take on duties, those first who come first for this one. */
     public static List<MemberId> order(View view, String zone, long duty) {
-        return view.living().stream().filter(claim -> isOf(claim, zone)).map(Claim::id)
-                .sorted(Comparator.comparingLong((MemberId id) -> weight(id, duty)).reversed()
-                        .thenComparing(Comparator.naturalOrder())).toList();
+        return view.living().stream()
+                .filter(claim -> isOf(claim, zone))
+                .map(Claim::id)
+                .sorted(
+                        Comparator.comparingLong((MemberId id) -> weight(id, duty))
+                                .reversed()
+                                .thenComparing(Comparator.naturalOrder()))
+                .toList();
     }
 
     private static boolean isOf(Claim claim, String zone) {
         Told told = claim.told();
-        return told != null && told.zone().equals(zone)
+        return told != null
+                && told.zone().equals(zone)
                 && (told.state() == Told.State.SERVING || told.state() == Told.State.STANDBY);
     }
 
@@ -47,8 +54,8 @@
     }
 
     /**
-     * The nodes to be probed now, out of all. Guards against a node probed twice as often where two members
-     * hold different views: one that was another's until now waits its time first.
+     * The nodes to be probed now, out of all. Guards against a node probed twice as often where two
+     * members hold different views: one that was another's until now waits its time first.
      */
     public List<Long> due(View view, List<Long> nodes, long now) {
         probedAt.keySet().retainAll(nodes);
--- a/src/main/java/cairnbridge/fleet/use/FleetTally.java
+++ b/src/main/java/cairnbridge/fleet/use/FleetTally.java
@@ -15,30 +15,41 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
- * What a fleet is told of this proxy's own ops and pushes. One thread counts and publishes; any thread reads
- * what was so a moment ago. There is none where a proxy is alone. Times in tenths of a millisecond.
+ * What a fleet is told of this proxy's own ops and pushes. One thread counts and publishes; any
+ * thread reads what was so a moment ago. There is none where a proxy is alone. Times in tenths of a
+ * millisecond.
  */
 public final class FleetTally {
     /** A push called off with less than this left of its op's time had met silence. */
     private static final long SILENT = 200;
+
     private static final long SECOND = 10_000;
     private static final double LEAST_SECONDS = 0.5, SMOOTH_SECONDS = 2;
     private static final int NODE_ENOUGH = 2, ZONE_ENOUGH = 4, PROBES = 4;
     private final ReachReport reach = new ReachReport(NODE_ENOUGH);
-    /** By the hash of a zone's name: where it has many nodes, each is met too seldom to be found out. */
+
+    /**
+     * By the hash of a zone's name: where it has many nodes, each is met too seldom to be found
+     * out.
+     */
     private final ReachReport zoneReach = new ReachReport(ZONE_ENOUGH);
+
     private final Set<Long> known = new HashSet<>();
     private final ZoneTally zones = new ZoneTally();
+
     /** Hashes of the zones' names, by cache. */
     private final Map<NodeId, Long> zoneOf = new HashMap<>();
+
     private final List<String> zoneNames;
     private final MachineKind originKind;
     private final long[] targets;
     private final AtomicLongArray taken;
     private volatile List<Long> unreachable = List.of(), triples = List.of(), out = List.of();
     private long probedAt;
+
     /** Ops taken a second by category, smoothed, and what that was reckoned from. */
     private final double[] lately;
+
     private final long[] counted;
     private long ratedAt;
 
@@ -90,15 +101,19 @@
         reached(node, ending, left, now);
         Long zone = zoneOf.get(node);
         if (zone != null && says(ending, left)) {
-            boolean given = ending == Ending.ACKED || ending == Ending.MISS || ending == Ending.FULL;
+            boolean given =
+                    ending == Ending.ACKED || ending == Ending.MISS || ending == Ending.FULL;
             zones.ended(zone, !given || took > targets[category], now);
         }
     }
 
     private void reached(NodeId node, Ending ending, long left, long now) {
         if (says(ending, left)) {
-            boolean none = ending == Ending.TIMED_OUT || ending == Ending.CALLED_OFF
-                    || ending == Ending.NO_CONNECTION || ending == Ending.BROKEN;
+            boolean none =
+                    ending == Ending.TIMED_OUT
+                            || ending == Ending.CALLED_OFF
+                            || ending == Ending.NO_CONNECTION
+                            || ending == Ending.BROKEN;
             reach.ended(node.value(), !none, now);
             Long zone = zoneOf.get(node);
             if (zone != null) {
@@ -107,7 +122,10 @@
         }
     }
 
-    /** Whether an ending tells anything of the node: one called off does where its op's time had run out. */
+    /**
+     * Whether an ending tells anything of the node: one called off does where its op's time had run
+     * out.
+     */
     private static boolean says(Ending ending, long left) {
         return ending != Ending.NEVER_SENT && (ending != Ending.CALLED_OFF || left <= SILENT);
     }
@@ -129,9 +147,9 @@
     }
 
     /**
-     * Nodes to be probed now, those first of whom it is longest that anything was found; once a second some.
-     * Guards against a zone that is given its traffic back because nobody has tried it for a while. One
-     * thread's.
+     * Nodes to be probed now, those first of whom it is longest that anything was found; once a
+     * second some. Guards against a zone that is given its traffic back because nobody has tried it
+     * for a while. One thread's.
      */
     public List<NodeId> doubtful(long now) {
         if (now - probedAt < SECOND) {
@@ -139,7 +157,8 @@
         }
         probedAt = now;
         List<Long> nodes = unreachable;
-        return nodes.subList(Math.max(0, nodes.size() - PROBES), nodes.size()).stream().map(NodeId::new)
+        return nodes.subList(Math.max(0, nodes.size() - PROBES), nodes.size()).stream()
+                .map(NodeId::new)
                 .toList();
     }
 
--- a/src/main/java/cairnbridge/fleet/use/ListCalls.java
+++ b/src/main/java/cairnbridge/fleet/use/ListCalls.java
@@ -4,9 +4,9 @@
 import cairnbridge.fleet.view.View;
 
 /**
- * Who calls for a list that is lost. Guards against a discovery that comes back to the calls of a whole
- * fleet: some members of each zone call as before, the others once one of them has it, or after half a
- * minute. Milliseconds.
+ * Who calls for a list that is lost. Guards against a discovery that comes back to the calls of a
+ * whole fleet: some members of each zone call as before, the others once one of them has it, or
+ * after half a minute. Milliseconds.
  */
 public final class ListCalls {
     private static final long DUTY = 0x6C697374L, MOST = 30_000;
@@ -25,7 +25,12 @@
         if (place < CALLERS || sinceCalled >= MOST) {
             return true; // -1 too: one that is not in its own view is no part of any order.
         }
-        return view.living().stream().anyMatch(claim -> claim.told() != null && !claim.id().equals(me)
-                && claim.told().zone().equals(zone) && claim.told().figures().listing());
+        return view.living().stream()
+                .anyMatch(
+                        claim ->
+                                claim.told() != null
+                                        && !claim.id().equals(me)
+                                        && claim.told().zone().equals(zone)
+                                        && claim.told().figures().listing());
     }
 }
--- a/src/main/java/cairnbridge/fleet/use/LivingCount.java
+++ b/src/main/java/cairnbridge/fleet/use/LivingCount.java
@@ -3,9 +3,9 @@
 import cairnbridge.fleet.view.View;
 
 /**
- * Among how many proxies a limit of the whole fleet is divided: those that live, smoothed. More of them count
- * within a second or so, fewer only within some, as shares that grow too soon add up to too much. Times are
- * tenths of a millisecond.
+ * Among how many proxies a limit of the whole fleet is divided: those that live, smoothed. More of
+ * them count within a second or so, fewer only within some, as shares that grow too soon add up to
+ * too much. Times are tenths of a millisecond.
  */
 public final class LivingCount {
     private static final double SECOND = 10_000, UP = SECOND, DOWN = 5 * SECOND;
@@ -24,9 +24,11 @@
     /** The count that holds now; it starts from the configured one. */
     public int count(View view, long now) {
         int living = view.living().size();
-        // Guards against a part cut off that takes the whole fleet's share, and the other part as well.
+        // Guards against a part cut off that takes the whole fleet's share, and the other part as
+        // well.
         boolean majority = 2 * living > configured;
-        double wanted = majority ? living : Math.max(configured / 2.0, Math.min(2.0 * configured, living));
+        double wanted =
+                majority ? living : Math.max(configured / 2.0, Math.min(2.0 * configured, living));
         double span = wanted > smoothed ? UP : DOWN;
         smoothed += (wanted - smoothed) * (1 - Math.exp(-Math.max(0, now - at) / span));
         at = Math.max(at, now);
--- a/src/main/java/cairnbridge/fleet/use/NodeHints.java
+++ b/src/main/java/cairnbridge/fleet/use/NodeHints.java
@@ -10,10 +10,14 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Nodes that most members of a zone cannot reach: each is said once, until fewer than a quarter say so. */
+/**
+ * Nodes that most members of a zone cannot reach: each is said once, until fewer than a quarter say
+ * so.
+ */
 public final class NodeHints {
     /** Fewer members have no majority that says anything. */
     private static final int LEAST_MEMBERS = 3;
+
     private final String zone;
     private final Set<Long> said = new HashSet<>();
 
@@ -36,11 +40,12 @@
         int all = members;
         said.removeIf(node -> counts.getOrDefault(node, 0) * 4 < all);
         List<Long> fresh = new ArrayList<>();
-        counts.forEach((node, count) -> {
-            if (all >= LEAST_MEMBERS && count * 2 > all && said.add(node)) {
-                fresh.add(node);
-            }
-        });
+        counts.forEach(
+                (node, count) -> {
+                    if (all >= LEAST_MEMBERS && count * 2 > all && said.add(node)) {
+                        fresh.add(node);
+                    }
+                });
         return fresh;
     }
 }
--- a/src/main/java/cairnbridge/fleet/use/ReachReport.java
+++ b/src/main/java/cairnbridge/fleet/use/ReachReport.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /**
- * Which nodes, or zones, this proxy cannot reach, by how its own pushes and probes ended: some times in a row
- * no connection or no word, and nothing good since. What is old says nothing. Times are tenths of a
- * millisecond.
+ * Which nodes, or zones, this proxy cannot reach, by how its own pushes and probes ended: some
+ * times in a row no connection or no word, and nothing good since. What is old says nothing. Times
+ * are tenths of a millisecond.
  */
 public final class ReachReport {
     private static final long SECOND = 10_000, OLD = 10 * SECOND;
@@ -47,7 +47,8 @@
     public List<Long> unreachable(long now) {
         nodes.values().removeIf(reach -> now - reach.at > OLD);
         List<Long> out = new ArrayList<>();
-        nodes.entrySet().stream().filter(each -> each.getValue().failed >= enough)
+        nodes.entrySet().stream()
+                .filter(each -> each.getValue().failed >= enough)
                 .sorted((a, b) -> Long.compare(b.getValue().at, a.getValue().at))
                 .forEach(each -> out.add(each.getKey()));
         return out;
--- a/src/main/java/cairnbridge/fleet/view/Doubt.java
+++ b/src/main/java/cairnbridge/fleet/view/Doubt.java
@@ -1,8 +1,9 @@
 package cairnbridge.fleet.view;
 
 /**
- * How far this member doubts its own ears: rises with what goes unanswered at itself, falls with answers
- * (Lifeguard's local health multiplier). Guards against one slow member that holds all others dead.
+ * How far this member doubts its own ears: rises with what goes unanswered at itself, falls with
+ * answers (Lifeguard's local health multiplier). Guards against one slow member that holds all
+ * others dead.
  */
 final class Doubt {
     static final int MOST = 8;
--- a/src/main/java/cairnbridge/fleet/view/FleetHost.java
+++ b/src/main/java/cairnbridge/fleet/view/FleetHost.java
@@ -22,5 +22,15 @@
     void says(String line);
 
     /** Why a standing has changed. */
-    enum Why { JOINED, RESTARTED, NO_ANSWER, TOLD, TIME_IS_UP, REFUTED, CAME_BACK, LEFT, FORGOTTEN }
+    enum Why {
+        JOINED,
+        RESTARTED,
+        NO_ANSWER,
+        TOLD,
+        TIME_IS_UP,
+        REFUTED,
+        CAME_BACK,
+        LEFT,
+        FORGOTTEN
+    }
 }
--- a/src/main/java/cairnbridge/fleet/view/Member.java
+++ b/src/main/java/cairnbridge/fleet/view/Member.java
@@ -4,8 +4,8 @@
 import cairnbridge.fleet.member.MemberId;
 
 /**
- * One row of the view. Small, 48 bytes while it is well: a fleet of thousands holds as many in each process,
- * and a simulated net of ten thousand holds them all.
+ * One row of the view. Small, 48 bytes while it is well: a fleet of thousands holds as many in each
+ * process, and a simulated net of ten thousand holds them all.
  */
 final class Member {
     /** What few have at a time. */
@@ -17,12 +17,16 @@
     final MemberId id;
     Claim claim;
     private Trouble trouble;
+
     /** Its place in the list of the living or of the dead; -1 in none. */
     int place = -1;
+
     /** Whether it has its part in the digests. */
     boolean counted;
+
     /**
-     * When its standing changed here, and when a word of its own came last; times of this process's clock.
+     * When its standing changed here, and when a word of its own came last; times of this process's
+     * clock.
      */
     long changedAt, heardAt = Long.MIN_VALUE / 2;
 
@@ -51,7 +55,8 @@
     }
 
     /**
-     * True where it was not told for a while, or asked, what is said of it; it counts as told from now on.
+     * True where it was not told for a while, or asked, what is said of it; it counts as told from
+     * now on.
      */
     boolean challenged(long now, long every) {
         if (now - trouble().challengedAt < every) {
--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -15,30 +15,42 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * One member's view of its fleet. Make one with its settings, its first word on itself, its seeds, a seed of
- * chance, the time and its host; then call start once, handle for every event and turn whenever due has come.
- * It answers by calls on the host before it returns, reads no clock and starts no thread: same events, same
- * actions. Times are tenths of a millisecond of any clock that does not go back.
+ * One member's view of its fleet. Make one with its settings, its first word on itself, its seeds,
+ * a seed of chance, the time and its host; then call start once, handle for every event and turn
+ * whenever due has come. It answers by calls on the host before it returns, reads no clock and
+ * starts no thread: same events, same actions. Times are tenths of a millisecond of any clock that
+ * does not go back.
  *
- * <p>The protocol is SWIM (Das, Gupta, Motivala 2002) with suspicion, and Lifeguard's three corrections
- * (Dadgar, Phillips, Currey 2017): doubt in oneself, suspicions that others shorten, and the suspect told
- * first. Beside it views are compared as a whole by digests. docs/design/fleet-view.md says what was weighed.
+ * <p>The protocol is SWIM (Das, Gupta, Motivala 2002) with suspicion, and Lifeguard's three
+ * corrections (Dadgar, Phillips, Currey 2017): doubt in oneself, suspicions that others shorten,
+ * and the suspect told first. Beside it views are compared as a whole by digests.
+ * docs/design/fleet-view.md says what was weighed.
  */
 public final class Membership {
     /** A gap between two turns that is this many probe spans long is a process that stood still. */
     private static final int STILL = 2;
+
     /** Those who died so lately still get gossip, that they may refute it. */
     private static final long LATELY = 5 * FleetSettings.SECOND;
+
     private static final long TELL_AGAIN = FleetSettings.SECOND / 2;
+
     /** How many of a fleet's members may tell new figures in a second, all together. */
     private static final double FIGURES_A_SECOND = 20;
+
     private static final int MOST_CLASHES = 5;
+
     /** So many members, on average, tell out of turn that a zone is lost. */
     private static final int URGENT = 120;
+
     /** So many of those who hear of a suspicion probe the suspect at once, on average. */
     private static final int SECOND_OPINIONS = 5;
-    /** While somebody fell suspect so lately, pings go so many times as often, for so long at most. */
-    private static final long LATELY_SUSPECTED = 2 * FleetSettings.SECOND, QUICK = 3,
+
+    /**
+     * While somebody fell suspect so lately, pings go so many times as often, for so long at most.
+     */
+    private static final long LATELY_SUSPECTED = 2 * FleetSettings.SECOND,
+            QUICK = 3,
             QUICK_FOR = 5 * FleetSettings.SECOND;
 
     final FleetSettings settings;
@@ -51,25 +63,46 @@
     private final Probes probes;
     private final Syncs syncs;
     private Claim self;
+
     /** Told by the owner, not yet by the member. */
     private Told wanted;
+
     private long toldAt, changedAt, turnedAt, suspectedAt = Long.MIN_VALUE / 2, troubledSince;
     private long tellAt = Long.MAX_VALUE;
     private List<Long> drawnFor = List.of();
     private boolean urgent, started;
-    private long suspicions, refutations, deaths, cameBack, joins, leaves, challenges, strayed, stoodStill;
+    private long suspicions,
+            refutations,
+            deaths,
+            cameBack,
+            joins,
+            leaves,
+            challenges,
+            strayed,
+            stoodStill;
     private int clashes;
     long now;
 
     /** self: this member as it will call itself; its claim's standing is ALIVE. */
-    public Membership(FleetSettings settings, Claim self, List<Endpoint> seeds, long seed, long now,
+    public Membership(
+            FleetSettings settings,
+            Claim self,
+            List<Endpoint> seeds,
+            long seed,
+            long now,
             FleetHost host) {
         this(settings, self, seeds, List.of(), seed, now, host);
     }
 
     /** remembered: members of an earlier life, asked at the join after the seeds. */
-    public Membership(FleetSettings settings, Claim self, List<Endpoint> seeds, List<Endpoint> remembered,
-            long seed, long now, FleetHost host) {
+    public Membership(
+            FleetSettings settings,
+            Claim self,
+            List<Endpoint> seeds,
+            List<Endpoint> remembered,
+            long seed,
+            long now,
+            FleetHost host) {
         this.settings = settings;
         this.self = self;
         this.host = host;
@@ -160,8 +193,8 @@
     }
 
     /**
-     * Figures wait for their time, so that a large fleet does not talk of nothing else; all other news goes
-     * at once.
+     * Figures wait for their time, so that a large fleet does not talk of nothing else; all other
+     * news goes at once.
      */
     private void tell() {
         if (wanted == null || hasLeft() || wanted.equals(self.told())) {
@@ -179,16 +212,18 @@
             }
         } else if (due < tellAt) {
             tellAt = due;
-            timers.at(due, () -> {
-                tellAt = tellAt == due ? Long.MAX_VALUE : tellAt;
-                tell();
-            });
+            timers.at(
+                    due,
+                    () -> {
+                        tellAt = tellAt == due ? Long.MAX_VALUE : tellAt;
+                        tell();
+                    });
         }
     }
 
     /**
-     * A zone lost is told out of turn, in a large fleet by some: enough of them to outweigh what others have
-     * said of it a moment ago.
+     * A zone lost is told out of turn, in a large fleet by some: enough of them to outweigh what
+     * others have said of it a moment ago.
      */
     private boolean isUrgent() {
         List<Long> out = wanted.figures().out();
@@ -203,15 +238,19 @@
     }
 
     private static boolean sameButFigures(Told one, Told other) {
-        return one.state() == other.state() && one.zone().equals(other.zone())
+        return one.state() == other.state()
+                && one.zone().equals(other.zone())
                 && one.region().equals(other.region())
-                && one.clients().equals(other.clients()) && one.door().equals(other.door())
-                && one.protocol() == other.protocol() && one.epoch() == other.epoch()
+                && one.clients().equals(other.clients())
+                && one.door().equals(other.door())
+                && one.protocol() == other.protocol()
+                && one.epoch() == other.epoch()
                 && one.recovering().phase() == other.recovering().phase();
     }
 
     private long figuresEvery() {
-        return Math.max(settings.figuresEvery(),
+        return Math.max(
+                settings.figuresEvery(),
                 (long) (table.living().size() / FIGURES_A_SECOND * FleetSettings.SECOND));
     }
 
@@ -219,7 +258,8 @@
         if (hasLeft()) {
             return;
         }
-        Incarnation last = new Incarnation(self.incarnation().life(), self.incarnation().turn() + 1);
+        Incarnation last =
+                new Incarnation(self.incarnation().life(), self.incarnation().turn() + 1);
         self = new Claim(me(), self.at(), last, Standing.LEFT, null, self.counter(), self.told());
         rumours.standing(self.bare());
         for (Member member : table.some(2 * settings.fanout(), null, chance)) {
@@ -228,20 +268,31 @@
     }
 
     /**
-     * Others hold this member dead, suspect, or in a later life than it has: its next word counts over
-     * theirs.
+     * Others hold this member dead, suspect, or in a later life than it has: its next word counts
+     * over theirs.
      */
     private void refute(Claim said) {
         boolean same = said.standing() == Standing.ALIVE;
-        if (hasLeft() || same && said.incarnation().compareTo(self.incarnation()) <= 0
+        if (hasLeft()
+                || same && said.incarnation().compareTo(self.incarnation()) <= 0
                 || said.incarnation().compareTo(self.incarnation()) < 0) {
             return;
         }
-        if (same && !said.at().equals(self.at()) && clashes < MOST_CLASHES && ++clashes == MOST_CLASHES) {
+        if (same
+                && !said.at().equals(self.at())
+                && clashes < MOST_CLASHES
+                && ++clashes == MOST_CLASHES) {
             host.says("another process, at " + said.at() + ", calls itself " + me() + " as well");
         }
-        self = new Claim(me(), self.at(), self.incarnation().over(said.incarnation()), Standing.ALIVE, null,
-                self.counter(), self.told());
+        self =
+                new Claim(
+                        me(),
+                        self.at(),
+                        self.incarnation().over(said.incarnation()),
+                        Standing.ALIVE,
+                        null,
+                        self.counter(),
+                        self.told());
         refutations++;
         doubt.changes(1);
         rumours.standing(self);
@@ -269,15 +320,17 @@
     }
 
     /**
-     * What is known here of those who are gone, where another still speaks of them as they were. Guards
-     * against a leave that is taken for a crash, or against a death unknown for long, by a view that one
-     * rumour has missed.
+     * What is known here of those who are gone, where another still speaks of them as they were.
+     * Guards against a leave that is taken for a crash, or against a death unknown for long, by a
+     * view that one rumour has missed.
      */
     private List<Claim> corrections(List<Claim> claims) {
         List<Claim> news = new ArrayList<>();
         for (Claim claim : claims) {
             Member member = table.get(claim.id());
-            if (member != null && !member.isLiving() && member.claim.supersedes(claim)
+            if (member != null
+                    && !member.isLiving()
+                    && member.claim.supersedes(claim)
                     && member.challenged(now, TELL_AGAIN)) {
                 news.add(member.claim.bare());
             }
@@ -285,10 +338,20 @@
         return news;
     }
 
-    /** The sender's own word on itself; null where it is of an earlier life than the one that is known. */
+    /**
+     * The sender's own word on itself; null where it is of an earlier life than the one that is
+     * known.
+     */
     private Member met(Packet packet) {
-        Claim word = new Claim(packet.from(), packet.at(), packet.incarnation(), Standing.ALIVE, null, 0,
-                null);
+        Claim word =
+                new Claim(
+                        packet.from(),
+                        packet.at(),
+                        packet.incarnation(),
+                        Standing.ALIVE,
+                        null,
+                        0,
+                        null);
         if (packet.from().equals(me())) {
             return null;
         }
@@ -373,7 +436,8 @@
             }
             case DEAD -> {
                 if (order >= 0 && member.isLiving()) {
-                    // Guards against deaths told by those who were cut off: one that is heard here is asked
+                    // Guards against deaths told by those who were cut off: one that is heard here
+                    // is asked
                     // first.
                     if (sameLife && (synced || now - member.heardAt < heardLately())) {
                         challenge(member, claim);
@@ -403,7 +467,8 @@
 
     private Member admit(Claim claim) {
         boolean old = !claim.standing().isLiving();
-        // Guards against the dead who are told of for ever, as members forget them at different times.
+        // Guards against the dead who are told of for ever, as members forget them at different
+        // times.
         if (old && now - startedAt() > settings.rememberDead() / 2) {
             return null;
         }
@@ -433,9 +498,9 @@
     }
 
     /**
-     * Guards against a third of a fleet, dead in one instant, of whom the last is pinged seconds after the
-     * first: who falls suspect is seldom alone. Not for longer than a while, as where much is lost somebody
-     * in a large fleet is suspect at all times.
+     * Guards against a third of a fleet, dead in one instant, of whom the last is pinged seconds
+     * after the first: who falls suspect is seldom alone. Not for longer than a while, as where
+     * much is lost somebody in a large fleet is suspect at all times.
      */
     long probeEvery() {
         boolean lately = now - suspectedAt < LATELY_SUSPECTED && now - troubledSince < QUICK_FOR;
@@ -452,9 +517,15 @@
         boolean sameLife = word.incarnation().life() == before.incarnation().life();
         boolean wasLiving = before.standing().isLiving();
         boolean toldHere = word.told() != null && (!sameLife || word.counter() >= before.counter());
-        Claim fresh = new Claim(member.id, word.at(), word.incarnation(), Standing.ALIVE, null,
-                toldHere ? word.counter() : sameLife ? before.counter() : 0,
-                toldHere ? word.told() : sameLife ? before.told() : null);
+        Claim fresh =
+                new Claim(
+                        member.id,
+                        word.at(),
+                        word.incarnation(),
+                        Standing.ALIVE,
+                        null,
+                        toldHere ? word.counter() : sameLife ? before.counter() : 0,
+                        toldHere ? word.told() : sameLife ? before.told() : null);
         member.cleared();
         if (!sameLife) {
             member.heardAt = direct ? now : Long.MIN_VALUE / 2;
@@ -500,12 +571,18 @@
         long least = suspicionLeast();
         int wanted = Math.min(3, livingWithMe() - 3);
         MemberId by = said.by() == null ? member.id : said.by();
-        Suspicion suspicion = new Suspicion(now, least, (long) (least * settings.suspicionMost()), wanted,
-                by);
+        Suspicion suspicion =
+                new Suspicion(now, least, (long) (least * settings.suspicionMost()), wanted, by);
         member.suspected(suspicion);
-        Claim fresh = new Claim(member.id, held.at(), said.incarnation(), Standing.SUSPECT, by,
-                held.counter(),
-                held.told());
+        Claim fresh =
+                new Claim(
+                        member.id,
+                        held.at(),
+                        said.incarnation(),
+                        Standing.SUSPECT,
+                        by,
+                        held.counter(),
+                        held.told());
         table.put(member, fresh, now);
         rumours.standing(fresh.bare());
         host.changed(held, fresh, Why.NO_ANSWER);
@@ -519,9 +596,9 @@
     }
 
     /**
-     * Guards against a death for want of one rumour: of some hundred refutations each misses a view where a
-     * tenth of all datagrams is lost. Who holds a suspect for long asks it, again and again, until its time
-     * is up.
+     * Guards against a death for want of one rumour: of some hundred refutations each misses a view
+     * where a tenth of all datagrams is lost. Who holds a suspect for long asks it, again and
+     * again, until its time is up.
      */
     private void askSuspect(Member member, Suspicion suspicion) {
         if (member.suspicion() == suspicion && !hasLeft()) {
@@ -531,18 +608,27 @@
     }
 
     private void watch(Member member, Suspicion suspicion) {
-        timers.at(suspicion.due(), () -> {
-            if (member.suspicion() == suspicion && now >= suspicion.due()) {
-                dies(member, member.claim.is(Standing.DEAD, me()), Why.TIME_IS_UP);
-            }
-        });
+        timers.at(
+                suspicion.due(),
+                () -> {
+                    if (member.suspicion() == suspicion && now >= suspicion.due()) {
+                        dies(member, member.claim.is(Standing.DEAD, me()), Why.TIME_IS_UP);
+                    }
+                });
     }
 
     private void dies(Member member, Claim said, Why why) {
         Claim before = member.claim;
         boolean sameLife = said.incarnation().life() == before.incarnation().life();
-        Claim fresh = new Claim(member.id, before.at(), said.incarnation(), Standing.DEAD, said.by(),
-                sameLife ? before.counter() : 0, sameLife ? before.told() : null);
+        Claim fresh =
+                new Claim(
+                        member.id,
+                        before.at(),
+                        said.incarnation(),
+                        Standing.DEAD,
+                        said.by(),
+                        sameLife ? before.counter() : 0,
+                        sameLife ? before.told() : null);
         member.cleared();
         table.put(member, fresh, now);
         rumours.standing(fresh.bare());
@@ -555,7 +641,8 @@
 
     private void left(Member member, Claim said) {
         Claim before = member.claim;
-        Claim fresh = new Claim(member.id, before.at(), said.incarnation(), Standing.LEFT, null, 0, null);
+        Claim fresh =
+                new Claim(member.id, before.at(), said.incarnation(), Standing.LEFT, null, 0, null);
         member.cleared();
         table.put(member, fresh, now);
         rumours.standing(fresh.bare());
@@ -565,7 +652,8 @@
     }
 
     /**
-     * It is said to be dead, and heard here: it is told so, to refute it, and suspected if it says nothing.
+     * It is said to be dead, and heard here: it is told so, to refute it, and suspected if it says
+     * nothing.
      */
     private void challenge(Member member, Claim said) {
         if (member.challenged(now, TELL_AGAIN)) {
@@ -630,13 +718,17 @@
 
     /** Old dead first leave the comparisons, then the table. */
     private void forget() {
-        timers.at(now + Math.min(settings.rememberDead(), settings.rememberLeft()) / 4 + 1, this::forget);
+        timers.at(
+                now + Math.min(settings.rememberDead(), settings.rememberLeft()) / 4 + 1,
+                this::forget);
         for (Member member : List.copyOf(table.all())) {
             if (member.isLiving()) {
                 continue;
             }
-            long keep = member.claim.standing() == Standing.DEAD ? settings.rememberDead()
-                    : settings.rememberLeft();
+            long keep =
+                    member.claim.standing() == Standing.DEAD
+                            ? settings.rememberDead()
+                            : settings.rememberLeft();
             long age = now - member.changedAt;
             if (age >= keep) {
                 table.remove(member);
@@ -667,10 +759,23 @@
             suspect += member.claim.standing() == Standing.SUSPECT ? 1 : 0;
             left += member.claim.standing() == Standing.LEFT ? 1 : 0;
         }
-        return new ViewFigures(alive, suspect, table.dead().size(), left, suspicions, refutations, deaths,
+        return new ViewFigures(
+                alive,
+                suspect,
+                table.dead().size(),
+                left,
+                suspicions,
+                refutations,
+                deaths,
                 cameBack,
-                joins, leaves, challenges, syncs.count(), strayed, stoodStill, doubt.level(),
-                        rumours.waiting(),
+                joins,
+                leaves,
+                challenges,
+                syncs.count(),
+                strayed,
+                stoodStill,
+                doubt.level(),
+                rumours.waiting(),
                 now - changedAt);
     }
 
--- a/src/main/java/cairnbridge/fleet/view/Rumours.java
+++ b/src/main/java/cairnbridge/fleet/view/Rumours.java
@@ -9,13 +9,15 @@
 import java.util.Map;
 
 /**
- * What is still to be passed on: the latest word on each member, told least first, each a bounded number of
- * times. Standings go before figures. Asking for some costs as much as is handed out, however many wait.
+ * What is still to be passed on: the latest word on each member, told least first, each a bounded
+ * number of times. Standings go before figures. Asking for some costs as much as is handed out,
+ * however many wait.
  */
 final class Rumours {
     private static final class Rumour {
         final Claim claim;
         int sent;
+
         /** A later word has taken its place: told without a look-up, as thousands may wait. */
         boolean old;
 
@@ -24,7 +26,9 @@
         }
     }
 
-    /** By how often they have been sent; what has been replaced meanwhile is dropped when it is met. */
+    /**
+     * By how often they have been sent; what has been replaced meanwhile is dropped when it is met.
+     */
     private final class Lane {
         private final Map<MemberId, Rumour> latest = new HashMap<>();
         private final List<ArrayDeque<Rumour>> bySent = new ArrayList<>();
@@ -65,7 +69,8 @@
                     }
                     int size = rumour.claim.bytes();
                     if (size > left) {
-                        row.add(rumour); // A smaller one may fit; this one comes first in another datagram.
+                        row.add(rumour); // A smaller one may fit; this one comes first in another
+                        // datagram.
                         left = sent == 0 && some.isEmpty() ? left : 0;
                         break;
                     }
--- a/src/main/java/cairnbridge/fleet/view/Syncs.java
+++ b/src/main/java/cairnbridge/fleet/view/Syncs.java
@@ -13,27 +13,40 @@
 import java.util.Map;
 
 /**
- * Compares whole views: at the join, at intervals, when one comes back, and when another's digest differs for
- * long. Only the parts that differ are exchanged, both ways.
+ * Compares whole views: at the join, at intervals, when one comes back, and when another's digest
+ * differs for long. Only the parts that differ are exchanged, both ways.
  */
 final class Syncs {
-    /** The interval grows with every doubling of the fleet beyond this (as in memberlist's pushPullScale). */
+    /**
+     * The interval grows with every doubling of the fleet beyond this (as in memberlist's
+     * pushPullScale).
+     */
     private static final int FEW = 32;
-    private static final long JOIN_AGAIN = FleetSettings.SECOND, SEEDS_FIRST = FleetSettings.SECOND / 2,
+
+    private static final long JOIN_AGAIN = FleetSettings.SECOND,
+            SEEDS_FIRST = FleetSettings.SECOND / 2,
             SEEDS_AGAIN = 5 * FleetSettings.SECOND;
+
     /** Nothing new for so long, and another's view differs: gossip has not done it. */
-    private static final long STEADY = 3 * FleetSettings.SECOND, LEAST_GAP = FleetSettings.SECOND / 5;
+    private static final long STEADY = 3 * FleetSettings.SECOND,
+            LEAST_GAP = FleetSettings.SECOND / 5;
+
     private static final int SOON = 3_000;
+
     /**
-     * A newcomer compares so often, each time after twice the span: until then many may have come with it.
+     * A newcomer compares so often, each time after twice the span: until then many may have come
+     * with it.
      */
     private static final int FIRST_TIMES = 4;
+
     private static final long FIRST_AFTER = FleetSettings.SECOND;
 
     private final Membership fleet;
     private final List<Endpoint> seeds, remembered;
+
     /** Calls under way, and where to. */
     private final Map<Long, Endpoint> calls = new HashMap<>();
+
     private final Map<Endpoint, Member> whoIsAt = new HashMap<>();
     private long number = 1L << 62, startedAt, begunAt = Long.MIN_VALUE / 2, differsAt, count;
     private boolean joined, waiting;
@@ -41,7 +54,8 @@
 
     Syncs(Membership fleet, List<Endpoint> seeds, List<Endpoint> remembered) {
         this.fleet = fleet;
-        this.remembered = remembered.stream().filter(each -> !each.equals(fleet.self().at())).toList();
+        this.remembered =
+                remembered.stream().filter(each -> !each.equals(fleet.self().at())).toList();
         this.seeds = seeds.stream().filter(each -> !each.equals(fleet.self().at())).toList();
     }
 
@@ -55,16 +69,19 @@
     }
 
     /**
-     * Guards against a fleet that starts all at once, whose rumours of one another would take their turns for
-     * tens of seconds: whoever came before was not there yet when its first call was answered.
+     * Guards against a fleet that starts all at once, whose rumours of one another would take their
+     * turns for tens of seconds: whoever came before was not there yet when its first call was
+     * answered.
      */
     private void again(int time, long span) {
-        fleet.timers.at(fleet.now + span / 2 + fleet.chance.nextLong(span), () -> {
-            some(1);
-            if (time < FIRST_TIMES) {
-                again(time + 1, 2 * span);
-            }
-        });
+        fleet.timers.at(
+                fleet.now + span / 2 + fleet.chance.nextLong(span),
+                () -> {
+                    some(1);
+                    if (time < FIRST_TIMES) {
+                        again(time + 1, 2 * span);
+                    }
+                });
     }
 
     long startedAt() {
@@ -84,10 +101,12 @@
         if (joined) {
             return;
         }
-        // Each seed once, then one in two of the members remembered: guards against a fleet whose seeds are
+        // Each seed once, then one in two of the members remembered: guards against a fleet whose
+        // seeds are
         // gone.
-        boolean memory = !remembered.isEmpty()
-                && (asked >= seeds.size() && asked % 2 == 0 || seeds.isEmpty());
+        boolean memory =
+                !remembered.isEmpty()
+                        && (asked >= seeds.size() && asked % 2 == 0 || seeds.isEmpty());
         List<Endpoint> places = memory ? remembered : seeds;
         int turn = asked++ + (int) Math.floorMod(fleet.self().incarnation().life(), places.size());
         begin(places.get(Math.floorMod(memory ? turn / 2 : turn, places.size())));
@@ -96,7 +115,8 @@
 
     private long every() {
         double size = Math.max(1, (double) fleet.livingWithMe() / FEW);
-        long mean = (long) (fleet.settings.syncEvery() * (1 + Math.ceil(Math.log(size) / Math.log(2))));
+        long mean =
+                (long) (fleet.settings.syncEvery() * (1 + Math.ceil(Math.log(size) / Math.log(2))));
         return mean / 2 + fleet.chance.nextLong(mean) + 1;
     }
 
@@ -106,15 +126,17 @@
     }
 
     /**
-     * Guards against a fleet whose parts have forgotten one another, and against one that starts at once and
-     * falls into parts, as the first seed that answers knew nobody itself: seeds that nobody here knows are
-     * asked, soon at first.
+     * Guards against a fleet whose parts have forgotten one another, and against one that starts at
+     * once and falls into parts, as the first seed that answers knew nobody itself: seeds that
+     * nobody here knows are asked, soon at first.
      */
     private void seedsMissed(long span) {
-        fleet.timers.at(fleet.now + span + fleet.chance.nextLong(span), () -> {
-            askMissed();
-            seedsMissed(Math.min(2 * span, SEEDS_AGAIN));
-        });
+        fleet.timers.at(
+                fleet.now + span + fleet.chance.nextLong(span),
+                () -> {
+                    askMissed();
+                    seedsMissed(Math.min(2 * span, SEEDS_AGAIN));
+                });
     }
 
     private void askMissed() {
@@ -124,13 +146,20 @@
         }
     }
 
-    /** Looks through the whole table only where the one who was there last is not there any more. */
+    /**
+     * Looks through the whole table only where the one who was there last is not there any more.
+     */
     private boolean lives(Endpoint seed) {
         Member there = whoIsAt.get(seed);
-        if (there == null || fleet.table.get(there.id) != there || !there.isLiving()
+        if (there == null
+                || fleet.table.get(there.id) != there
+                || !there.isLiving()
                 || !there.claim.at().equals(seed)) {
-            there = fleet.table.living().stream().filter(each -> each.claim.at().equals(seed)).findFirst()
-                    .orElse(null);
+            there =
+                    fleet.table.living().stream()
+                            .filter(each -> each.claim.at().equals(seed))
+                            .findFirst()
+                            .orElse(null);
             whoIsAt.put(seed, there);
         }
         return there != null;
@@ -144,10 +173,12 @@
     void soon(Member member) {
         if (!waiting) {
             waiting = true;
-            fleet.timers.at(fleet.now + 1 + fleet.chance.nextLong(SOON), () -> {
-                waiting = false;
-                begin(member.claim.at());
-            });
+            fleet.timers.at(
+                    fleet.now + 1 + fleet.chance.nextLong(SOON),
+                    () -> {
+                        waiting = false;
+                        begin(member.claim.at());
+                    });
         }
     }
 
@@ -183,8 +214,8 @@
     }
 
     /**
-     * What is held in the parts that differ from another's; caller is null where this member has no room for
-     * it.
+     * What is held in the parts that differ from another's; caller is null where this member has no
+     * room for it.
      */
     Message compare(Message.Digest theirs, Member caller) {
         if (theirs.parts().size() != Table.PARTS) {
@@ -198,7 +229,8 @@
             }
         }
         List<Claim> claims = held(differ);
-        if (caller != null && !differ.contains(Table.part(caller.id))
+        if (caller != null
+                && !differ.contains(Table.part(caller.id))
                 && caller.claim.standing() != Standing.ALIVE) {
             claims.add(caller.claim.bare());
         }
@@ -225,7 +257,9 @@
 
     void answered(long call, Packet packet) {
         Endpoint there = calls.remove(call);
-        if (there == null || packet == null || !(packet.body() instanceof Message.Entries entries)) {
+        if (there == null
+                || packet == null
+                || !(packet.body() instanceof Message.Entries entries)) {
             return;
         }
         Map<MemberId, Claim> theirs = new HashMap<>();
--- a/src/main/java/cairnbridge/fleet/view/Table.java
+++ b/src/main/java/cairnbridge/fleet/view/Table.java
@@ -13,13 +13,15 @@
 import org.agrona.collections.Object2ObjectHashMap;
 
 /**
- * All members but oneself, with the living and the dead at hand for choosing, and the digests of all that is
- * held.
+ * All members but oneself, with the living and the dead at hand for choosing, and the digests of
+ * all that is held.
  */
 final class Table {
     static final int PARTS = 256;
+
     /** Open addressing: a third of the bytes that the JDK's map has for each row. */
     private final Map<MemberId, Member> members = new Object2ObjectHashMap<>(16, 0.65f, false);
+
     private final List<Member> living = new ArrayList<>(), dead = new ArrayList<>();
     private final long[] parts = new long[PARTS];
     private long whole;
@@ -58,11 +60,20 @@
         return member;
     }
 
-    /** Guards against a table that grows with every name that ever was: those gone longest make room. */
+    /**
+     * Guards against a table that grows with every name that ever was: those gone longest make
+     * room.
+     */
     private boolean makeRoom() {
-        Member oldest = members.values().stream().filter(each -> !each.isLiving())
-                .min(Comparator.comparing((Member each) -> each.claim.standing() != Standing.LEFT)
-                        .thenComparingLong(each -> each.changedAt)).orElse(null);
+        Member oldest =
+                members.values().stream()
+                        .filter(each -> !each.isLiving())
+                        .min(
+                                Comparator.comparing(
+                                                (Member each) ->
+                                                        each.claim.standing() != Standing.LEFT)
+                                        .thenComparingLong(each -> each.changedAt))
+                        .orElse(null);
         if (oldest == null) {
             return false;
         }
@@ -78,11 +89,13 @@
 
     /** Takes the claim's place; lists and digests follow. */
     void put(Member member, Claim claim, long now) {
-        assert claim.incarnation().compareTo(member.claim.incarnation()) >= 0 : "an incarnation goes back";
+        assert claim.incarnation().compareTo(member.claim.incarnation()) >= 0
+                : "an incarnation goes back";
         Standing before = member.claim.standing();
         uncount(member);
-        boolean moves = before.isLiving() != claim.standing().isLiving()
-                || before == Standing.DEAD != (claim.standing() == Standing.DEAD);
+        boolean moves =
+                before.isLiving() != claim.standing().isLiving()
+                        || before == Standing.DEAD != (claim.standing() == Standing.DEAD);
         if (moves) {
             delist(member);
         }
@@ -151,10 +164,15 @@
         return (int) (Mix.of(id.name().hashCode()) & PARTS - 1);
     }
 
-    /** What a claim adds to the digest of its part: suspicions come and go, and count as being alive. */
+    /**
+     * What a claim adds to the digest of its part: suspicions come and go, and count as being
+     * alive.
+     */
     static long hash(Claim claim) {
         long standing = claim.standing() == Standing.SUSPECT ? 0 : claim.standing().ordinal();
-        return Mix.of(Mix.of(Mix.of(who(claim) + claim.counter()) + claim.incarnation().turn()) + standing);
+        return Mix.of(
+                Mix.of(Mix.of(who(claim) + claim.counter()) + claim.incarnation().turn())
+                        + standing);
     }
 
     /** As above, without what changes all the time. */
--- a/src/main/java/cairnbridge/fleet/view/View.java
+++ b/src/main/java/cairnbridge/fleet/view/View.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 
 /**
- * What one member holds of all, itself included, at one moment; never changed afterwards. whole is a hash of
- * it that is the same wherever the same is held. settledFor in tenths of a millisecond.
+ * What one member holds of all, itself included, at one moment; never changed afterwards. whole is
+ * a hash of it that is the same wherever the same is held. settledFor in tenths of a millisecond.
  */
 public record View(MemberId self, List<Claim> members, long whole, ViewFigures figures) {
     public View {
--- a/src/main/java/cairnbridge/fleet/view/ViewFigures.java
+++ b/src/main/java/cairnbridge/fleet/view/ViewFigures.java
@@ -1,10 +1,24 @@
 package cairnbridge.fleet.view;
 
 /**
- * What the state machine has counted since its start; settledFor is how long nobody's standing has changed.
+ * What the state machine has counted since its start; settledFor is how long nobody's standing has
+ * changed.
  */
-public record ViewFigures(int alive, int suspect, int dead, int left, long suspicions, long refutations,
+public record ViewFigures(
+        int alive,
+        int suspect,
+        int dead,
+        int left,
+        long suspicions,
+        long refutations,
         long deaths,
-                          long cameBack, long joins, long leaves, long challenges, long syncs, long strayed,
-                          long stoodStill, int doubt, int rumours, long settledFor) {
-}
+        long cameBack,
+        long joins,
+        long leaves,
+        long challenges,
+        long syncs,
+        long strayed,
+        long stoodStill,
+        int doubt,
+        int rumours,
+        long settledFor) {}
--- a/src/main/java/cairnbridge/lab/experiment/Experiment.java
+++ b/src/main/java/cairnbridge/lab/experiment/Experiment.java
@@ -17,11 +17,16 @@
  * @param sizes by how many times proxies, caches and load are multiplied
  * @param seeds of each combination, at least two
  */
-public record Experiment(String title, Map<String, Scenario> scenarios, List<Integer> sizes,
-                         List<Policy.Kind> policies, List<Long> seeds) {
+public record Experiment(
+        String title,
+        Map<String, Scenario> scenarios,
+        List<Integer> sizes,
+        List<Policy.Kind> policies,
+        List<Long> seeds) {
     /** One run of many; its key names it in results. */
     public record Trial(String scenario, int size, Policy.Kind policy, long seed) {
-        private static final Pattern KEY = Pattern.compile("(.+) x([0-9]{1,6}) ([a-z]+) (-?[0-9]{1,18})");
+        private static final Pattern KEY =
+                Pattern.compile("(.+) x([0-9]{1,6}) ([a-z]+) (-?[0-9]{1,18})");
 
         public String key() {
             return scenario + " x" + size + " " + policy.word() + " " + seed;
@@ -30,10 +35,18 @@
         /** The run that a key names; empty where it is no key of any. */
         public static Optional<Trial> of(String key) {
             Matcher parts = KEY.matcher(key);
-            return parts.matches() ? Arrays.stream(Policy.Kind.values())
-                    .filter(kind -> kind.word().equals(parts.group(3))).findFirst()
-                    .map(kind -> new Trial(parts.group(1), Integer.parseInt(parts.group(2)), kind,
-                            Long.parseLong(parts.group(4)))) : Optional.empty();
+            return parts.matches()
+                    ? Arrays.stream(Policy.Kind.values())
+                            .filter(kind -> kind.word().equals(parts.group(3)))
+                            .findFirst()
+                            .map(
+                                    kind ->
+                                            new Trial(
+                                                    parts.group(1),
+                                                    Integer.parseInt(parts.group(2)),
+                                                    kind,
+                                                    Long.parseLong(parts.group(4))))
+                    : Optional.empty();
         }
     }
 
--- a/src/main/java/cairnbridge/lab/experiment/ExperimentFile.java
+++ b/src/main/java/cairnbridge/lab/experiment/ExperimentFile.java
@@ -20,11 +20,11 @@
 
 /** Reads an experiment, TOML; every fault is a ConfigFault that begins with its key. */
 public final class ExperimentFile {
-    private static final Set<String> KEYS = Set.of("title", "scenarios", "sizes", "policies", "seeds");
+    private static final Set<String> KEYS =
+            Set.of("title", "scenarios", "sizes", "policies", "seeds");
     private static final int MOST_SEEDS = 1_000, LARGEST = 1_000, SEEDS = 5;
 
-    private ExperimentFile() {
-    }
+    private ExperimentFile() {}
 
     /** Scenarios are looked for beside the file. */
     public static Experiment read(Path file) {
@@ -37,18 +37,25 @@
 
     static Experiment of(String text, Path folder) {
         JsonNode root = Toml.read(text, "experiment");
-        root.fieldNames().forEachRemaining(key -> {
-            if (!KEYS.contains(key)) {
-                throw new ConfigFault("experiment." + key, "is no key of an experiment");
-            }
-        });
+        root.fieldNames()
+                .forEachRemaining(
+                        key -> {
+                            if (!KEYS.contains(key)) {
+                                throw new ConfigFault(
+                                        "experiment." + key, "is no key of an experiment");
+                            }
+                        });
         List<Long> seeds = new ArrayList<>();
         int many = number(root, "seeds", SEEDS, 2, MOST_SEEDS);
         for (long seed = 1; seed <= many; seed++) {
             seeds.add(seed);
         }
-        return new Experiment(root.path("title").asText(""), scenarios(root, folder), sizes(root),
-                policies(root), seeds);
+        return new Experiment(
+                root.path("title").asText(""),
+                scenarios(root, folder),
+                sizes(root),
+                policies(root),
+                seeds);
     }
 
     private static int number(JsonNode root, String key, int absent, int least, int most) {
@@ -61,7 +68,8 @@
 
     private static int within(String key, JsonNode value, int least, int most) {
         if (!value.isInt() || value.asInt() < least || value.asInt() > most) {
-            throw new ConfigFault("experiment." + key, "is not a whole number from " + least + " to " + most);
+            throw new ConfigFault(
+                    "experiment." + key, "is not a whole number from " + least + " to " + most);
         }
         return value.asInt();
     }
@@ -79,7 +87,8 @@
         for (JsonNode each : list(root, "scenarios")) {
             try {
                 Path file = folder.resolve(each.asText());
-                scenarios.put(file.getFileName().toString().replace(".drill", ""),
+                scenarios.put(
+                        file.getFileName().toString().replace(".drill", ""),
                         ScenarioFile.read(Files.readString(file)));
             } catch (IOException | InvalidPathException e) {
                 throw new ConfigFault("experiment.scenarios", "cannot be read: " + each.asText());
@@ -105,10 +114,15 @@
         }
         List<Policy.Kind> policies = new ArrayList<>();
         for (JsonNode each : list(root, "policies")) {
-            policies.add(Arrays.stream(Policy.Kind.values()).filter(kind -> kind.word().equals(each.asText()))
-                    .findFirst().orElseThrow(() ->
-                            new ConfigFault("experiment.policies", "there is no policy "
-                            + each.asText())));
+            policies.add(
+                    Arrays.stream(Policy.Kind.values())
+                            .filter(kind -> kind.word().equals(each.asText()))
+                            .findFirst()
+                            .orElseThrow(
+                                    () ->
+                                            new ConfigFault(
+                                                    "experiment.policies",
+                                                    "there is no policy " + each.asText())));
         }
         return policies;
     }
--- a/src/main/java/cairnbridge/lab/hunt/BadDay.java
+++ b/src/main/java/cairnbridge/lab/hunt/BadDay.java
@@ -6,21 +6,22 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.TreeMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
- * A day on which things go wrong: how large the fleet is, and what is done to it when. Never changed; another
- * is made of it.
+ * A day on which things go wrong: how large the fleet is, and what is done to it when. Never
+ * changed; another is made of it.
  *
  * @param load ops a second
  */
 record BadDay(int members, int caches, int load, List<Fault> faults) {
     private static final long WARM_MILLIS = 10_000, AFTER_MILLIS = 5_000;
 
-    /** What is done at a time and undone after a span, in milliseconds from when the fleet is warm. */
-    record Fault(long at, long span, String begin, String end) {
-    }
+    /**
+     * What is done at a time and undone after a span, in milliseconds from when the fleet is warm.
+     */
+    record Fault(long at, long span, String begin, String end) {}
 
     BadDay {
         faults = faults.stream().sorted(Comparator.comparingLong(Fault::at)).toList();
@@ -34,9 +35,14 @@
     String text(String title) {
         StringBuilder text = new StringBuilder();
         text.append("# ").append(title).append('\n');
-        text.append(String.format(Locale.ROOT,
-                "fleet %d%nalone%ncaches %d%nclients %d%nstart all%nwait %dms%ncount%n",
-                members, caches, load, WARM_MILLIS));
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        "fleet %d%nalone%ncaches %d%nclients %d%nstart all%nwait %dms%ncount%n",
+                        members,
+                        caches,
+                        load,
+                        WARM_MILLIS));
         Map<Long, List<String>> steps = new TreeMap<>();
         for (Fault each : faults) {
             steps.computeIfAbsent(each.at(), at -> new ArrayList<>()).add(each.begin());
@@ -50,7 +56,10 @@
             }
             for (String step : each.getValue()) {
                 text.append(step).append('\n');
-                now += step.startsWith("start ") ? 1_000 : 0; // Who is started takes clients a second later.
+                now +=
+                        step.startsWith("start ")
+                                ? 1_000
+                                : 0; // Who is started takes clients a second later.
             }
         }
         return text.append("wait ").append(AFTER_MILLIS).append("ms\nno-effect-twice\n").toString();
--- a/src/main/java/cairnbridge/lab/hunt/Faults.java
+++ b/src/main/java/cairnbridge/lab/hunt/Faults.java
@@ -40,20 +40,39 @@
         String cache = some("c", day.caches());
         String proxy = some("p", day.members());
         String one = "c" + (1 + chance.nextInt(day.caches()));
-        String[] what = switch (chance.nextInt(KINDS)) {
-            case 0 -> new String[] {"cache-kill " + cache, "cache-start " + cache};
-            case 1 -> new String[] {"cache-slow " + one + " " + span(800) + "ms", "cache-slow " + one
-                    + " 2ms"};
-            case 2 -> new String[] {"cache-grey " + cache + " yes", "cache-grey " + cache + " no"};
-            case 3 -> new String[] {"cache-fails " + cache + " yes", "cache-fails " + cache + " no"};
-            case 4 -> new String[] {"origin-slow " + span(400) + "ms", "origin-slow 15ms"};
-            case 5 -> new String[] {"origin-places " + (1 + chance.nextInt(6)), "origin-places 24"};
-            case 6 -> new String[] {"freeze " + proxy, "thaw " + proxy};
-            case 7 -> new String[] {"load " + day.load() * (2 + chance.nextInt(4)), "load " + day.load()};
-            case 8 -> new String[] {"discovery down " + proxy, "discovery up " + proxy};
-            default -> new String[] {"cache-listed " + cache + " Terminating", "cache-listed " + cache
-                    + " Ready"};
-        };
+        String[] what =
+                switch (chance.nextInt(KINDS)) {
+                    case 0 -> new String[] {"cache-kill " + cache, "cache-start " + cache};
+                    case 1 ->
+                            new String[] {
+                                "cache-slow " + one + " " + span(800) + "ms",
+                                "cache-slow " + one + " 2ms"
+                            };
+                    case 2 ->
+                            new String[] {
+                                "cache-grey " + cache + " yes", "cache-grey " + cache + " no"
+                            };
+                    case 3 ->
+                            new String[] {
+                                "cache-fails " + cache + " yes", "cache-fails " + cache + " no"
+                            };
+                    case 4 -> new String[] {"origin-slow " + span(400) + "ms", "origin-slow 15ms"};
+                    case 5 ->
+                            new String[] {
+                                "origin-places " + (1 + chance.nextInt(6)), "origin-places 24"
+                            };
+                    case 6 -> new String[] {"freeze " + proxy, "thaw " + proxy};
+                    case 7 ->
+                            new String[] {
+                                "load " + day.load() * (2 + chance.nextInt(4)), "load " + day.load()
+                            };
+                    case 8 -> new String[] {"discovery down " + proxy, "discovery up " + proxy};
+                    default ->
+                            new String[] {
+                                "cache-listed " + cache + " Terminating",
+                                "cache-listed " + cache + " Ready"
+                            };
+                };
         return new Fault(span(LATEST), span(LONGEST), what[0], what[1]);
     }
 
@@ -84,9 +103,11 @@
                 }
             }
             default -> {
-                return new BadDay(day.members(), day.caches(),
-                        Math.max(20, day.load() * (70 + chance.nextInt(70))
-                        / 100), faults);
+                return new BadDay(
+                        day.members(),
+                        day.caches(),
+                        Math.max(20, day.load() * (70 + chance.nextInt(70)) / 100),
+                        faults);
             }
         }
         return day.with(faults);
--- a/src/main/java/cairnbridge/lab/hunt/Hunt.java
+++ b/src/main/java/cairnbridge/lab/hunt/Hunt.java
@@ -14,25 +14,23 @@
 import java.util.stream.IntStream;
 
 /**
- * Looks for days on which the program's policy serves less than a simple one would, or breaks what must hold,
- * and shrinks the worst to the smallest that still shows it. The same seed finds the same. A day's figure is
- * the median over seeds, so that none is kept for one run's chance.
+ * Looks for days on which the program's policy serves less than a simple one would, or breaks what
+ * must hold, and shrinks the worst to the smallest that still shows it. The same seed finds the
+ * same. A day's figure is the median over seeds, so that none is kept for one run's chance.
  */
 public final class Hunt {
     private static final int KEPT = 8, SEEDS = 3;
     private static final double BROKEN = 10, STILL = 0.8;
-    private static final List<Policy.Kind> OTHERS = List.of(Policy.Kind.TWO, Policy.Kind.RING,
-            Policy.Kind.BOUNDED);
+    private static final List<Policy.Kind> OTHERS =
+            List.of(Policy.Kind.TWO, Policy.Kind.RING, Policy.Kind.BOUNDED);
 
     /**
-     * A day as a scenario's text, and how bad it is: service lost to the best other policy, over 10 if
-     * broken.
+     * A day as a scenario's text, and how bad it is: service lost to the best other policy, over 10
+     * if broken.
      */
-    public record Found(double badness, String text) {
-    }
+    public record Found(double badness, String text) {}
 
-    private record Scored(BadDay day, double badness, String why) {
-    }
+    private record Scored(BadDay day, double badness, String why) {}
 
     private final RandomGenerator chance;
     private final Faults faults;
@@ -51,14 +49,21 @@
             List<BadDay> next = new ArrayList<>();
             for (int i = 0; i < days; i++) {
                 boolean fresh = kept.isEmpty() || chance.nextInt(4) == 0;
-                next.add(fresh ? faults.day() : faults.changed(kept.get(chance.nextInt(kept.size())).day()));
+                next.add(
+                        fresh
+                                ? faults.day()
+                                : faults.changed(kept.get(chance.nextInt(kept.size())).day()));
             }
             kept.addAll(all(next));
             kept.sort(Comparator.comparingDouble(Scored::badness).reversed());
             kept = new ArrayList<>(kept.subList(0, Math.min(KEPT, kept.size())));
-            log.accept(String.format(Locale.ROOT, "round %d: worst %.4f, %s", round + 1,
-                    kept.get(0).badness(),
-                    kept.get(0).why()));
+            log.accept(
+                    String.format(
+                            Locale.ROOT,
+                            "round %d: worst %.4f, %s",
+                            round + 1,
+                            kept.get(0).badness(),
+                            kept.get(0).why()));
         }
         Scored worst = shrunk(kept.get(0));
         return new Found(worst.badness(), worst.day().text(worst.why()));
@@ -66,7 +71,10 @@
 
     /** Side by side, in order: what is drawn by chance was drawn before. */
     private List<Scored> all(List<BadDay> days) {
-        return IntStream.range(0, days.size()).parallel().mapToObj(i -> scored(days.get(i))).toList();
+        return IntStream.range(0, days.size())
+                .parallel()
+                .mapToObj(i -> scored(days.get(i)))
+                .toList();
     }
 
     private static Scored scored(BadDay day) {
@@ -75,8 +83,10 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             Outcome mine = new Emulation(day.scenario(), Policy.Kind.ROUTER, seed).run();
             if (!mine.crashes().isEmpty() || mine.twice() > 0) {
-                return new Scored(day, BROKEN, mine.twice() > 0 ? "an effect twice" : "a crash: "
-                        + mine.crashes());
+                return new Scored(
+                        day,
+                        BROKEN,
+                        mine.twice() > 0 ? "an effect twice" : "a crash: " + mine.crashes());
             }
             double most = 0;
             for (Policy.Kind other : OTHERS) {
@@ -90,7 +100,9 @@
         }
         lost.sort(Comparator.naturalOrder());
         double median = lost.get(SEEDS / 2);
-        return new Scored(day, median,
+        return new Scored(
+                day,
+                median,
                 String.format(Locale.ROOT, "%.4f less served than by %s", median, best));
     }
 
@@ -108,8 +120,9 @@
                 tries.add(best.day().with(fewer));
                 if (each.span() > 1_000) {
                     List<Fault> shorter = new ArrayList<>(best.day().faults());
-                    shorter.set(shorter.indexOf(each), new Fault(each.at(), each.span() / 2, each.begin(),
-                            each.end()));
+                    shorter.set(
+                            shorter.indexOf(each),
+                            new Fault(each.at(), each.span() / 2, each.begin(), each.end()));
                     tries.add(best.day().with(shorter));
                 }
             }
--- a/src/main/java/cairnbridge/lab/model/CacheModel.java
+++ b/src/main/java/cairnbridge/lab/model/CacheModel.java
@@ -1,22 +1,25 @@
 package cairnbridge.lab.model;
 
+import cairnbridge.decision.Event.Ending;
 import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.drill.standin.CacheNode;
-import cairnbridge.decision.Event.Ending;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
- * A cache: so many requests at a time, a span for each, twice that while it is cold, a bounded store of which
- * the least lately used is forgotten. One that is cold and has too many at a time refuses for a second. The
- * drill's own stand-in, as a model; what it can be made to do is the same.
+ * A cache: so many requests at a time, a span for each, twice that while it is cold, a bounded
+ * store of which the least lately used is forgotten. One that is cold and has too many at a time
+ * refuses for a second. The drill's own stand-in, as a model; what it can be made to do is the
+ * same.
  */
 public final class CacheModel {
     private static final int LARGEST = 100_000;
-    private static final long COLD = CacheNode.COLD_MILLIS * Agenda.MILLI, DOWN = CacheNode.DOWN_MILLIS
-            * Agenda.MILLI, LATE = CacheNode.LATE_MILLIS * Agenda.MILLI, USUAL = CacheNode.SPAN_MILLIS
-            * Agenda.MILLI, PATIENCE = CacheNode.PATIENCE_MILLIS * Agenda.MILLI;
+    private static final long COLD = CacheNode.COLD_MILLIS * Agenda.MILLI,
+            DOWN = CacheNode.DOWN_MILLIS * Agenda.MILLI,
+            LATE = CacheNode.LATE_MILLIS * Agenda.MILLI,
+            USUAL = CacheNode.SPAN_MILLIS * Agenda.MILLI,
+            PATIENCE = CacheNode.PATIENCE_MILLIS * Agenda.MILLI;
 
     private final Agenda agenda;
     private final String zone;
@@ -65,7 +68,9 @@
         }
     }
 
-    /** A request has come; then is told how it ends, when it does, unless the cache dies meanwhile. */
+    /**
+     * A request has come; then is told how it ends, when it does, unless the cache dies meanwhile.
+     */
     public void take(Request request, Consumer<Reply> then) {
         asked++;
         long now = agenda.now();
@@ -83,18 +88,20 @@
 
     private void begin(Request request, boolean cold, Consumer<Reply> then) {
         boolean late = grey && turn++ % 3 == 0;
-        agenda.in(late ? LATE : cold ? 2 * span : span, () -> {
-            places.give();
-            if (!alive) {
-                return;
-            }
-            if (failing) {
-                then.accept(new Reply(Ending.ERROR, 0));
-                return;
-            }
-            boolean hit = values.get(request.key()) != null;
-            then.accept(hit ? new Reply(Ending.ACKED, 1) : new Reply(Ending.MISS, 2));
-        });
+        agenda.in(
+                late ? LATE : cold ? 2 * span : span,
+                () -> {
+                    places.give();
+                    if (!alive) {
+                        return;
+                    }
+                    if (failing) {
+                        then.accept(new Reply(Ending.ERROR, 0));
+                        return;
+                    }
+                    boolean hit = values.get(request.key()) != null;
+                    then.accept(hit ? new Reply(Ending.ACKED, 1) : new Reply(Ending.MISS, 2));
+                });
     }
 
     public boolean answersProbes() {
--- a/src/main/java/cairnbridge/lab/model/ClientsModel.java
+++ b/src/main/java/cairnbridge/lab/model/ClientsModel.java
@@ -1,8 +1,8 @@
 package cairnbridge.lab.model;
 
+import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.drill.standin.Clients;
-import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.lab.model.ProxyModel.Answer;
 import java.util.List;
 import java.util.Map;
@@ -12,8 +12,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Clients that ask at an even rate whatever comes back, come again when they are refused, as advised, and
- * give up at their TTL; as the drill's. Keys are chosen by a seed, some far more often than others.
+ * Clients that ask at an even rate whatever comes back, come again when they are refused, as
+ * advised, and give up at their TTL; as the drill's. Keys are chosen by a seed, some far more often
+ * than others.
  */
 public final class ClientsModel {
     private static final long TTL = Clients.TTL_MILLIS * Agenda.MILLI,
@@ -25,8 +26,10 @@
     public static final class Counts {
         private static final long LONGEST = 100 * Agenda.SECOND;
         public long asked, served, refused, failed, lost, repeats;
+
         /** Of ops that were served, from the first try on, in tenths of a millisecond. */
         public final Histogram spans = new Histogram(LONGEST, 3);
+
         /** By the zone of the proxy: ops asked, and served. */
         public final Map<String, long[]> zones = new TreeMap<>();
 
@@ -58,21 +61,32 @@
             }
             tries++;
             boolean[] over = {false};
-            agenda.in(left + SPARE, () -> {
-                if (!over[0]) {
-                    over[0] = true;
-                    counts.lost++;
-                }
-            });
-            Request request = new Request(++traces[0], key, write);
-            agenda.in(net.span(zone, proxy.zone()), () -> proxy.arrives(request,
-                    new CategoryId(write ? WRITE : READ), left, tries > 1, answer ->
-                    agenda.in(net.span(proxy.zone(), zone), () -> {
+            agenda.in(
+                    left + SPARE,
+                    () -> {
                         if (!over[0]) {
                             over[0] = true;
-                            answered(proxy, answer);
+                            counts.lost++;
                         }
-                    })));
+                    });
+            Request request = new Request(++traces[0], key, write);
+            agenda.in(
+                    net.span(zone, proxy.zone()),
+                    () ->
+                            proxy.arrives(
+                                    request,
+                                    new CategoryId(write ? WRITE : READ),
+                                    left,
+                                    tries > 1,
+                                    answer ->
+                                            agenda.in(
+                                                    net.span(proxy.zone(), zone),
+                                                    () -> {
+                                                        if (!over[0]) {
+                                                            over[0] = true;
+                                                            answered(proxy, answer);
+                                                        }
+                                                    })));
         }
 
         private void answered(ProxyModel proxy, Answer answer) {
@@ -111,8 +125,16 @@
     private boolean ended;
 
     /** traces: the last id given to a try, in one place; proxies: those that take clients now. */
-    public ClientsModel(Agenda agenda, Net net, RandomGenerator chance, Supplier<List<ProxyModel>> proxies,
-            Keys keys, String zone, double perSecond, Counts counts, long[] traces) {
+    public ClientsModel(
+            Agenda agenda,
+            Net net,
+            RandomGenerator chance,
+            Supplier<List<ProxyModel>> proxies,
+            Keys keys,
+            String zone,
+            double perSecond,
+            Counts counts,
+            long[] traces) {
         this.agenda = agenda;
         this.net = net;
         this.chance = chance;
--- a/src/main/java/cairnbridge/lab/model/Net.java
+++ b/src/main/java/cairnbridge/lab/model/Net.java
@@ -4,8 +4,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * How long a message takes: a least span by how far apart two places are, and on top an exponential tail, as
- * delays in data centres have (Dean and Barroso, The Tail at Scale, 2013). Times in tenths of a millisecond.
+ * How long a message takes: a least span by how far apart two places are, and on top an exponential
+ * tail, as delays in data centres have (Dean and Barroso, The Tail at Scale, 2013). Times in tenths
+ * of a millisecond.
  */
 public final class Net {
     private final RandomGenerator chance;
@@ -22,6 +23,7 @@
     /** One way. */
     public long span(String from, String to) {
         double least = from.equals(to) ? same : other;
-        return Math.max(1, Math.round(Agenda.MILLI * (least - tail * Math.log(1 - chance.nextDouble()))));
+        return Math.max(
+                1, Math.round(Agenda.MILLI * (least - tail * Math.log(1 - chance.nextDouble()))));
     }
 }
--- a/src/main/java/cairnbridge/lab/model/OriginModel.java
+++ b/src/main/java/cairnbridge/lab/model/OriginModel.java
@@ -1,8 +1,8 @@
 package cairnbridge.lab.model;
 
+import cairnbridge.decision.Event.Ending;
 import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.drill.standin.Origin;
-import cairnbridge.decision.Event.Ending;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 
 /**
- * The store behind the caches: so many requests at a time, a span for each, and who would wait too long is
- * turned away. It stores what it gives at the caches that missed it for the same op.
+ * The store behind the caches: so many requests at a time, a span for each, and who would wait too
+ * long is turned away. It stores what it gives at the caches that missed it for the same op.
  */
 public final class OriginModel {
-    private static final long PATIENCE = Origin.PATIENCE_MILLIS * Agenda.MILLI, USUAL = Origin.SPAN_MILLIS
-            * Agenda.MILLI;
+    private static final long PATIENCE = Origin.PATIENCE_MILLIS * Agenda.MILLI,
+            USUAL = Origin.SPAN_MILLIS * Agenda.MILLI;
 
     private final Agenda agenda;
     private final Places places;
@@ -44,24 +44,29 @@
 
     /** A request has come; then is told how it ends. */
     public void take(Request request, Consumer<Reply> then) {
-        places.take(() -> agenda.in(span, () -> {
-            places.give();
-            if (request.write()) {
-                writes++;
-                int count = effects.merge(request.trace(), 1, Integer::sum);
-                twice += count == 2 ? 1 : 0;
-            } else {
-                fetches++;
-                Set<CacheModel> caches = missed.remove(request.trace());
-                if (caches != null) {
-                    caches.forEach(cache -> cache.store(request.key()));
-                }
-            }
-            then.accept(new Reply(Ending.ACKED, 0));
-        }), () -> {
-            turnedAway++;
-            then.accept(new Reply(Ending.FULL, 0));
-        });
+        places.take(
+                () ->
+                        agenda.in(
+                                span,
+                                () -> {
+                                    places.give();
+                                    if (request.write()) {
+                                        writes++;
+                                        int count = effects.merge(request.trace(), 1, Integer::sum);
+                                        twice += count == 2 ? 1 : 0;
+                                    } else {
+                                        fetches++;
+                                        Set<CacheModel> caches = missed.remove(request.trace());
+                                        if (caches != null) {
+                                            caches.forEach(cache -> cache.store(request.key()));
+                                        }
+                                    }
+                                    then.accept(new Reply(Ending.ACKED, 0));
+                                }),
+                () -> {
+                    turnedAway++;
+                    then.accept(new Reply(Ending.FULL, 0));
+                });
     }
 
     public long fetches() {
--- a/src/main/java/cairnbridge/lab/model/Places.java
+++ b/src/main/java/cairnbridge/lab/model/Places.java
@@ -4,12 +4,11 @@
 import java.util.ArrayDeque;
 
 /**
- * So many requests at a time; those that come beyond wait in order, and leave unserved after a span. Times in
- * tenths of a millisecond.
+ * So many requests at a time; those that come beyond wait in order, and leave unserved after a
+ * span. Times in tenths of a millisecond.
  */
 final class Places {
-    private record Waiting(Runnable begin, Runnable leave, long until) {
-    }
+    private record Waiting(Runnable begin, Runnable leave, long until) {}
 
     private final Agenda agenda;
     private final long patience;
@@ -41,11 +40,13 @@
         }
         Waiting mine = new Waiting(begin, leave, agenda.now() + patience);
         waiting.add(mine);
-        agenda.in(patience, () -> {
-            if (waiting.remove(mine)) {
-                leave.run();
-            }
-        });
+        agenda.in(
+                patience,
+                () -> {
+                    if (waiting.remove(mine)) {
+                        leave.run();
+                    }
+                });
     }
 
     void give() {
--- a/src/main/java/cairnbridge/lab/model/ProxyModel.java
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -1,6 +1,5 @@
 package cairnbridge.lab.model;
 
-import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.decision.Host;
@@ -11,6 +10,7 @@
 import cairnbridge.decision.Ids.PeerId;
 import cairnbridge.decision.Ids.TenantId;
 import cairnbridge.decision.Ids.TimerId;
+import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.lab.policy.Policy;
 import cairnbridge.recovery.Arrival;
 import cairnbridge.recovery.Verdict;
@@ -21,11 +21,14 @@
 import java.util.function.Consumer;
 
 /**
- * A proxy: the policy that decides, and in place of sockets the net and the nodes. What a push does and how
- * it ends is as in the program; a policy that throws has crashed, and its proxy with it.
+ * A proxy: the policy that decides, and in place of sockets the net and the nodes. What a push does
+ * and how it ends is as in the program; a policy that throws has crashed, and its proxy with it.
  */
 public final class ProxyModel implements Host {
-    /** What a client is told at last: an HTTP status, and when to come back, in tenths of a millisecond. */
+    /**
+     * What a client is told at last: an HTTP status, and when to come back, in tenths of a
+     * millisecond.
+     */
     public record Answer(int status, long retryAfter) {
         public static final int OK = 200, NACKED = 503, DEAD = 504, BROKEN = 0;
     }
@@ -77,10 +80,13 @@
     private final Map<OpId, Live> ops = new HashMap<>();
     private final List<Runnable> backlog = new ArrayList<>();
     private Policy policy;
+
     /** Null where nothing is kept over a loss of power. */
     private ReturnModel back;
+
     /** Null where its fleet is told of no ops. */
     private ZonesModel zones;
+
     private long longestRetry = Long.MAX_VALUE;
     private boolean running = true, frozen;
     private long lastOp, pushes;
@@ -153,12 +159,14 @@
     /** All that it holds is gone; its clients' connections break. */
     public void kill() {
         running = false;
-        ops.values().forEach(op -> {
-            if (!op.answered) {
-                op.answered = true;
-                op.client.accept(new Answer(Answer.BROKEN, 0));
-            }
-        });
+        ops.values()
+                .forEach(
+                        op -> {
+                            if (!op.answered) {
+                                op.answered = true;
+                                op.client.accept(new Answer(Answer.BROKEN, 0));
+                            }
+                        });
         ops.clear();
     }
 
@@ -182,51 +190,78 @@
     }
 
     public void tell(Event event) {
-        when(() -> {
-            if (zones != null && event instanceof Event.Roster roster) {
-                zones.listed(roster);
-            }
-            try {
-                policy.handle(agenda.now(), event);
-            } catch (RuntimeException | AssertionError e) {
-                crash = e.toString();
-                kill();
-            }
-        });
+        when(
+                () -> {
+                    if (zones != null && event instanceof Event.Roster roster) {
+                        zones.listed(roster);
+                    }
+                    try {
+                        policy.handle(agenda.now(), event);
+                    } catch (RuntimeException | AssertionError e) {
+                        crash = e.toString();
+                        kill();
+                    }
+                });
     }
 
     /** An op has come; ttl in tenths of a millisecond from now. */
-    public void arrives(Request request, CategoryId category, long ttl, boolean repeat,
+    public void arrives(
+            Request request,
+            CategoryId category,
+            long ttl,
+            boolean repeat,
             Consumer<Answer> client) {
         if (!running) {
             client.accept(new Answer(Answer.BROKEN, 0));
             return;
         }
-        when(() -> {
-            OpId id = new OpId(++lastOp);
-            Live op = new Live(request, category, agenda.now() + ttl, client);
-            ops.put(id, op);
-            agenda.in(ttl, () -> when(() -> expired(id, op)));
-            if (zones != null) {
-                zones.tally().taken(category.value());
-            }
-            if (back != null && !taken(id, op, new Arrival(id, category, new KeyId(request.key()),
-                    request.write(), repeat, op.expires))) {
-                return;
-            }
-            tell(new Event.OpArrived(id, category, new TenantId(0), new KeyId(request.key()), op.expires, 0,
-                    -1,
-                    repeat, request.write()));
-        });
+        when(
+                () -> {
+                    OpId id = new OpId(++lastOp);
+                    Live op = new Live(request, category, agenda.now() + ttl, client);
+                    ops.put(id, op);
+                    agenda.in(ttl, () -> when(() -> expired(id, op)));
+                    if (zones != null) {
+                        zones.tally().taken(category.value());
+                    }
+                    if (back != null
+                            && !taken(
+                                    id,
+                                    op,
+                                    new Arrival(
+                                            id,
+                                            category,
+                                            new KeyId(request.key()),
+                                            request.write(),
+                                            repeat,
+                                            op.expires))) {
+                        return;
+                    }
+                    tell(
+                            new Event.OpArrived(
+                                    id,
+                                    category,
+                                    new TenantId(0),
+                                    new KeyId(request.key()),
+                                    op.expires,
+                                    0,
+                                    -1,
+                                    repeat,
+                                    request.write()));
+                });
     }
 
     private boolean taken(OpId id, Live op, Arrival arrival) {
         Verdict verdict = back.arrives(arrival);
         switch (verdict.kind()) {
-            case NACKED -> answer(id, op, new Answer(Answer.NACKED, Math.min(longestRetry,
-                    verdict.retryAfter())));
+            case NACKED ->
+                    answer(
+                            id,
+                            op,
+                            new Answer(
+                                    Answer.NACKED, Math.min(longestRetry, verdict.retryAfter())));
             case DEAD_LETTERED -> answer(id, op, new Answer(Answer.DEAD, 0));
-            default -> { }
+            default -> {}
         }
         return verdict.kind() == Verdict.Kind.TAKEN;
     }
@@ -259,9 +294,25 @@
 
     /** Connections to a node break; those who wait for it hear of that a span later. */
     public void broken(NodeId node) {
-        ops.forEach((id, op) -> op.calls.stream().filter(call -> !call.over && call.node.equals(node))
-                .forEach(call -> agenda.in(net.span(zone, zone), () -> when(() -> ended(id, op, call,
-                        new Reply(Ending.BROKEN, 0))))));
+        ops.forEach(
+                (id, op) ->
+                        op.calls.stream()
+                                .filter(call -> !call.over && call.node.equals(node))
+                                .forEach(
+                                        call ->
+                                                agenda.in(
+                                                        net.span(zone, zone),
+                                                        () ->
+                                                                when(
+                                                                        () ->
+                                                                                ended(
+                                                                                        id,
+                                                                                        op,
+                                                                                        call,
+                                                                                        new Reply(
+                                                                                                Ending
+                                                                                                        .BROKEN,
+                                                                                                0))))));
     }
 
     @Override
@@ -278,27 +329,31 @@
         CacheModel cache = nodes.cache(node);
         OriginModel origin = nodes.origin(node);
         if (there == null || cache == null && origin == null) {
-            agenda.in(2 * net.span(zone, zone), () -> when(() -> ended(id, op, call,
-                    new Reply(Ending.NO_CONNECTION, 0))));
+            agenda.in(
+                    2 * net.span(zone, zone),
+                    () -> when(() -> ended(id, op, call, new Reply(Ending.NO_CONNECTION, 0))));
             return;
         }
         long due = Math.min(op.expires - agenda.now(), timeOut > 0 ? timeOut : Long.MAX_VALUE);
         agenda.in(due, () -> when(() -> ended(id, op, call, new Reply(Ending.TIMED_OUT, 0))));
-        Consumer<Reply> back = reply -> {
-            if (reply.ending() == Ending.MISS && origin == null && cache != null) {
-                nodes.origin(null).missed(op.request, cache);
-            }
-            agenda.in(net.span(there, zone), () -> when(() -> ended(id, op, call, reply)));
-        };
-        agenda.in(net.span(zone, there), () -> {
-            if (origin != null) {
-                origin.take(op.request, back);
-            } else if (cache.isAlive()) {
-                cache.take(op.request, back);
-            } else {
-                back.accept(new Reply(Ending.NO_CONNECTION, 0));
-            }
-        });
+        Consumer<Reply> back =
+                reply -> {
+                    if (reply.ending() == Ending.MISS && origin == null && cache != null) {
+                        nodes.origin(null).missed(op.request, cache);
+                    }
+                    agenda.in(net.span(there, zone), () -> when(() -> ended(id, op, call, reply)));
+                };
+        agenda.in(
+                net.span(zone, there),
+                () -> {
+                    if (origin != null) {
+                        origin.take(op.request, back);
+                    } else if (cache.isAlive()) {
+                        cache.take(op.request, back);
+                    } else {
+                        back.accept(new Reply(Ending.NO_CONNECTION, 0));
+                    }
+                });
     }
 
     private void ended(OpId id, Live op, Call call, Reply reply) {
@@ -311,15 +366,29 @@
             back.ended(id, call.node, reply.ending(), agenda.now() - call.sent);
         }
         if (zones != null) {
-            zones.tally().ended(call.node, op.category.value(), reply.ending(), agenda.now() - call.sent,
-                    op.expires - agenda.now(), agenda.now());
+            zones.tally()
+                    .ended(
+                            call.node,
+                            op.category.value(),
+                            reply.ending(),
+                            agenda.now() - call.sent,
+                            op.expires - agenda.now(),
+                            agenda.now());
         }
         if (reply.ending() == Ending.ACKED && !op.answered) {
             over(id, op);
             op.client.accept(new Answer(Answer.OK, 0));
         }
-        tell(new Event.PushEnded(id, call.number, call.node, reply.ending(), reply.note(),
-                agenda.now() - call.sent, op.answered, null));
+        tell(
+                new Event.PushEnded(
+                        id,
+                        call.number,
+                        call.node,
+                        reply.ending(),
+                        reply.note(),
+                        agenda.now() - call.sent,
+                        op.answered,
+                        null));
         forget(id, op);
     }
 
@@ -327,8 +396,16 @@
     public void cancel(OpId id, int number) {
         Live op = ops.get(id);
         if (op != null && number < op.calls.size()) {
-            agenda.in(0, () -> when(() ->
-                    ended(id, op, op.calls.get(number), new Reply(Ending.CALLED_OFF, 0))));
+            agenda.in(
+                    0,
+                    () ->
+                            when(
+                                    () ->
+                                            ended(
+                                                    id,
+                                                    op,
+                                                    op.calls.get(number),
+                                                    new Reply(Ending.CALLED_OFF, 0))));
         }
     }
 
@@ -358,16 +435,22 @@
         long sent = agenda.now();
         String there = nodes.zone(node);
         CacheModel cache = nodes.cache(node);
-        boolean good = there != null
-                && (nodes.origin(node) != null || cache != null && cache.answersProbes());
-        long span = there == null ? net.span(zone, zone) : net.span(zone, there) + net.span(there, zone);
+        boolean good =
+                there != null
+                        && (nodes.origin(node) != null || cache != null && cache.answersProbes());
+        long span =
+                there == null
+                        ? net.span(zone, zone)
+                        : net.span(zone, there) + net.span(there, zone);
         Ending ending = good ? Ending.ACKED : Ending.NO_CONNECTION;
-        agenda.in(span, () -> {
-            if (zones != null) {
-                zones.tally().probed(node, ending, agenda.now());
-            }
-            tell(new Event.ProbeEnded(node, ending, agenda.now() - sent, null));
-        });
+        agenda.in(
+                span,
+                () -> {
+                    if (zones != null) {
+                        zones.tally().probed(node, ending, agenda.now());
+                    }
+                    tell(new Event.ProbeEnded(node, ending, agenda.now() - sent, null));
+                });
     }
 
     @Override
--- a/src/main/java/cairnbridge/lab/model/ReturnModel.java
+++ b/src/main/java/cairnbridge/lab/model/ReturnModel.java
@@ -22,8 +22,8 @@
 import java.util.function.Consumer;
 
 /**
- * A proxy's return after a loss of power: the program's own Recovery, and in place of the disk and of calls
- * to members what the emulator hands it. One proxy's; made before it takes its first op.
+ * A proxy's return after a loss of power: the program's own Recovery, and in place of the disk and
+ * of calls to members what the emulator hands it. One proxy's; made before it takes its first op.
  */
 public final class ReturnModel implements RecoveryHost {
     /** A list of nodes with its version. */
@@ -36,13 +36,15 @@
 
     private final Agenda agenda;
     private final MachineKind originKind;
+
     /** The list that was kept. */
     private final Listed kept;
+
     private final Map<NodeId, Entry> entries = new LinkedHashMap<>();
     private Recovery recovery;
     private ProxyModel proxy;
-    private Runnable listAnew = () -> { };
-    private BiConsumer<String, Consumer<Listed>> asks = (member, then) -> { };
+    private Runnable listAnew = () -> {};
+    private BiConsumer<String, Consumer<Listed>> asks = (member, then) -> {};
     private long version;
 
     public ReturnModel(Agenda agenda, MachineKind originKind, Listed kept) {
@@ -52,7 +54,10 @@
     }
 
     /** Before anything else: what decides, for whom, and how the world is asked. */
-    public void by(Recovery decides, ProxyModel of, Runnable askDiscovery,
+    public void by(
+            Recovery decides,
+            ProxyModel of,
+            Runnable askDiscovery,
             BiConsumer<String, Consumer<Listed>> askMember) {
         recovery = decides;
         proxy = of;
@@ -144,8 +149,15 @@
         long now = agenda.now();
         List<Entry> cold = new ArrayList<>();
         for (Entry each : kept.entries()) {
-            cold.add(new Entry(each.node(), each.state(), each.kind(), each.size(),
-                    each.kind().equals(originKind) ? each.started() : now, each.cell(), each.zone()));
+            cold.add(
+                    new Entry(
+                            each.node(),
+                            each.state(),
+                            each.kind(),
+                            each.size(),
+                            each.kind().equals(originKind) ? each.started() : now,
+                            each.cell(),
+                            each.zone()));
         }
         agenda.in(0, () -> guess(new Listed(kept.version(), cold)));
     }
--- a/src/main/java/cairnbridge/lab/model/RosterModel.java
+++ b/src/main/java/cairnbridge/lab/model/RosterModel.java
@@ -1,6 +1,5 @@
 package cairnbridge.lab.model;
 
-import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.config.Names;
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.Entry;
@@ -10,6 +9,7 @@
 import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.ZoneId;
+import cairnbridge.drill.simulated.Agenda;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,7 +19,8 @@
 import java.util.Set;
 
 /**
- * Discovery: a list of nodes with a version, which each proxy follows a little later, unless it is cut off.
+ * Discovery: a list of nodes with a version, which each proxy follows a little later, unless it is
+ * cut off.
  */
 public final class RosterModel {
     private static final long LOOK = 50 * Agenda.MILLI, AGAIN = 2 * Agenda.SECOND;
@@ -43,15 +44,31 @@
     /** kind: 0 a cache, 1 the origin; began in tenths of a millisecond, 0 for long ago. */
     public void put(String uid, int kind, String zone, State state, long began) {
         NodeId node = id(uid);
-        entries.put(node, new Entry(node, state, new MachineKind(kind), 1, began, new CellId(0),
-                new ZoneId(zones.indexOf(zone))));
+        entries.put(
+                node,
+                new Entry(
+                        node,
+                        state,
+                        new MachineKind(kind),
+                        1,
+                        began,
+                        new CellId(0),
+                        new ZoneId(zones.indexOf(zone))));
         changed(node);
     }
 
     public void state(String uid, State state) {
         Entry old = entries.get(id(uid));
-        entries.put(id(uid), new Entry(old.node(), state, old.kind(), old.size(), old.started(), old.cell(),
-                old.zone()));
+        entries.put(
+                id(uid),
+                new Entry(
+                        old.node(),
+                        state,
+                        old.kind(),
+                        old.size(),
+                        old.started(),
+                        old.cell(),
+                        old.zone()));
         changed(id(uid));
     }
 
@@ -74,7 +91,10 @@
         if (on) {
             down.add(proxy);
         } else if (down.remove(proxy)) {
-            told.keySet().stream().filter(each -> each.name().equals(proxy)).toList().forEach(this::soon);
+            told.keySet().stream()
+                    .filter(each -> each.name().equals(proxy))
+                    .toList()
+                    .forEach(this::soon);
         }
     }
 
@@ -93,7 +113,8 @@
                 news.add(entry);
             }
         }
-        Event.Roster roster = new Event.Roster(seen == 0 ? Scope.FULL : Scope.CHANGES, version, news);
+        Event.Roster roster =
+                new Event.Roster(seen == 0 ? Scope.FULL : Scope.CHANGES, version, news);
         if (proxy.back() == null || proxy.back().listed(roster)) {
             told.put(proxy, version);
             proxy.tell(roster);
--- a/src/main/java/cairnbridge/lab/model/ZonesModel.java
+++ b/src/main/java/cairnbridge/lab/model/ZonesModel.java
@@ -23,8 +23,8 @@
 import java.util.function.Consumer;
 
 /**
- * A proxy's plan over zones: the program's own Zones, tally and placement, and in place of the carrier what
- * the emulator hands it. One proxy's; made before it takes its first op.
+ * A proxy's plan over zones: the program's own Zones, tally and placement, and in place of the
+ * carrier what the emulator hands it. One proxy's; made before it takes its first op.
  */
 public final class ZonesModel implements ZonesHost {
     /** How members are reached: from whom, to whom, on what, and what is done with the answer. */
@@ -48,8 +48,14 @@
     private long placedAt;
 
     /** watcher: is told of each plan that comes into force here. */
-    public ZonesModel(Agenda agenda, ProxyModel proxy, ZonesConfig config, Settings settings,
-            List<String> zoneNames, RegisterFile register, Consumer<Plan> watcher) {
+    public ZonesModel(
+            Agenda agenda,
+            ProxyModel proxy,
+            ZonesConfig config,
+            Settings settings,
+            List<String> zoneNames,
+            RegisterFile register,
+            Consumer<Plan> watcher) {
         this.register = register;
         this.agenda = agenda;
         this.proxy = proxy;
@@ -89,9 +95,14 @@
             if (entry.state() == Event.State.GONE || entry.kind().equals(settings.originKind())) {
                 servers.remove(entry.node());
             } else {
-                servers.put(entry.node(), new Server(entry.node().value(),
-                        new Zone(zoneNames.get(entry.zone().value())), entry.state() == Event.State.READY,
-                        entry.size(), entry.started() / Agenda.MILLI));
+                servers.put(
+                        entry.node(),
+                        new Server(
+                                entry.node().value(),
+                                new Zone(zoneNames.get(entry.zone().value())),
+                                entry.state() == Event.State.READY,
+                                entry.size(),
+                                entry.started() / Agenda.MILLI));
             }
         }
     }
@@ -118,9 +129,18 @@
     private void place() {
         placedAt = agenda.now();
         Zone home = new Zone(proxy.zone());
-        proxy.tell(new Event.Placed(ZonePlacement.of(home, zones.plan().row(home),
-                ZonePlacement.outOfReach(servers(), tally.unreachable(), tally.out()), config.alonePart(),
-                zoneNames, settings.categories(), tally.mix(), counts)));
+        proxy.tell(
+                new Event.Placed(
+                        ZonePlacement.of(
+                                home,
+                                zones.plan().row(home),
+                                ZonePlacement.outOfReach(
+                                        servers(), tally.unreachable(), tally.out()),
+                                config.alonePart(),
+                                zoneNames,
+                                settings.categories(),
+                                tally.mix(),
+                                counts)));
     }
 
     @Override
@@ -130,15 +150,19 @@
 
     @Override
     public void keep(Register what, Consumer<String> then) {
-        agenda.in(SYNC, () -> proxy.when(() -> {
-            String fault = "";
-            try {
-                register.write(what);
-            } catch (IOException e) {
-                fault = e.toString();
-            }
-            then.accept(fault);
-        }));
+        agenda.in(
+                SYNC,
+                () ->
+                        proxy.when(
+                                () -> {
+                                    String fault = "";
+                                    try {
+                                        register.write(what);
+                                    } catch (IOException e) {
+                                        fault = e.toString();
+                                    }
+                                    then.accept(fault);
+                                }));
     }
 
     @Override
--- a/src/main/java/cairnbridge/lab/policy/Baseline.java
+++ b/src/main/java/cairnbridge/lab/policy/Baseline.java
@@ -19,9 +19,9 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * Policies from the literature to measure against: they choose a cache, go to the origin on a miss, push once
- * more where a push never ran, and give up otherwise. They keep the rules on effects and on drains, and know
- * nothing of cold caches, of the origin's room or of time.
+ * Policies from the literature to measure against: they choose a cache, go to the origin on a miss,
+ * push once more where a push never ran, and give up otherwise. They keep the rules on effects and
+ * on drains, and know nothing of cold caches, of the origin's room or of time.
  */
 final class Baseline implements Policy {
     private static final int POINTS = 128, MOST_PUSHES = 3;
@@ -113,7 +113,10 @@
     }
 
     private NodeId clockwise(long key) {
-        double bound = kind == Kind.BOUNDED ? Math.ceil(BOUND * (all + 1) / caches.size()) : Double.MAX_VALUE;
+        double bound =
+                kind == Kind.BOUNDED
+                        ? Math.ceil(BOUND * (all + 1) / caches.size())
+                        : Double.MAX_VALUE;
         for (NodeId node : ring.tailMap(key, true).values()) {
             if (load(node) < bound) {
                 return node;
--- a/src/main/java/cairnbridge/lab/policy/Policy.java
+++ b/src/main/java/cairnbridge/lab/policy/Policy.java
@@ -27,12 +27,15 @@
         ROUTER,
         /** Any ready node, by chance. */
         RANDOM,
-        /** Of two nodes by chance the one with less of this proxy's in flight (Mitzenmacher 2001). */
+        /**
+         * Of two nodes by chance the one with less of this proxy's in flight (Mitzenmacher 2001).
+         */
         TWO,
         /** The first ready node clockwise of the key (Karger et al. 1997). */
         RING,
         /**
-         * The first of those with room under a bound of one and a quarter of the mean (Mirrokni et al. 2018).
+         * The first of those with room under a bound of one and a quarter of the mean (Mirrokni et
+         * al. 2018).
          */
         BOUNDED;
 
--- a/src/main/java/cairnbridge/lab/report/Lines.java
+++ b/src/main/java/cairnbridge/lab/report/Lines.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /**
- * A file that the lab wrote: the record of one run (`lab run --out`) or an experiment's results (`lab
- * experiment --out`). A file that is neither is a ConfigFault that names it and the line.
+ * A file that the lab wrote: the record of one run (`lab run --out`) or an experiment's results
+ * (`lab experiment --out`). A file that is neither is a ConfigFault that names it and the line.
  *
  * @param name of the file, without its ending
  * @param isRun whether it is the record of one run
@@ -28,8 +28,9 @@
                 JsonNode node = JSON.readTree(text);
                 boolean known = node.has("ms") || node.has("key") || node.has("service");
                 if (!known) {
-                    throw new ConfigFault(file.toString(), "line " + (lines.size() + 1)
-                            + " is no line of a record or of results");
+                    throw new ConfigFault(
+                            file.toString(),
+                            "line " + (lines.size() + 1) + " is no line of a record or of results");
                 }
                 lines.add(node);
             }
--- a/src/main/java/cairnbridge/lab/report/Plot.java
+++ b/src/main/java/cairnbridge/lab/report/Plot.java
@@ -29,27 +29,43 @@
  */
 record Plot(String name, String says, JFreeChart chart) {
     private static final int WIDTH = 860, HEIGHT = 330;
+
     /** Told apart by colour-blind eyes as well (Okabe and Ito 2008). */
-    private static final Color[] COLOURS = {new Color(0x0072B2), new Color(0xD55E00), new Color(0x009E73),
-        new Color(0xCC79A7), new Color(0xE69F00), new Color(0x56B4E9), new Color(0x555555)};
+    private static final Color[] COLOURS = {
+        new Color(0x0072B2),
+        new Color(0xD55E00),
+        new Color(0x009E73),
+        new Color(0xCC79A7),
+        new Color(0xE69F00),
+        new Color(0x56B4E9),
+        new Color(0x555555)
+    };
 
     static Color colour(int number) {
         return COLOURS[number % COLOURS.length];
     }
 
     /** A plot of numbers against numbers, in the report's dress. */
-    static Plot of(String name, String title, String says, XYDataset data, ValueAxis across, ValueAxis up,
+    static Plot of(
+            String name,
+            String title,
+            String says,
+            XYDataset data,
+            ValueAxis across,
+            ValueAxis up,
             XYItemRenderer renderer) {
         for (int i = 0; i < data.getSeriesCount(); i++) {
             renderer.setSeriesPaint(i, colour(i));
-            renderer.setSeriesStroke(i, new BasicStroke(1.8f, BasicStroke.CAP_ROUND, BasicStroke.JOIN_ROUND));
+            renderer.setSeriesStroke(
+                    i, new BasicStroke(1.8f, BasicStroke.CAP_ROUND, BasicStroke.JOIN_ROUND));
         }
         XYPlot plot = new XYPlot(data, across, up, renderer);
         plot.setBackgroundPaint(Color.WHITE);
         plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
         plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
         plot.setOutlineVisible(false);
-        JFreeChart chart = new JFreeChart(title, new Font(Font.SANS_SERIF, Font.BOLD, 15), plot, true);
+        JFreeChart chart =
+                new JFreeChart(title, new Font(Font.SANS_SERIF, Font.BOLD, 15), plot, true);
         chart.setBackgroundPaint(Color.WHITE);
         chart.getLegend().setFrame(org.jfree.chart.block.BlockBorder.NONE);
         return new Plot(name, says, chart);
@@ -68,7 +84,8 @@
         LogAxis axis = new LogAxis(label);
         axis.setBase(2);
         axis.setSmallestValue(least);
-        axis.setTickUnit(new NumberTickUnit(1, NumberFormat.getInstance(Locale.ROOT), 0), true, false);
+        axis.setTickUnit(
+                new NumberTickUnit(1, NumberFormat.getInstance(Locale.ROOT), 0), true, false);
         return axis;
     }
 
--- a/src/main/java/cairnbridge/lab/report/RunPlots.java
+++ b/src/main/java/cairnbridge/lab/report/RunPlots.java
@@ -50,9 +50,11 @@
         JsonNode before = null;
         for (JsonNode each : run.samples()) {
             if (before != null) {
-                double seconds = (each.path("ms").asDouble() - before.path("ms").asDouble()) / MILLIS;
+                double seconds =
+                        (each.path("ms").asDouble() - before.path("ms").asDouble()) / MILLIS;
                 if (seconds > 0) {
-                    series.add(each.path("ms").asDouble() / MILLIS,
+                    series.add(
+                            each.path("ms").asDouble() / MILLIS,
                             (count.applyAsDouble(each) - count.applyAsDouble(before)) / seconds);
                 }
             }
@@ -63,8 +65,12 @@
 
     private XYSeries level(String name, ToDoubleFunction<JsonNode> figure) {
         XYSeries series = new XYSeries(name);
-        run.samples().forEach(each -> series.add(each.path("ms").asDouble() / MILLIS,
-                figure.applyAsDouble(each)));
+        run.samples()
+                .forEach(
+                        each ->
+                                series.add(
+                                        each.path("ms").asDouble() / MILLIS,
+                                        figure.applyAsDouble(each)));
         return series;
     }
 
@@ -72,7 +78,8 @@
         return node -> node.path(name).asDouble();
     }
 
-    private Plot plot(String name, String title, String says, String up, boolean steps, XYSeries... series) {
+    private Plot plot(
+            String name, String title, String says, String up, boolean steps, XYSeries... series) {
         XYSeriesCollection data = new XYSeriesCollection();
         for (XYSeries each : series) {
             data.addSeries(each);
@@ -81,15 +88,29 @@
         if (steps) {
             axis.setStandardTickUnits(NumberAxis.createIntegerTickUnits());
         }
-        return Plot.of(run.name() + "-" + name, title, says, data, Plot.seconds(), axis,
+        return Plot.of(
+                run.name() + "-" + name,
+                title,
+                says,
+                data,
+                Plot.seconds(),
+                axis,
                 steps ? new XYStepRenderer() : new XYLineAndShapeRenderer(true, false));
     }
 
     private Plot load() {
-        return plot("load", "Ops a second", "What clients asked for and what became of it.", "ops a second",
-                false, rate("asked", field("asked")), rate("served", field("served")),
+        return plot(
+                "load",
+                "Ops a second",
+                "What clients asked for and what became of it.",
+                "ops a second",
+                false,
+                rate("asked", field("asked")),
+                rate("served", field("served")),
                 rate("refused", field("refused")),
-                rate("failed or lost", each -> each.path("failed").asDouble() + each.path("lost").asDouble()),
+                rate(
+                        "failed or lost",
+                        each -> each.path("failed").asDouble() + each.path("lost").asDouble()),
                 rate("repeats", field("repeats")));
     }
 
@@ -98,25 +119,42 @@
         run.samples().forEach(each -> each.path("zones").fieldNames().forEachRemaining(zones::add));
         List<XYSeries> series = new ArrayList<>();
         for (String zone : zones) {
-            ToDoubleFunction<JsonNode> asked = each -> each.path("zones").path(zone).path("asked").asDouble();
-            ToDoubleFunction<JsonNode> served = each -> each.path("zones").path(zone).path("served")
-                    .asDouble();
+            ToDoubleFunction<JsonNode> asked =
+                    each -> each.path("zones").path(zone).path("asked").asDouble();
+            ToDoubleFunction<JsonNode> served =
+                    each -> each.path("zones").path(zone).path("served").asDouble();
             series.add(rate("zone " + zone + " asked", asked));
             series.add(rate("zone " + zone + " served", served));
         }
-        return plot("zones", "Load and service by zone", "By the zone of the proxy that clients came to.",
-                "ops a second", false, series.toArray(XYSeries[]::new));
+        return plot(
+                "zones",
+                "Load and service by zone",
+                "By the zone of the proxy that clients came to.",
+                "ops a second",
+                false,
+                series.toArray(XYSeries[]::new));
     }
 
     private Plot fetches() {
-        return plot("origin", "The origin", "Fetches and writes a second.", "a second", false,
+        return plot(
+                "origin",
+                "The origin",
+                "Fetches and writes a second.",
+                "a second",
+                false,
                 rate("fetches and writes", field("fetches")));
     }
 
     private Plot members() {
-        return plot("members", "Members", "Processes that run, those that take clients, and how many the "
-                + "views hold alive, the least and the most of any member.", "proxies", true,
-                level("running", field("running")), level("taking clients", field("taking")),
+        return plot(
+                "members",
+                "Members",
+                "Processes that run, those that take clients, and how many the "
+                        + "views hold alive, the least and the most of any member.",
+                "proxies",
+                true,
+                level("running", field("running")),
+                level("taking clients", field("taking")),
                 level("held alive, least", field("least-held")),
                 level("held alive, most", field("most-held")));
     }
@@ -124,15 +162,32 @@
     private Plot plans() {
         Set<String> zones = new TreeSet<>();
         run.samples().forEach(each -> each.path("home").fieldNames().forEachRemaining(zones::add));
-        return plot("plans", "Plans over zones", "The part of each zone's traffic that the newest plan "
-                + "serves at home.", "thousandths", true, zones.stream()
-                .map(zone -> level("zone " + zone, each -> each.path("home").path(zone).asDouble(MILLIS)))
-                .toArray(XYSeries[]::new));
+        return plot(
+                "plans",
+                "Plans over zones",
+                "The part of each zone's traffic that the newest plan " + "serves at home.",
+                "thousandths",
+                true,
+                zones.stream()
+                        .map(
+                                zone ->
+                                        level(
+                                                "zone " + zone,
+                                                each ->
+                                                        each.path("home")
+                                                                .path(zone)
+                                                                .asDouble(MILLIS)))
+                        .toArray(XYSeries[]::new));
     }
 
     private Plot returning() {
-        return plot("return", "Return after a loss of power", "Proxies that still hold something back.",
-                "proxies", true, level("holding back", field("returning")));
+        return plot(
+                "return",
+                "Return after a loss of power",
+                "Proxies that still hold something back.",
+                "proxies",
+                true,
+                level("holding back", field("returning")));
     }
 
     /** As HdrHistogram's own plots: the rarer, the further to the right. */
@@ -149,8 +204,13 @@
         across.setSmallestValue(1);
         across.setNumberFormatOverride(NumberFormat.getInstance(Locale.ROOT));
         across.setStandardTickUnits(NumberAxis.createIntegerTickUnits());
-        return Plot.of(run.name() + "-spans", "Spans", "From a client's first try to its answer, of ops that "
-                + "were served.", new XYSeriesCollection(series), across, Plot.powers("ms", 0.1),
+        return Plot.of(
+                run.name() + "-spans",
+                "Spans",
+                "From a client's first try to its answer, of ops that " + "were served.",
+                new XYSeriesCollection(series),
+                across,
+                Plot.powers("ms", 0.1),
                 new XYLineAndShapeRenderer(true, false));
     }
 }
