--- a/src/main/java/cairnbridge/lab/run/Emulation.java
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -11,9 +11,9 @@
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.drill.scenario.Step;
+import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.drill.simulated.SimulatedNet;
 import cairnbridge.drill.standin.Clients;
-import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.lab.model.CacheModel;
 import cairnbridge.lab.model.ClientsModel;
 import cairnbridge.lab.model.Keys;
@@ -44,15 +44,18 @@
 import org.HdrHistogram.HistogramIterationValue;
 
 /**
- * Plays a drill's scenario on models, with the real decision code at every proxy, in simulated time. Make one
- * with a scenario, a policy and a seed, and run it once; the same three give the same record, byte for byte.
- * A step that is not modelled is a ScenarioFault that names its line, before anything is played.
+ * Plays a drill's scenario on models, with the real decision code at every proxy, in simulated
+ * time. Make one with a scenario, a policy and a seed, and run it once; the same three give the
+ * same record, byte for byte. A step that is not modelled is a ScenarioFault that names its line,
+ * before anything is played.
  */
 public final class Emulation {
     /** From a proxy's start until it takes clients. */
     static final long STARTS = Agenda.SECOND;
-    private static final long SAMPLE = Agenda.SECOND / 2, QUIET = 4 * Agenda.SECOND, EPOCH = 1_700_000_000L
-            * Agenda.SECOND;
+
+    private static final long SAMPLE = Agenda.SECOND / 2,
+            QUIET = 4 * Agenda.SECOND,
+            EPOCH = 1_700_000_000L * Agenda.SECOND;
     private static final int TICKS_A_HALVING = 4;
     private static final double SAME_ZONE_MS = 0.25, OTHER_ZONE_MS = 0.25, TAIL_MS = 0.1;
 
@@ -68,8 +71,10 @@
     private final Map<String, CacheModel> caches = new LinkedHashMap<>();
     private final Map<NodeId, String> uids = new HashMap<>();
     private final Map<String, ProxyModel> proxies = new LinkedHashMap<>();
+
     /** Since when each takes clients. */
     private final Map<String, ProxyModel> taking = new LinkedHashMap<>();
+
     private final Map<String, ClientsModel> clients = new LinkedHashMap<>();
     private final ClientsModel.Counts counts = new ClientsModel.Counts();
     private final long[] traces = {0};
@@ -94,7 +99,8 @@
                 throw new ConfigFault(key, "is not modelled yet");
             }
         }
-        settings = SettingsReader.read(Tree.parse(ProxySettings.of(scenario).toString(), "settings"));
+        settings =
+                SettingsReader.read(Tree.parse(ProxySettings.of(scenario).toString(), "settings"));
         net = new Net(chance(1), SAME_ZONE_MS, OTHER_ZONE_MS, TAIL_MS);
         origin = new OriginModel(agenda, scenario.size());
         roster = new RosterModel(agenda, scenario.zones());
@@ -123,16 +129,64 @@
 
     private static void isModelled(Step step) {
         switch (step.verb()) {
-            case START, WAIT, KILL, STOP, FREEZE, THAW, CACHE_SLOW, CACHE_FAILS, CACHE_GREY, CACHE_KILL,
-                    CACHE_START, CACHE_LISTED, ORIGIN_SLOW, ORIGIN_PLACES, DISCOVERY, LOAD, ZONE_LOAD, COUNT,
-                    SERVED, ANSWERED_IN_TIME, NO_EFFECT_TWICE, NONE_FELLED, ORIGIN_PEAK, ORIGIN_TURNED_AWAY,
-                    POWER_LOSS, POWER_BACK, COST, AGREE, LOSS, CUT, ONE_WAY, HEAL, NOBODY_FALSELY_DEAD,
+            case START,
+                    WAIT,
+                    KILL,
+                    STOP,
+                    FREEZE,
+                    THAW,
+                    CACHE_SLOW,
+                    CACHE_FAILS,
+                    CACHE_GREY,
+                    CACHE_KILL,
+                    CACHE_START,
+                    CACHE_LISTED,
+                    ORIGIN_SLOW,
+                    ORIGIN_PLACES,
+                    DISCOVERY,
+                    LOAD,
+                    ZONE_LOAD,
+                    COUNT,
+                    SERVED,
+                    ANSWERED_IN_TIME,
+                    NO_EFFECT_TWICE,
+                    NONE_FELLED,
+                    ORIGIN_PEAK,
+                    ORIGIN_TURNED_AWAY,
+                    POWER_LOSS,
+                    POWER_BACK,
+                    COST,
+                    AGREE,
+                    LOSS,
+                    CUT,
+                    ONE_WAY,
+                    HEAL,
+                    NOBODY_FALSELY_DEAD,
                     EARLIER,
-                    START_OVER, SERVING, CONFIRMED, RECOVERED, SERVICE_BACK, LIST_BACK, NOTHING_BACK,
-                    SNAPSHOT_OLDER, SNAPSHOT_AHEAD,
-                    SNAPSHOT_TORN, HOLD, FREE, UNTOUCHED, TOUCHED, DRAIN, RESTORE, ZONE_OUT, ZONE_HOME,
-                    ZONES_SETTLED, REVERSALS, NEAR -> { }
-            default -> throw new ScenarioFault(step.line(), step.verb().word() + " is not modelled yet");
+                    START_OVER,
+                    SERVING,
+                    CONFIRMED,
+                    RECOVERED,
+                    SERVICE_BACK,
+                    LIST_BACK,
+                    NOTHING_BACK,
+                    SNAPSHOT_OLDER,
+                    SNAPSHOT_AHEAD,
+                    SNAPSHOT_TORN,
+                    HOLD,
+                    FREE,
+                    UNTOUCHED,
+                    TOUCHED,
+                    DRAIN,
+                    RESTORE,
+                    ZONE_OUT,
+                    ZONE_HOME,
+                    ZONES_SETTLED,
+                    REVERSALS,
+                    NEAR -> {}
+            default ->
+                    throw new ScenarioFault(
+                            step.line(), step.verb().word() + " is not modelled yet");
         }
     }
 
@@ -149,21 +203,37 @@
             }
         }
         Map<String, String> crashes = new LinkedHashMap<>();
-        proxies.values().stream().filter(proxy -> !proxy.crash().isEmpty())
+        proxies.values().stream()
+                .filter(proxy -> !proxy.crash().isEmpty())
                 .forEach(proxy -> crashes.put(proxy.name(), proxy.crash()));
         long felled = felled();
-        return new Outcome(held && crashes.isEmpty(), (agenda.now() - EPOCH) / Agenda.MILLI, counts.asked,
-                counts.served, counts.refused, counts.failed, counts.lost, counts.repeats, origin.fetches(),
-                origin.turnedAway(), origin.twice(), felled,
-                proxies.values().stream().mapToLong(ProxyModel::pushes).sum(), agenda.done(),
-                counts.spans.getValueAtPercentile(50) / 10.0, counts.spans.getValueAtPercentile(99) / 10.0,
+        return new Outcome(
+                held && crashes.isEmpty(),
+                (agenda.now() - EPOCH) / Agenda.MILLI,
+                counts.asked,
+                counts.served,
+                counts.refused,
+                counts.failed,
+                counts.lost,
+                counts.repeats,
+                origin.fetches(),
+                origin.turnedAway(),
+                origin.twice(),
+                felled,
+                proxies.values().stream().mapToLong(ProxyModel::pushes).sum(),
+                agenda.done(),
+                counts.spans.getValueAtPercentile(50) / 10.0,
+                counts.spans.getValueAtPercentile(99) / 10.0,
                 spans(),
-                List.copyOf(samples), List.copyOf(checks), crashes);
+                List.copyOf(samples),
+                List.copyOf(checks),
+                crashes);
     }
 
     private Map<String, Outcome.ZoneCount> zoneCounts() {
         Map<String, Outcome.ZoneCount> zones = new LinkedHashMap<>();
-        counts.zones.forEach((zone, count) -> zones.put(zone, new Outcome.ZoneCount(count[0], count[1])));
+        counts.zones.forEach(
+                (zone, count) -> zones.put(zone, new Outcome.ZoneCount(count[0], count[1])));
         return zones;
     }
 
@@ -171,8 +241,10 @@
         List<Outcome.Span> spans = new ArrayList<>();
         if (counts.spans.getTotalCount() > 0) {
             for (HistogramIterationValue each : counts.spans.percentiles(TICKS_A_HALVING)) {
-                spans.add(new Outcome.Span(each.getPercentileLevelIteratedTo(),
-                        each.getValueIteratedTo() / 10.0));
+                spans.add(
+                        new Outcome.Span(
+                                each.getPercentileLevelIteratedTo(),
+                                each.getValueIteratedTo() / 10.0));
             }
         }
         return spans;
@@ -180,20 +252,49 @@
 
     private Map<String, Integer> homeParts() {
         Map<String, Integer> parts = new LinkedHashMap<>();
-        planning().stream().max(Comparator.comparingLong(proxy -> proxy.zones().plan().epoch()))
-                .ifPresent(proxy -> scenario.zones().forEach(name -> parts.put(name,
-                        proxy.zones().plan().row(new Zone(name)).to(new Zone(name)))));
+        planning().stream()
+                .max(Comparator.comparingLong(proxy -> proxy.zones().plan().epoch()))
+                .ifPresent(
+                        proxy ->
+                                scenario.zones()
+                                        .forEach(
+                                                name ->
+                                                        parts.put(
+                                                                name,
+                                                                proxy.zones()
+                                                                        .plan()
+                                                                        .row(new Zone(name))
+                                                                        .to(new Zone(name)))));
         return parts;
     }
 
     private void sample() {
         long fetched = origin.fetches() + origin.writes();
-        samples.add(new Outcome.Sample((agenda.now() - EPOCH) / Agenda.MILLI, counts.asked, counts.served,
-                counts.refused, counts.failed, counts.lost, counts.repeats, fetched, zoneCounts(),
-                (int) proxies.values().stream().filter(ProxyModel::isRunning).count(),
-                (int) taking.values().stream().filter(ProxyModel::isRunning).count(), fleet.leastHeld(),
-                fleet.mostHeld(), (int) proxies.values().stream().filter(proxy -> proxy.isRunning()
-                        && proxy.back() != null && proxy.back().phase() != Phase.ALL).count(), homeParts()));
+        samples.add(
+                new Outcome.Sample(
+                        (agenda.now() - EPOCH) / Agenda.MILLI,
+                        counts.asked,
+                        counts.served,
+                        counts.refused,
+                        counts.failed,
+                        counts.lost,
+                        counts.repeats,
+                        fetched,
+                        zoneCounts(),
+                        (int) proxies.values().stream().filter(ProxyModel::isRunning).count(),
+                        (int) taking.values().stream().filter(ProxyModel::isRunning).count(),
+                        fleet.leastHeld(),
+                        fleet.mostHeld(),
+                        (int)
+                                proxies.values().stream()
+                                        .filter(
+                                                proxy ->
+                                                        proxy.isRunning()
+                                                                && proxy.back() != null
+                                                                && proxy.back().phase()
+                                                                        != Phase.ALL)
+                                        .count(),
+                        homeParts()));
         if (samples.size() > 2) {
             peak = Math.max(peak, fetched - samples.get(samples.size() - 3).fetches());
         }
@@ -219,44 +320,60 @@
                 agenda.until(agenda.now() + STARTS + 1);
             }
             case WAIT -> agenda.until(agenda.now() + step.millis(0) * Agenda.MILLI);
-            case KILL, STOP -> members(step, 0).forEach(name -> kill(name, step.verb() == Step.Verb.KILL));
-            case FREEZE, THAW -> members(step, 0).forEach(name -> {
-                proxies.get(name).freeze(step.verb() == Step.Verb.FREEZE);
-                fleet.freezes(name, step.verb() == Step.Verb.FREEZE);
-            });
+            case KILL, STOP ->
+                    members(step, 0).forEach(name -> kill(name, step.verb() == Step.Verb.KILL));
+            case FREEZE, THAW ->
+                    members(step, 0)
+                            .forEach(
+                                    name -> {
+                                        proxies.get(name).freeze(step.verb() == Step.Verb.FREEZE);
+                                        fleet.freezes(name, step.verb() == Step.Verb.FREEZE);
+                                    });
             case CACHE_SLOW -> caches.get(step.words().get(0)).span(step.millis(1) * Agenda.MILLI);
             case CACHE_FAILS -> step.names(0).forEach(uid -> caches.get(uid).fails(isYes(step)));
             case CACHE_GREY -> step.names(0).forEach(uid -> caches.get(uid).grey(isYes(step)));
             case CACHE_KILL -> step.names(0).forEach(this::killCache);
-            case CACHE_START -> step.names(0).forEach(uid ->
-                    cache(uid, caches.get(uid).zone(), agenda.now()));
-            case CACHE_LISTED -> step.names(0).forEach(uid -> roster.state(uid, switch (step.words().get(1)) {
-                case "Ready" -> State.READY;
-                case "Gone" -> State.GONE;
-                default -> State.DRAINING;
-            }));
+            case CACHE_START ->
+                    step.names(0).forEach(uid -> cache(uid, caches.get(uid).zone(), agenda.now()));
+            case CACHE_LISTED ->
+                    step.names(0)
+                            .forEach(
+                                    uid ->
+                                            roster.state(
+                                                    uid,
+                                                    switch (step.words().get(1)) {
+                                                        case "Ready" -> State.READY;
+                                                        case "Gone" -> State.GONE;
+                                                        default -> State.DRAINING;
+                                                    }));
             case ORIGIN_SLOW -> origin.span(step.millis(0) * Agenda.MILLI);
             case ORIGIN_PLACES -> origin.places(step.number(0));
             case DISCOVERY -> {
                 boolean down = step.words().get(0).equals("down");
-                List<String> names = step.words().size() > 1 ? members(step, 1)
-                        : members(new Step(step.line(),
-                        step.verb(), List.of("all")), 0);
+                List<String> names =
+                        step.words().size() > 1
+                                ? members(step, 1)
+                                : members(new Step(step.line(), step.verb(), List.of("all")), 0);
                 names.forEach(name -> roster.down(name, down));
             }
-            case POWER_LOSS -> step.names(0).forEach(name -> {
-                if (caches.containsKey(name)) {
-                    killCache(name);
-                } else {
-                    kill(name, true);
-                }
-            });
+            case POWER_LOSS ->
+                    step.names(0)
+                            .forEach(
+                                    name -> {
+                                        if (caches.containsKey(name)) {
+                                            killCache(name);
+                                        } else {
+                                            kill(name, true);
+                                        }
+                                    });
             case COST -> holds(step, true, "not looked at on models: a proxy costs nothing there");
             case POWER_BACK -> powerAt = agenda.now();
             case LOSS -> fleet.net().loss = step.part(0);
             case CUT -> cut(step);
-            case ONE_WAY -> step.names(0).forEach(from -> step.names(1).forEach(to ->
-                    fleet.cutOneWay(from, to)));
+            case ONE_WAY ->
+                    step.names(0)
+                            .forEach(
+                                    from -> step.names(1).forEach(to -> fleet.cutOneWay(from, to)));
             case HEAL -> fleet.heals();
             case HOLD, FREE -> {
                 String uid = step.words().get(0);
@@ -266,11 +383,22 @@
                 } else {
                     heldNodes.remove(uid);
                 }
-                proxies.values().forEach(proxy -> proxy.tell(new Event.Held(RosterModel.id(uid), on)));
+                proxies.values()
+                        .forEach(proxy -> proxy.tell(new Event.Held(RosterModel.id(uid), on)));
                 askedBefore.put(uid, caches.get(uid).asked());
             }
-            case SNAPSHOT_OLDER, SNAPSHOT_AHEAD -> members(step, 0).forEach(name -> fleet.shifts(name,
-                    step.millis(1) * (step.verb() == Step.Verb.SNAPSHOT_OLDER ? -1 : 1)));
+            case SNAPSHOT_OLDER, SNAPSHOT_AHEAD ->
+                    members(step, 0)
+                            .forEach(
+                                    name ->
+                                            fleet.shifts(
+                                                    name,
+                                                    step.millis(1)
+                                                            * (step.verb()
+                                                                            == Step.Verb
+                                                                                    .SNAPSHOT_OLDER
+                                                                    ? -1
+                                                                    : 1)));
             case SNAPSHOT_TORN -> members(step, 0).forEach(fleet::tears);
             case LIST_BACK -> roster.back(step.number(0));
             case EARLIER -> {
@@ -281,9 +409,12 @@
             case START_OVER -> {
                 powerAt = agenda.now();
                 RandomGenerator when = chance(50);
-                members(step, 0).forEach(name ->
-                        agenda.in(when.nextLong(step.millis(1) * Agenda.MILLI + 1), () ->
-                        start(name)));
+                members(step, 0)
+                        .forEach(
+                                name ->
+                                        agenda.in(
+                                                when.nextLong(step.millis(1) * Agenda.MILLI + 1),
+                                                () -> start(name)));
             }
             case LOAD -> load("", step.number(0));
             case ZONE_LOAD -> load(step.words().get(0), step.number(1));
@@ -306,38 +437,48 @@
 
     /** Those that run and hold a plan. */
     private List<ProxyModel> planning() {
-        return proxies.values().stream().filter(proxy -> proxy.isRunning() && !proxy.isFrozen()
-                && proxy.zones() != null).toList();
+        return proxies.values().stream()
+                .filter(proxy -> proxy.isRunning() && !proxy.isFrozen() && proxy.zones() != null)
+                .toList();
     }
 
     private long placed(Function<ZonePlacement.Counts, LongAdder> which) {
-        return proxies.values().stream().filter(proxy -> proxy.zones() != null)
-                .mapToLong(proxy -> which.apply(proxy.zones().counts()).sum()).sum();
+        return proxies.values().stream()
+                .filter(proxy -> proxy.zones() != null)
+                .mapToLong(proxy -> which.apply(proxy.zones().counts()).sum())
+                .sum();
     }
 
     private long placed() {
-        return placed(counts -> counts.near) + placed(counts -> counts.far) + placed(counts -> counts.shed);
+        return placed(counts -> counts.near)
+                + placed(counts -> counts.far)
+                + placed(counts -> counts.shed);
     }
 
     private boolean servesAtHome(String name, int part) {
         Zone zone = new Zone(name);
-        return planning().stream().allMatch(proxy -> proxy.zones().plan().row(zone).to(zone) == part);
+        return planning().stream()
+                .allMatch(proxy -> proxy.zones().plan().row(zone).to(zone) == part);
     }
 
     /** One epoch, and no step for some seconds. */
     private void settled(Step step) {
         Set<Long> last = new LinkedHashSet<>();
         long[] since = {agenda.now()};
-        within(step, 1, () -> {
-            Set<Long> epochs = new LinkedHashSet<>();
-            planning().forEach(proxy -> epochs.add(proxy.zones().plan().epoch()));
-            if (!epochs.equals(last)) {
-                last.clear();
-                last.addAll(epochs);
-                since[0] = agenda.now();
-            }
-            return epochs.size() == 1 && agenda.now() - since[0] >= QUIET;
-        }, "one epoch, no step for " + QUIET / Agenda.SECOND + " s");
+        within(
+                step,
+                1,
+                () -> {
+                    Set<Long> epochs = new LinkedHashSet<>();
+                    planning().forEach(proxy -> epochs.add(proxy.zones().plan().epoch()));
+                    if (!epochs.equals(last)) {
+                        last.clear();
+                        last.addAll(epochs);
+                        since[0] = agenda.now();
+                    }
+                    return epochs.size() == 1 && agenda.now() - since[0] >= QUIET;
+                },
+                "one epoch, no step for " + QUIET / Agenda.SECOND + " s");
     }
 
     private static boolean isYes(Step step) {
@@ -348,17 +489,21 @@
         int number = Integer.parseInt(name.substring(1));
         long life = ++lives;
         ProxyModel proxy = new ProxyModel(name, zone(number), agenda, net, new Found());
-        proxy.by(policy.make(settings, seed * 7_919 + life, agenda.now(), proxy, fleet.starts(proxy)));
+        proxy.by(
+                policy.make(
+                        settings, seed * 7_919 + life, agenda.now(), proxy, fleet.starts(proxy)));
         proxies.put(name, proxy);
         if (fleet.keeps()) {
             heldNodes.forEach(uid -> proxy.tell(new Event.Held(RosterModel.id(uid), true)));
         }
         roster.follows(proxy);
-        agenda.in(STARTS, () -> {
-            if (proxy.isRunning() && proxies.get(name) == proxy) {
-                taking.put(name, proxy);
-            }
-        });
+        agenda.in(
+                STARTS,
+                () -> {
+                    if (proxy.isRunning() && proxies.get(name) == proxy) {
+                        taking.put(name, proxy);
+                    }
+                });
     }
 
     /** At once, or once what it has taken is over. */
@@ -390,10 +535,26 @@
             before.end();
         }
         if (perSecond > 0) {
-            clients.put(zone, new ClientsModel(agenda, net, chance(100 + clients.size() + lives), () ->
-                    taking.values().stream().filter(proxy -> proxy.isRunning() && (zone.isEmpty()
-                            || proxy.zone().equals(zone))).toList(), keys, zone.isEmpty() ? zone(1) : zone,
-                    perSecond, counts, traces));
+            clients.put(
+                    zone,
+                    new ClientsModel(
+                            agenda,
+                            net,
+                            chance(100 + clients.size() + lives),
+                            () ->
+                                    taking.values().stream()
+                                            .filter(
+                                                    proxy ->
+                                                            proxy.isRunning()
+                                                                    && (zone.isEmpty()
+                                                                            || proxy.zone()
+                                                                                    .equals(zone)))
+                                            .toList(),
+                            keys,
+                            zone.isEmpty() ? zone(1) : zone,
+                            perSecond,
+                            counts,
+                            traces));
         }
     }
 
@@ -431,84 +592,159 @@
         while (!what.getAsBoolean() && agenda.now() - from < most) {
             agenda.until(agenda.now() + Agenda.SECOND / 10);
         }
-        holds(step, what.getAsBoolean(), good + " after " + (agenda.now() - from) / Agenda.MILLI + " ms");
+        holds(
+                step,
+                what.getAsBoolean(),
+                good + " after " + (agenda.now() - from) / Agenda.MILLI + " ms");
     }
 
     private boolean all(Step step, Predicate<ProxyModel> what) {
-        return members(step, 0).stream().map(proxies::get).allMatch(proxy -> proxy != null
-                && what.test(proxy));
+        return members(step, 0).stream()
+                .map(proxies::get)
+                .allMatch(proxy -> proxy != null && what.test(proxy));
     }
 
     /** From when power is back, as the drill counts it. */
     private void serviceBack(Step step) {
         double wanted = step.part(0) * earlier;
         long[] back = {-1};
-        within(step, 2, () -> {
-            for (int i = 2; i < samples.size() && back[0] < 0; i++) {
-                long began = samples.get(i - 2).millis();
-                boolean enough = samples.get(i).served() - samples.get(i - 2).served() >= wanted;
-                if (began >= (powerAt - EPOCH) / Agenda.MILLI && enough) {
-                    back[0] = began - (powerAt - EPOCH) / Agenda.MILLI;
-                }
-            }
-            return back[0] >= 0;
-        }, step.words().get(0) + " of the service is back");
-        checks.add(new Outcome.Check(step.line(), step.verb().word(), back[0] >= 0, "back " + back[0]
-                + " ms after the power"));
+        within(
+                step,
+                2,
+                () -> {
+                    for (int i = 2; i < samples.size() && back[0] < 0; i++) {
+                        long began = samples.get(i - 2).millis();
+                        boolean enough =
+                                samples.get(i).served() - samples.get(i - 2).served() >= wanted;
+                        if (began >= (powerAt - EPOCH) / Agenda.MILLI && enough) {
+                            back[0] = began - (powerAt - EPOCH) / Agenda.MILLI;
+                        }
+                    }
+                    return back[0] >= 0;
+                },
+                step.words().get(0) + " of the service is back");
+        checks.add(
+                new Outcome.Check(
+                        step.line(),
+                        step.verb().word(),
+                        back[0] >= 0,
+                        "back " + back[0] + " ms after the power"));
     }
 
     private void check(Step step) {
         switch (step.verb()) {
             case AGREE -> within(step, 1, () -> fleet.net().disagreement().isEmpty(), "all agree");
-            case NOBODY_FALSELY_DEAD -> holds(step, fleet.falseDeaths() == 0, fleet.falseDeaths()
-                    + " times one that could be heard was held dead");
-            case SERVING -> within(step, 2, () -> all(step, proxy -> taking.containsValue(proxy)),
-                    "all serve");
-            case CONFIRMED -> within(step, 2, () -> all(step, proxy -> proxy.back() != null
-                    && proxy.back().isConfirmed()), "each has a confirmed list");
-            case RECOVERED -> within(step, 2, () -> all(step, proxy -> proxy.back() != null
-                    && proxy.back().phase() == Phase.ALL), "each holds nothing back");
+            case NOBODY_FALSELY_DEAD ->
+                    holds(
+                            step,
+                            fleet.falseDeaths() == 0,
+                            fleet.falseDeaths() + " times one that could be heard was held dead");
+            case SERVING ->
+                    within(
+                            step,
+                            2,
+                            () -> all(step, proxy -> taking.containsValue(proxy)),
+                            "all serve");
+            case CONFIRMED ->
+                    within(
+                            step,
+                            2,
+                            () ->
+                                    all(
+                                            step,
+                                            proxy ->
+                                                    proxy.back() != null
+                                                            && proxy.back().isConfirmed()),
+                            "each has a confirmed list");
+            case RECOVERED ->
+                    within(
+                            step,
+                            2,
+                            () ->
+                                    all(
+                                            step,
+                                            proxy ->
+                                                    proxy.back() != null
+                                                            && proxy.back().phase() == Phase.ALL),
+                            "each holds nothing back");
             case SERVICE_BACK -> serviceBack(step);
-            case NOTHING_BACK -> within(step, 1, () -> versionBefore.entrySet().stream().allMatch(each ->
-                    proxies.get(each.getKey()).back().version() >= each.getValue()), "no list is lower");
-            case ZONE_OUT -> within(step, 2, () -> servesAtHome(step.words().get(0), 0),
-                    "zone " + step.words().get(0) + " is out of use");
-            case ZONE_HOME -> within(step, 2, () -> servesAtHome(step.words().get(0), Row.ALL),
-                    "zone " + step.words().get(0) + " serves its own");
+            case NOTHING_BACK ->
+                    within(
+                            step,
+                            1,
+                            () ->
+                                    versionBefore.entrySet().stream()
+                                            .allMatch(
+                                                    each ->
+                                                            proxies.get(each.getKey())
+                                                                            .back()
+                                                                            .version()
+                                                                    >= each.getValue()),
+                            "no list is lower");
+            case ZONE_OUT ->
+                    within(
+                            step,
+                            2,
+                            () -> servesAtHome(step.words().get(0), 0),
+                            "zone " + step.words().get(0) + " is out of use");
+            case ZONE_HOME ->
+                    within(
+                            step,
+                            2,
+                            () -> servesAtHome(step.words().get(0), Row.ALL),
+                            "zone " + step.words().get(0) + " serves its own");
             case ZONES_SETTLED -> settled(step);
-            case REVERSALS -> holds(step, fleet.reversals() <= step.number(1), fleet.reversals()
-                    + " reversals of a zone");
+            case REVERSALS ->
+                    holds(
+                            step,
+                            fleet.reversals() <= step.number(1),
+                            fleet.reversals() + " reversals of a zone");
             case NEAR -> {
                 long all = Math.max(1, placed() - placedBefore);
                 double part = (double) (placed(counts -> counts.near) - nearBefore) / all;
-                holds(step, part >= step.part(1), String.format(Locale.ROOT, "%.4f of %d ops placed near",
-                        part, all));
+                holds(
+                        step,
+                        part >= step.part(1),
+                        String.format(Locale.ROOT, "%.4f of %d ops placed near", part, all));
             }
             case UNTOUCHED -> {
                 String uid = step.words().get(0);
                 long sent = caches.get(uid).asked() - askedBefore.getOrDefault(uid, 0L);
                 holds(step, sent == 0, sent + " sent to " + uid);
             }
-            case TOUCHED -> within(step, 2, () -> caches.get(step.words().get(0)).asked() > 0,
-                    step.words().get(0) + " is in use");
+            case TOUCHED ->
+                    within(
+                            step,
+                            2,
+                            () -> caches.get(step.words().get(0)).asked() > 0,
+                            step.words().get(0) + " is in use");
             case SERVED -> {
                 long all = Math.max(1, counts.ended() - endedBefore);
                 double part = (double) (counts.served - servedBefore) / all;
-                holds(step, part >= step.part(1),
-                        String.format(Locale.ROOT, "%.4f of %d ops were served", part,
-                        all));
+                holds(
+                        step,
+                        part >= step.part(1),
+                        String.format(Locale.ROOT, "%.4f of %d ops were served", part, all));
             }
             case ANSWERED_IN_TIME -> {
                 double part = 1 - (double) counts.lost / Math.max(1, counts.ended());
-                holds(step, part >= step.part(1),
-                        String.format(Locale.ROOT, "%.4f of %d ops were answered", part,
-                        counts.ended()));
+                holds(
+                        step,
+                        part >= step.part(1),
+                        String.format(
+                                Locale.ROOT, "%.4f of %d ops were answered", part, counts.ended()));
             }
-            case NO_EFFECT_TWICE -> holds(step, origin.twice() == 0, origin.twice() + " effects twice");
-            case NONE_FELLED -> holds(step, felled() == 0, felled() + " times a cold cache was pushed over");
-            case ORIGIN_PEAK -> holds(step, peak <= step.number(1), peak + " fetches in the worst second");
-            default -> holds(step, origin.turnedAway() <= step.number(1), origin.turnedAway()
-                    + " turned away by the origin");
+            case NO_EFFECT_TWICE ->
+                    holds(step, origin.twice() == 0, origin.twice() + " effects twice");
+            case NONE_FELLED ->
+                    holds(step, felled() == 0, felled() + " times a cold cache was pushed over");
+            case ORIGIN_PEAK ->
+                    holds(step, peak <= step.number(1), peak + " fetches in the worst second");
+            default ->
+                    holds(
+                            step,
+                            origin.turnedAway() <= step.number(1),
+                            origin.turnedAway() + " turned away by the origin");
         }
     }
 
@@ -533,8 +769,9 @@
         @Override
         public String zone(NodeId node) {
             String uid = uids.get(node);
-            return uid == null ? null : uid.equals("origin") ? Emulation.this.zone(1)
-                    : caches.get(uid).zone();
+            return uid == null
+                    ? null
+                    : uid.equals("origin") ? Emulation.this.zone(1) : caches.get(uid).zone();
         }
     }
 }
--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -45,19 +45,19 @@
 import java.util.stream.IntStream;
 
 /**
- * What proxies of a fleet have beside their policy: the view, by the program's own Membership on a simulated
- * net, and the return after a loss of power, by its own Recovery, with a disk that keeps what was so at the
- * last snapshot. Nothing of it where a scenario's proxies are alone.
+ * What proxies of a fleet have beside their policy: the view, by the program's own Membership on a
+ * simulated net, and the return after a loss of power, by its own Recovery, with a disk that keeps
+ * what was so at the last snapshot. Nothing of it where a scenario's proxies are alone.
  */
 final class FleetSide {
     private static final String CLUSTER = "lab";
-    private static final long TICK = Agenda.SECOND / 4, CALL = 10 * Agenda.MILLI,
+    private static final long TICK = Agenda.SECOND / 4,
+            CALL = 10 * Agenda.MILLI,
             CALL_TIME_OUT = 2 * Agenda.SECOND,
             UNDISTURBED = 8 * Agenda.SECOND;
 
     /** What a proxy's disk holds, and its list beside it. */
-    private record OnDisk(Kept kept, ReturnModel.Listed list, Learnt learnt) {
-    }
+    private record OnDisk(Kept kept, ReturnModel.Listed list, Learnt learnt) {}
 
     private final Scenario scenario;
     private final Settings settings;
@@ -66,8 +66,10 @@
     private final long seed;
     private final Optional<RecoverySettings> recovery;
     private final Optional<ZonesConfig> zones;
+
     /** Where voters keep what they have promised; they outlive their processes. */
     private final Map<String, SimulatedDisk> registers = new HashMap<>();
+
     private final HomeParts homeParts = new HomeParts();
     private final RandomGenerator ways;
     private final Map<String, Long> began = new HashMap<>();
@@ -85,17 +87,19 @@
         this.roster = roster;
         this.seed = seed;
         StringBuilder text = new StringBuilder();
-        scenario.keys().forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+        scenario.keys()
+                .forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
         zones = scenario.together() ? FleetConfig.zonesOf(text.toString()) : Optional.empty();
         boolean kept = scenario.together() && scenario.keys().containsKey("recovery.folder");
         recovery = kept ? FleetConfig.recoveryOf(text.toString(), CLUSTER) : Optional.empty();
         ways = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 17 + 5);
         net = new SimulatedNet(FleetSettings.USUAL, seed, agenda);
-        net.watcher = (holder, before, after, why) -> {
-            if (after.standing() == Standing.DEAD) {
-                died(holder, after);
-            }
-        };
+        net.watcher =
+                (holder, before, after, why) -> {
+                    if (after.standing() == Standing.DEAD) {
+                        died(holder, after);
+                    }
+                };
         if (scenario.together()) {
             agenda.in(TICK, this::tick);
         }
@@ -103,17 +107,25 @@
 
     private void died(SimulatedNet.Node holder, Claim after) {
         SimulatedNet.Node subject = members.get(after.id().name());
-        boolean wrong = subject != null && subject.running && !subject.frozen && subject.side == holder.side
-                && agenda.now() - Math.max(undisturbed.get(after.id().name()),
-                        undisturbed.get(holder.id.name()))
-                > UNDISTURBED;
+        boolean wrong =
+                subject != null
+                        && subject.running
+                        && !subject.frozen
+                        && subject.side == holder.side
+                        && agenda.now()
+                                        - Math.max(
+                                                undisturbed.get(after.id().name()),
+                                                undisturbed.get(holder.id.name()))
+                                > UNDISTURBED;
         falseDeaths += wrong ? 1 : 0;
     }
 
     /** What is on a proxy's disk was written by a machine whose clock is off by so much. */
     void shifts(String name, long millis) {
-        disks.computeIfPresent(name, (same, disk) -> new OnDisk(disk.kept().shifted(millis), disk.list(),
-                disk.learnt()));
+        disks.computeIfPresent(
+                name,
+                (same, disk) ->
+                        new OnDisk(disk.kept().shifted(millis), disk.list(), disk.learnt()));
     }
 
     /** The newest snapshot cannot be read: the one before counts. */
@@ -141,13 +153,18 @@
         if (!scenario.together()) {
             return Learnt.NOTHING;
         }
-        OnDisk disk = disks.getOrDefault(proxy.name(), new OnDisk(Kept.nothing(CLUSTER),
-                ReturnModel.Listed.NONE, Learnt.NOTHING));
+        OnDisk disk =
+                disks.getOrDefault(
+                        proxy.name(),
+                        new OnDisk(Kept.nothing(CLUSTER), ReturnModel.Listed.NONE, Learnt.NOTHING));
         long unixMillis = agenda.now() / Agenda.MILLI;
         long life = Math.max(unixMillis, lives.getOrDefault(proxy.name(), 0L) + 1);
         lives.put(proxy.name(), life);
-        SimulatedNet.Node[] seeds = scenario.seeds().stream().filter(members::containsKey).map(members::get)
-                .toArray(SimulatedNet.Node[]::new);
+        SimulatedNet.Node[] seeds =
+                scenario.seeds().stream()
+                        .filter(members::containsKey)
+                        .map(members::get)
+                        .toArray(SimulatedNet.Node[]::new);
         if (members.containsKey(proxy.name())) {
             net.start(members.get(proxy.name()), life, seeds);
         } else {
@@ -158,38 +175,86 @@
         if (recovery.isEmpty()) {
             return Learnt.NOTHING;
         }
-        Trusted trusted = Trust.judge(disk.kept(), CLUSTER, "boot", unixMillis,
-                recovery.get().mostAge() / 10);
-        ReturnModel model = new ReturnModel(agenda, settings.originKind(), trusted.rosterVersion() > 0
-                ? disk.list() : ReturnModel.Listed.NONE);
-        model.by(new Recovery(recovery.get(), trusted, settings.categories(), settings.proxies(),
-                settings.originKind(),
-                settings.mayProbe(), proxy.name(), proxy.zone(),
-                RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 31 + life), agenda.now(), model),
-                        proxy,
-                () -> roster.anew(proxy), (member, then) -> agenda.in(CALL, () -> {
-                    ProxyModel other = proxies.get(member);
-                    boolean there = other != null && other.isRunning() && !other.isFrozen();
-                    then.accept(there && other.back() != null ? other.back().list()
-                            : ReturnModel.Listed.NONE);
-                }));
+        Trusted trusted =
+                Trust.judge(
+                        disk.kept(), CLUSTER, "boot", unixMillis, recovery.get().mostAge() / 10);
+        ReturnModel model =
+                new ReturnModel(
+                        agenda,
+                        settings.originKind(),
+                        trusted.rosterVersion() > 0 ? disk.list() : ReturnModel.Listed.NONE);
+        model.by(
+                new Recovery(
+                        recovery.get(),
+                        trusted,
+                        settings.categories(),
+                        settings.proxies(),
+                        settings.originKind(),
+                        settings.mayProbe(),
+                        proxy.name(),
+                        proxy.zone(),
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 31 + life),
+                        agenda.now(),
+                        model),
+                proxy,
+                () -> roster.anew(proxy),
+                (member, then) ->
+                        agenda.in(
+                                CALL,
+                                () -> {
+                                    ProxyModel other = proxies.get(member);
+                                    boolean there =
+                                            other != null && other.isRunning() && !other.isFrozen();
+                                    then.accept(
+                                            there && other.back() != null
+                                                    ? other.back().list()
+                                                    : ReturnModel.Listed.NONE);
+                                }));
         proxy.returnsBy(model, settings.maxRetryAfter());
         return trusted.trust() ? disk.learnt() : Learnt.NOTHING;
     }
 
     private void plans(ProxyModel proxy, ZonesConfig config, long life) {
         MemberId me = new MemberId(proxy.name());
-        SimulatedDisk disk = registers.computeIfAbsent(proxy.name(), name -> new SimulatedDisk(
-                RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 13 + name.hashCode())));
+        SimulatedDisk disk =
+                registers.computeIfAbsent(
+                        proxy.name(),
+                        name ->
+                                new SimulatedDisk(
+                                        RandomGeneratorFactory.of("L64X128MixRandom")
+                                                .create(seed * 13 + name.hashCode())));
         RegisterFile register = new RegisterFile(disk, "register");
-        ZonesModel model = new ZonesModel(agenda, proxy, config, settings, scenario.zones(), register, plan ->
-                scenario.zones().forEach(zone -> homeParts.tell(zone, plan.epoch(),
-                        plan.row(new Zone(zone)).to(new Zone(zone)))));
+        ZonesModel model =
+                new ZonesModel(
+                        agenda,
+                        proxy,
+                        config,
+                        settings,
+                        scenario.zones(),
+                        register,
+                        plan ->
+                                scenario.zones()
+                                        .forEach(
+                                                zone ->
+                                                        homeParts.tell(
+                                                                zone,
+                                                                plan.epoch(),
+                                                                plan.row(new Zone(zone))
+                                                                        .to(new Zone(zone)))));
         try {
-            model.by(new Zones(me, config, new ZoneHealth.Rates(config.nodeRate(), settings.coldFrom(),
-                    settings.warmUp(), config.regions()),
-                    RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 37 + life), 0,
-                    register.read(), model),
+            model.by(
+                    new Zones(
+                            me,
+                            config,
+                            new ZoneHealth.Rates(
+                                    config.nodeRate(),
+                                    settings.coldFrom(),
+                                    settings.warmUp(),
+                                    config.regions()),
+                            RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 37 + life),
+                            0,
+                            register.read(),
+                            model),
                     (to, topic, bytes, then) -> say(proxy.name(), to.name(), topic, bytes, then));
         } catch (IOException e) {
             throw new IllegalStateException("a register on a disk that does not fail", e);
@@ -207,11 +272,17 @@
         }
         boolean[] over = {false};
         agenda.in(CALL_TIME_OUT, () -> over(over, then, null));
-        agenda.in(way(), () -> {
-            if (other.isRunning() && !other.isFrozen() && other.zones() != null) {
-                other.zones().asked(topic, bytes, answer -> agenda.in(way(), () -> over(over, then, answer)));
-            }
-        });
+        agenda.in(
+                way(),
+                () -> {
+                    if (other.isRunning() && !other.isFrozen() && other.zones() != null) {
+                        other.zones()
+                                .asked(
+                                        topic,
+                                        bytes,
+                                        answer -> agenda.in(way(), () -> over(over, then, answer)));
+                    }
+                });
     }
 
     private static void over(boolean[] over, Consumer<byte[]> then, byte[] answer) {
@@ -236,7 +307,9 @@
         return 4 + ways.nextInt(36);
     }
 
-    /** The fewest members that one that runs holds alive, itself counted; 0 where there are none. */
+    /**
+     * The fewest members that one that runs holds alive, itself counted; 0 where there are none.
+     */
     int leastHeld() {
         return held().min().orElse(0);
     }
@@ -246,7 +319,8 @@
     }
 
     private IntStream held() {
-        return members.values().stream().filter(member -> member.running && !member.frozen)
+        return members.values().stream()
+                .filter(member -> member.running && !member.frozen)
                 .mapToInt(member -> member.machine.living());
     }
 
@@ -265,9 +339,27 @@
         long at = agenda.now() / Agenda.MILLI / every * every;
         List<Kept.Peer> peers = StateKeeper.peers(members.get(name).machine.view());
         ReturnModel.Listed list = proxy.back().held();
-        disks.put(name, new OnDisk(new Kept(CLUSTER, lives.get(name), "boot", at, 0, list.version(), "",
-                peers, 0,
-                null, 0, 0, 0, List.of(), List.of()), list, proxy.policy().learnt()));
+        disks.put(
+                name,
+                new OnDisk(
+                        new Kept(
+                                CLUSTER,
+                                lives.get(name),
+                                "boot",
+                                at,
+                                0,
+                                list.version(),
+                                "",
+                                peers,
+                                0,
+                                null,
+                                0,
+                                0,
+                                0,
+                                List.of(),
+                                List.of()),
+                        list,
+                        proxy.policy().learnt()));
     }
 
     void ends(String name, boolean meant) {
@@ -307,13 +399,23 @@
             }
             ReturnModel back = proxy.back();
             boolean returns = back != null && back.phase() != Phase.ALL;
-            Recovering told = returns ? new Recovering(back.phase().told(), back.pace(), 0)
-                    : Recovering.NOT;
+            Recovering told =
+                    returns ? new Recovering(back.phase().told(), back.pace(), 0) : Recovering.NOT;
             ZonesModel plans = proxy.zones();
             boolean starts = agenda.now() - began.get(each.getKey()) < Emulation.STARTS;
-            net.tell(member, new FleetEvent.Tell(Told.of(proxy.zone(), region(proxy.zone()), 2,
-                    starts ? Told.State.STARTING : Told.State.SERVING, "", "",
-                    plans == null ? 0 : plans.plan().epoch(), told, figures(plans, back))));
+            net.tell(
+                    member,
+                    new FleetEvent.Tell(
+                            Told.of(
+                                    proxy.zone(),
+                                    region(proxy.zone()),
+                                    2,
+                                    starts ? Told.State.STARTING : Told.State.SERVING,
+                                    "",
+                                    "",
+                                    plans == null ? 0 : plans.plan().epoch(),
+                                    told,
+                                    figures(plans, back))));
             View view = plans != null || returns ? member.machine.view() : null;
             if (plans != null) {
                 plans.viewed(view);
@@ -334,8 +436,16 @@
 
     private Told.Figures figures(ZonesModel plans, ReturnModel back) {
         long version = back == null ? 0 : back.version();
-        return plans == null ? new Told.Figures(0, 0, version, true, List.of())
-                : new Told.Figures(0, 0, plans.tally().rate(agenda.now()), version, true,
-                        plans.tally().unreachable(), plans.tally().zones(), plans.tally().out());
+        return plans == null
+                ? new Told.Figures(0, 0, version, true, List.of())
+                : new Told.Figures(
+                        0,
+                        0,
+                        plans.tally().rate(agenda.now()),
+                        version,
+                        true,
+                        plans.tally().unreachable(),
+                        plans.tally().zones(),
+                        plans.tally().out());
     }
 }
--- a/src/main/java/cairnbridge/proxy/Accept.java
+++ b/src/main/java/cairnbridge/proxy/Accept.java
@@ -14,8 +14,9 @@
 import java.util.logging.Logger;
 
 /**
- * Takes connections off the system's queue, on a thread of its own. Another process may listen at the same
- * address: whoever stops first empties its queue, as what is left in the queue of a closed socket is reset.
+ * Takes connections off the system's queue, on a thread of its own. Another process may listen at
+ * the same address: whoever stops first empties its queue, as what is left in the queue of a closed
+ * socket is reset.
  */
 final class Accept implements Runnable {
     private static final Logger LOG = Logger.getLogger(Accept.class.getName());
@@ -29,7 +30,11 @@
     private volatile boolean stopped;
 
     /** mayTake holds it back while the taker is behind. */
-    Accept(InetSocketAddress address, int backlog, BooleanSupplier mayTake, Consumer<SocketChannel> taker)
+    Accept(
+            InetSocketAddress address,
+            int backlog,
+            BooleanSupplier mayTake,
+            Consumer<SocketChannel> taker)
             throws IOException {
         this.mayTake = mayTake;
         this.taker = taker;
@@ -52,14 +57,17 @@
 
     @Override
     public void run() {
-        try (selector; server) {
+        try (selector;
+                server) {
             while (!stopped) {
                 selector.select();
                 selector.selectedKeys().clear();
                 takeAll();
             }
-            // Guards against a client reset in the queue: what a selector knows stays open until that looks
-            // again, and takes clients; so it is let go first, and closed right behind the last accept.
+            // Guards against a client reset in the queue: what a selector knows stays open until
+            // that looks
+            // again, and takes clients; so it is let go first, and closed right behind the last
+            // accept.
             server.keyFor(selector).cancel();
             selector.selectNow();
             takeAll();
--- a/src/main/java/cairnbridge/proxy/AnswerHead.java
+++ b/src/main/java/cairnbridge/proxy/AnswerHead.java
@@ -11,7 +11,10 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
-/** Reads the heads of a server's answers; what it throws ends the connection, and the exchange as broken. */
+/**
+ * Reads the heads of a server's answers; what it throws ends the connection, and the exchange as
+ * broken.
+ */
 final class AnswerHead extends DefaultHttpResponseParser<HttpResponse> {
     private final BooleanSupplier asked;
 
@@ -22,14 +25,16 @@
     }
 
     @Override
-    public HttpResponse parse(SessionInputBuffer buffer, boolean ended) throws IOException, HttpException {
+    public HttpResponse parse(SessionInputBuffer buffer, boolean ended)
+            throws IOException, HttpException {
         // Guards against bytes past an answer, which the next push would take for its own.
         if (buffer.hasData() && !asked.getAsBoolean()) {
             throw new ProtocolException("bytes that nobody asked for");
         }
         HttpResponse response = super.parse(buffer, false);
         Framing.whole(response, buffer, ended);
-        // Guards against spoilt answers: without a length nothing tells a whole one from one that broke off.
+        // Guards against spoilt answers: without a length nothing tells a whole one from one that
+        // broke off.
         if (response != null && response.getCode() >= HttpStatus.SC_OK) {
             Framing.check(response);
         }
--- a/src/main/java/cairnbridge/proxy/Beside.java
+++ b/src/main/java/cairnbridge/proxy/Beside.java
@@ -14,15 +14,15 @@
 import java.util.stream.Stream;
 
 /**
- * The processes that serve at the same place: each leaves a mark in the folder that they share, by its number
- * and its start. A mark counts while its process lives: what one that was killed leaves behind says nothing.
+ * The processes that serve at the same place: each leaves a mark in the folder that they share, by
+ * its number and its start. A mark counts while its process lives: what one that was killed leaves
+ * behind says nothing.
  */
 final class Beside {
     private static final Logger LOG = Logger.getLogger(Beside.class.getName());
     private static final Pattern MARK = Pattern.compile("(runs|ready)-([0-9]{1,18})-([0-9]{1,18})");
 
-    private record Mark(boolean ready, long process, long start, Path file) {
-    }
+    private record Mark(boolean ready, long process, long start, Path file) {}
 
     private static final String RUNS = "runs", READY = "ready";
 
@@ -48,25 +48,27 @@
     }
 
     private void mark(String word) {
-        folder.ifPresent(shared -> {
-            try {
-                Files.writeString(file(shared, word), "");
-            } catch (IOException e) {
-                odd.say("no mark left, " + e);
-            }
-        });
+        folder.ifPresent(
+                shared -> {
+                    try {
+                        Files.writeString(file(shared, word), "");
+                    } catch (IOException e) {
+                        odd.say("no mark left, " + e);
+                    }
+                });
     }
 
     void ends() {
-        folder.ifPresent(shared -> {
-            for (String word : List.of(RUNS, READY)) {
-                try {
-                    Files.deleteIfExists(file(shared, word));
-                } catch (IOException e) {
-                    odd.say("a mark stays, " + e);
-                }
-            }
-        });
+        folder.ifPresent(
+                shared -> {
+                    for (String word : List.of(RUNS, READY)) {
+                        try {
+                            Files.deleteIfExists(file(shared, word));
+                        } catch (IOException e) {
+                            odd.say("a mark stays, " + e);
+                        }
+                    }
+                });
     }
 
     /** Whether another process lives that shares this one's limits. */
@@ -79,7 +81,10 @@
         return marks().stream().anyMatch(mark -> mark.ready && mark.start > start);
     }
 
-    /** Tells the others how many descriptors this process holds; how many they hold together, 0 if alone. */
+    /**
+     * Tells the others how many descriptors this process holds; how many they hold together, 0 if
+     * alone.
+     */
     int share(int held) {
         List<Mark> others = marks().stream().filter(mark -> !mark.ready).toList();
         if (others.isEmpty()) {
@@ -112,16 +117,21 @@
             return marks;
         }
         try (Stream<Path> files = Files.list(folder.get())) {
-            files.forEach(file -> {
-                Matcher found = MARK.matcher(file.getFileName().toString());
-                if (found.matches()) {
-                    long process = Long.parseLong(found.group(2));
-                    if (process != self && ProcessHandle.of(process).isPresent()) {
-                        marks.add(new Mark(found.group(1).equals(READY), process,
-                                Long.parseLong(found.group(3)), file));
-                    }
-                }
-            });
+            files.forEach(
+                    file -> {
+                        Matcher found = MARK.matcher(file.getFileName().toString());
+                        if (found.matches()) {
+                            long process = Long.parseLong(found.group(2));
+                            if (process != self && ProcessHandle.of(process).isPresent()) {
+                                marks.add(
+                                        new Mark(
+                                                found.group(1).equals(READY),
+                                                process,
+                                                Long.parseLong(found.group(3)),
+                                                file));
+                            }
+                        }
+                    });
         } catch (IOException | UncheckedIOException e) {
             odd.say("the marks cannot be read, " + e);
         }
--- a/src/main/java/cairnbridge/proxy/Call.java
+++ b/src/main/java/cairnbridge/proxy/Call.java
@@ -7,10 +7,14 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
-/** What all requests that the proxy sends have alike: one body at most, and an answer read as it comes. */
+/**
+ * What all requests that the proxy sends have alike: one body at most, and an answer read as it
+ * comes.
+ */
 abstract class Call implements AsyncClientExchangeHandler {
     private static final int WINDOW = Gathered.MOST;
     private Body body = new RemainingBytes(null);
+
     /** Set before anything is sent on it; null as long as there is none. */
     volatile Connection connection;
 
--- a/src/main/java/cairnbridge/proxy/Clock.java
+++ b/src/main/java/cairnbridge/proxy/Clock.java
@@ -1,10 +1,15 @@
 package cairnbridge.proxy;
 
-/** The module's clock: whole tenths of a millisecond of Unix time, stepped only by the monotonic clock. */
+/**
+ * The module's clock: whole tenths of a millisecond of Unix time, stepped only by the monotonic
+ * clock.
+ */
 class Clock {
     static final long MILLI = 10, SECOND = 10_000;
+
     /** Nanoseconds in one tenth. */
     static final long NANOS = 100_000;
+
     private final long wall = System.currentTimeMillis() * MILLI;
     private final long origin = System.nanoTime();
 
--- a/src/main/java/cairnbridge/proxy/Connection.java
+++ b/src/main/java/cairnbridge/proxy/Connection.java
@@ -14,7 +14,9 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 
-/** One connection that the proxy opens, from the dial to its end; carries one exchange at a time. */
+/**
+ * One connection that the proxy opens, from the dial to its end; carries one exchange at a time.
+ */
 final class Connection implements FutureCallback<IOSession> {
     final InetSocketAddress address;
     private final Sockets sockets;
@@ -24,15 +26,22 @@
     private volatile IOSession session;
     private volatile Future<IOSession> dial;
     private volatile boolean unwanted;
+
     /** Reactor thread only: a request is out and its answer has not come to its end. */
     private boolean asked;
+
     private Call latest;
+
     /** Owner thread only: whose it is, where it is pooled, and since when nothing is out on it. */
     NodeId node;
+
     boolean used;
     long idleSince;
 
-    /** first is sent as soon as the connection is up, and told of its failure where it never comes up. */
+    /**
+     * first is sent as soon as the connection is up, and told of its failure where it never comes
+     * up.
+     */
     Connection(InetSocketAddress address, Sockets sockets, Timeout silence, Call first) {
         this.address = address;
         this.sockets = sockets;
@@ -50,7 +59,10 @@
         return !unwanted && up != null && up.isOpen();
     }
 
-    /** Guards against a connection that the node has closed, or on which it has said more than was asked. */
+    /**
+     * Guards against a connection that the node has closed, or on which it has said more than was
+     * asked.
+     */
     void begins(Call call) throws IOException {
         if (session.read(ByteBuffer.allocate(1)) != 0) {
             throw new IOException("connection is stale");
@@ -74,7 +86,9 @@
 
     void send(Call call) {
         call.connection = this;
-        session.enqueue(new RequestExecutionCommand(call, HttpCoreContext.create()), Command.Priority.NORMAL);
+        session.enqueue(
+                new RequestExecutionCommand(call, HttpCoreContext.create()),
+                Command.Priority.NORMAL);
     }
 
     /** Closes at once; a dial still under way is given up. */
--- a/src/main/java/cairnbridge/proxy/Decide.java
+++ b/src/main/java/cairnbridge/proxy/Decide.java
@@ -26,20 +26,27 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** The owner thread: empties the inbox into the module, keeps its timers, and does what it asks for. */
+/**
+ * The owner thread: empties the inbox into the module, keeps its timers, and does what it asks for.
+ */
 final class Decide implements Host, Runnable {
     private static final Logger LOG = Logger.getLogger(Decide.class.getName());
     private static final int BATCH = 64;
+
     /**
-     * Guards against one tenant's quota held against the ops of all: on sockets nobody tells whose they
-     * are.
+     * Guards against one tenant's quota held against the ops of all: on sockets nobody tells whose
+     * they are.
      */
     private static final TenantId NO_TENANT = new TenantId(-1);
+
     private static final long MOST_SWEEP = Clock.SECOND / 2;
+
     /** An idle process looks round this often, so that it notices when it was held up. */
     private static final long REST = 20 * Clock.MILLI;
+
     /** An op whose body passed through is brought to its end this long before its TTL. */
     private static final long LAST_CALL = 20 * Clock.MILLI;
+
     private static final long HELD_UP = 5 * Clock.MILLI;
 
     /** An op from its arrival until it is answered and its last push has ended. */
@@ -47,8 +54,10 @@
         final Exchange client;
         long expires;
         final List<PushCall> pushes = new ArrayList<>(2);
+
         /** The push whose answer passes through. */
         PushCall stream;
+
         boolean answered;
         int open;
 
@@ -58,7 +67,10 @@
         }
     }
 
-    /** A time at which the module or one push is to be told, or at which one op must have been answered. */
+    /**
+     * A time at which the module or one push is to be told, or at which one op must have been
+     * answered.
+     */
     private record Timer(long due, long rank, TimerId timer, PushCall push, OpId op)
             implements Comparable<Timer> {
         @Override
@@ -76,8 +88,10 @@
     private final Map<OpId, Live> ops = new HashMap<>();
     private final Set<String> open = new HashSet<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+
     /** What the owner thread tells itself; the module is never called from within its own calls. */
     private final ArrayDeque<Notice> later = new ArrayDeque<>();
+
     private final RosterWatch watch;
     private final Figures figures;
     private long toldAt, lastOp, lastRank, sweptAt, stall, stallOver, wokeLast;
@@ -85,13 +99,21 @@
     private volatile boolean stopped;
     private volatile int live;
     private volatile Learnt learnt = Learnt.NOTHING;
+
     /** Null where no fleet is told of it. */
     private FleetTally tally;
+
     /** Null where nothing is kept over a loss of power. */
     private RecoveryLink recovery;
 
-    Decide(ProxyConfig config, Inbox inbox, Clock clock, Sockets sockets, RosterWatch watch,
-            Learnt before, Figures figures) {
+    Decide(
+            ProxyConfig config,
+            Inbox inbox,
+            Clock clock,
+            Sockets sockets,
+            RosterWatch watch,
+            Learnt before,
+            Figures figures) {
         this.figures = figures;
         this.inbox = inbox;
         this.clock = clock;
@@ -157,8 +179,10 @@
         if (!timers.isEmpty()) {
             wait = Math.max(0, Math.min(wait, clock.nanosUntil(timers.peek().due)));
         }
-        Notice notice = later.isEmpty() ? wait == 0 ? inbox.poll() : inbox.poll(wait) : later.poll();
-        // Guards against a stall of the whole process: what is read after it came during it, and its TTL ran.
+        Notice notice =
+                later.isEmpty() ? wait == 0 ? inbox.poll() : inbox.poll(wait) : later.poll();
+        // Guards against a stall of the whole process: what is read after it came during it, and
+        // its TTL ran.
         long woke = clock.now();
         long late = woke - wokeLast - wait / Clock.NANOS;
         wokeLast = woke;
@@ -212,7 +236,9 @@
         }
     }
 
-    /** What passes through has its own ends; an op whose body did has until its TTL to be answered. */
+    /**
+     * What passes through has its own ends; an op whose body did has until its TTL to be answered.
+     */
     private void lastCall(Live op) {
         boolean waits = false;
         for (PushCall call : op.pushes) {
@@ -261,8 +287,9 @@
             if (recovery != null) {
                 recovery.probed(probed.node(), probed.ending(), clock.now());
             }
-            tell(clock.now(), new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(),
-                    null));
+            tell(
+                    clock.now(),
+                    new Event.ProbeEnded(probed.node(), probed.ending(), probed.took(), null));
         } else if (notice instanceof Notice.Hint hint) {
             tell(clock.now(), hint.event());
         } else if (notice instanceof Notice.Seen seen) {
@@ -317,8 +344,18 @@
             answered(ops.get(client.op));
             return;
         }
-        tell(clock.now(), new Event.OpArrived(client.op, client.category, NO_TENANT, client.key,
-                expires, 0, -1, client.repeat, client.write));
+        tell(
+                clock.now(),
+                new Event.OpArrived(
+                        client.op,
+                        client.category,
+                        NO_TENANT,
+                        client.key,
+                        expires,
+                        0,
+                        -1,
+                        client.repeat,
+                        client.write));
     }
 
     private void left(Exchange client) {
@@ -332,39 +369,62 @@
         PushCall call = over.call();
         OpId id = call.client.op;
         Live op = ops.get(id);
-        push.done(call, over.ending() == Ending.ACKED || over.ending() == Ending.MISS
-                || over.ending() == Ending.FULL || over.ending() == Ending.ERROR, clock.now());
+        push.done(
+                call,
+                over.ending() == Ending.ACKED
+                        || over.ending() == Ending.MISS
+                        || over.ending() == Ending.FULL
+                        || over.ending() == Ending.ERROR,
+                clock.now());
         if (!holds.that(op != null && op.open > 0, "a push ends once, while its op is kept")) {
             return;
         }
         op.open--;
-        // Guards against a further push for a client that has gone, of whom no notice has been taken yet.
+        // Guards against a further push for a client that has gone, of whom no notice has been
+        // taken yet.
         if (call.client.hasGone()) {
             left(call.client);
         }
         if (tally != null) {
             long now = clock.now();
-            tally.ended(call.node, call.client.category.value(), over.ending(), call.took(over.ended()),
-                    op.expires - now, now);
+            tally.ended(
+                    call.node,
+                    call.client.category.value(),
+                    over.ending(),
+                    call.took(over.ended()),
+                    op.expires - now,
+                    now);
         }
         if (recovery != null) {
             recovery.ended(call, over.ending(), call.took(over.ended()), clock.now());
         }
-        if (over.ending() == Ending.ACKED && !op.answered && (op.stream == null || op.stream == call)) {
+        if (over.ending() == Ending.ACKED
+                && !op.answered
+                && (op.stream == null || op.stream == call)) {
             if (op.stream == null) {
                 call.client.ack(over.body());
             }
             answered(op);
         }
-        tell(clock.now(), new Event.PushEnded(id, call.number, call.node, over.ending(), over.note(),
-                call.took(over.ended()), op.answered, null));
+        tell(
+                clock.now(),
+                new Event.PushEnded(
+                        id,
+                        call.number,
+                        call.node,
+                        over.ending(),
+                        over.note(),
+                        call.took(over.ended()),
+                        op.answered,
+                        null));
         forget(id, op);
     }
 
     private void streams(Notice.Streams streams) {
         PushCall call = streams.call();
         Live op = ops.get(call.client.op);
-        // Guards against an answer that begins just as its push is given up, and would break off at once.
+        // Guards against an answer that begins just as its push is given up, and would break off at
+        // once.
         if (op == null || op.answered || op.stream != null || call.isAbandoned()) {
             streams.answer().drop();
             abandon(call, Ending.CALLED_OFF);
@@ -417,7 +477,8 @@
     }
 
     /**
-     * Guards against a push that reaches a node after the word that nothing may, its connection being late.
+     * Guards against a push that reaches a node after the word that nothing may, its connection
+     * being late.
      */
     private void withdraw() {
         for (Live op : ops.values()) {
@@ -491,8 +552,16 @@
             return;
         }
         long now = clock.now();
-        PushCall call = new PushCall(op.client, node, op.pushes.size(), op.expires, latestBegin, inbox, clock,
-                figures);
+        PushCall call =
+                new PushCall(
+                        op.client,
+                        node,
+                        op.pushes.size(),
+                        op.expires,
+                        latestBegin,
+                        inbox,
+                        clock,
+                        figures);
         op.pushes.add(call);
         op.open++;
         long due = timeOut > 0 ? Math.min(op.expires, now + timeOut) : op.expires;
@@ -534,7 +603,8 @@
 
     @Override
     public void timer(long in, TimerId timer) {
-        // Guards against a thread held up while the module decides: its spans count from what it was told.
+        // Guards against a thread held up while the module decides: its spans count from what it
+        // was told.
         timers.add(new Timer(toldAt + in, ++lastRank, timer, null, null));
     }
 
--- a/src/main/java/cairnbridge/proxy/Exchange.java
+++ b/src/main/java/cairnbridge/proxy/Exchange.java
@@ -25,7 +25,9 @@
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
-/** One request of a client and its one answer: read on the reactor, answered by the owner thread. */
+/**
+ * One request of a client and its one answer: read on the reactor, answered by the owner thread.
+ */
 final class Exchange implements AsyncServerExchangeHandler {
     static final String ID = "X-Trace-Id", TTL = "X-Expires-In", MARK = "Idempotency-Key";
     private static final String REPEAT = "X-Second-Try";
@@ -37,10 +39,16 @@
     private final Inbox inbox;
     private final Consumer<Exchange> released;
     private final Runnable cut;
-    /** over: its answer has begun; finished: the answer's last byte is handed over, or the client is gone. */
+
+    /**
+     * over: its answer has begun; finished: the answer's last byte is handed over, or the client is
+     * gone.
+     */
     private final AtomicBoolean over = new AtomicBoolean();
+
     /** That of all attempts for it. */
     final Permission permission = new Permission();
+
     private volatile boolean taken, told, gone, last, counted, rehearsed, finished, streaming;
     private volatile long came;
     private volatile Figures.End end;
@@ -50,6 +58,7 @@
     private long length;
     private long ttl;
     private Body rest = new RemainingBytes(null);
+
     /** A body that passes through; null for one that was gathered whole, as value. */
     volatile Pipe pipe;
 
@@ -58,6 +67,7 @@
     KeyId key;
     boolean write, repeat;
     byte[] value;
+
     /** Set by the owner thread. */
     OpId op;
 
@@ -83,9 +93,12 @@
         return gone;
     }
 
-    /** Guards against a next request refused because it came before this thread knew that it may. */
+    /**
+     * Guards against a next request refused because it came before this thread knew that it may.
+     */
     boolean isAnswered() {
-        return finished || over.get() && (!streaming || rest instanceof Pipe answer && answer.isLastOut());
+        return finished
+                || over.get() && (!streaming || rest instanceof Pipe answer && answer.isLastOut());
     }
 
     /** Bytes of its body that have come. */
@@ -93,7 +106,10 @@
         return came;
     }
 
-    /** The client is waited for no longer than this: its body stands still because the proxy takes none. */
+    /**
+     * The client is waited for no longer than this: its body stands still because the proxy takes
+     * none.
+     */
     boolean isHeldBack() {
         Pipe body = pipe;
         return body != null && body.isHeldBack();
@@ -124,8 +140,12 @@
     }
 
     @Override
-    public void handleRequest(HttpRequest request, EntityDetails entity, ResponseChannel response,
-            HttpContext httpContext) throws HttpException, IOException {
+    public void handleRequest(
+            HttpRequest request,
+            EntityDetails entity,
+            ResponseChannel response,
+            HttpContext httpContext)
+            throws HttpException, IOException {
         channel = response;
         context = httpContext;
         method = request.getMethod();
@@ -149,7 +169,10 @@
         }
     }
 
-    /** Takes out the fields that decisions need; the rest goes on as it came. Returns what is malformed. */
+    /**
+     * Takes out the fields that decisions need; the rest goes on as it came. Returns what is
+     * malformed.
+     */
     private String read(HttpRequest request) {
         trace = header(request, ID);
         if (trace == null || trace.isEmpty()) {
@@ -188,7 +211,8 @@
         value = body == null ? null : body.all();
         body = null;
         taken = true;
-        // Guards against an op dead on arrival: a client may take a second for its body; its TTL runs then.
+        // Guards against an op dead on arrival: a client may take a second for its body; its TTL
+        // runs then.
         long expires = listen.expires(listen.clock.now(), ttl);
         Warm warm = listen.warm;
         if (warm != null && warm.owns(trace)) {
@@ -205,14 +229,19 @@
         inbox.post(new Notice.Arrived(this, latest));
     }
 
-    /** The body is too long to be gathered: the op is placed now, and its TTL runs from the last byte. */
+    /**
+     * The body is too long to be gathered: the op is placed now, and its TTL runs from the last
+     * byte.
+     */
     private void pass(ByteBuffer src) {
         Pipe through = newPipe(length);
         through.give(ByteBuffer.wrap(body.all()));
         through.give(src);
         body = null;
         pipe = through;
-        tell(listen.expiresLong(listen.clock.now(), ttl, (length < 0 ? Framing.LONGEST : length) - came));
+        tell(
+                listen.expiresLong(
+                        listen.clock.now(), ttl, (length < 0 ? Framing.LONGEST : length) - came));
     }
 
     private void begun() {
@@ -222,7 +251,10 @@
         }
     }
 
-    /** The op is over, its answer's last byte handed over. Once; what the rehearsal sends never counts. */
+    /**
+     * The op is over, its answer's last byte handed over. Once; what the rehearsal sends never
+     * counts.
+     */
     private void finish() {
         if (finished) {
             return;
@@ -298,7 +330,8 @@
 
     private void send(int code, byte[] bytes, long retryAfter, boolean close) {
         if (streaming) {
-            // Guards against an answer that broke off and seems whole: its connection ends before it does.
+            // Guards against an answer that broke off and seems whole: its connection ends before
+            // it does.
             end = Figures.End.FAILURE;
             finish();
             cut.run();
@@ -327,12 +360,13 @@
             response.addHeader("Connection", "close");
         }
         rest = bytes;
-        end = switch (code) {
-            case OK -> Figures.End.SUCCESS;
-            case NACK -> Figures.End.BUSY;
-            case DEAD_LETTER -> Figures.End.FAILURE;
-            default -> null; // Not an op of its client's.
-        };
+        end =
+                switch (code) {
+                    case OK -> Figures.End.SUCCESS;
+                    case NACK -> Figures.End.BUSY;
+                    case DEAD_LETTER -> Figures.End.FAILURE;
+                    default -> null; // Not an op of its client's.
+                };
         try {
             EntityDetails entity = bytes.entity();
             channel.sendResponse(response, entity, context);
@@ -371,7 +405,8 @@
 
     @Override
     public void failed(Exception cause) {
-        // Guards against an attempt that begins while the owner has not yet heard that its client has gone.
+        // Guards against an attempt that begins while the owner has not yet heard that its client
+        // has gone.
         permission.revoke(Refusal.CLIENT_GONE);
         gone = true;
         boolean unanswered = over.compareAndSet(false, true);
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -21,6 +21,7 @@
 final class FleetLink implements FleetProxy {
     /** From this part of its descriptors on a proxy closes its clients' connections. */
     private static final int CLIENTS_PART = 3;
+
     private final ZonePlacement.Counts placed = new ZonePlacement.Counts();
     private final Clock clock;
     private final ProxyConfig config;
@@ -32,12 +33,21 @@
 
     /** Null where nothing is kept over a loss of power. */
     private final RecoveryLink recovery;
+
     private volatile Fleet fleet;
+
     /** Whether plans over zones are on. */
     private volatile boolean zoned;
 
-    FleetLink(ProxyConfig config, Clock clock, Listen listen, Decide decide, FleetTally tally,
-            RosterWatch watch, Inbox inbox, RecoveryLink recovery) {
+    FleetLink(
+            ProxyConfig config,
+            Clock clock,
+            Listen listen,
+            Decide decide,
+            FleetTally tally,
+            RosterWatch watch,
+            Inbox inbox,
+            RecoveryLink recovery) {
         this.clock = clock;
         this.tally = tally;
         this.recovery = recovery;
@@ -60,9 +70,15 @@
 
     @Override
     public Told.Figures figures() {
-        return new Told.Figures(decide.live(), config.sockets() / CLIENTS_PART, tally.rate(clock.now()),
+        return new Told.Figures(
+                decide.live(),
+                config.sockets() / CLIENTS_PART,
+                tally.rate(clock.now()),
                 watch.version(),
-                watch.isListing(), tally.unreachable(), tally.zones(), tally.out());
+                watch.isListing(),
+                tally.unreachable(),
+                tally.zones(),
+                tally.out());
     }
 
     @Override
@@ -83,8 +99,18 @@
     @Override
     public void placed(Zone home, Row row, Set<Zone> out, double alonePart) {
         zoned = true;
-        inbox.first(new Notice.Hint(new Event.Placed(ZonePlacement.of(home, row, out, alonePart,
-                config.zones(), config.settings().categories(), tally.mix(), placed))));
+        inbox.first(
+                new Notice.Hint(
+                        new Event.Placed(
+                                ZonePlacement.of(
+                                        home,
+                                        row,
+                                        out,
+                                        alonePart,
+                                        config.zones(),
+                                        config.settings().categories(),
+                                        tally.mix(),
+                                        placed))));
     }
 
     /** Before anything starts. */
@@ -115,8 +141,13 @@
 
     /** What plans have placed where, since the start. */
     Map<String, Long> gauges() {
-        return Map.of("zones.near_total", placed.near.sum(), "zones.far_total", placed.far.sum(),
-                "zones.shed_total", placed.shed.sum());
+        return Map.of(
+                "zones.near_total",
+                placed.near.sum(),
+                "zones.far_total",
+                placed.far.sum(),
+                "zones.shed_total",
+                placed.shed.sum());
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/Framing.java
+++ b/src/main/java/cairnbridge/proxy/Framing.java
@@ -7,30 +7,41 @@
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
-/** Where a message's body ends, by its own fields; the library takes some that can be read in two ways. */
+/**
+ * Where a message's body ends, by its own fields; the library takes some that can be read in two
+ * ways.
+ */
 final class Framing {
     private static final String LENGTH = "Content-Length", CODING = "Transfer-Encoding";
     private static final String UNCLEAR = "body without one clear length";
     private static final int MOST_DIGITS = 8;
+
     /** The longest body that passes through, in bytes. */
     static final long LONGEST = 40 << 20;
 
-    private Framing() {
-    }
+    private Framing() {}
 
-    /** Guards against a head that breaks off: the library takes what has come for the whole of it. */
-    static void whole(HttpMessage head, SessionInputBuffer buffer, boolean ended) throws ProtocolException {
+    /**
+     * Guards against a head that breaks off: the library takes what has come for the whole of it.
+     */
+    static void whole(HttpMessage head, SessionInputBuffer buffer, boolean ended)
+            throws ProtocolException {
         if (head == null && ended && buffer.hasData()) {
             throw new ProtocolException("head broke off");
         }
     }
 
-    /** An answer may end with its connection where it says so; else what breaks off would seem whole. */
+    /**
+     * An answer may end with its connection where it says so; else what breaks off would seem
+     * whole.
+     */
     static void check(HttpResponse answer) throws ProtocolException {
         Header connection = answer.getFirstHeader("Connection");
         boolean closes = connection != null && connection.getValue().equalsIgnoreCase("close");
         int code = answer.getCode();
-        check(answer, closes || code == HttpStatus.SC_NO_CONTENT || code == HttpStatus.SC_NOT_MODIFIED);
+        check(
+                answer,
+                closes || code == HttpStatus.SC_NO_CONTENT || code == HttpStatus.SC_NOT_MODIFIED);
     }
 
     /** unframed: a message that says nothing of a body is in order. */
@@ -49,7 +60,9 @@
         } else if (lengths + codings != 1) {
             return UNCLEAR;
         } else if (codings == 1) {
-            return message.getFirstHeader(CODING).getValue().equalsIgnoreCase("chunked") ? null : UNCLEAR;
+            return message.getFirstHeader(CODING).getValue().equalsIgnoreCase("chunked")
+                    ? null
+                    : UNCLEAR;
         }
         String text = message.getFirstHeader(LENGTH).getValue();
         int length = text.isEmpty() || text.length() > MOST_DIGITS ? -1 : 0;
--- a/src/main/java/cairnbridge/proxy/Get.java
+++ b/src/main/java/cairnbridge/proxy/Get.java
@@ -43,7 +43,10 @@
 
     abstract void line(String text);
 
-    /** Once: ACKED where the answer came to its end, whatever its status, else how the connection failed. */
+    /**
+     * Once: ACKED where the answer came to its end, whatever its status, else how the connection
+     * failed.
+     */
     abstract void over(Ending how);
 
     private void end(Ending how) {
--- a/src/main/java/cairnbridge/proxy/Holds.java
+++ b/src/main/java/cairnbridge/proxy/Holds.java
@@ -4,7 +4,10 @@
 import java.util.TreeMap;
 import java.util.logging.Logger;
 
-/** What must hold: asserted in debug builds, counted in release builds and said in the log, each once. */
+/**
+ * What must hold: asserted in debug builds, counted in release builds and said in the log, each
+ * once.
+ */
 final class Holds {
     private static final Logger LOG = Logger.getLogger(Holds.class.getName());
     private final Map<String, Integer> broken = new TreeMap<>();
--- a/src/main/java/cairnbridge/proxy/Inbox.java
+++ b/src/main/java/cairnbridge/proxy/Inbox.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
-/** The bounded queue before the owner thread. A full one holds the reactor back: nothing is dropped. */
+/**
+ * The bounded queue before the owner thread. A full one holds the reactor back: nothing is dropped.
+ */
 final class Inbox {
     private final BlockingQueue<Notice> queue;
     private final Queue<Notice> urgent = new ConcurrentLinkedQueue<>();
--- a/src/main/java/cairnbridge/proxy/Keeping.java
+++ b/src/main/java/cairnbridge/proxy/Keeping.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import java.util.Optional;
 
-/** What of a proxy is kept on its disk, put together from its parts; made before the proxy starts. */
+/**
+ * What of a proxy is kept on its disk, put together from its parts; made before the proxy starts.
+ */
 final class Keeping {
     private final StateKeeper keeper;
     private final RecoveryLink link;
@@ -21,9 +23,15 @@
     private final Decide decide;
     private Fleet fleet;
 
-    Keeping(StateKeeper keeper, ProxyConfig config, FleetConfig of, Maintenance maintenance,
+    Keeping(
+            StateKeeper keeper,
+            ProxyConfig config,
+            FleetConfig of,
+            Maintenance maintenance,
             RosterWatch watch,
-            Decide decide, Inbox inbox, long now) {
+            Decide decide,
+            Inbox inbox,
+            long now) {
         this.keeper = keeper;
         this.maintenance = maintenance;
         this.decide = decide;
@@ -32,8 +40,9 @@
         watch.keepsIn(book);
         watch.believesFrom(keeper.trusted().rosterVersion());
         decide.recoversBy(link);
-        maintenance.keepsBy((node, on) -> keeper.store().keep(on ? Entry.Kind.HELD : Entry.Kind.FREED,
-                node.value()));
+        maintenance.keepsBy(
+                (node, on) ->
+                        keeper.store().keep(on ? Entry.Kind.HELD : Entry.Kind.FREED, node.value()));
     }
 
     RecoveryLink link() {
@@ -42,8 +51,9 @@
 
     /** What the fleet's member needs to know of plans over zones before it is made. */
     Fleet.Epochs epochs() {
-        return new Fleet.Epochs(keeper.trusted().epochFloor(), epoch -> keeper.store().keep(Entry.Kind.EPOCH,
-                epoch));
+        return new Fleet.Epochs(
+                keeper.trusted().epochFloor(),
+                epoch -> keeper.store().keep(Entry.Kind.EPOCH, epoch));
     }
 
     /** Holds of staff are in force before the first op, or as soon as a slow disk gives them. */
@@ -56,21 +66,40 @@
     }
 
     /**
-     * Nothing until the return is over: guards against what is half known yet in place of what was known
-     * before, where the power is lost a second time.
+     * Nothing until the return is over: guards against what is half known yet in place of what was
+     * known before, where the power is lost a second time.
      */
     private Optional<Kept> state() {
         if (!link.isOver()) {
             return Optional.empty();
         }
         Learnt learnt = decide.learnt();
-        List<Kept.Node> nodes = learnt.nodes().entrySet().stream().map(each -> new Kept.Node(
-                each.getKey().value(), each.getValue().started(), each.getValue().share())).toList();
-        return Optional.of(new Kept(keeper.settings().store().cluster(), keeper.life(), keeper.bootId(),
-                System.currentTimeMillis(), 0, book.version(), book.text(), StateKeeper.peers(fleet.view()),
+        List<Kept.Node> nodes =
+                learnt.nodes().entrySet().stream()
+                        .map(
+                                each ->
+                                        new Kept.Node(
+                                                each.getKey().value(),
+                                                each.getValue().started(),
+                                                each.getValue().share()))
+                        .toList();
+        return Optional.of(
+                new Kept(
+                        keeper.settings().store().cluster(),
+                        keeper.life(),
+                        keeper.bootId(),
+                        System.currentTimeMillis(),
+                        0,
+                        book.version(),
+                        book.text(),
+                        StateKeeper.peers(fleet.view()),
                         fleet.epoch(),
                         fleet.plan(),
-                learnt.at(), learnt.originSpan(), learnt.sendRate(), nodes, maintenance.held()));
+                        learnt.at(),
+                        learnt.originSpan(),
+                        learnt.sendRate(),
+                        nodes,
+                        maintenance.held()));
     }
 
     void stop() throws InterruptedException {
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -21,10 +21,10 @@
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * A client's session whose planned close lingers: the output is shut down, what still comes is read to
- * nowhere, and the socket goes with the client's own end. Guards against a close over unread bytes: it resets
- * the connection, and the last answer may go with it. What crosses the close is not read as a request: its
- * client sees the connection end and sends it elsewhere.
+ * A client's session whose planned close lingers: the output is shut down, what still comes is read
+ * to nowhere, and the socket goes with the client's own end. Guards against a close over unread
+ * bytes: it resets the connection, and the last answer may go with it. What crosses the close is
+ * not read as a request: its client sees the connection end and sends it elsewhere.
  */
 final class LingeringSession implements ProtocolIOSession {
     private static final int SCRATCH = 4096, MOST_ROUNDS = 16;
@@ -56,7 +56,9 @@
         return isClosing() ? (nanoTime - closingAt) / 1_000_000 : 0;
     }
 
-    /** The client has ended its side: by the page it has gone, whether or not it would still read. */
+    /**
+     * The client has ended its side: by the page it has gone, whether or not it would still read.
+     */
     boolean hasEnded() {
         return ended;
     }
@@ -83,7 +85,8 @@
                 release();
             }
         } catch (IOException e) {
-            session.close(CloseMode.IMMEDIATE); // The client has reset it: nothing is owed to anyone.
+            session.close(
+                    CloseMode.IMMEDIATE); // The client has reset it: nothing is owed to anyone.
         }
     }
 
@@ -246,8 +249,13 @@
     }
 
     @Override
-    public void startTls(SSLContext context, NamedEndpoint endpoint, SSLBufferMode mode,
-            SSLSessionInitializer initializer, SSLSessionVerifier verifier, Timeout timeout) {
+    public void startTls(
+            SSLContext context,
+            NamedEndpoint endpoint,
+            SSLBufferMode mode,
+            SSLSessionInitializer initializer,
+            SSLSessionVerifier verifier,
+            Timeout timeout) {
         session.startTls(context, endpoint, mode, initializer, verifier, timeout);
     }
 }
--- a/src/main/java/cairnbridge/proxy/Listen.java
+++ b/src/main/java/cairnbridge/proxy/Listen.java
@@ -8,22 +8,40 @@
 
 /** What is read off every request, and whether the proxy takes ops yet or is about to end. */
 final class Listen {
-    enum State { STARTING, SERVING, STANDBY, DRAINING }
+    enum State {
+        STARTING,
+        SERVING,
+        STANDBY,
+        DRAINING
+    }
 
-    /** No op is kept longer, whatever its client says: an hour of patience would be an hour of memory. */
+    /**
+     * No op is kept longer, whatever its client says: an hour of patience would be an hour of
+     * memory.
+     */
     private static final long LONGEST = 60 * Clock.SECOND;
+
     /** Bytes a millisecond that a client gives of its body, at the least. */
     static final long LEAST_RATE = 48;
+
     final Clock clock;
+
     /** What all pipes hold. */
     final AtomicLong piped = new AtomicLong();
+
     private volatile long latest = Long.MAX_VALUE;
     private final Map<String, Integer> categories = new HashMap<>();
-    /** Ready, "the answer closes" and the closing of idle connections all derive from this one state. */
+
+    /**
+     * Ready, "the answer closes" and the closing of idle connections all derive from this one
+     * state.
+     */
     private volatile State state = State.STARTING;
+
     private boolean away;
     volatile boolean crowded;
     final Figures figures;
+
     /** Its requests are none of the clients'; it stays, to know them. */
     volatile Warm warm;
 
@@ -69,7 +87,10 @@
         latest = end;
     }
 
-    /** When an op read at a time ends: as its client says, a minute at most, and before the proxy does. */
+    /**
+     * When an op read at a time ends: as its client says, a minute at most, and before the proxy
+     * does.
+     */
     long expires(long now, long ttl) {
         return Math.min(now + Math.min(ttl, LONGEST), latest);
     }
@@ -92,7 +113,9 @@
         return categories.get(name);
     }
 
-    /** A number and a unit, m for milliseconds or u for microseconds, in tenths; 0 where it is none. */
+    /**
+     * A number and a unit, m for milliseconds or u for microseconds, in tenths; 0 where it is none.
+     */
     static long ttl(String text) {
         int last = text == null ? 0 : text.length() - 1;
         if (last < 1 || last > 12) {
--- a/src/main/java/cairnbridge/proxy/Maintenance.java
+++ b/src/main/java/cairnbridge/proxy/Maintenance.java
@@ -20,13 +20,19 @@
 import java.util.stream.Stream;
 
 /**
- * Which nodes staff have taken out: one marker file a node, in a folder that a process and its successor
- * share, so that both agree with no lock. Changes go to the owner in the order in which they are made.
+ * Which nodes staff have taken out: one marker file a node, in a folder that a process and its
+ * successor share, so that both agree with no lock. Changes go to the owner in the order in which
+ * they are made.
  */
 final class Maintenance {
     private static final Logger LOG = Logger.getLogger(Maintenance.class.getName());
-    /** How often the marks are looked at, and after how long another process is sure to have seen one. */
+
+    /**
+     * How often the marks are looked at, and after how long another process is sure to have seen
+     * one.
+     */
     static final long LOOK_MILLIS = 100;
+
     private static final long SEEN_MILLIS = 3 * LOOK_MILLIS, KEPT_MILLIS = 500;
     private static final String MARK = "hold-", HEX = "[0-9a-f]{1,16}";
 
@@ -36,19 +42,23 @@
     private final BooleanSupplier shared;
     private final Set<NodeId> held = new HashSet<>();
     private final OddityLog odd = new OddityLog(LOG, "maintenance");
+
     /** Keeps a hold over a loss of power: true once it does. Null where nothing is kept. */
     private BiFunction<NodeId, Boolean, CompletableFuture<Boolean>> keeps;
 
     /** folder is empty where none is shared: holds then end with the process. */
-    Maintenance(Optional<Path> folder, Inbox inbox, Predicate<NodeId> listed,
-            BooleanSupplier shared) {
+    Maintenance(
+            Optional<Path> folder, Inbox inbox, Predicate<NodeId> listed, BooleanSupplier shared) {
         this.shared = shared;
         this.folder = folder;
         this.inbox = inbox;
         this.listed = listed;
     }
 
-    /** Takes a node out or puts it back; true once the module knows, false where no such node is known. */
+    /**
+     * Takes a node out or puts it back; true once the module knows, false where no such node is
+     * known.
+     */
     synchronized CompletableFuture<Boolean> hold(String uid, boolean on) {
         NodeId node = new NodeId(Names.hash(uid));
         if (uid.isEmpty() || !held.contains(node) && !listed.test(node)) {
@@ -64,18 +74,26 @@
         CompletableFuture<Boolean> done = tell(node, on);
         if (keeps != null) {
             // Guards against staff who rely on a hold that the next loss of power would undo.
-            CompletableFuture<Boolean> kept = keeps.apply(node, on)
-                    .completeOnTimeout(false, KEPT_MILLIS, TimeUnit.MILLISECONDS);
-            done = done.thenCombine(kept, (taken, sure) -> {
-                if (!sure) {
-                    throw new NotKept();
-                }
-                return taken;
-            });
+            CompletableFuture<Boolean> kept =
+                    keeps.apply(node, on)
+                            .completeOnTimeout(false, KEPT_MILLIS, TimeUnit.MILLISECONDS);
+            done =
+                    done.thenCombine(
+                            kept,
+                            (taken, sure) -> {
+                                if (!sure) {
+                                    throw new NotKept();
+                                }
+                                return taken;
+                            });
         }
-        // Guards against a push of the other process after this one's yes: it looks a few times a second.
-        return !shared.getAsBoolean() ? done : done.thenApplyAsync(taken -> taken,
-                CompletableFuture.delayedExecutor(SEEN_MILLIS, TimeUnit.MILLISECONDS));
+        // Guards against a push of the other process after this one's yes: it looks a few times a
+        // second.
+        return !shared.getAsBoolean()
+                ? done
+                : done.thenApplyAsync(
+                        taken -> taken,
+                        CompletableFuture.delayedExecutor(SEEN_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     /** Has holds kept over a loss of power; before the first of them. */
@@ -93,7 +111,10 @@
                 odd.say("the mark cannot be kept, " + e);
             }
             if (!held.contains(node)) {
-                LOG.info("maintenance: node " + Long.toHexString(each) + " stays out, as staff had it");
+                LOG.info(
+                        "maintenance: node "
+                                + Long.toHexString(each)
+                                + " stays out, as staff had it");
                 tell(node, true);
             }
         }
@@ -141,9 +162,11 @@
             return;
         }
         Set<NodeId> marked = new HashSet<>();
-        // By name alone: a mark that cannot be read, or was half written, holds its node, not frees it.
+        // By name alone: a mark that cannot be read, or was half written, holds its node, not frees
+        // it.
         try (Stream<Path> files = Files.list(folder.get())) {
-            files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(MARK))
+            files.map(file -> file.getFileName().toString())
+                    .filter(name -> name.startsWith(MARK))
                     .forEach(name -> read(name, marked));
         } catch (IOException | UncheckedIOException e) {
             odd.say("the marks cannot be read, who is out stays out: " + e);
--- a/src/main/java/cairnbridge/proxy/OddityLog.java
+++ b/src/main/java/cairnbridge/proxy/OddityLog.java
@@ -4,7 +4,10 @@
 import java.util.Set;
 import java.util.logging.Logger;
 
-/** Says each oddity of what others wrote once, and not more than some: a log is no place for a thousand. */
+/**
+ * Says each oddity of what others wrote once, and not more than some: a log is no place for a
+ * thousand.
+ */
 final class OddityLog {
     private static final int MOST = 20;
     private final Logger log;
--- a/src/main/java/cairnbridge/proxy/Permission.java
+++ b/src/main/java/cairnbridge/proxy/Permission.java
@@ -4,13 +4,15 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Whether an attempt may still begin. It is given with the decision, asked again where the bytes leave, and
- * revoked by whoever learns better: the reactor that sees a client go, the owner that answers the op or hears
- * that a node drains. Any thread may ask and revoke; nothing here waits, and nothing does I/O.
+ * Whether an attempt may still begin. It is given with the decision, asked again where the bytes
+ * leave, and revoked by whoever learns better: the reactor that sees a client go, the owner that
+ * answers the op or hears that a node drains. Any thread may ask and revoke; nothing here waits,
+ * and nothing does I/O.
  */
 final class Permission {
     /** That of the whole op; null in an op's own. */
     private final Permission op;
+
     private final long latestBegin;
     private final AtomicReference<Refusal> revoked = new AtomicReference<>();
 
@@ -44,8 +46,8 @@
     }
 
     /**
-     * The same for the last byte, with which a node begins. A send to a node that drains counts from its
-     * first byte: what has begun in time is finished.
+     * The same for the last byte, with which a node begins. A send to a node that drains counts
+     * from its first byte: what has begun in time is finished.
      */
     Refusal refusalOfRest(long now) {
         Refusal why = refusal(now);
--- a/src/main/java/cairnbridge/proxy/Pipe.java
+++ b/src/main/java/cairnbridge/proxy/Pipe.java
@@ -9,15 +9,20 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 
 /**
- * A body that passes through: what its giver has given and its taker has not yet taken. The giver is held
- * back once a window is full. The sides may stand on different threads. Guards against two that wait for one
- * another: no lock is held while a connection is called, as those have locks of their own.
+ * A body that passes through: what its giver has given and its taker has not yet taken. The giver
+ * is held back once a window is full. The sides may stand on different threads. Guards against two
+ * that wait for one another: no lock is held while a connection is called, as those have locks of
+ * their own.
  */
 final class Pipe implements Body {
     /** The window of one pipe; and of each while all together hold more than the bound. */
     static final int WINDOW = 64 * 1024, NARROW = 8 * 1024, ALL = 6 << 20;
+
     private static final int FIRST = 4096;
-    /** Guards against a slow reader cut off: its system asks for more only once megabytes are free. */
+
+    /**
+     * Guards against a slow reader cut off: its system asks for more only once megabytes are free.
+     */
     private static final long TAKER_NANOS = 60_000_000_000L, GIVER_NANOS = 10_000_000_000L;
 
     private final AtomicLong all;
@@ -29,7 +34,10 @@
     private DataStreamChannel out;
     private volatile long moved = System.nanoTime();
 
-    /** all counts what the pipes of one proxy hold together; length is -1 where the giver tells none. */
+    /**
+     * all counts what the pipes of one proxy hold together; length is -1 where the giver tells
+     * none.
+     */
     Pipe(AtomicLong all, long length) {
         this.all = all;
         this.length = length;
@@ -105,7 +113,10 @@
         return starved != null;
     }
 
-    /** Whether the giver has been silent too long, or the taker, who may take much at once and then rest. */
+    /**
+     * Whether the giver has been silent too long, or the taker, who may take much at once and then
+     * rest.
+     */
     synchronized boolean isStill(long now) {
         return now - moved > (size > 0 ? TAKER_NANOS : GIVER_NANOS);
     }
@@ -165,7 +176,9 @@
         }
         boolean last = false;
         try {
-            for (ByteBuffer next = next(); next != null; next = taken(to.write(next)) ? next() : null) {
+            for (ByteBuffer next = next();
+                    next != null;
+                    next = taken(to.write(next)) ? next() : null) {
                 moved = System.nanoTime();
             }
             last = close();
--- a/src/main/java/cairnbridge/proxy/Probe.java
+++ b/src/main/java/cairnbridge/proxy/Probe.java
@@ -5,7 +5,9 @@
 import cairnbridge.decision.Ids.NodeId;
 import java.net.InetSocketAddress;
 
-/** Asks a node how it fares, on a connection of its own; to dial and to answer it has the same time. */
+/**
+ * Asks a node how it fares, on a connection of its own; to dial and to answer it has the same time.
+ */
 final class Probe {
     private static final int OK = 200;
     private final Sockets sockets;
--- a/src/main/java/cairnbridge/proxy/Push.java
+++ b/src/main/java/cairnbridge/proxy/Push.java
@@ -12,9 +12,15 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread only. */
+/**
+ * Carries pushes to the nodes: the addresses, and a pool of kept connections for each. Owner thread
+ * only.
+ */
 final class Push {
-    /** A node closes an idle connection at its limit; ours goes before that, with this part of it passed. */
+    /**
+     * A node closes an idle connection at its limit; ours goes before that, with this part of it
+     * passed.
+     */
     private static final double IDLE_PART = 0.7, SWEEP_PART = 0.1;
 
     private final Sockets sockets;
@@ -29,9 +35,13 @@
         this.idleLimit = (long) (idleLimit * IDLE_PART);
     }
 
-    /** Learns where the nodes are. Kept connections to a node that is no longer ready, or not named, go. */
+    /**
+     * Learns where the nodes are. Kept connections to a node that is no longer ready, or not named,
+     * go.
+     */
     void listed(Event.Roster roster, Map<NodeId, InetSocketAddress> fresh) {
-        // Guards against a list that has lost its contents: as in the module, what is held stays in use.
+        // Guards against a list that has lost its contents: as in the module, what is held stays in
+        // use.
         if (!fresh.isEmpty() && (roster.scope() == Scope.CACHED || roster.scope() == Scope.FULL)) {
             addresses.clear();
         }
@@ -55,28 +65,37 @@
     }
 
     private void dropUnnamed() {
-        idle.entrySet().removeIf(each -> {
-            // Guards against a successor at the address of a node that is gone: pools go by node.
-            each.getValue().removeIf(kept -> {
-                boolean goes = !isNamed(kept);
-                if (goes) {
-                    kept.close();
-                }
-                return goes;
-            });
-            return each.getValue().isEmpty();
-        });
+        idle.entrySet()
+                .removeIf(
+                        each -> {
+                            // Guards against a successor at the address of a node that is gone:
+                            // pools go by node.
+                            each.getValue()
+                                    .removeIf(
+                                            kept -> {
+                                                boolean goes = !isNamed(kept);
+                                                if (goes) {
+                                                    kept.close();
+                                                }
+                                                return goes;
+                                            });
+                            return each.getValue().isEmpty();
+                        });
     }
 
     private boolean isNamed(Connection connection) {
-        return connection.address.equals(addresses.get(connection.node)) && !held.contains(connection.node);
+        return connection.address.equals(addresses.get(connection.node))
+                && !held.contains(connection.node);
     }
 
     InetSocketAddress address(NodeId node) {
         return addresses.get(node);
     }
 
-    /** Whether anything new may go to a node: the list names it as ready, and staff have not taken it out. */
+    /**
+     * Whether anything new may go to a node: the list names it as ready, and staff have not taken
+     * it out.
+     */
     boolean takes(NodeId node) {
         return addresses.containsKey(node) && !held.contains(node);
     }
@@ -95,7 +114,8 @@
                 return true;
             }
         }
-        // Guards against idle clients that hold all but what is reserved for this: nothing of ours can go.
+        // Guards against idle clients that hold all but what is reserved for this: nothing of ours
+        // can go.
         if (sockets.isFull() && !closeOldest() && sockets.isSpent()) {
             return false;
         }
@@ -129,7 +149,9 @@
         return Math.max(1, (long) (idleLimit * SWEEP_PART));
     }
 
-    /** Guards against a push written to a connection that the node is just closing: ours go first. */
+    /**
+     * Guards against a push written to a connection that the node is just closing: ours go first.
+     */
     void dropIdle(long now) {
         for (ArrayDeque<Connection> kept : idle.values()) {
             while (!kept.isEmpty() && now - kept.peekFirst().idleSince >= idleLimit) {
@@ -138,12 +160,16 @@
         }
     }
 
-    /** Of the kept connections the one idle longest makes room for another; false where none is idle. */
+    /**
+     * Of the kept connections the one idle longest makes room for another; false where none is
+     * idle.
+     */
     boolean closeOldest() {
         ArrayDeque<Connection> oldest = null;
         for (ArrayDeque<Connection> kept : idle.values()) {
             if (!kept.isEmpty()
-                    && (oldest == null || kept.peekFirst().idleSince < oldest.peekFirst().idleSince)) {
+                    && (oldest == null
+                            || kept.peekFirst().idleSince < oldest.peekFirst().idleSince)) {
                 oldest = kept;
             }
         }
--- a/src/main/java/cairnbridge/proxy/PushCall.java
+++ b/src/main/java/cairnbridge/proxy/PushCall.java
@@ -23,11 +23,19 @@
 final class PushCall extends Call {
     private static final Logger LOG = Logger.getLogger(PushCall.class.getName());
     private static final int OK = 200;
-    /** Guards against an answer of unknown length held back from its client while it comes in pieces. */
+
+    /**
+     * Guards against an answer of unknown length held back from its client while it comes in
+     * pieces.
+     */
     private static final long SOON = 100 * Clock.MILLI;
 
     /** HANDED: bytes may have gone out, so that from then on the op may have run. */
-    private enum Stage { WAITING, HANDED, ENDED }
+    private enum Stage {
+        WAITING,
+        HANDED,
+        ENDED
+    }
 
     final Exchange client;
     final NodeId node;
@@ -43,15 +51,24 @@
     private int code, note;
     private boolean neverRan;
     private Gathered answer;
+
     /** The answer passes through; null while it is gathered. */
     private Pipe stream;
+
     private boolean untold, abandoned;
     private long headAt, came;
     private volatile long writtenAt;
 
     /** latestBegin: its last byte leaves before that, or not at all. */
-    PushCall(Exchange client, NodeId node, int number, long expires, long latestBegin, Inbox inbox,
-            Clock clock, Figures figures) {
+    PushCall(
+            Exchange client,
+            NodeId node,
+            int number,
+            long expires,
+            long latestBegin,
+            Inbox inbox,
+            Clock clock,
+            Figures figures) {
         this.figures = figures;
         this.client = client;
         this.value = client.value;
@@ -64,14 +81,18 @@
         permission = client.permission.attempt(latestBegin);
     }
 
-    /** Gives the push up: its ending, or null where it had ended. The caller closes the connection. */
+    /**
+     * Gives the push up: its ending, or null where it had ended. The caller closes the connection.
+     */
     Ending abandon(Ending ending) {
         Stage before = stage.getAndSet(Stage.ENDED);
         if (before == Stage.ENDED) {
             return null;
         }
         abandoned = true;
-        return before == Stage.WAITING && ending == Ending.TIMED_OUT ? Ending.NO_CONNECTION : ending;
+        return before == Stage.WAITING && ending == Ending.TIMED_OUT
+                ? Ending.NO_CONNECTION
+                : ending;
     }
 
     boolean isOpen() {
@@ -136,7 +157,8 @@
     }
 
     /**
-     * Guards against a last byte that leaves late: a node begins with it, however early the first one left.
+     * Guards against a last byte that leaves late: a node begins with it, however early the first
+     * one left.
      */
     @Override
     public void produce(DataStreamChannel out) throws IOException {
@@ -168,7 +190,10 @@
         return writtenAt > 0;
     }
 
-    /** How long the node took; what passes through counts from its last byte written or to its first read. */
+    /**
+     * How long the node took; what passes through counts from its last byte written or to its first
+     * read.
+     */
     long took(long ended) {
         long from = client.pipe == null ? sent : writtenAt > 0 ? writtenAt : ended;
         return Math.max(0, (stream == null ? ended : headAt) - from);
@@ -180,12 +205,15 @@
         Header proof = response.getFirstHeader("X-Never-Ran");
         neverRan = proof != null && proof.getValue().equals("1");
         Header store = response.getFirstHeader("X-Store");
-        note = store == null ? 0 : switch (store.getValue()) {
-            case "hit" -> 1;
-            case "miss" -> 2;
-            case "pending" -> 3;
-            default -> 0;
-        };
+        note =
+                store == null
+                        ? 0
+                        : switch (store.getValue()) {
+                            case "hit" -> 1;
+                            case "miss" -> 2;
+                            case "pending" -> 3;
+                            default -> 0;
+                        };
         answer = new Gathered(entity);
         headAt = clock.now();
         if (entity == null) {
@@ -246,7 +274,10 @@
                 end(Ending.ACKED, stream == null ? answer.all() : null);
             }
             case 404 -> end(Ending.MISS, null);
-            default -> end(neverRan && (code == 503 || code == 504) ? Ending.FULL : Ending.ERROR, null);
+            default ->
+                    end(
+                            neverRan && (code == 503 || code == 504) ? Ending.FULL : Ending.ERROR,
+                            null);
         }
     }
 
@@ -255,7 +286,8 @@
         if (stream != null && isOpen()) {
             LOG.info("an answer that passed through broke off at the node: " + cause);
         }
-        // Guards against a kept connection that the node has closed: not a byte of the push has gone out.
+        // Guards against a kept connection that the node has closed: not a byte of the push has
+        // gone out.
         if (connection.used && isWaiting()) {
             inbox.post(new Notice.Unsent(this));
             return;
--- a/src/main/java/cairnbridge/proxy/RecoveryLink.java
+++ b/src/main/java/cairnbridge/proxy/RecoveryLink.java
@@ -25,9 +25,9 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * Between the proxy and its return after a loss of power: carries what happens to Recovery, which decides,
- * and what that asks for to others. The owner thread's, but for what others are told, which any thread may
- * read.
+ * Between the proxy and its return after a loss of power: carries what happens to Recovery, which
+ * decides, and what that asks for to others. The owner thread's, but for what others are told,
+ * which any thread may read.
  */
 final class RecoveryLink implements RecoveryHost {
     private static final Logger LOG = Logger.getLogger(RecoveryLink.class.getName());
@@ -45,17 +45,33 @@
     private volatile List<String> text = List.of();
     private volatile long hidden, turnedAway;
 
-    RecoveryLink(ProxyConfig config, StateKeeper keeper, String me, String zone, RosterBook book,
-            RosterWatch watch, Inbox inbox, long now) {
+    RecoveryLink(
+            ProxyConfig config,
+            StateKeeper keeper,
+            String me,
+            String zone,
+            RosterBook book,
+            RosterWatch watch,
+            Inbox inbox,
+            long now) {
         this.keeper = keeper;
         this.book = book;
         this.watch = watch;
         this.inbox = inbox;
         settings = config.settings();
-        recovery = new Recovery(keeper.settings(), keeper.trusted(), settings.categories(),
-                settings.proxies(), settings.originKind(), settings.mayProbe(), me, zone,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
-                now, this);
+        recovery =
+                new Recovery(
+                        keeper.settings(),
+                        keeper.trusted(),
+                        settings.categories(),
+                        settings.proxies(),
+                        settings.originKind(),
+                        settings.mayProbe(),
+                        me,
+                        zone,
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()),
+                        now,
+                        this);
         pace = recovery.pace();
     }
 
@@ -68,13 +84,24 @@
 
     /** Whether the op goes on; one that does not has had its answer. */
     boolean takes(Exchange client, long expires, long now) {
-        Verdict verdict = recovery.arrives(new Arrival(client.op, client.category, client.key, client.write,
-                client.repeat, expires), now);
+        Verdict verdict =
+                recovery.arrives(
+                        new Arrival(
+                                client.op,
+                                client.category,
+                                client.key,
+                                client.write,
+                                client.repeat,
+                                expires),
+                        now);
         switch (verdict.kind()) {
-            case NACKED -> client.nack(settings.mayAdviseRetry()
-                    ? Math.min(settings.maxRetryAfter(), verdict.retryAfter()) : 0);
+            case NACKED ->
+                    client.nack(
+                            settings.mayAdviseRetry()
+                                    ? Math.min(settings.maxRetryAfter(), verdict.retryAfter())
+                                    : 0);
             case DEAD_LETTERED -> client.deadLetter();
-            default -> { }
+            default -> {}
         }
         return verdict.kind() == Verdict.Kind.TAKEN;
     }
@@ -134,11 +161,13 @@
 
     @Override
     public void askRoster(String member) {
-        fleet.askRoster(new MemberId(member), answer -> {
-            if (answer != null && answer.length > 0) {
-                watch.guess(new String(answer, StandardCharsets.UTF_8));
-            }
-        });
+        fleet.askRoster(
+                new MemberId(member),
+                answer -> {
+                    if (answer != null && answer.length > 0) {
+                        watch.guess(new String(answer, StandardCharsets.UTF_8));
+                    }
+                });
     }
 
     @Override
@@ -168,8 +197,8 @@
     }
 
     Recovering told(long epoch) {
-        return new Recovering(phase.told(), isOver() ? 0 : pace,
-                Math.max(keeper.trusted().epochFloor(), epoch));
+        return new Recovering(
+                phase.told(), isOver() ? 0 : pace, Math.max(keeper.trusted().epochFloor(), epoch));
     }
 
     /** The list for a member that asks; a guess of one's own is not passed on. */
@@ -185,7 +214,9 @@
         StringBuilder all = new StringBuilder();
         text.forEach(line -> all.append(line).append('\n'));
         keeper.trusted().lines().forEach(line -> all.append("kept, ").append(line).append('\n'));
-        all.append("disk ").append(keeper.store().isWell() ? "keeps" : "does not keep").append('\n');
+        all.append("disk ")
+                .append(keeper.store().isWell() ? "keeps" : "does not keep")
+                .append('\n');
         return all.toString();
     }
 
--- a/src/main/java/cairnbridge/proxy/RequestHead.java
+++ b/src/main/java/cairnbridge/proxy/RequestHead.java
@@ -10,11 +10,15 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
-/** Reads the heads of one client's requests and lets none pass whose end could be read in two ways. */
+/**
+ * Reads the heads of one client's requests and lets none pass whose end could be read in two ways.
+ */
 final class RequestHead extends DefaultHttpRequestParser<HttpRequest> {
     private final BooleanSupplier busy;
 
-    /** busy tells that a request is open on this connection, or that its last answer has been given. */
+    /**
+     * busy tells that a request is open on this connection, or that its last answer has been given.
+     */
     RequestHead(Http1Config http, BooleanSupplier busy) {
         super(http, DefaultHttpRequestFactory.INSTANCE);
         this.busy = busy;
@@ -22,8 +26,10 @@
 
     /** What it throws is answered with its status, and the connection ends with that answer. */
     @Override
-    public HttpRequest parse(SessionInputBuffer buffer, boolean ended) throws IOException, HttpException {
-        // Guards against hundreds of requests at once, and against what follows one that was malformed.
+    public HttpRequest parse(SessionInputBuffer buffer, boolean ended)
+            throws IOException, HttpException {
+        // Guards against hundreds of requests at once, and against what follows one that was
+        // malformed.
         if (buffer.hasData() && busy.getAsBoolean()) {
             throw new ProtocolException("one request at a time");
         }
--- a/src/main/java/cairnbridge/proxy/RosterWatch.java
+++ b/src/main/java/cairnbridge/proxy/RosterWatch.java
@@ -41,34 +41,56 @@
     private final ProxyConfig config;
     private final Sockets sockets;
     private final Inbox inbox;
+
     /** One thread, idle nearly always: it dials again after a wait and notices silence. */
     private final ScheduledExecutorService timer;
+
     private volatile InetSocketAddress discovery;
     private volatile Watching watching;
+
     /**
-     * Whether to call now, by how many milliseconds ago this proxy last did; a fleet shares the calls out.
+     * Whether to call now, by how many milliseconds ago this proxy last did; a fleet shares the
+     * calls out.
      */
     private volatile LongPredicate mayCall = sinceCalled -> true;
+
     private long calledAt = System.nanoTime(), endedAt = calledAt;
-    /** Guards against a fleet killed together that asks together, again and again: waits are scattered. */
+
+    /**
+     * Guards against a fleet killed together that asks together, again and again: waits are
+     * scattered.
+     */
     private final RandomGenerator chance;
+
     private volatile long version;
+
     /** Lists of discovery's below this version are not used; 0 where none was known before. */
     private volatile long believed;
+
     /** Null where lists are not kept over a loss of power. */
     private RosterBook book;
+
     private long waitMillis = Bounds.LEAST_WAIT_MILLIS;
     private boolean started, wanted, listed, discovered, lost;
+
     /** Open until the first call has brought something, or has failed. */
     private final CountDownLatch first = new CountDownLatch(1);
+
     private final OddityLog odd = new OddityLog(LOG, "roster");
+
     /** The list's nodes, and whether each is a cache. */
     private final Map<NodeId, Boolean> nodes = new ConcurrentHashMap<>();
+
     /** The list's caches as plans over zones need them. */
     private final Map<NodeId, Server> servers = new ConcurrentHashMap<>();
+
     private final Figures figures;
 
-    RosterWatch(ProxyConfig config, Sockets sockets, Inbox inbox, ScheduledExecutorService timer,
+    RosterWatch(
+            ProxyConfig config,
+            Sockets sockets,
+            Inbox inbox,
+            ScheduledExecutorService timer,
             Figures figures) {
         this.figures = figures;
         this.config = config;
@@ -84,35 +106,39 @@
         if (config.known().has("targets")) {
             tell(config.known(), Scope.CACHED);
         }
-        timer.execute(() -> {
-            started = true;
-            wanted |= !config.settings().mustSubscribe();
-            if (wanted && watching == null) {
-                open();
-            }
-        });
-        timer.scheduleWithFixedDelay(this::look, Bounds.LOOK_MILLIS, Bounds.LOOK_MILLIS,
-                TimeUnit.MILLISECONDS);
+        timer.execute(
+                () -> {
+                    started = true;
+                    wanted |= !config.settings().mustSubscribe();
+                    if (wanted && watching == null) {
+                        open();
+                    }
+                });
+        timer.scheduleWithFixedDelay(
+                this::look, Bounds.LOOK_MILLIS, Bounds.LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Waits until discovery's word has gone to the owner, or there is none to be had. Guards against ops sent
-     * by the list of the configuration: what discovery has counts as told from a process's first moment.
+     * Waits until discovery's word has gone to the owner, or there is none to be had. Guards
+     * against ops sent by the list of the configuration: what discovery has counts as told from a
+     * process's first moment.
      */
     void awaitFirst() throws InterruptedException {
         first.await(Bounds.CALL_MILLIS + Bounds.LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     void subscribe(boolean on) {
-        timer.execute(() -> {
-            wanted = on;
-            // Guards against a module that asks as soon as it is made, when nothing can be dialled yet.
-            if (on && watching == null && started) {
-                open();
-            } else if (!on && watching != null) {
-                watching.connection.close();
-            }
-        });
+        timer.execute(
+                () -> {
+                    wanted = on;
+                    // Guards against a module that asks as soon as it is made, when nothing can be
+                    // dialled yet.
+                    if (on && watching == null && started) {
+                        open();
+                    } else if (!on && watching != null) {
+                        watching.connection.close();
+                    }
+                });
     }
 
     /** The whole list, once. */
@@ -134,7 +160,9 @@
     /** Whether the list comes in right now: one that has missed a beat may be about to be lost. */
     boolean isListing() {
         Watching now = watching;
-        return now != null && now.code == OK && millisSince(now.heard) < Bounds.HEARTBEAT_MILLIS * 3 / 2;
+        return now != null
+                && now.code == OK
+                && millisSince(now.heard) < Bounds.HEARTBEAT_MILLIS * 3 / 2;
     }
 
     /** Lists are put down in the book from now on; before the start. */
@@ -147,30 +175,35 @@
         believed = floor;
     }
 
-    /** A list that did not come from discovery is in use until that tells one; its text as discovery's. */
+    /**
+     * A list that did not come from discovery is in use until that tells one; its text as
+     * discovery's.
+     */
     void guess(String text) {
-        timer.execute(() -> {
-            if (discovered) {
-                return; // Discovery was faster.
-            }
-            try {
-                tell(Tree.parse(text, "kept list"), Scope.CACHED);
-                listed = false; // The first call asks for the whole list.
-                book.tells(text);
-            } catch (ConfigFault e) {
-                LOG.warning("roster: a list from before cannot be used: " + e.getMessage());
-            }
-        });
+        timer.execute(
+                () -> {
+                    if (discovered) {
+                        return; // Discovery was faster.
+                    }
+                    try {
+                        tell(Tree.parse(text, "kept list"), Scope.CACHED);
+                        listed = false; // The first call asks for the whole list.
+                        book.tells(text);
+                    } catch (ConfigFault e) {
+                        LOG.warning("roster: a list from before cannot be used: " + e.getMessage());
+                    }
+                });
     }
 
     /** Asks discovery for its whole list once more. */
     void askAnew() {
-        timer.execute(() -> {
-            listed = false;
-            if (watching != null) {
-                watching.connection.close();
-            }
-        });
+        timer.execute(
+                () -> {
+                    listed = false;
+                    if (watching != null) {
+                        watching.connection.close();
+                    }
+                });
     }
 
     private void open() {
@@ -180,23 +213,27 @@
         sockets.dial(discovery, config.dialTimeOut(), watching);
     }
 
-    /** Discovery is elsewhere from now on: its whole list counts, and the watch at the old place goes. */
+    /**
+     * Discovery is elsewhere from now on: its whole list counts, and the watch at the old place
+     * goes.
+     */
     void move(InetSocketAddress there) {
-        timer.execute(() -> {
-            if (there.equals(discovery)) {
-                return;
-            }
-            discovery = there;
-            listed = false;
-            waitMillis = Bounds.LEAST_WAIT_MILLIS;
-            Watching old = watching;
-            if (wanted) {
-                open();
-            }
-            if (old != null) {
-                old.connection.close();
-            }
-        });
+        timer.execute(
+                () -> {
+                    if (there.equals(discovery)) {
+                        return;
+                    }
+                    discovery = there;
+                    listed = false;
+                    waitMillis = Bounds.LEAST_WAIT_MILLIS;
+                    Watching old = watching;
+                    if (wanted) {
+                        open();
+                    }
+                    if (old != null) {
+                        old.connection.close();
+                    }
+                });
     }
 
     private static long millisSince(long nanoTime) {
@@ -204,8 +241,9 @@
     }
 
     /**
-     * Guards against a watch that is open but dead, as discovery writes at least a heartbeat's empty line,
-     * and against a call that hangs while discovery is down and goes on hanging once it is back.
+     * Guards against a watch that is open but dead, as discovery writes at least a heartbeat's
+     * empty line, and against a call that hangs while discovery is down and goes on hanging once it
+     * is back.
      */
     private void look() {
         Watching call = watching;
@@ -214,9 +252,13 @@
         }
         long most = call.code == 0 ? Bounds.CALL_MILLIS : Bounds.SILENCE_MILLIS;
         if (millisSince(call.heard) >= most) {
-            LOG.warning("roster: the " + (call.code == 0 ? "call" : "watch") + " is silent, dialling again");
+            LOG.warning(
+                    "roster: the "
+                            + (call.code == 0 ? "call" : "watch")
+                            + " is silent, dialling again");
             call.connection.close();
-            ended(call); // Whatever becomes of the connection: the next call does not wait for its end.
+            ended(call); // Whatever becomes of the connection: the next call does not wait for
+            // its end.
         }
     }
 
@@ -227,13 +269,16 @@
         watching = null;
         first.countDown();
         endedAt = System.nanoTime();
-        // Guards against a wait grown long before: one that has held for a while is called again at once.
+        // Guards against a wait grown long before: one that has held for a while is called again at
+        // once.
         if (call.code == OK && millisSince(call.began) >= Bounds.HEARTBEAT_MILLIS) {
             waitMillis = Bounds.LEAST_WAIT_MILLIS;
         }
         if (config.settings().mustSubscribe()) {
             wanted = false;
-            inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, version, List.of()), Map.of()));
+            inbox.post(
+                    new Notice.Listed(
+                            new Event.Roster(Scope.FAILED, version, List.of()), Map.of()));
         } else if (wanted) {
             if (!lost) {
                 lost = true;
@@ -243,25 +288,31 @@
         }
     }
 
-    /** Backoff with jitter, bounded from the end of the last call on, whoever else may be to call. */
+    /**
+     * Backoff with jitter, bounded from the end of the last call on, whoever else may be to call.
+     */
     private void callAgain() {
         long left = Bounds.MOST_BACKOFF_MILLIS - millisSince(endedAt);
         long wait = waitMillis / 2 + chance.nextLong(waitMillis / 2 + 1);
         waitMillis = Math.min(Bounds.MOST_BACKOFF_MILLIS, waitMillis * 2);
-        timer.schedule(() -> {
-            if (wanted && watching == null) {
-                boolean due = millisSince(endedAt) >= Bounds.MOST_BACKOFF_MILLIS;
-                if (due || mayCall.test(millisSince(calledAt))) {
-                    open();
-                } else {
-                    callAgain();
-                }
-            }
-        }, Math.max(1, Math.min(wait, left)), TimeUnit.MILLISECONDS);
+        timer.schedule(
+                () -> {
+                    if (wanted && watching == null) {
+                        boolean due = millisSince(endedAt) >= Bounds.MOST_BACKOFF_MILLIS;
+                        if (due || mayCall.test(millisSince(calledAt))) {
+                            open();
+                        } else {
+                            callAgain();
+                        }
+                    }
+                },
+                Math.max(1, Math.min(wait, left)),
+                TimeUnit.MILLISECONDS);
     }
 
     private void heard(Watching call, String text) {
-        // Guards against the last words of a discovery that has moved: its versions say nothing any more.
+        // Guards against the last words of a discovery that has moved: its versions say nothing any
+        // more.
         if (!call.address.equals(discovery)) {
             return;
         }
@@ -284,7 +335,8 @@
             }
         } catch (ConfigFault e) {
             odd.say("line cannot be used, asking for the whole list, " + e.getMessage());
-            // Guards against a change that is missed for good: what comes behind it says nothing of it.
+            // Guards against a change that is missed for good: what comes behind it says nothing of
+            // it.
             listed = false;
             if (watching == call) {
                 call.connection.close();
@@ -299,12 +351,13 @@
         for (Tree each : tree.trees("targets")) {
             String uid = each.text("uid", "");
             InetSocketAddress address = ProxyConfig.address(each.text("endpoint", ""));
-            State state = switch (each.text("state", "")) {
-                case "Ready" -> State.READY;
-                case "Terminating" -> State.DRAINING;
-                case "Gone" -> State.GONE;
-                default -> null;
-            };
+            State state =
+                    switch (each.text("state", "")) {
+                        case "Ready" -> State.READY;
+                        case "Terminating" -> State.DRAINING;
+                        case "Gone" -> State.GONE;
+                        default -> null;
+                    };
             if (uid.isEmpty() || state == null || address == null && state != State.GONE) {
                 odd.say("entry ignored, uid '" + uid + "' state '" + each.text("state", "") + "'");
                 continue;
@@ -313,11 +366,15 @@
             if (address != null) {
                 addresses.put(node, address);
             }
-            Entry entry = new Entry(node, state,
-                    new MachineKind(index(config.kinds(), each.text("model", ""))),
-                    each.number("capacity_hint", 1), Clock.ofUnixMillis((long) each.number("boot_ms", 0)),
-                    new CellId((int) each.number("pod_group", 0)),
-                    new ZoneId(index(config.zones(), each.text("az", ""))));
+            Entry entry =
+                    new Entry(
+                            node,
+                            state,
+                            new MachineKind(index(config.kinds(), each.text("model", ""))),
+                            each.number("capacity_hint", 1),
+                            Clock.ofUnixMillis((long) each.number("boot_ms", 0)),
+                            new CellId((int) each.number("pod_group", 0)),
+                            new ZoneId(index(config.zones(), each.text("az", ""))));
             entries.add(entry);
             serves(entry, new Zone(each.text("az", "")));
         }
@@ -338,8 +395,14 @@
         if (entry.state() == State.GONE || entry.kind().equals(config.settings().originKind())) {
             servers.remove(entry.node());
         } else {
-            servers.put(entry.node(), new Server(entry.node().value(), zone, entry.state() == State.READY,
-                    entry.size(), entry.started() / Clock.MILLI));
+            servers.put(
+                    entry.node(),
+                    new Server(
+                            entry.node().value(),
+                            zone,
+                            entry.state() == State.READY,
+                            entry.size(),
+                            entry.started() / Clock.MILLI));
         }
     }
 
@@ -400,8 +463,10 @@
         private final InetSocketAddress address;
         private final boolean standing;
         private final long began = System.nanoTime();
+
         /** Of an object that goes over several lines, what has come. */
         private final StringBuilder part = new StringBuilder();
+
         private int depth;
         private volatile long heard = began;
         private volatile int code;
@@ -426,7 +491,8 @@
             if (code != OK || text.isBlank() && part.length() == 0) {
                 return;
             }
-            // Guards against a list that comes indented; no heartbeat comes amid one, so that ends it anyhow.
+            // Guards against a list that comes indented; no heartbeat comes amid one, so that ends
+            // it anyhow.
             part.append(text).append('\n');
             depth += braces(text);
             if (text.isBlank() || depth <= 0) {
@@ -443,7 +509,8 @@
             if (standing) {
                 timer.execute(() -> ended(this));
             } else if (code != OK) {
-                inbox.post(new Notice.Listed(new Event.Roster(Scope.FAILED, 0, List.of()), Map.of()));
+                inbox.post(
+                        new Notice.Listed(new Event.Roster(Scope.FAILED, 0, List.of()), Map.of()));
             }
         }
     }
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -24,13 +24,21 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 
-/** Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its end. */
+/**
+ * Puts one proxy together: the reactor, the owner thread, the watch; starts it and brings it to its
+ * end.
+ */
 public final class Serve implements Staff {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+
     /** After the last op in time, until no more connections are taken. */
     private static final long CLOSING_MILLIS = 200;
+
     private static final long STEP_MILLIS = 10, LOOK_MILLIS = 200, KEEP_MILLIS = 1000;
-    /** Each connection has a few notices out at most, so that this queue is never full in practice. */
+
+    /**
+     * Each connection has a few notices out at most, so that this queue is never full in practice.
+     */
     private static final int NOTICES_PER_SOCKET = 8;
 
     /** The thread that decides, as thread dumps name it. */
@@ -51,8 +59,10 @@
     private final Runnable whenBroken;
     private volatile boolean stopping;
     private volatile Door door;
+
     /** Null where this proxy is alone, as on the platform. */
     private volatile Fleet fleet;
+
     /** Null where nothing is kept over a loss of power. */
     private volatile Keeping keeping;
 
@@ -61,7 +71,9 @@
         this(config, whenBroken, new Clock());
     }
 
-    /** before: what the one before had learnt, from a better source than the configuration's file. */
+    /**
+     * before: what the one before had learnt, from a better source than the configuration's file.
+     */
     public Serve(ProxyConfig config, Runnable whenBroken, Learnt before) {
         this(config, whenBroken, new Clock(), before);
     }
@@ -78,65 +90,113 @@
         beside = new Beside(config.folder());
         listen = new Listen(clock, config.categories(), figures);
         sockets = new Sockets(config, inbox, listen, this::vital);
-        timer = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "roster");
-            thread.setDaemon(true);
-            return thread;
-        }, new ThreadPoolExecutor.DiscardPolicy());
+        timer =
+                new ScheduledThreadPoolExecutor(
+                        1,
+                        task -> {
+                            Thread thread = new Thread(task, "roster");
+                            thread.setDaemon(true);
+                            return thread;
+                        },
+                        new ThreadPoolExecutor.DiscardPolicy());
         watch = new RosterWatch(config, sockets, inbox, timer, figures);
-        // Guards against a hold that is refused, and kept by nobody, while a starting process has no list.
-        maintenance = new Maintenance(config.folder(), inbox, node -> watch.names(node) || !watch.hasNames(),
-                beside::isShared);
+        // Guards against a hold that is refused, and kept by nobody, while a starting process has
+        // no list.
+        maintenance =
+                new Maintenance(
+                        config.folder(),
+                        inbox,
+                        node -> watch.names(node) || !watch.hasNames(),
+                        beside::isShared);
         Learnt learnt = config.learnt();
-        decide = new Decide(config, inbox, clock, sockets, watch, before.at() > learnt.at() ? before : learnt,
-                figures);
+        decide =
+                new Decide(
+                        config,
+                        inbox,
+                        clock,
+                        sockets,
+                        watch,
+                        before.at() > learnt.at() ? before : learnt,
+                        figures);
         owner = vital(decide);
         owner.setName(OWNER);
     }
 
-    /** Guards against a proxy that stands but serves nobody: the library ends a thread on some faults. */
+    /**
+     * Guards against a proxy that stands but serves nobody: the library ends a thread on some
+     * faults.
+     */
     private Thread vital(Runnable task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } finally {
-                if (!stopping) {
-                    LOG.severe(config.name() + " cannot go on, a thread has ended");
-                    whenBroken.run();
-                }
-            }
-        });
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                task.run();
+                            } finally {
+                                if (!stopping) {
+                                    LOG.severe(config.name() + " cannot go on, a thread has ended");
+                                    whenBroken.run();
+                                }
+                            }
+                        });
         thread.setDaemon(true);
         return thread;
     }
 
     /**
-     * Makes this proxy a member of a fleet, with what is kept over a loss of power; before its start.
-     * IOException names an address that is taken.
+     * Makes this proxy a member of a fleet, with what is kept over a loss of power; before its
+     * start. IOException names an address that is taken.
      */
     public void join(FleetConfig of, Optional<StateKeeper> kept) throws IOException {
         FleetTally tally = new FleetTally(config.zones(), config.settings(), listen.clock.now());
-        keeping = kept.map(keeper -> new Keeping(keeper, config, of, maintenance, watch, decide, inbox,
-                listen.clock.now())).orElse(null);
-        FleetLink link = new FleetLink(config, listen.clock, listen, decide, tally, watch, inbox,
-                keeping == null ? null : keeping.link());
+        keeping =
+                kept.map(
+                                keeper ->
+                                        new Keeping(
+                                                keeper,
+                                                config,
+                                                of,
+                                                maintenance,
+                                                watch,
+                                                decide,
+                                                inbox,
+                                                listen.clock.now()))
+                        .orElse(null);
+        FleetLink link =
+                new FleetLink(
+                        config,
+                        listen.clock,
+                        listen,
+                        decide,
+                        tally,
+                        watch,
+                        inbox,
+                        keeping == null ? null : keeping.link());
         String staff = config.door().map(Serve::text).orElse("");
-        fleet = new Fleet(of, config.settings().proxies(), text(config.listen()), staff, config.seed(),
-                keeping == null ? Fleet.Epochs.NONE : keeping.epochs(), link);
+        fleet =
+                new Fleet(
+                        of,
+                        config.settings().proxies(),
+                        text(config.listen()),
+                        staff,
+                        config.seed(),
+                        keeping == null ? Fleet.Epochs.NONE : keeping.epochs(),
+                        link);
         link.of(fleet);
         if (keeping != null) {
             keeping.start(fleet);
         }
         decide.counts(tally);
         watch.callsIf(fleet::mayCallForList);
-        figures.also(() -> {
-            Map<String, Long> gauges = new LinkedHashMap<>(fleet.gauges());
-            gauges.putAll(link.gauges());
-            if (keeping != null) {
-                gauges.putAll(keeping.link().gauges());
-            }
-            return gauges;
-        });
+        figures.also(
+                () -> {
+                    Map<String, Long> gauges = new LinkedHashMap<>(fleet.gauges());
+                    gauges.putAll(link.gauges());
+                    if (keeping != null) {
+                        gauges.putAll(keeping.link().gauges());
+                    }
+                    return gauges;
+                });
     }
 
     private static String text(InetSocketAddress address) {
@@ -154,7 +214,8 @@
             door = new Door(config.door().get(), this, figures);
             vital(door).start();
         }
-        // Guards against clients that find nobody while a proxy warms up after a restart: it serves them.
+        // Guards against clients that find nobody while a proxy warms up after a restart: it serves
+        // them.
         // Where another process does that, they are not to come to one that is cold.
         boolean alone = !beside.isShared();
         beside.runs();
@@ -164,18 +225,29 @@
         if (alone) {
             sockets.listen(config.listen());
         }
-        timer.scheduleWithFixedDelay(maintenance::look, Maintenance.LOOK_MILLIS, Maintenance.LOOK_MILLIS,
+        timer.scheduleWithFixedDelay(
+                maintenance::look,
+                Maintenance.LOOK_MILLIS,
+                Maintenance.LOOK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                () -> {
+                    sockets.beside(beside.share(sockets.held()));
+                    sockets.closeOverdue();
+                },
+                LOOK_MILLIS,
+                LOOK_MILLIS,
                 TimeUnit.MILLISECONDS);
-        timer.scheduleWithFixedDelay(() -> {
-            sockets.beside(beside.share(sockets.held()));
-            sockets.closeOverdue();
-        }, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
         // One process alone keeps what it has learnt, for the next to start beside it.
-        timer.scheduleWithFixedDelay(() -> {
-            if (listen.isReady() && !beside.isShared()) {
-                keep();
-            }
-        }, KEEP_MILLIS, KEEP_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                () -> {
+                    if (listen.isReady() && !beside.isShared()) {
+                        keep();
+                    }
+                },
+                KEEP_MILLIS,
+                KEEP_MILLIS,
+                TimeUnit.MILLISECONDS);
         new Warm(config, sockets, listen, alone).run();
         if (!alone) {
             sockets.listen(config.listen());
@@ -248,15 +320,19 @@
         }
     }
 
-    /** A planned end: serves on while an op can still be answered, finishes what it has, and stops. */
+    /**
+     * A planned end: serves on while an op can still be answered, finishes what it has, and stops.
+     */
     public void drain() {
         if (stopping) {
             return; // Guards against a wait for clients where none could ever come.
         }
         LOG.info(config.name() + " drains, " + decide.live() + " ops under way");
-        long longest = config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
+        long longest =
+                config.settings().categories().stream().mapToLong(c -> c.ttl()).max().orElse(0);
         long longestMillis = longest / Clock.MILLI;
-        // Guards against a TTL of the settings that is longer than the platform waits before it kills.
+        // Guards against a TTL of the settings that is longer than the platform waits before it
+        // kills.
         long serves = Bounds.stopServesMillis(longestMillis);
         long until = System.nanoTime() + Bounds.stopEndsMillis(longestMillis) * 1_000_000;
         long answers = listen.clock.now() + Bounds.stopAnswersMillis(longestMillis) * Clock.MILLI;
@@ -266,7 +342,8 @@
             if (beside.isReplaced()) {
                 handOver(until - (Bounds.stopEndsMillis(longestMillis) - serves) * 1_000_000);
             } else {
-                // Guards against a gap while the one restarted before is not ready yet: clients whose
+                // Guards against a gap while the one restarted before is not ready yet: clients
+                // whose
                 // connections stay open go on being served here, no op being kept beyond the end.
                 Thread.sleep(serves);
                 listen.drain();
@@ -277,7 +354,8 @@
             do {
                 sockets.closeIdleClients();
                 Thread.sleep(STEP_MILLIS);
-                // Guards against an answer cut short: its connection goes when its last byte is written.
+                // Guards against an answer cut short: its connection goes when its last byte is
+                // written.
             } while ((decide.live() > 0 || sockets.clients() > 0) && System.nanoTime() < until);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -290,10 +368,18 @@
             Thread.currentThread().interrupt();
         }
         stop();
-        LOG.info(config.name() + " ends, " + decide.live() + " ops under way, broken: " + decide.broken());
+        LOG.info(
+                config.name()
+                        + " ends, "
+                        + decide.live()
+                        + " ops under way, broken: "
+                        + decide.broken());
     }
 
-    /** Guards against requests that meet a closed connection: each connection goes with its next answer. */
+    /**
+     * Guards against requests that meet a closed connection: each connection goes with its next
+     * answer.
+     */
     private void handOver(long until) throws InterruptedException {
         stopping = true;
         listen.drain();
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -40,8 +40,8 @@
 import org.apache.hc.core5.reactor.Handover;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOReactorShutdownException;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -49,33 +49,57 @@
 /** The one reactor, its connections both ways, and the budget of sockets that they share. */
 final class Sockets {
     private static final Logger LOG = Logger.getLogger(Sockets.class.getName());
+
     /** Descriptors that the process needs for itself: files, selectors, listener, watch. */
     private static final int OWN = 24;
+
     /**
-     * Parts of what is left: from the first on clients' connections end with their answer, from the second on
-     * none is opened to a node and idle ones go, from the third on new clients are not served. The first
-     * guards against idle connections that keep others out, as clients get a third of all for their requests.
+     * Parts of what is left: from the first on clients' connections end with their answer, from the
+     * second on none is opened to a node and idle ones go, from the third on new clients are not
+     * served. The first guards against idle connections that keep others out, as clients get a
+     * third of all for their requests.
      */
     private static final double CROWDED = 0.35, FULL = 0.75, LAST = 1;
-    /** Of the same: what clients never get, so that a dial to a node finds a descriptor whatever they do. */
+
+    /**
+     * Of the same: what clients never get, so that a dial to a node finds a descriptor whatever
+     * they do.
+     */
     private static final double RESERVED = 0.125;
+
     /** Of the same: what connections may hold that only wait for their client's end. */
     private static final double LINGERING = 0.0625;
+
     private static final int MOST_ACCEPTED = 8, MOST_MORE = 15;
+
     /** A connection this long without a byte has no request on its way, as far as can be known. */
     private static final long QUIET_MILLIS = 150, FRESH_MILLIS = 1000;
-    /** To read one request but for a long body, or for the first to come; and for the next to come. */
+
+    /**
+     * To read one request but for a long body, or for the first to come; and for the next to come.
+     */
     private static final long READ_MILLIS = 2200, KEEP_MILLIS = 5000;
-    /** For a client to end its side once ours has ended; what it may send until then, or amid its answer. */
+
+    /**
+     * For a client to end its side once ours has ended; what it may send until then, or amid its
+     * answer.
+     */
     private static final long LINGER_MILLIS = 2000, MOST_THROWN_AWAY = 1 << 20;
+
     private static final int BUFFER = 4096;
+
     /** Of a head, in bytes and in fields: more is no request and no answer of this protocol. */
     private static final int MOST_LINE = 4096, MOST_FIELDS = 40;
+
     private static final long CHECK_MILLIS = 20;
 
-    private final Http1Config http = Http1Config.custom()
-            .setBufferSize(BUFFER).setChunkSizeHint(BUFFER)
-            .setMaxLineLength(MOST_LINE).setMaxHeaderCount(MOST_FIELDS).build();
+    private final Http1Config http =
+            Http1Config.custom()
+                    .setBufferSize(BUFFER)
+                    .setChunkSizeHint(BUFFER)
+                    .setMaxLineLength(MOST_LINE)
+                    .setMaxHeaderCount(MOST_FIELDS)
+                    .build();
     private final HttpProcessor answers =
             new DefaultHttpProcessor(ResponseContent.INSTANCE, ResponseConnControl.INSTANCE);
     private final HttpProcessor requests = new DefaultHttpProcessor(RequestContent.INSTANCE);
@@ -83,12 +107,16 @@
     private final ThreadFactory threads;
     private final int backlog;
     private final AtomicInteger open = new AtomicInteger();
+
     /** Connections of clients that have been accepted and not yet been seen by the reactor. */
     private final AtomicInteger accepted = new AtomicInteger();
+
     private final Set<Incoming> clients = ConcurrentHashMap.newKeySet();
     private final Inbox inbox;
+
     /** Reactor only, the longest first. */
     private final ArrayDeque<LingeringSession> lingering = new ArrayDeque<>();
+
     private final int crowded, most, last;
     private final Listen listen;
     private Accept accept;
@@ -105,15 +133,21 @@
         crowded = (int) (CROWDED * left);
         most = (int) (FULL * left);
         last = (int) (LAST * left);
-        IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                .setSoTimeout(Timeout.DISABLED)
-                .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS)).build();
-        reactor = new DefaultConnectingIOReactor(this::handler, io, threads, null, this::failed, null, null);
+        IOReactorConfig io =
+                IOReactorConfig.custom()
+                        .setIoThreadCount(1)
+                        .setTcpNoDelay(true)
+                        .setSoTimeout(Timeout.DISABLED)
+                        .setSelectInterval(TimeValue.ofMilliseconds(CHECK_MILLIS))
+                        .build();
+        reactor =
+                new DefaultConnectingIOReactor(
+                        this::handler, io, threads, null, this::failed, null, null);
     }
 
     /**
-     * Guards against a crowd at a busy reactor: what is accepted and not yet counted holds descriptors. Who
-     * waits in the system's queue meanwhile holds none.
+     * Guards against a crowd at a busy reactor: what is accepted and not yet counted holds
+     * descriptors. Who waits in the system's queue meanwhile holds none.
      */
     private boolean mayAccept() {
         return stopping || accepted.get() < MOST_ACCEPTED;
@@ -124,12 +158,16 @@
         try {
             Handover.give(reactor, channel);
         } catch (IOReactorShutdownException e) {
-            LOG.log(Level.FINE, "reactor: {0}", e.toString()); // It closes what it was given itself.
+            LOG.log(
+                    Level.FINE,
+                    "reactor: {0}",
+                    e.toString()); // It closes what it was given itself.
         }
     }
 
     private void failed(Exception cause) {
-        // A stop from outside breaks into the reactor's loop, which then complains of what it was asked for.
+        // A stop from outside breaks into the reactor's loop, which then complains of what it was
+        // asked for.
         if (!stopping) {
             LOG.log(Level.WARNING, "reactor: {0}", cause.toString());
         }
@@ -145,7 +183,10 @@
         threads.newThread(accept).start();
     }
 
-    /** A place to listen at; what is accepted there is served like any other. Its thread is the caller's. */
+    /**
+     * A place to listen at; what is accepted there is served like any other. Its thread is the
+     * caller's.
+     */
     Accept accept(InetSocketAddress address) throws IOException {
         return new Accept(address, backlog, this::mayAccept, this::accepted);
     }
@@ -154,7 +195,10 @@
         return accept.address();
     }
 
-    /** Opens a connection for an exchange, whatever the budget: who can do without asks isFull first. */
+    /**
+     * Opens a connection for an exchange, whatever the budget: who can do without asks isFull
+     * first.
+     */
     Connection dial(InetSocketAddress address, long timeOut, Call first) {
         return dial(address, timeOut, 0, first);
     }
@@ -163,14 +207,18 @@
     Connection dial(InetSocketAddress address, long timeOut, long silence, Call first) {
         open.incrementAndGet();
         Connection connection = new Connection(address, this, timeOut(silence), first);
-        // By its digits: the library would else look up the address's name, and there is no DNS to ask.
+        // By its digits: the library would else look up the address's name, and there is no DNS to
+        // ask.
         HttpHost host = new HttpHost(address.getHostString(), address.getPort());
-        connection.dialed(reactor.connect(host, address, null, timeOut(timeOut), connection, connection));
+        connection.dialed(
+                reactor.connect(host, address, null, timeOut(timeOut), connection, connection));
         return connection;
     }
 
     private static Timeout timeOut(long tenths) {
-        return tenths == 0 ? Timeout.DISABLED : Timeout.ofMilliseconds(Math.max(1, tenths / Clock.MILLI));
+        return tenths == 0
+                ? Timeout.DISABLED
+                : Timeout.ofMilliseconds(Math.max(1, tenths / Clock.MILLI));
     }
 
     /** Connections of clients that are open, or accepted and not yet seen. */
@@ -226,7 +274,8 @@
             closeIdleClient();
             inbox.post(new Notice.Crowded());
         } else if (held >= most) {
-            lingering.forEach(LingeringSession::release); // Each leaves this list as it is disconnected.
+            lingering.forEach(
+                    LingeringSession::release); // Each leaves this list as it is disconnected.
         }
         if (isSpent() || clients.size() > (LAST - RESERVED) / LAST * last) {
             client.refuse();
@@ -236,13 +285,14 @@
     /** Looks at every client's connection; to be called a few times a second. */
     void closeOverdue() {
         long now = System.nanoTime();
-        clients.forEach(client -> {
-            if (client.isOverdue(now)) {
-                client.lookAgain();
-            } else if (listen.state() == Listen.State.STANDBY && client.isSentAway()) {
-                client.finish();
-            }
-        });
+        clients.forEach(
+                client -> {
+                    if (client.isOverdue(now)) {
+                        client.lookAgain();
+                    } else if (listen.state() == Listen.State.STANDBY && client.isSentAway()) {
+                        client.finish();
+                    }
+                });
         lookedAt = now;
     }
 
@@ -256,14 +306,17 @@
 
     /** For the planned end: those that stand idle go, the others after their answer. */
     void closeIdleClients() {
-        clients.forEach(client -> {
-            if (client.mayGo()) {
-                client.finish();
-            }
-        });
+        clients.forEach(
+                client -> {
+                    if (client.mayGo()) {
+                        client.finish();
+                    }
+                });
     }
 
-    /** However short a while they have been idle: what crosses the close is not read as a request. */
+    /**
+     * However short a while they have been idle: what crosses the close is not read as a request.
+     */
     void finishClients() {
         clients.forEach(Incoming::finish);
     }
@@ -273,19 +326,38 @@
         if (accept != null) {
             accept.stop();
         }
-        // Guards against a reset that takes along what a client has not yet read, where nothing is owed.
+        // Guards against a reset that takes along what a client has not yet read, where nothing is
+        // owed.
         clients.forEach(Incoming::release);
         reactor.close(CloseMode.IMMEDIATE);
     }
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof Connection connection) {
-            return new Outgoing(new ClientHttp1StreamDuplexerFactory(requests, http, null, null,
-                    () -> new AnswerHead(http, connection::isAsked), null, null).create(session), connection);
+            return new Outgoing(
+                    new ClientHttp1StreamDuplexerFactory(
+                                    requests,
+                                    http,
+                                    null,
+                                    null,
+                                    () -> new AnswerHead(http, connection::isAsked),
+                                    null,
+                                    null)
+                            .create(session),
+                    connection);
         }
         Exchanges exchanges = new Exchanges(session);
-        ServerHttp1StreamDuplexerFactory incoming = new ServerHttp1StreamDuplexerFactory(answers, exchanges,
-                http, null, null, () -> new RequestHead(http, exchanges::isPipelined), null, null, null);
+        ServerHttp1StreamDuplexerFactory incoming =
+                new ServerHttp1StreamDuplexerFactory(
+                        answers,
+                        exchanges,
+                        http,
+                        null,
+                        null,
+                        () -> new RequestHead(http, exchanges::isPipelined),
+                        null,
+                        null,
+                        null);
         LingeringSession client = new LingeringSession(session, this::lingers);
         return new Incoming(client, incoming.create("http", client), exchanges);
     }
@@ -324,7 +396,8 @@
         public void inputReady(IOSession session, ByteBuffer src) throws IOException {
             if (connection.isAsked()) {
                 super.inputReady(session, src);
-                readOn(() -> super.inputReady(session, null),
+                readOn(
+                        () -> super.inputReady(session, null),
                         () -> connection.isAsked() ? connection.latest().hungry() : -1);
             } else {
                 // Guards against bytes on an idle connection; its end comes this way, too.
@@ -344,6 +417,7 @@
         private final IOSession session;
         private volatile Exchange latest;
         private volatile int made;
+
         /** Reactor only: nothing more is read as a request. */
         private boolean pipelined;
 
@@ -358,13 +432,18 @@
             }
         }
 
-        /** A request has begun and its last byte has not come; before: how many had been made till then. */
+        /**
+         * A request has begun and its last byte has not come; before: how many had been made till
+         * then.
+         */
         boolean isReading(int before) {
             Exchange last = latest;
             return last == null || last.isOver() ? made == before : !last.isTaken();
         }
 
-        /** Asked about bytes that have come: they come before the answer to what came before them. */
+        /**
+         * Asked about bytes that have come: they come before the answer to what came before them.
+         */
         boolean isPipelined() {
             Exchange last = latest;
             boolean busy = last != null && (!last.isAnswered() || last.isLast());
@@ -375,26 +454,39 @@
         @Override
         public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
             made++;
-            latest = new Exchange(listen, inbox, this::released, () -> session.close(CloseMode.IMMEDIATE));
+            latest =
+                    new Exchange(
+                            listen,
+                            inbox,
+                            this::released,
+                            () -> session.close(CloseMode.IMMEDIATE));
             return latest;
         }
     }
 
-    /** A client's connection. The library goes on after a client's close; this ends the exchange instead. */
+    /**
+     * A client's connection. The library goes on after a client's close; this ends the exchange
+     * instead.
+     */
     private final class Incoming extends ServerHttp1IOEventHandler {
         private final LingeringSession session;
         private final Exchanges exchanges;
         private volatile long begunAt;
+
         /** How many requests had begun when it was found overdue; under 0 where it was not. */
         private volatile int madeThen = -1;
 
-        Incoming(LingeringSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
+        Incoming(
+                LingeringSession session, ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
             super(duplexer);
             this.session = session;
             this.exchanges = exchanges;
         }
 
-        /** Guards against those who connect and say nothing, or never come to the end of what they say. */
+        /**
+         * Guards against those who connect and say nothing, or never come to the end of what they
+         * say.
+         */
         boolean isOverdue(long now) {
             if (session.isClosing()) {
                 return session.lingers(now) >= LINGER_MILLIS;
@@ -409,8 +501,9 @@
                 long came = latest == null ? 0 : latest.came();
                 return now - begunAt >= (READ_MILLIS + came / Listen.LEAST_RATE) * 1_000_000;
             }
-            return isIdle() && System.currentTimeMillis() - idleSince()
-                    >= (exchanges.made == 0 ? READ_MILLIS : KEEP_MILLIS);
+            return isIdle()
+                    && System.currentTimeMillis() - idleSince()
+                            >= (exchanges.made == 0 ? READ_MILLIS : KEEP_MILLIS);
         }
 
         boolean isIdle() {
@@ -418,12 +511,18 @@
             return latest == null || latest.isOver();
         }
 
-        /** Guards against closing on a request that has come and is not read, as on a fresh connection. */
+        /**
+         * Guards against closing on a request that has come and is not read, as on a fresh
+         * connection.
+         */
         boolean mayGo() {
             return isQuiet(QUIET_MILLIS);
         }
 
-        /** Guards against a client sent away with its first request on the way to a connection just made. */
+        /**
+         * Guards against a client sent away with its first request on the way to a connection just
+         * made.
+         */
         boolean isSentAway() {
             return isQuiet(exchanges.made == 0 ? FRESH_MILLIS : QUIET_MILLIS);
         }
@@ -443,7 +542,10 @@
             }
         }
 
-        /** Guards against an end that meets a request which the reactor is just taking: that looks itself. */
+        /**
+         * Guards against an end that meets a request which the reactor is just taking: that looks
+         * itself.
+         */
         void lookAgain() {
             madeThen = exchanges.made;
             try {
@@ -466,7 +568,8 @@
         public void connected(IOSession up) throws IOException {
             open.incrementAndGet();
             clients.add(this);
-            accepted.decrementAndGet(); // Behind it: guards against an end that sees no client in between.
+            accepted.decrementAndGet(); // Behind it: guards against an end that sees no client in
+            // between.
             super.connected(up);
             paced(this);
         }
@@ -477,7 +580,8 @@
             madeThen = -1;
             if (then >= 0 && isIdle() && begunAt == 0 && !session.isClosing()) {
                 if (then == exchanges.made) {
-                    finish(); // The look itself is an event: only what has come since can speak against it.
+                    finish(); // The look itself is an event: only what has come since can speak
+                    // against it.
                 }
             } else if (then >= 0 && isOverdue(System.nanoTime())) {
                 refuse();
--- a/src/main/java/cairnbridge/proxy/Warm.java
+++ b/src/main/java/cairnbridge/proxy/Warm.java
@@ -23,13 +23,18 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
 /**
- * Runs the whole path of an op some hundred times before the proxy says that it is ready, so that the first
- * clients do not pay for cold code. It has an owner and a module of its own: client and cache are this proxy
- * itself, over its own listener, told from real requests by a name that no client can know.
+ * Runs the whole path of an op some hundred times before the proxy says that it is ready, so that
+ * the first clients do not pay for cold code. It has an owner and a module of its own: client and
+ * cache are this proxy itself, over its own listener, told from real requests by a name that no
+ * client can know.
  */
 final class Warm {
-    /** The more proxies there are, the fewer ops one has to expect at once; others wait for the start. */
+    /**
+     * The more proxies there are, the fewer ops one has to expect at once; others wait for the
+     * start.
+     */
     private static final int MOST_OPS = 1000, OPS_OF_ALL = 1500, LEAST_OPS = 100, LANES = 4;
+
     private static final long MOST_MILLIS = 2000;
     private static final byte[] VALUE = new byte[64];
 
@@ -53,19 +58,28 @@
     }
 
     void run() throws IOException, InterruptedException {
-        Decide decide = new Decide(config, inbox, listen.clock, sockets, null, Learnt.NOTHING,
-                new Figures(config.categories()));
+        Decide decide =
+                new Decide(
+                        config,
+                        inbox,
+                        listen.clock,
+                        sockets,
+                        null,
+                        Learnt.NOTHING,
+                        new Figures(config.categories()));
         Thread owner = new Thread(decide, "warm");
         owner.start();
         MachineKind origin = config.settings().originKind();
-        // Guards against a rehearsal that reaches another process, which listens at the clients' address too.
+        // Guards against a rehearsal that reaches another process, which listens at the clients'
+        // address too.
         Accept accept = sockets.accept(new InetSocketAddress(config.listen().getAddress(), 0));
         Thread accepting = new Thread(accept, "warm-accept");
         accepting.setDaemon(true);
         accepting.start();
         InetSocketAddress here = accept.address();
         NodeId cache = new NodeId(1), store = new NodeId(2);
-        tell(List.of(entry(cache, new MachineKind(origin.value() + 1)), entry(store, origin)),
+        tell(
+                List.of(entry(cache, new MachineKind(origin.value() + 1)), entry(store, origin)),
                 Map.of(cache, here, store, here));
         listen.warm = this;
         for (int i = 0; i < LANES; i++) {
@@ -92,7 +106,10 @@
         return trace.startsWith(secret);
     }
 
-    /** The first time an op comes from the client, then from its pushes: every fourth is missed once. */
+    /**
+     * The first time an op comes from the client, then from its pushes: every fourth is missed
+     * once.
+     */
     void take(Exchange exchange, long expires) {
         // Guards against a late one being taken for a client's: no cache may ever see it.
         int sight = finished ? 0 : seen.merge(exchange.trace, 1, Integer::sum);
--- a/src/main/java/cairnbridge/recovery/HiddenFates.java
+++ b/src/main/java/cairnbridge/recovery/HiddenFates.java
@@ -4,9 +4,9 @@
 import cairnbridge.decision.Settings.Effect;
 
 /**
- * Repeats whose first try a loss of power may hide: an op that must not take effect twice and that was first
- * sent, going by its TTL, before this proxy took ops. It may have run, and nobody here knows. Times in tenths
- * of a millisecond.
+ * Repeats whose first try a loss of power may hide: an op that must not take effect twice and that
+ * was first sent, going by its TTL, before this proxy took ops. It may have run, and nobody here
+ * knows. Times in tenths of a millisecond.
  */
 final class HiddenFates {
     private final long began;
@@ -17,8 +17,10 @@
         this.began = began;
     }
 
-    /** Of the listed nodes the last one to start began then; marks of deduplicated ops older than that may be
-     * gone. */
+    /**
+     * Of the listed nodes the last one to start began then; marks of deduplicated ops older than
+     * that may be gone.
+     */
     void nodes(long newest) {
         newestNode = newest;
     }
--- a/src/main/java/cairnbridge/recovery/KeyOpening.java
+++ b/src/main/java/cairnbridge/recovery/KeyOpening.java
@@ -10,18 +10,21 @@
 import java.util.Set;
 
 /**
- * Which keys are in the caches again, and who of a zone fetches one that is not. Each key has one opener
- * among the zone's members, by the highest hash of both (rendezvous hashing, Thaler and Ravishankar 1998),
- * who lets a read of it through at once; the others wait for so long as a fetch takes, and find it there.
- * Nothing is said between them. Bounded: of two generations of keys the older is forgotten.
+ * Which keys are in the caches again, and who of a zone fetches one that is not. Each key has one
+ * opener among the zone's members, by the highest hash of both (rendezvous hashing, Thaler and
+ * Ravishankar 1998), who lets a read of it through at once; the others wait for so long as a fetch
+ * takes, and find it there. Nothing is said between them. Bounded: of two generations of keys the
+ * older is forgotten.
  */
 final class KeyOpening {
     private static final int GENERATION = 32_768;
     private final String me;
     private List<String> zone;
     private Set<KeyId> open = new HashSet<>(), openBefore = new HashSet<>();
+
     /** Keys that this member fetches, and by how many ops. */
     private final Map<KeyId, Integer> fetching = new HashMap<>();
+
     /** When a key of another opener's was first asked for here. */
     private Map<KeyId, Long> asked = new HashMap<>(), askedBefore = new HashMap<>();
 
@@ -61,8 +64,11 @@
     }
 
     private String opener(KeyId key) {
-        return zone.stream().max(Comparator.comparingLong((String id) -> Mix.of(id.hashCode(), key.value()))
-                .thenComparing(Comparator.naturalOrder())).orElse(me);
+        return zone.stream()
+                .max(
+                        Comparator.comparingLong((String id) -> Mix.of(id.hashCode(), key.value()))
+                                .thenComparing(Comparator.naturalOrder()))
+                .orElse(me);
     }
 
     void begins(KeyId key) {
--- a/src/main/java/cairnbridge/recovery/ListedNodes.java
+++ b/src/main/java/cairnbridge/recovery/ListedNodes.java
@@ -9,13 +9,15 @@
 import java.util.Map;
 
 /**
- * What the list tells of nodes, as far as a return hangs on it: which one the origin is, and when caches
- * began.
+ * What the list tells of nodes, as far as a return hangs on it: which one the origin is, and when
+ * caches began.
  */
 final class ListedNodes {
     private final MachineKind originKind;
+
     /** When each listed node but the origin began. */
     private final Map<NodeId, Long> began = new HashMap<>();
+
     private NodeId origin;
 
     ListedNodes(MachineKind originKind) {
@@ -38,7 +40,10 @@
         }
     }
 
-    /** When the last of the caches began, in tenths of a millisecond of Unix time; 0 where there is none. */
+    /**
+     * When the last of the caches began, in tenths of a millisecond of Unix time; 0 where there is
+     * none.
+     */
     long newest() {
         return began.values().stream().mapToLong(each -> each).max().orElse(0);
     }
--- a/src/main/java/cairnbridge/recovery/OriginPace.java
+++ b/src/main/java/cairnbridge/recovery/OriginPace.java
@@ -3,16 +3,20 @@
 import java.util.List;
 
 /**
- * How many ops may be on their way to the origin at once: few at first, doubled while the origin is in time,
- * halved when it fails or a quarter of its answers is late, as TCP's slow start and additive increase
- * (Jacobson 1988). Late is twice the best and no use to whoever asked soonest; one such answer alone proves
- * nothing. A member that is far ahead of the others waits for them: at most twice the lower median of what
- * all returning members let. Times in tenths of a millisecond.
+ * How many ops may be on their way to the origin at once: few at first, doubled while the origin is
+ * in time, halved when it fails or a quarter of its answers is late, as TCP's slow start and
+ * additive increase (Jacobson 1988). Late is twice the best and no use to whoever asked soonest;
+ * one such answer alone proves nothing. A member that is far ahead of the others waits for them: at
+ * most twice the lower median of what all returning members let. Times in tenths of a millisecond.
  */
 final class OriginPace {
     private static final double LATE = 2, MOST = 4_096, LATE_SHARE = 0.25, FRESH = 0.125;
     private static final long CUT_EVERY = 2_000;
-    /** A shortest span that was seen long ago proves little of the present: it grows by half in so long. */
+
+    /**
+     * A shortest span that was seen long ago proves little of the present: it grows by half in so
+     * long.
+     */
     private static final long BEST_FADES = 50_000;
 
     private static final long DOUBLES = 10_000;
@@ -54,9 +58,9 @@
     }
 
     /**
-     * paces: what other members that return let, as they told it; since: how long reads have been let
-     * through. Guards against a large fleet whose members tell new figures every minute only: all double with
-     * time.
+     * paces: what other members that return let, as they told it; since: how long reads have been
+     * let through. Guards against a large fleet whose members tell new figures every minute only:
+     * all double with time.
      */
     void others(List<Integer> paces, long since) {
         if (paces.isEmpty()) {
