--- a/src/main/java/cairnbridge/recovery/Recovery.java
+++ b/src/main/java/cairnbridge/recovery/Recovery.java
@@ -17,26 +17,33 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One proxy's return after a loss of power: in which order it serves again, what it turns away meanwhile, and
- * at which pace it lets reads through to an origin that has just come up. Make one with what is trusted of
- * the kept state; tell it what is seen, listed, probed and how ops end, ask it about each new op, and call
- * turn now and then. One thread's; it reads no clock: same calls, same answers. Times in tenths of a
- * millisecond.
+ * One proxy's return after a loss of power: in which order it serves again, what it turns away
+ * meanwhile, and at which pace it lets reads through to an origin that has just come up. Make one
+ * with what is trusted of the kept state; tell it what is seen, listed, probed and how ops end, ask
+ * it about each new op, and call turn now and then. One thread's; it reads no clock: same calls,
+ * same answers. Times in tenths of a millisecond.
  *
- * <p>A proxy that meets a fleet which never lost power goes to the end as soon as its list is confirmed.
- * docs/design/recovery.md says why the order is as it is.
+ * <p>A proxy that meets a fleet which never lost power goes to the end as soon as its list is
+ * confirmed. docs/design/recovery.md says why the order is as it is.
  */
 public final class Recovery {
     private static final long SECOND = 10_000, MILLI = 10;
+
     /** Discovery has so long before a kept list is used. */
     private static final long GUESS_AFTER = SECOND, ASK_EVERY = SECOND / 2;
+
     /** Writes go alone for so long at least. */
     private static final long WRITES_ALONE = SECOND / 4;
+
     /** Nothing is held back for so long, while so many ops came: the return is over. */
     private static final long CALM = 2 * SECOND;
+
     private static final int ENOUGH = 50;
-    private static final long SOONEST = 20 * MILLI, USUAL_SPAN = 20 * MILLI, EARLY = SECOND / 2,
+    private static final long SOONEST = 20 * MILLI,
+            USUAL_SPAN = 20 * MILLI,
+            EARLY = SECOND / 2,
             LONGEST = 2 * SECOND;
+
     /** The least dear class may take up so great a part of the pace. */
     private static final double CHEAPEST = 0.5;
 
@@ -76,13 +83,22 @@
     private long refusingAt;
 
     /**
-     * instances: the configured number of proxies, which counts where fewer are remembered; me, zone: this
-     * member and where it is; originKind: which of the listed nodes is the origin; mayProbe: whether nodes
-     * may be asked how they fare.
+     * instances: the configured number of proxies, which counts where fewer are remembered; me,
+     * zone: this member and where it is; originKind: which of the listed nodes is the origin;
+     * mayProbe: whether nodes may be asked how they fare.
      */
-    public Recovery(RecoverySettings settings, Trusted trusted, List<Category> categories, int instances,
-            MachineKind originKind, boolean mayProbe, String me, String zone, RandomGenerator chance,
-                    long now, RecoveryHost host) {
+    public Recovery(
+            RecoverySettings settings,
+            Trusted trusted,
+            List<Category> categories,
+            int instances,
+            MachineKind originKind,
+            boolean mayProbe,
+            String me,
+            String zone,
+            RandomGenerator chance,
+            long now,
+            RecoveryHost host) {
         this.settings = settings;
         this.host = host;
         this.chance = chance;
@@ -94,8 +110,10 @@
         expected = Math.max(trusted.peers() + 1, instances);
         roster = new RosterTrust(trusted.rosterVersion(), expected, settings.aloneAfter());
         fates = new HiddenFates(now);
-        pace = new OriginPace(settings.originStart() / Math.max(1, expected),
-                categories.stream().mapToLong(Category::target).min().orElse(0) / 2);
+        pace =
+                new OriginPace(
+                        settings.originStart() / Math.max(1, expected),
+                        categories.stream().mapToLong(Category::target).min().orElse(0) / 2);
         keys = new KeyOpening(me);
         began = now;
         phaseAt = now;
@@ -106,10 +124,14 @@
     }
 
     private void rank() {
-        List<Double> benefits = categories.stream().map(Category::benefit).distinct().sorted().toList();
+        List<Double> benefits =
+                categories.stream().map(Category::benefit).distinct().sorted().toList();
         for (int i = 0; i < parts.length; i++) {
             int at = benefits.indexOf(categories.get(i).benefit());
-            parts[i] = benefits.size() == 1 ? 1 : CHEAPEST + (1 - CHEAPEST) * at / (benefits.size() - 1);
+            parts[i] =
+                    benefits.size() == 1
+                            ? 1
+                            : CHEAPEST + (1 - CHEAPEST) * at / (benefits.size() - 1);
             dearest[i] = benefits.size() > 1 && at == benefits.size() - 1;
         }
     }
@@ -121,10 +143,12 @@
         sight = seen;
         roster.seen(seen);
         List<String> near = new ArrayList<>(List.of(me));
-        seen.others().stream().filter(each -> each.serves() && each.zone().equals(zone))
+        seen.others().stream()
+                .filter(each -> each.serves() && each.zone().equals(zone))
                 .forEach(each -> near.add(each.id()));
         keys.zone(near);
-        pace.others(seen.others().stream().filter(Sight.Seen::returns).map(Sight.Seen::pace).toList(),
+        pace.others(
+                seen.others().stream().filter(Sight.Seen::returns).map(Sight.Seen::pace).toList(),
                 phase == Phase.READS ? now - phaseAt : 0);
         turn(now);
     }
@@ -144,7 +168,9 @@
         listed(version, nodes.newest(), now);
     }
 
-    /** A list that did not come from discovery is in use; newest: when the last of its nodes began. */
+    /**
+     * A list that did not come from discovery is in use; newest: when the last of its nodes began.
+     */
     void guessed(long version, long newest, long now) {
         roster.guessed(version);
         fates.nodes(newest);
@@ -162,7 +188,10 @@
         turn(now);
     }
 
-    /** A version below this one, as discovery tells it, is older than what was known before the loss. */
+    /**
+     * A version below this one, as discovery tells it, is older than what was known before the
+     * loss.
+     */
     public long rosterFloor() {
         return roster.floor();
     }
@@ -186,7 +215,9 @@
     /** Goes on where what was waited for is there. */
     public void turn(long now) {
         if (roster.takesOlder(now)) {
-            host.log("recovery: discovery's list is older than the one before the loss and is taken now");
+            host.log(
+                    "recovery: discovery's list is older than the one before the loss and is taken"
+                            + " now");
             host.takeOlderList();
         }
         Phase before;
@@ -204,8 +235,12 @@
             case VIEW -> {
                 boolean all = sight != null && (sight.others().size() + 1) * 2 > expected;
                 if (all || sight != null && wholeFleet()) {
-                    goes(Phase.ROSTER, all ? "a majority of " + expected + " is in view"
-                            : "members that kept their power are in view", now);
+                    goes(
+                            Phase.ROSTER,
+                            all
+                                    ? "a majority of " + expected + " is in view"
+                                    : "members that kept their power are in view",
+                            now);
                 } else if (now - began >= settings.aloneAfter()) {
                     goes(Phase.ROSTER, "no majority came", now);
                 }
@@ -213,9 +248,12 @@
             case ROSTER -> roster(now);
             case ORIGIN -> {
                 if (!mayProbe || origin || now - phaseAt >= settings.aloneAfter()) {
-                    goes(Phase.WRITES, mayProbe ? origin ? "the origin answers"
-                            : "the origin has not answered"
-                            : "the origin may not be asked", now);
+                    goes(
+                            Phase.WRITES,
+                            mayProbe
+                                    ? origin ? "the origin answers" : "the origin has not answered"
+                                    : "the origin may not be asked",
+                            now);
                 } else if (now - probedAt >= ASK_EVERY) {
                     probedAt = now;
                     host.probeOrigin();
@@ -231,7 +269,7 @@
                     goes(Phase.ALL, "nothing was held back for 2 s", now);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -255,14 +293,20 @@
         if (roster.isConfirmed() && sight != null && wholeFleet()) {
             whole = true;
             goes(Phase.ALL, "the fleet kept its power", now);
-        } else if (roster.isConfirmed() || roster.hasList() && now - phaseAt >= settings.aloneAfter()) {
+        } else if (roster.isConfirmed()
+                || roster.hasList() && now - phaseAt >= settings.aloneAfter()) {
             goes(Phase.ORIGIN, "list " + roster.text(), now);
         }
     }
 
     private void goes(Phase to, String why, long now) {
-        host.log("recovery: " + to.name().toLowerCase(java.util.Locale.ROOT) + " after "
-                + (now - began) / MILLI + " ms, " + why);
+        host.log(
+                "recovery: "
+                        + to.name().toLowerCase(java.util.Locale.ROOT)
+                        + " after "
+                        + (now - began) / MILLI
+                        + " ms, "
+                        + why);
         phase = to;
         phaseAt = now;
         heldBackAt = now;
@@ -314,8 +358,10 @@
         return Verdict.TAKEN;
     }
 
-    /** Guards against clients that all come back as one wave: each is told another time, from half to one and
-     * a half. */
+    /**
+     * Guards against clients that all come back as one wave: each is told another time, from half
+     * to one and a half.
+     */
     private Verdict turnsAway(Verdict.Why why, long wait, long now) {
         turnedAway++;
         if (why == Verdict.Why.PACE) {
@@ -388,12 +434,21 @@
     /** For staff: where it is and what it waits for. */
     public List<String> text(long now) {
         List<String> lines = new ArrayList<>();
-        lines.add("phase " + phase.name().toLowerCase(java.util.Locale.ROOT) + " for "
-                + (now - phaseAt) / SECOND + " s, waits for " + phase.waitsFor());
+        lines.add(
+                "phase "
+                        + phase.name().toLowerCase(java.util.Locale.ROOT)
+                        + " for "
+                        + (now - phaseAt) / SECOND
+                        + " s, waits for "
+                        + phase.waitsFor());
         lines.add("list " + roster.text());
         lines.add("members " + (sight == null ? 1 : sight.others().size() + 1) + " of " + expected);
         lines.add("pace " + pace.limit() + " ops on their way to the origin, own " + pace.own());
-        lines.add("turned away " + turnedAway + ", not pushed again for a hidden fate " + hiddenCount);
+        lines.add(
+                "turned away "
+                        + turnedAway
+                        + ", not pushed again for a hidden fate "
+                        + hiddenCount);
         return lines;
     }
 }
--- a/src/main/java/cairnbridge/recovery/RosterBook.java
+++ b/src/main/java/cairnbridge/recovery/RosterBook.java
@@ -9,17 +9,21 @@
 import java.util.TreeMap;
 
 /**
- * The list of nodes as discovery told it, line by line, put together to one whole list in discovery's own
- * form (JSON), so that it can be kept and told. Any thread may ask.
+ * The list of nodes as discovery told it, line by line, put together to one whole list in
+ * discovery's own form (JSON), so that it can be kept and told. Any thread may ask.
  */
 public final class RosterBook {
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Map<String, JsonNode> targets = new TreeMap<>();
     private long version;
+
     /** The whole as text, made when it is first asked for. */
     private String text = "";
 
-    /** A line that cannot be read, or an empty list, changes nothing: the one before stays in use as well. */
+    /**
+     * A line that cannot be read, or an empty list, changes nothing: the one before stays in use as
+     * well.
+     */
     public synchronized void tells(String line) {
         JsonNode root;
         try {
@@ -57,7 +61,10 @@
         return text;
     }
 
-    /** A kept list whose nodes may all have lost their power as well: they count as started just now. */
+    /**
+     * A kept list whose nodes may all have lost their power as well: they count as started just
+     * now.
+     */
     public static String startedNow(String list, long unixMillis) {
         try {
             JsonNode root = JSON.readTree(list);
--- a/src/main/java/cairnbridge/recovery/RosterTrust.java
+++ b/src/main/java/cairnbridge/recovery/RosterTrust.java
@@ -6,9 +6,9 @@
 import java.util.Optional;
 
 /**
- * Whether the list of nodes in hand is to be believed: where discovery told one no older than was known,
- * where a member that never lost power has no newer one, or where a majority has none. Until then it is a
- * first guess. Times in tenths of a millisecond.
+ * Whether the list of nodes in hand is to be believed: where discovery told one no older than was
+ * known, where a member that never lost power has no newer one, or where a majority has none. Until
+ * then it is a first guess. Times in tenths of a millisecond.
  */
 final class RosterTrust {
     private final long aloneAfter;
@@ -76,12 +76,21 @@
 
     /** Who to ask for a list, where others have a newer one than is in hand. */
     Optional<String> ask(Sight sight) {
-        return confirmed ? Optional.empty() : sight.others().stream().filter(each -> each.roster() > version)
-                .max(Comparator.comparing(Sight.Seen::isWhole).thenComparingLong(Sight.Seen::roster)
-                        .thenComparing(Sight.Seen::id)).map(Sight.Seen::id);
+        return confirmed
+                ? Optional.empty()
+                : sight.others().stream()
+                        .filter(each -> each.roster() > version)
+                        .max(
+                                Comparator.comparing(Sight.Seen::isWhole)
+                                        .thenComparingLong(Sight.Seen::roster)
+                                        .thenComparing(Sight.Seen::id))
+                        .map(Sight.Seen::id);
     }
 
-    /** Guards against a discovery restored from long ago, or counting anew, whose list would never count. */
+    /**
+     * Guards against a discovery restored from long ago, or counting anew, whose list would never
+     * count.
+     */
     boolean takesOlder(long now) {
         if (!older || olderTaken || now - olderSince < aloneAfter) {
             return false;
@@ -104,7 +113,13 @@
     }
 
     String text() {
-        return confirmed ? "version " + version + ", confirmed by " + by : hasList() ? "version " + version
-                + ", not confirmed" + (older ? ", discovery has an older one" : "") : "none";
+        return confirmed
+                ? "version " + version + ", confirmed by " + by
+                : hasList()
+                        ? "version "
+                                + version
+                                + ", not confirmed"
+                                + (older ? ", discovery has an older one" : "")
+                        : "none";
     }
 }
--- a/src/main/java/cairnbridge/recovery/StateKeeper.java
+++ b/src/main/java/cairnbridge/recovery/StateKeeper.java
@@ -23,9 +23,9 @@
 import java.util.function.Consumer;
 
 /**
- * What a proxy has on its disk, from its start to its end. Open one before the proxy is made: it reads back,
- * decides what is trusted and takes the number of this life, and waits for a disk that is slow no longer than
- * some seconds.
+ * What a proxy has on its disk, from its start to its end. Open one before the proxy is made: it
+ * reads back, decides what is trusted and takes the number of this life, and waits for a disk that
+ * is slow no longer than some seconds.
  */
 public final class StateKeeper {
     private static final long OPEN_MILLIS = 2_000, LIFE_MILLIS = 1_000;
@@ -38,21 +38,28 @@
     private final long life;
     private final String boot = boot();
 
-    private StateKeeper(RecoverySettings settings, Store store, long firstLife, Consumer<String> log)
+    private StateKeeper(
+            RecoverySettings settings, Store store, long firstLife, Consumer<String> log)
             throws InterruptedException {
         this.settings = settings;
         this.store = store;
         Optional<Kept> opened = store.start(OPEN_MILLIS);
         kept = opened.orElse(Kept.nothing(settings.store().cluster()));
-        trusted = Trust.judge(kept, settings.store().cluster(), boot, System.currentTimeMillis(),
-                settings.mostAge() / 10);
+        trusted =
+                Trust.judge(
+                        kept,
+                        settings.store().cluster(),
+                        boot,
+                        System.currentTimeMillis(),
+                        settings.mostAge() / 10);
         trusted.lines().forEach(line -> log.accept("recovery: " + line));
         life = Math.max(firstLife, trusted.life() + 1);
         CompletableFuture<Boolean> written = store.keep(Entry.Kind.LIFE, life);
         try {
             written.get(opened.isPresent() ? LIFE_MILLIS : 1, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
-            // The store says so; another life of this number is then kept apart by the machine's clock alone.
+            // The store says so; another life of this number is then kept apart by the machine's
+            // clock alone.
             store.look();
         }
     }
@@ -60,9 +67,11 @@
     /** firstLife: this life's number by the clock; log takes lines for staff, from any thread. */
     public static StateKeeper open(RecoverySettings settings, long firstLife, Consumer<String> log)
             throws InterruptedException {
-        return new StateKeeper(settings,
-                new Store(settings.store(), new FolderDisk(settings.store().folder()),
-                log), firstLife, log);
+        return new StateKeeper(
+                settings,
+                new Store(settings.store(), new FolderDisk(settings.store().folder()), log),
+                firstLife,
+                log);
     }
 
     /** The machine's boot, by the kernel's own id; empty where it tells none. */
@@ -93,17 +102,28 @@
             return Learnt.NOTHING;
         }
         Map<NodeId, Learnt.Trust> nodes = new HashMap<>();
-        kept.nodes().forEach(each -> nodes.put(new NodeId(each.id()), new Learnt.Trust(each.started(),
-                each.share())));
+        kept.nodes()
+                .forEach(
+                        each ->
+                                nodes.put(
+                                        new NodeId(each.id()),
+                                        new Learnt.Trust(each.started(), each.share())));
         return new Learnt(kept.learntAt(), kept.originSpan(), kept.sendRate(), nodes);
     }
 
     /** The members of a view but oneself, as they are kept. */
     public static List<Kept.Peer> peers(View view) {
-        return view.members().stream().filter(claim -> !claim.id().equals(view.self()))
-                .map(claim -> new Kept.Peer(claim.id().name(), claim.at().toString(),
-                        claim.incarnation().life(),
-                        claim.incarnation().turn(), claim.standing().isLiving())).toList();
+        return view.members().stream()
+                .filter(claim -> !claim.id().equals(view.self()))
+                .map(
+                        claim ->
+                                new Kept.Peer(
+                                        claim.id().name(),
+                                        claim.at().toString(),
+                                        claim.incarnation().life(),
+                                        claim.incarnation().turn(),
+                                        claim.standing().isLiving()))
+                .toList();
     }
 
     public Store store() {
--- a/src/main/java/cairnbridge/recovery/Trust.java
+++ b/src/main/java/cairnbridge/recovery/Trust.java
@@ -6,16 +6,16 @@
 import java.util.List;
 
 /**
- * Decides what of a kept state is used. The one place that does; the table in docs/design/recovery.md is what
- * stands here. Times in Unix milliseconds.
+ * Decides what of a kept state is used. The one place that does; the table in
+ * docs/design/recovery.md is what stands here. Times in Unix milliseconds.
  */
 public final class Trust {
     /** Clocks of one fleet's machines may differ by so much. */
     static final long SKEW = 5_000;
+
     private static final int MOST_ASKED = 64;
 
-    private Trust() {
-    }
+    private Trust() {}
 
     /** now: by this machine's clock, which may be wrong; mostAge in milliseconds. */
     public static Trusted judge(Kept kept, String cluster, String boot, long now, long mostAge) {
@@ -33,21 +33,53 @@
         lines.add("own life: over " + kept.life() + ", whatever its age");
         lines.add("epoch: " + kept.epoch() + " as a floor, whatever its age");
         if (none || future || old) {
-            lines.add("list, members, trust in nodes: not used, " + (none ? "there is no snapshot"
-                    : future ? "the snapshot is " + -age / 1000 + " s ahead of the clock"
-                    : "the snapshot is " + age / 1000 + " s old, over " + mostAge / 1000));
-            return new Trusted(kept.held(), kept.life(), kept.epoch(), 0, "", List.of(), 0, false, lines);
+            lines.add(
+                    "list, members, trust in nodes: not used, "
+                            + (none
+                                    ? "there is no snapshot"
+                                    : future
+                                            ? "the snapshot is "
+                                                    + -age / 1000
+                                                    + " s ahead of the clock"
+                                            : "the snapshot is "
+                                                    + age / 1000
+                                                    + " s old, over "
+                                                    + mostAge / 1000));
+            return new Trusted(
+                    kept.held(), kept.life(), kept.epoch(), 0, "", List.of(), 0, false, lines);
         }
-        String when = age / 1000 + " s old, by " + (kept.boot().equals(boot) ? "this boot" : "another boot");
-        lines.add("list: version " + kept.rosterVersion() + ", " + when
-                + ", a first guess until discovery or a majority has as new a one");
-        List<Kept.Peer> ask = kept.peers().stream()
-                .sorted(Comparator.comparing(Kept.Peer::living).reversed()).limit(MOST_ASKED).toList();
+        String when =
+                age / 1000
+                        + " s old, by "
+                        + (kept.boot().equals(boot) ? "this boot" : "another boot");
+        lines.add(
+                "list: version "
+                        + kept.rosterVersion()
+                        + ", "
+                        + when
+                        + ", a first guess until discovery or a majority has as new a one");
+        List<Kept.Peer> ask =
+                kept.peers().stream()
+                        .sorted(Comparator.comparing(Kept.Peer::living).reversed())
+                        .limit(MOST_ASKED)
+                        .toList();
         int living = (int) kept.peers().stream().filter(Kept.Peer::living).count();
         lines.add("members: " + living + " lived, " + when + ", asked after the seeds");
-        lines.add("trust in nodes: " + kept.nodes().size() + ", " + when
-                + ", fades by half every 15 s, none for a node that started later");
-        return new Trusted(kept.held(), kept.life(), kept.epoch(), kept.rosterVersion(), kept.roster(), ask,
-                living, true, lines);
+        lines.add(
+                "trust in nodes: "
+                        + kept.nodes().size()
+                        + ", "
+                        + when
+                        + ", fades by half every 15 s, none for a node that started later");
+        return new Trusted(
+                kept.held(),
+                kept.life(),
+                kept.epoch(),
+                kept.rosterVersion(),
+                kept.roster(),
+                ask,
+                living,
+                true,
+                lines);
     }
 }
--- a/src/main/java/cairnbridge/recovery/Trusted.java
+++ b/src/main/java/cairnbridge/recovery/Trusted.java
@@ -16,8 +16,16 @@
  * @param trust whether what was learnt of the nodes may be used; that fades by its own time
  * @param lines one an item
  */
-public record Trusted(List<Long> held, long life, long epochFloor, long rosterVersion, String roster,
-                      List<Kept.Peer> ask, int peers, boolean trust, List<String> lines) {
+public record Trusted(
+        List<Long> held,
+        long life,
+        long epochFloor,
+        long rosterVersion,
+        String roster,
+        List<Kept.Peer> ask,
+        int peers,
+        boolean trust,
+        List<String> lines) {
     public Trusted {
         held = List.copyOf(held);
         ask = List.copyOf(ask);
--- a/src/main/java/cairnbridge/store/Disk.java
+++ b/src/main/java/cairnbridge/store/Disk.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * One folder of files, as a store needs it. Nothing is sure to outlive a loss of power before it was forced:
- * bytes by sync, names by syncNames. Every call may wait as long as the disk does.
+ * One folder of files, as a store needs it. Nothing is sure to outlive a loss of power before it
+ * was forced: bytes by sync, names by syncNames. Every call may wait as long as the disk does.
  */
 public interface Disk {
     List<String> names() throws IOException;
--- a/src/main/java/cairnbridge/store/FolderDisk.java
+++ b/src/main/java/cairnbridge/store/FolderDisk.java
@@ -10,12 +10,16 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** A folder of the machine's own; made with its parents when it is first written to. One thread's. */
+/**
+ * A folder of the machine's own; made with its parents when it is first written to. One thread's.
+ */
 public final class FolderDisk implements Disk {
     private static final long MOST_BYTES = 64 << 20;
     private final Path folder;
+
     /** The file that is being added to stays open: opening costs more than adding. */
     private String openName;
+
     private FileChannel open;
 
     public FolderDisk(Path folder) {
@@ -45,8 +49,12 @@
     @Override
     public void write(String name, byte[] bytes) throws IOException {
         Files.createDirectories(folder);
-        try (FileChannel out = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel out =
+                FileChannel.open(
+                        folder.resolve(name),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE,
+                        StandardOpenOption.TRUNCATE_EXISTING)) {
             all(out, bytes);
         }
     }
@@ -63,8 +71,12 @@
         if (!name.equals(openName)) {
             shut();
             Files.createDirectories(folder);
-            open = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-                    StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+            open =
+                    FileChannel.open(
+                            folder.resolve(name),
+                            StandardOpenOption.CREATE,
+                            StandardOpenOption.WRITE,
+                            StandardOpenOption.APPEND);
             openName = name;
         }
         all(open, bytes);
@@ -75,7 +87,8 @@
         if (name.equals(openName)) {
             open.force(true);
         } else {
-            try (FileChannel out = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
+            try (FileChannel out =
+                    FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
                 out.force(true);
             }
         }
@@ -83,7 +96,10 @@
 
     @Override
     public void rename(String from, String to) throws IOException {
-        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.REPLACE_EXISTING,
+        Files.move(
+                folder.resolve(from),
+                folder.resolve(to),
+                StandardCopyOption.REPLACE_EXISTING,
                 StandardCopyOption.ATOMIC_MOVE);
     }
 
--- a/src/main/java/cairnbridge/store/Frame.java
+++ b/src/main/java/cairnbridge/store/Frame.java
@@ -7,22 +7,26 @@
 import java.util.zip.CRC32C;
 
 /**
- * How bytes stand in a store's files: a mark, a length, a checksum (CRC-32C, RFC 3720) over the length and
- * what follows, and that. What was not written whole is not read.
+ * How bytes stand in a store's files: a mark, a length, a checksum (CRC-32C, RFC 3720) over the
+ * length and what follows, and that. What was not written whole is not read.
  */
 final class Frame {
     private static final int MARK = 0x43425331, HEAD = 3 * Integer.BYTES, MOST = 32 << 20;
 
-    private Frame() {
-    }
+    private Frame() {}
 
     static byte[] write(byte[] content) {
-        return ByteBuffer.allocate(HEAD + content.length).putInt(MARK).putInt(content.length)
-                .putInt(sum(content, 0, content.length)).put(content).array();
+        return ByteBuffer.allocate(HEAD + content.length)
+                .putInt(MARK)
+                .putInt(content.length)
+                .putInt(sum(content, 0, content.length))
+                .put(content)
+                .array();
     }
 
     /**
-     * The contents that stand whole at the head of the bytes, in order; what follows the first fault is lost.
+     * The contents that stand whole at the head of the bytes, in order; what follows the first
+     * fault is lost.
      */
     static List<byte[]> read(byte[] bytes) {
         List<byte[]> contents = new ArrayList<>();
@@ -31,8 +35,12 @@
             int mark = in.getInt();
             int length = in.getInt();
             int sum = in.getInt();
-            boolean whole = mark == MARK && length >= 0 && length <= MOST && length <= in.remaining()
-                    && sum == sum(bytes, in.position(), length);
+            boolean whole =
+                    mark == MARK
+                            && length >= 0
+                            && length <= MOST
+                            && length <= in.remaining()
+                            && sum == sum(bytes, in.position(), length);
             if (!whole) {
                 break;
             }
--- a/src/main/java/cairnbridge/store/Kept.java
+++ b/src/main/java/cairnbridge/store/Kept.java
@@ -6,7 +6,8 @@
 import java.util.TreeSet;
 
 /**
- * All that a store keeps of one proxy, at one moment; never changed. What is not known is empty or 0.
+ * All that a store keeps of one proxy, at one moment; never changed. What is not known is empty or
+ * 0.
  *
  * @param cluster whose it is
  * @param life the highest number of a life that was taken
@@ -24,17 +25,31 @@
  * @param nodes how far each node was trusted
  * @param held nodes that staff have taken out
  */
-public record Kept(String cluster, long life, String boot, long at, long sequence, long rosterVersion,
-                   String roster, List<Peer> peers, long epoch, byte[] plan, long learntAt, double originSpan,
-                   double sendRate, List<Node> nodes, List<Long> held) {
+public record Kept(
+        String cluster,
+        long life,
+        String boot,
+        long at,
+        long sequence,
+        long rosterVersion,
+        String roster,
+        List<Peer> peers,
+        long epoch,
+        byte[] plan,
+        long learntAt,
+        double originSpan,
+        double sendRate,
+        List<Node> nodes,
+        List<Long> held) {
 
     /** Another member: where it was reached, and its latest incarnation. */
-    public record Peer(String id, String at, long life, int turn, boolean living) {
-    }
+    public record Peer(String id, String at, long life, int turn, boolean living) {}
 
-    /** started: when the node's process began, as the list told it; share: the part of its offers it took. */
-    public record Node(long id, long started, double share) {
-    }
+    /**
+     * started: when the node's process began, as the list told it; share: the part of its offers it
+     * took.
+     */
+    public record Node(long id, long started, double share) {}
 
     public Kept {
         cluster = cluster == null ? "" : cluster;
@@ -47,7 +62,8 @@
     }
 
     public static Kept nothing(String cluster) {
-        return new Kept(cluster, 0, "", 0, 0, 0, "", List.of(), 0, null, 0, 0, 0, List.of(), List.of());
+        return new Kept(
+                cluster, 0, "", 0, 0, 0, "", List.of(), 0, null, 0, 0, 0, List.of(), List.of());
     }
 
     /** With one entry more, unless it is in already. */
@@ -63,28 +79,73 @@
         }
         boolean life = entry.kind() == Entry.Kind.LIFE;
         boolean plans = entry.kind() == Entry.Kind.EPOCH;
-        return new Kept(cluster, life ? Math.max(this.life, entry.number()) : this.life, boot, at,
-                entry.sequence(), rosterVersion, roster, peers, plans ? Math.max(epoch, entry.number())
-                        : epoch,
-                plan, learntAt, originSpan, sendRate, nodes, new ArrayList<>(out));
+        return new Kept(
+                cluster,
+                life ? Math.max(this.life, entry.number()) : this.life,
+                boot,
+                at,
+                entry.sequence(),
+                rosterVersion,
+                roster,
+                peers,
+                plans ? Math.max(epoch, entry.number()) : epoch,
+                plan,
+                learntAt,
+                originSpan,
+                sendRate,
+                nodes,
+                new ArrayList<>(out));
     }
 
     /** What only entries tell, from another; all else from here. */
     public Kept andEntriesOf(Kept other) {
-        return new Kept(other.cluster, other.life, boot, at, other.sequence, rosterVersion, roster, peers,
-                Math.max(epoch, other.epoch), plan, learntAt, originSpan, sendRate, nodes, other.held);
+        return new Kept(
+                other.cluster,
+                other.life,
+                boot,
+                at,
+                other.sequence,
+                rosterVersion,
+                roster,
+                peers,
+                Math.max(epoch, other.epoch),
+                plan,
+                learntAt,
+                originSpan,
+                sendRate,
+                nodes,
+                other.held);
     }
 
     /** Whether a snapshot of it would tell the same, but for when it was made. */
     public boolean sameAs(Kept other) {
-        return other != null && rosterVersion == other.rosterVersion && roster.equals(other.roster)
-                && peers.equals(other.peers) && epoch == other.epoch && nodes.equals(other.nodes)
-                && held.equals(other.held) && Arrays.equals(plan, other.plan);
+        return other != null
+                && rosterVersion == other.rosterVersion
+                && roster.equals(other.roster)
+                && peers.equals(other.peers)
+                && epoch == other.epoch
+                && nodes.equals(other.nodes)
+                && held.equals(other.held)
+                && Arrays.equals(plan, other.plan);
     }
 
     /** Written by a machine whose clock was so far ahead. */
     public Kept shifted(long millis) {
-        return new Kept(cluster, life, boot, at + millis, sequence, rosterVersion, roster, peers, epoch, plan,
-                learntAt + 10 * millis, originSpan, sendRate, nodes, held);
+        return new Kept(
+                cluster,
+                life,
+                boot,
+                at + millis,
+                sequence,
+                rosterVersion,
+                roster,
+                peers,
+                epoch,
+                plan,
+                learntAt + 10 * millis,
+                originSpan,
+                sendRate,
+                nodes,
+                held);
     }
 }
--- a/src/main/java/cairnbridge/store/KeptCodec.java
+++ b/src/main/java/cairnbridge/store/KeptCodec.java
@@ -8,25 +8,25 @@
 import java.io.UncheckedIOException;
 
 /**
- * Kept and Entry as CBOR (RFC 8949) by Jackson, with a format's number in front of all. Fields that a newer
- * program added are passed over; a format that is newer is refused, as what it means is not known.
+ * Kept and Entry as CBOR (RFC 8949) by Jackson, with a format's number in front of all. Fields that
+ * a newer program added are passed over; a format that is newer is refused, as what it means is not
+ * known.
  */
 final class KeptCodec {
     static final int FORMAT = 1;
-    private static final ObjectMapper CBOR = CBORMapper.builder()
-            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+    private static final ObjectMapper CBOR =
+            CBORMapper.builder()
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
 
     /** What stands in a frame. */
-    record Whole(int format, Kept kept) {
-    }
+    record Whole(int format, Kept kept) {}
 
     /** An entry and its folder's cluster. */
-    record Line(int format, String cluster, Entry entry) {
-    }
+    record Line(int format, String cluster, Entry entry) {}
 
-    private KeptCodec() {
-    }
+    private KeptCodec() {}
 
     static byte[] write(Kept kept) {
         return bytes(new Whole(FORMAT, kept));
@@ -55,7 +55,9 @@
 
     static Line readLine(byte[] bytes) {
         Line line = read(bytes, Line.class);
-        if (line.format() != FORMAT || line.cluster() == null || line.entry() == null
+        if (line.format() != FORMAT
+                || line.cluster() == null
+                || line.entry() == null
                 || line.entry().kind() == null) {
             throw new IllegalArgumentException("is no entry");
         }
--- a/src/main/java/cairnbridge/store/Store.java
+++ b/src/main/java/cairnbridge/store/Store.java
@@ -14,16 +14,18 @@
 import java.util.function.Supplier;
 
 /**
- * Keeps a proxy's state over a loss of power, on a thread of its own that alone waits for the disk. Make one,
- * start it, take what it had; then have entries kept before they are told, and say whence snapshots come. A
- * disk that is full, read-only or slow is said once and holds nobody up: an entry's future is false then.
+ * Keeps a proxy's state over a loss of power, on a thread of its own that alone waits for the disk.
+ * Make one, start it, take what it had; then have entries kept before they are told, and say whence
+ * snapshots come. A disk that is full, read-only or slow is said once and holds nobody up: an
+ * entry's future is false then.
  */
 public final class Store {
     private static final int MOST_WAITING = 1_024;
-    private static final long SLOW_NANOS = 1_000_000_000L, RETRY_MILLIS = 1_000, LAST_MILLIS = 1_500;
+    private static final long SLOW_NANOS = 1_000_000_000L,
+            RETRY_MILLIS = 1_000,
+            LAST_MILLIS = 1_500;
 
-    private record Waiting(Entry.Kind kind, long number, CompletableFuture<Boolean> done) {
-    }
+    private record Waiting(Entry.Kind kind, long number, CompletableFuture<Boolean> done) {}
 
     private final StoreSettings settings;
     private final Ledger ledger;
@@ -33,8 +35,10 @@
     private final StoreFigures figures = new StoreFigures();
     private final Thread thread = new Thread(this::run, "store");
     private volatile Supplier<Optional<Kept>> source = Optional::empty;
+
     /** When the disk was last asked for something it has not done yet; 0 where it was not. */
     private volatile long askedAt;
+
     private volatile boolean stopped, slow, ill;
     private boolean ready;
     private Kept last;
@@ -54,8 +58,10 @@
         try {
             return Optional.of(opened.get(mostMillis, TimeUnit.MILLISECONDS).kept());
         } catch (TimeoutException e) {
-            log.accept("store: the disk has not answered for " + mostMillis
-                    + " ms, this start goes without it");
+            log.accept(
+                    "store: the disk has not answered for "
+                            + mostMillis
+                            + " ms, this start goes without it");
             return Optional.empty();
         } catch (ExecutionException e) {
             return Optional.empty();
@@ -67,12 +73,17 @@
         opened.thenAccept(found -> then.accept(found.kept()));
     }
 
-    /** Where snapshots come from; asked on the store's thread, empty while there is nothing to keep. */
+    /**
+     * Where snapshots come from; asked on the store's thread, empty while there is nothing to keep.
+     */
     public void keepsFrom(Supplier<Optional<Kept>> from) {
         source = from;
     }
 
-    /** True once the entry outlives a loss of power, false where it cannot be kept. Waits for nothing. */
+    /**
+     * True once the entry outlives a loss of power, false where it cannot be kept. Waits for
+     * nothing.
+     */
     public CompletableFuture<Boolean> keep(Entry.Kind kind, long number) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         if (stopped || !waiting.offer(new Waiting(kind, number, done))) {
@@ -87,7 +98,9 @@
         if (since != 0 && System.nanoTime() - since > SLOW_NANOS && !slow) {
             slow = true;
             figures.faults.increment();
-            log.accept("store: the disk has not answered for 1 s; nothing is kept meanwhile, ops go on");
+            log.accept(
+                    "store: the disk has not answered for 1 s; nothing is kept meanwhile, ops go"
+                            + " on");
         }
     }
 
@@ -146,7 +159,8 @@
                 log.accept("store: " + e);
             }
         }
-        // Guards against the interrupt that ended the wait: it would shut the files under the last words.
+        // Guards against the interrupt that ended the wait: it would shut the files under the last
+        // words.
         Thread.interrupted();
         if (ready) {
             entries(new ArrayList<>());
@@ -198,8 +212,12 @@
         if (batch.isEmpty()) {
             return;
         }
-        boolean kept = does(() -> ledger.enter(batch.stream().map(Waiting::kind).toList(),
-                batch.stream().map(Waiting::number).toList()));
+        boolean kept =
+                does(
+                        () ->
+                                ledger.enter(
+                                        batch.stream().map(Waiting::kind).toList(),
+                                        batch.stream().map(Waiting::number).toList()));
         if (kept) {
             figures.entries.add(batch.size());
         }
--- a/src/main/java/cairnbridge/store/StoreFigures.java
+++ b/src/main/java/cairnbridge/store/StoreFigures.java
@@ -6,8 +6,11 @@
 
 /** What a store counts, for those that staff read. */
 public final class StoreFigures {
-    final LongAdder snapshots = new LongAdder(), entries = new LongAdder(), faults = new LongAdder(),
-            bytes = new LongAdder(), busyMicros = new LongAdder();
+    final LongAdder snapshots = new LongAdder(),
+            entries = new LongAdder(),
+            faults = new LongAdder(),
+            bytes = new LongAdder(),
+            busyMicros = new LongAdder();
     volatile long slowestMicros;
 
     public Map<String, Long> gauges() {
--- a/src/main/java/cairnbridge/store/StoreSettings.java
+++ b/src/main/java/cairnbridge/store/StoreSettings.java
@@ -10,5 +10,4 @@
  * @param snapshotEvery at most so often a snapshot, in milliseconds
  * @param bytesPerSecond of snapshots, at most, over time
  */
-public record StoreSettings(Path folder, String cluster, long snapshotEvery, long bytesPerSecond) {
-}
+public record StoreSettings(Path folder, String cluster, long snapshotEvery, long bytesPerSecond) {}
--- a/src/main/java/cairnbridge/zones/ZoneMember.java
+++ b/src/main/java/cairnbridge/zones/ZoneMember.java
@@ -28,8 +28,8 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * A fleet's member where plans over zones are on: between Zones, which decides, the carrier and the proxy.
- * All but staff's calls is the carrier's thread's.
+ * A fleet's member where plans over zones are on: between Zones, which decides, the carrier and the
+ * proxy. All but staff's calls is the carrier's thread's.
  */
 public final class ZoneMember implements ZonesHost {
     private static final long PLACE_AGAIN = 10_000;
@@ -39,12 +39,16 @@
     private final Consumer<String> log;
     private final Zones zones;
     private final Optional<RegisterFile> file;
+
     /** Waits for the disk in the carrier's place. */
-    private final ExecutorService keeper = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "votes");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService keeper =
+            Executors.newSingleThreadExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "votes");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+
     private Carrier carrier;
     private View view;
     private long placedAt;
@@ -53,11 +57,18 @@
     private final LongFunction<CompletableFuture<Boolean>> keeps;
 
     /**
-     * epochFloor: of the highest plan that is remembered; keeps: has an epoch kept before it is told.
-     * IOException where a voter's register cannot be believed.
+     * epochFloor: of the highest plan that is remembered; keeps: has an epoch kept before it is
+     * told. IOException where a voter's register cannot be believed.
      */
-    public ZoneMember(MemberId me, String zone, ZonesConfig config, long seed, FleetProxy proxy,
-            long epochFloor, LongFunction<CompletableFuture<Boolean>> keeps, Consumer<String> log)
+    public ZoneMember(
+            MemberId me,
+            String zone,
+            ZonesConfig config,
+            long seed,
+            FleetProxy proxy,
+            long epochFloor,
+            LongFunction<CompletableFuture<Boolean>> keeps,
+            Consumer<String> log)
             throws IOException {
         this.keeps = keeps;
         home = new Zone(zone);
@@ -65,10 +76,19 @@
         this.proxy = proxy;
         this.log = log;
         file = config.votes(me) ? Optional.of(register(config.state())) : Optional.empty();
-        zones = new Zones(me, config, new ZoneHealth.Rates(config.nodeRate(), proxy.coldFrom(),
-                proxy.warmUp(),
-                config.regions()), RandomGeneratorFactory.of("L64X128MixRandom").create(seed), epochFloor,
-                file.isPresent() ? file.get().read() : Register.EMPTY, this);
+        zones =
+                new Zones(
+                        me,
+                        config,
+                        new ZoneHealth.Rates(
+                                config.nodeRate(),
+                                proxy.coldFrom(),
+                                proxy.warmUp(),
+                                config.regions()),
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(seed),
+                        epochFloor,
+                        file.isPresent() ? file.get().read() : Register.EMPTY,
+                        this);
     }
 
     private static RegisterFile register(Path state) {
@@ -109,12 +129,15 @@
     /** zones, zone-drain ZONE SECONDS or zone-restore ZONE; any thread may ask. */
     public CompletableFuture<String> staff(String line) {
         CompletableFuture<String> answer = new CompletableFuture<>();
-        carrier.execute(() -> {
-            String[] word = line.split(" +", 2);
-            String rest = word.length > 1 ? " " + word[1] : "";
-            answer.complete(word[0].equals("zones") ? zones.table() + "EOF"
-                    : zones.staff(word[0].replace("zone-", "") + rest));
-        });
+        carrier.execute(
+                () -> {
+                    String[] word = line.split(" +", 2);
+                    String rest = word.length > 1 ? " " + word[1] : "";
+                    answer.complete(
+                            word[0].equals("zones")
+                                    ? zones.table() + "EOF"
+                                    : zones.staff(word[0].replace("zone-", "") + rest));
+                });
         return answer;
     }
 
@@ -130,16 +153,17 @@
 
     @Override
     public void keep(Register register, Consumer<String> then) {
-        keeper.execute(() -> {
-            String fault = "";
-            try {
-                file.orElseThrow().write(register);
-            } catch (IOException e) {
-                fault = e.toString();
-            }
-            String what = fault;
-            carrier.execute(() -> then.accept(what));
-        });
+        keeper.execute(
+                () -> {
+                    String fault = "";
+                    try {
+                        file.orElseThrow().write(register);
+                    } catch (IOException e) {
+                        fault = e.toString();
+                    }
+                    String what = fault;
+                    carrier.execute(() -> then.accept(what));
+                });
     }
 
     @Override
@@ -150,14 +174,17 @@
     @Override
     public void inForce(Plan plan) {
         latest = plan;
-        // Told only once it is kept: guards against a member that comes back behind what it confirmed.
-        keeps.apply(plan.epoch()).thenAccept(kept -> epoch = kept ? Math.max(epoch, plan.epoch()) : epoch);
+        // Told only once it is kept: guards against a member that comes back behind what it
+        // confirmed.
+        keeps.apply(plan.epoch())
+                .thenAccept(kept -> epoch = kept ? Math.max(epoch, plan.epoch()) : epoch);
         place(plan);
     }
 
     private void place(Plan plan) {
         Told.Figures figures = proxy.figures();
-        Set<Zone> out = ZonePlacement.outOfReach(proxy.servers(), figures.unreachable(), figures.out());
+        Set<Zone> out =
+                ZonePlacement.outOfReach(proxy.servers(), figures.unreachable(), figures.out());
         proxy.placed(home, plan.row(home), out, config.alonePart());
     }
 
--- a/src/main/java/cairnbridge/zones/Zones.java
+++ b/src/main/java/cairnbridge/zones/Zones.java
@@ -26,16 +26,21 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One member's part in plans over zones: as a learner always, as a voter and as the proposer where it is one.
- * Make one with its host, call viewed some times a second with the fleet's view and asked for all that other
- * members say; it acts by calls on the host and reads neither clock nor disk. One thread's. Times in tenths
- * of a millisecond of the carrier's clock.
+ * One member's part in plans over zones: as a learner always, as a voter and as the proposer where
+ * it is one. Make one with its host, call viewed some times a second with the fleet's view and
+ * asked for all that other members say; it acts by calls on the host and reads neither clock nor
+ * disk. One thread's. Times in tenths of a millisecond of the carrier's clock.
  */
 public final class Zones {
     static final String VOTE = "zones-vote", PLAN = "zones-plan", STAFF = "zones-staff";
-    private static final long SECOND = 10_000, TRY = 2 * SECOND, PULL = SECOND / 5, SAY_AT_MOST = 64;
+    private static final long SECOND = 10_000,
+            TRY = 2 * SECOND,
+            PULL = SECOND / 5,
+            SAY_AT_MOST = 64;
+
     /** So long after its start a member proposes nothing new. */
     private static final long CARE = 5 * SECOND;
+
     private static final byte[] NOTHING = {};
 
     private final MemberId me;
@@ -45,8 +50,10 @@
     private final ZoneHealth health;
     private final boolean votes;
     private Register register;
+
     /** Votes wait for the one that is being kept: no answer goes by what may yet be lost. */
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
     private boolean keeping;
     private Planner planner;
     private Plan plan = Plan.FIRST;
@@ -54,15 +61,26 @@
     private Ballot last = Ballot.NONE;
     private View view;
     private long begun, attemptAt, pulledAt, now, unixMillis, waitUntil;
-    /** No plan below this one comes into force: others may have had it before they lost their power. */
+
+    /**
+     * No plan below this one comes into force: others may have had it before they lost their power.
+     */
     private long floor;
+
     private boolean proposes, unsure;
+
     /** What staff want, until a plan has it: empty to give back, else the least time. */
     private final Map<Zone, Optional<Long>> asked = new HashMap<>();
 
     /** kept: what this member had promised as a voter before its start; of no use at others. */
-    public Zones(MemberId me, ZonesConfig config, ZoneHealth.Rates rates, RandomGenerator chance,
-            long epochFloor, Register kept, ZonesHost host) {
+    public Zones(
+            MemberId me,
+            ZonesConfig config,
+            ZoneHealth.Rates rates,
+            RandomGenerator chance,
+            long epochFloor,
+            Register kept,
+            ZonesHost host) {
         floor = epochFloor;
         this.me = me;
         this.config = config;
@@ -88,7 +106,10 @@
             return;
         }
         for (Claim claim : seen.living()) {
-            floor = claim.told() == null ? floor : Math.max(floor, claim.told().recovering().epochFloor());
+            floor =
+                    claim.told() == null
+                            ? floor
+                            : Math.max(floor, claim.told().recovering().epochFloor());
         }
         pull();
         boolean mine = me.equals(proposer()) && hasMajority();
@@ -102,7 +123,9 @@
             attempt = null;
             waitUntil = now + chance.nextLong(TRY);
         }
-        if (proposes && attempt == null && now >= waitUntil
+        if (proposes
+                && attempt == null
+                && now >= waitUntil
                 && (unsure || !asked.isEmpty() || wants(plan) != plan)) {
             attempt();
         }
@@ -120,7 +143,11 @@
 
     /** The first voter that lives, by the order of names. */
     private MemberId proposer() {
-        return config.voters().stream().filter(this::lives).filter(this::serves).sorted().findFirst()
+        return config.voters().stream()
+                .filter(this::lives)
+                .filter(this::serves)
+                .sorted()
+                .findFirst()
                 .orElse(null);
     }
 
@@ -130,7 +157,10 @@
 
     /** One that still starts knows too little to propose. */
     private boolean serves(MemberId id) {
-        return view.of(id).map(Claim::told).filter(told -> told.state() != Told.State.STARTING).isPresent();
+        return view.of(id)
+                .map(Claim::told)
+                .filter(told -> told.state() != Told.State.STARTING)
+                .isPresent();
     }
 
     private boolean hasMajority() {
@@ -138,26 +168,30 @@
     }
 
     /**
-     * The plan that should follow one, by what is known now; that one itself where nothing is to be changed.
+     * The plan that should follow one, by what is known now; that one itself where nothing is to be
+     * changed.
      */
     private Plan wants(Plan from) {
         List<Server> servers = host.servers();
         if (servers.isEmpty() || now - begun < CARE) {
-            // Guards against zones held gone by one that has just started: no list yet, first calls that were
+            // Guards against zones held gone by one that has just started: no list yet, first calls
+            // that were
             // late.
             return from;
         }
         List<ZoneInput> inputs = health.inputs(view.living(), servers, now, unixMillis);
         Map<Zone, Long> drained = new HashMap<>(from.drained());
-        asked.forEach((zone, until) -> {
-            if (until.isPresent()) {
-                drained.put(zone, until.get());
-            } else if (drained.getOrDefault(zone, 0L) <= unixMillis) {
-                drained.remove(zone);
-            }
-        });
+        asked.forEach(
+                (zone, until) -> {
+                    if (until.isPresent()) {
+                        drained.put(zone, until.get());
+                    } else if (drained.getOrDefault(zone, 0L) <= unixMillis) {
+                        drained.remove(zone);
+                    }
+                });
         return planner.isDue(now) || !drained.equals(from.drained())
-                ? planner.next(from, inputs, drained, me.name(), now) : from;
+                ? planner.next(from, inputs, drained, me.name(), now)
+                : from;
     }
 
     // As the proposer.
@@ -197,7 +231,8 @@
             // Guards against voters that lost their registers and begin to count anew.
             Plan newest = attempt.newest().notBelow(floor);
             Plan next = wants(newest);
-            // Nothing to change, but the newest may not be known to be agreed on: it is asked for once more.
+            // Nothing to change, but the newest may not be known to be agreed on: it is asked for
+            // once more.
             attempt = attempt.proposes(next);
             ask(new Vote.Accept(attempt.ballot(), next));
         } else if (attempt.isAgreed()) {
@@ -205,8 +240,12 @@
             attempt = null;
             unsure = false;
             planner.agreed(plan, agreed, now);
-            asked.entrySet().removeIf(each -> each.getValue().isPresent()
-                    ? agreed.drained().containsKey(each.getKey()) : true);
+            asked.entrySet()
+                    .removeIf(
+                            each ->
+                                    each.getValue().isPresent()
+                                            ? agreed.drained().containsKey(each.getKey())
+                                            : true);
             takes(agreed);
             spread();
         }
@@ -214,8 +253,10 @@
 
     private void spread() {
         byte[] bytes = PlanCodec.write(plan);
-        view.living().stream().filter(claim -> !claim.id().equals(me)).limit(SAY_AT_MOST)
-                .forEach(claim -> host.say(claim.id(), PLAN, bytes, answer -> { }));
+        view.living().stream()
+                .filter(claim -> !claim.id().equals(me))
+                .limit(SAY_AT_MOST)
+                .forEach(claim -> host.say(claim.id(), PLAN, bytes, answer -> {}));
     }
 
     // As a learner.
@@ -224,8 +265,16 @@
         if (next.epoch() <= plan.epoch() || next.epoch() < floor) {
             return; // Epochs never go back.
         }
-        ZoneTexts.changes(plan, next).forEach(change -> host.log("zones: epoch " + next.epoch() + " by "
-                + next.maker() + ": " + change));
+        ZoneTexts.changes(plan, next)
+                .forEach(
+                        change ->
+                                host.log(
+                                        "zones: epoch "
+                                                + next.epoch()
+                                                + " by "
+                                                + next.maker()
+                                                + ": "
+                                                + change));
         plan = next;
         host.inForce(plan);
     }
@@ -263,8 +312,10 @@
                 learns(bytes);
                 then.accept(PlanCodec.write(plan));
             }
-            case STAFF -> then.accept(staff(new String(bytes, StandardCharsets.UTF_8))
-                    .getBytes(StandardCharsets.UTF_8));
+            case STAFF ->
+                    then.accept(
+                            staff(new String(bytes, StandardCharsets.UTF_8))
+                                    .getBytes(StandardCharsets.UTF_8));
             default -> then.accept(NOTHING);
         }
     }
@@ -272,8 +323,8 @@
     // As a voter.
 
     /**
-     * Answered only once it is on the disk: what was told must outlive this process. The disk is not waited
-     * for here; guards against a member that looks dead while its disk takes its time.
+     * Answered only once it is on the disk: what was told must outlive this process. The disk is
+     * not waited for here; guards against a member that looks dead while its disk takes its time.
      */
     private void vote(byte[] bytes, Consumer<byte[]> then) {
         if (!votes) {
@@ -312,9 +363,15 @@
     // What staff ask.
 
     String table() {
-        return view == null ? "not in a fleet yet\n" : ZoneTexts.table(plan, view, config.agreed()
-                ? String.valueOf(proposer()) : "each by itself", !config.agreed() || hasMajority())
-                + ZoneTexts.inputs(health.inputs(view.living(), host.servers(), now, unixMillis));
+        return view == null
+                ? "not in a fleet yet\n"
+                : ZoneTexts.table(
+                                plan,
+                                view,
+                                config.agreed() ? String.valueOf(proposer()) : "each by itself",
+                                !config.agreed() || hasMajority())
+                        + ZoneTexts.inputs(
+                                health.inputs(view.living(), host.servers(), now, unixMillis));
     }
 
     /** drain ZONE SECONDS or restore ZONE; handed to the proposer where this member is not. */
@@ -330,7 +387,7 @@
             return "400 no majority of voters in view";
         }
         if (config.agreed() && !proposer.equals(me)) {
-            host.say(proposer, STAFF, text.getBytes(StandardCharsets.UTF_8), answer -> { });
+            host.say(proposer, STAFF, text.getBytes(StandardCharsets.UTF_8), answer -> {});
             return "200 handed to " + proposer + ", zones shows when it is in force";
         }
         long until = plan.drained().getOrDefault(zone, 0L);
@@ -343,7 +400,11 @@
         } catch (NumberFormatException e) {
             return "400 no number of seconds";
         }
-        asked.put(zone, word[0].equals("drain") ? Optional.of(unixMillis + 1000 * least) : Optional.empty());
+        asked.put(
+                zone,
+                word[0].equals("drain")
+                        ? Optional.of(unixMillis + 1000 * least)
+                        : Optional.empty());
         return "200 taken, zones shows when it is in force";
     }
 }
--- a/src/main/java/cairnbridge/zones/ZonesConfig.java
+++ b/src/main/java/cairnbridge/zones/ZonesConfig.java
@@ -14,11 +14,17 @@
  * @param state where a voter keeps what it has promised
  * @param nodeRate ops a second that a warm node of size one bears
  * @param regions region by zone
- * @param alonePart of the traffic for a zone out of one's own reach, what goes elsewhere before the plan
- *      follows
+ * @param alonePart of the traffic for a zone out of one's own reach, what goes elsewhere before the
+ *     plan follows
  */
-public record ZonesConfig(boolean agreed, List<MemberId> voters, Path state, double nodeRate,
-                          Map<String, String> regions, PlanSettings plan, double alonePart) {
+public record ZonesConfig(
+        boolean agreed,
+        List<MemberId> voters,
+        Path state,
+        double nodeRate,
+        Map<String, String> regions,
+        PlanSettings plan,
+        double alonePart) {
     /** Whether this member confirms plans. */
     public boolean votes(MemberId me) {
         return agreed && voters.contains(me);
--- a/src/main/java/cairnbridge/zones/ZonesHost.java
+++ b/src/main/java/cairnbridge/zones/ZonesHost.java
@@ -13,8 +13,8 @@
     void say(MemberId to, String topic, byte[] bytes, Consumer<byte[]> then);
 
     /**
-     * Keeps a voter's register where a loss of power does not take it; then is told why it could not, or an
-     * empty text once it is sure. Returns at once.
+     * Keeps a voter's register where a loss of power does not take it; then is told why it could
+     * not, or an empty text once it is sure. Returns at once.
      */
     void keep(Register register, Consumer<String> then);
 
--- a/src/main/java/cairnbridge/zones/agree/Attempt.java
+++ b/src/main/java/cairnbridge/zones/agree/Attempt.java
@@ -7,15 +7,21 @@
 import java.util.Set;
 
 /**
- * One attempt of a proposer to have a plan agreed on; never changed, each answer makes the next. It prepares,
- * learns the newest plan that any of a majority has accepted, has the next one made out of that, and asks for
- * it.
+ * One attempt of a proposer to have a plan agreed on; never changed, each answer makes the next. It
+ * prepares, learns the newest plan that any of a majority has accepted, has the next one made out
+ * of that, and asks for it.
  *
  * @param voters how many there are
  * @param proposed null until a majority has promised
  */
-public record Attempt(Ballot ballot, int voters, Map<String, Vote.Promise> promises, Plan proposed,
-                      Set<String> accepted, boolean refused, Ballot highest) {
+public record Attempt(
+        Ballot ballot,
+        int voters,
+        Map<String, Vote.Promise> promises,
+        Plan proposed,
+        Set<String> accepted,
+        boolean refused,
+        Ballot highest) {
     public Attempt {
         promises = Map.copyOf(promises);
         accepted = Set.copyOf(accepted);
@@ -41,8 +47,10 @@
 
     /** The plan that the next one has to be made out of. */
     public Plan newest() {
-        return promises.values().stream().max((a, b) -> a.accepted().compareTo(b.accepted()))
-                .map(Vote.Promise::plan).orElse(Plan.FIRST);
+        return promises.values().stream()
+                .max((a, b) -> a.accepted().compareTo(b.accepted()))
+                .map(Vote.Promise::plan)
+                .orElse(Plan.FIRST);
     }
 
     public Attempt proposes(Plan plan) {
--- a/src/main/java/cairnbridge/zones/agree/RegisterFile.java
+++ b/src/main/java/cairnbridge/zones/agree/RegisterFile.java
@@ -6,9 +6,9 @@
 import java.util.zip.CRC32C;
 
 /**
- * Keeps a voter's register over its process's end and over a loss of power: a checksum and the register,
- * written beside the old one, forced, put in its place whole, and the folder's names forced as well. Guards
- * against a voter that forgets what it has promised.
+ * Keeps a voter's register over its process's end and over a loss of power: a checksum and the
+ * register, written beside the old one, forced, put in its place whole, and the folder's names
+ * forced as well. Guards against a voter that forgets what it has promised.
  */
 public final class RegisterFile {
     private final Disk disk;
@@ -20,7 +20,9 @@
         this.name = name;
     }
 
-    /** Empty where there is no file yet; an IOException where there is one that cannot be believed. */
+    /**
+     * Empty where there is no file yet; an IOException where there is one that cannot be believed.
+     */
     public Register read() throws IOException {
         if (!disk.names().contains(name)) {
             return Register.EMPTY;
@@ -42,12 +44,18 @@
         throw new IOException("has another checksum: " + name);
     }
 
-    /** Once it returns, a loss of power does not bring the old one back; on an IOException it may. */
+    /**
+     * Once it returns, a loss of power does not bring the old one back; on an IOException it may.
+     */
     public void write(Register register) throws IOException {
         byte[] bytes = VoteCodec.write(register);
         String fresh = name + ".new";
-        disk.write(fresh, ByteBuffer.allocate(Long.BYTES + bytes.length).putLong(sum(bytes)).put(bytes)
-                .array());
+        disk.write(
+                fresh,
+                ByteBuffer.allocate(Long.BYTES + bytes.length)
+                        .putLong(sum(bytes))
+                        .put(bytes)
+                        .array());
         disk.sync(fresh);
         disk.rename(fresh, name);
         disk.syncNames();
--- a/src/main/java/cairnbridge/zones/agree/VoteCodec.java
+++ b/src/main/java/cairnbridge/zones/agree/VoteCodec.java
@@ -18,11 +18,17 @@
 public final class VoteCodec {
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private enum Kind { PREPARE, PROMISE, ACCEPT, ACCEPTED, REFUSED, REGISTER }
-
-    private VoteCodec() {
+    private enum Kind {
+        PREPARE,
+        PROMISE,
+        ACCEPT,
+        ACCEPTED,
+        REFUSED,
+        REGISTER
     }
 
+    private VoteCodec() {}
+
     private interface Writes {
         void to(CBORGenerator cbor) throws IOException;
     }
@@ -48,26 +54,37 @@
 
     public static byte[] write(Vote vote) {
         if (vote instanceof Vote.Promise promise) {
-            return write(Kind.PROMISE, promise.ballot(), cbor -> {
-                ballot(cbor, promise.accepted());
-                cbor.writeBinary(PlanCodec.write(promise.plan()));
-            });
+            return write(
+                    Kind.PROMISE,
+                    promise.ballot(),
+                    cbor -> {
+                        ballot(cbor, promise.accepted());
+                        cbor.writeBinary(PlanCodec.write(promise.plan()));
+                    });
         }
         if (vote instanceof Vote.Accept accept) {
-            return write(Kind.ACCEPT, accept.ballot(), cbor ->
-                    cbor.writeBinary(PlanCodec.write(accept.plan())));
+            return write(
+                    Kind.ACCEPT,
+                    accept.ballot(),
+                    cbor -> cbor.writeBinary(PlanCodec.write(accept.plan())));
         }
         if (vote instanceof Vote.Refused refused) {
             return write(Kind.REFUSED, refused.ballot(), cbor -> ballot(cbor, refused.promised()));
         }
-        return write(vote instanceof Vote.Prepare ? Kind.PREPARE : Kind.ACCEPTED, vote.ballot(), cbor -> { });
+        return write(
+                vote instanceof Vote.Prepare ? Kind.PREPARE : Kind.ACCEPTED,
+                vote.ballot(),
+                cbor -> {});
     }
 
     public static byte[] write(Register register) {
-        return write(Kind.REGISTER, register.promised(), cbor -> {
-            ballot(cbor, register.accepted());
-            cbor.writeBinary(PlanCodec.write(register.plan()));
-        });
+        return write(
+                Kind.REGISTER,
+                register.promised(),
+                cbor -> {
+                    ballot(cbor, register.accepted());
+                    cbor.writeBinary(PlanCodec.write(register.plan()));
+                });
     }
 
     /** IllegalArgumentException for anything that is no whole vote; never another exception. */
@@ -88,14 +105,17 @@
             Kind kind = Kind.values()[number];
             expect(register == (kind == Kind.REGISTER));
             Ballot ballot = ballot(cbor);
-            Object read = switch (kind) {
-                case PREPARE -> new Vote.Prepare(ballot);
-                case PROMISE -> new Vote.Promise(ballot, ballot(cbor), PlanCodec.read(bytes(cbor)));
-                case ACCEPT -> new Vote.Accept(ballot, PlanCodec.read(bytes(cbor)));
-                case ACCEPTED -> new Vote.Accepted(ballot);
-                case REFUSED -> new Vote.Refused(ballot, ballot(cbor));
-                case REGISTER -> new Register(ballot, ballot(cbor), PlanCodec.read(bytes(cbor)));
-            };
+            Object read =
+                    switch (kind) {
+                        case PREPARE -> new Vote.Prepare(ballot);
+                        case PROMISE ->
+                                new Vote.Promise(ballot, ballot(cbor), PlanCodec.read(bytes(cbor)));
+                        case ACCEPT -> new Vote.Accept(ballot, PlanCodec.read(bytes(cbor)));
+                        case ACCEPTED -> new Vote.Accepted(ballot);
+                        case REFUSED -> new Vote.Refused(ballot, ballot(cbor));
+                        case REGISTER ->
+                                new Register(ballot, ballot(cbor), PlanCodec.read(bytes(cbor)));
+                    };
             expect(cbor.nextToken() == JsonToken.END_ARRAY);
             return read;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/cairnbridge/zones/plan/Plan.java
+++ b/src/main/java/cairnbridge/zones/plan/Plan.java
@@ -4,8 +4,8 @@
 import java.util.TreeMap;
 
 /**
- * Where each zone's traffic is served, agreed on by number. A zone without a row serves its own. Never
- * changed.
+ * Where each zone's traffic is served, agreed on by number. A zone without a row serves its own.
+ * Never changed.
  *
  * @param epoch goes up by one with each plan that is made on the one before
  * @param rows zones whose traffic is not all served at home
@@ -39,7 +39,7 @@
         if (!drained.equals(other.drained) || !rows.keySet().equals(other.rows.keySet())) {
             return false;
         }
-        return rows.entrySet().stream().allMatch(each ->
-                each.getValue().sameParts(other.rows.get(each.getKey())));
+        return rows.entrySet().stream()
+                .allMatch(each -> each.getValue().sameParts(other.rows.get(each.getKey())));
     }
 }
--- a/src/main/java/cairnbridge/zones/plan/PlanCodec.java
+++ b/src/main/java/cairnbridge/zones/plan/PlanCodec.java
@@ -14,15 +14,15 @@
 import java.util.Map;
 
 /**
- * A plan as CBOR (RFC 8949): epoch, maker, rows of zone, why, shed and pairs of zone and part, drained zones.
+ * A plan as CBOR (RFC 8949): epoch, maker, rows of zone, why, shed and pairs of zone and part,
+ * drained zones.
  */
 public final class PlanCodec {
     public static final int MOST_BYTES = 64 * 1024;
     private static final int MOST_ZONES = 4_096;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private PlanCodec() {
-    }
+    private PlanCodec() {}
 
     public static byte[] write(Plan plan) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
--- a/src/main/java/cairnbridge/zones/plan/Planner.java
+++ b/src/main/java/cairnbridge/zones/plan/Planner.java
@@ -8,16 +8,18 @@
 import java.util.TreeMap;
 
 /**
- * Makes the next plan out of the present one and what is known. Ask it for one whenever a step may be due;
- * what it keeps between calls is how long ago each zone's traffic was moved away, so that who takes over
- * begins with a hold. No clock, no I/O; times in tenths of a millisecond.
+ * Makes the next plan out of the present one and what is known. Ask it for one whenever a step may
+ * be due; what it keeps between calls is how long ago each zone's traffic was moved away, so that
+ * who takes over begins with a hold. No clock, no I/O; times in tenths of a millisecond.
  *
- * <p>Two things are settled apart: where all would go if it could go at once (the aim), and how much of the
- * way one step goes. A zone's room is planned beyond by neither. While a plan spreads some members are on the
- * old one and some on the new, so each zone has to bear the larger part of both from every other.
+ * <p>Two things are settled apart: where all would go if it could go at once (the aim), and how
+ * much of the way one step goes. A zone's room is planned beyond by neither. While a plan spreads
+ * some members are on the old one and some on the new, so each zone has to bear the larger part of
+ * both from every other.
  */
 public final class Planner {
     private static final double EPSILON = 1e-9;
+
     /** Less than this is not worth a plan, in thousandths of a zone's traffic. */
     private static final int LEAST = 10;
 
@@ -68,12 +70,13 @@
     }
 
     /**
-     * The plan that should follow, with the next epoch, or the present one itself where nothing is to be
-     * moved.
+     * The plan that should follow, with the next epoch, or the present one itself where nothing is
+     * to be moved.
      *
      * @param drained what staff have emptied, and until when at least
      */
-    public Plan next(Plan present, List<ZoneInput> inputs, Map<Zone, Long> drained, String maker, long now) {
+    public Plan next(
+            Plan present, List<ZoneInput> inputs, Map<Zone, Long> drained, String maker, long now) {
         Map<Zone, ZoneInput> zones = new TreeMap<>();
         inputs.forEach(input -> zones.put(input.zone(), input));
         for (ZoneInput zone : zones.values()) {
@@ -108,7 +111,10 @@
         return next.sameAs(present) ? present : next;
     }
 
-    /** A plan has been agreed on: the spans until the next step, and until the way back, run from now. */
+    /**
+     * A plan has been agreed on: the spans until the next step, and until the way back, run from
+     * now.
+     */
     public void agreed(Plan before, Plan plan, long now) {
         steppedAt = now;
         for (Zone zone : plan.rows().keySet()) {
@@ -127,12 +133,14 @@
         for (Zone zone : held.to().keySet()) {
             moved += row.to(zone) == 0 ? held.to(zone) : 0;
         }
-        boolean ends = row.shed() == 0 && held.shed() > 0 || !row.to().keySet().equals(held.to().keySet());
+        boolean ends =
+                row.shed() == 0 && held.shed() > 0 || !row.to().keySet().equals(held.to().keySet());
         return moved >= 2 * LEAST || ends && moved > 0;
     }
 
     private static boolean bears(ZoneInput zone, Map<Zone, Long> drained) {
-        return zone.condition() == Condition.WELL && zone.room() > 0
+        return zone.condition() == Condition.WELL
+                && zone.room() > 0
                 && !drained.containsKey(zone.zone());
     }
 
@@ -141,7 +149,8 @@
     }
 
     /**
-     * The present row; what goes to a zone that is gone is turned away at once, until it has another place.
+     * The present row; what goes to a zone that is gone is turned away at once, until it has
+     * another place.
      */
     private static Parts withoutTheLost(Parts held, Map<Zone, ZoneInput> zones) {
         Parts parts = copy(held);
@@ -155,36 +164,44 @@
     }
 
     /**
-     * A zone whose room has shrunk is not sent what it cannot bear until others have room: that is turned
-     * away.
+     * A zone whose room has shrunk is not sent what it cannot bear until others have room: that is
+     * turned away.
      */
     private static void relieve(Map<Zone, Parts> from, Map<Zone, ZoneInput> zones) {
         Map<Zone, Double> foreign = new HashMap<>();
-        from.forEach((zone, parts) -> parts.to.forEach((to, part) -> {
-            if (!to.equals(zone)) {
-                foreign.merge(to, part * zones.get(zone).demand(), Double::sum);
-            }
-        }));
-        foreign.forEach((to, sent) -> {
-            ZoneInput target = zones.get(to);
-            double bears = Math.max(0, target.room() - from.get(to).to(to) * target.demand());
-            if (sent > bears * 1.05 + 1) {
-                from.forEach((zone, parts) -> {
-                    if (!zone.equals(to) && parts.to(to) > 0) {
-                        double less = parts.to(to) * (1 - bears / sent);
-                        parts.add(to, -less);
-                        parts.shed += less;
+        from.forEach(
+                (zone, parts) ->
+                        parts.to.forEach(
+                                (to, part) -> {
+                                    if (!to.equals(zone)) {
+                                        foreign.merge(
+                                                to, part * zones.get(zone).demand(), Double::sum);
+                                    }
+                                }));
+        foreign.forEach(
+                (to, sent) -> {
+                    ZoneInput target = zones.get(to);
+                    double bears =
+                            Math.max(0, target.room() - from.get(to).to(to) * target.demand());
+                    if (sent > bears * 1.05 + 1) {
+                        from.forEach(
+                                (zone, parts) -> {
+                                    if (!zone.equals(to) && parts.to(to) > 0) {
+                                        double less = parts.to(to) * (1 - bears / sent);
+                                        parts.add(to, -less);
+                                        parts.shed += less;
+                                    }
+                                });
                     }
                 });
-            }
-        });
     }
 
     // Where all would go.
 
-    private Map<Zone, Parts> aims(Map<Zone, Parts> from, Map<Zone, ZoneInput> zones, Map<Zone,
-            Long> drained) {
-        // What has a place stays up to the whole room, what is new there comes up to a part of it: guards
+    private Map<Zone, Parts> aims(
+            Map<Zone, Parts> from, Map<Zone, ZoneInput> zones, Map<Zone, Long> drained) {
+        // What has a place stays up to the whole room, what is new there comes up to a part of it:
+        // guards
         // against parts that follow every breath of the demand while a zone is full.
         Map<Zone, Double> free = new HashMap<>();
         Map<Zone, Double> whole = new HashMap<>();
@@ -198,12 +215,22 @@
                 whole.put(zone.zone(), Math.max(0, zone.room() - own));
             }
         }
-        // Guards against parts that change places as the rooms breathe: what has a place keeps it first.
+        // Guards against parts that change places as the rooms breathe: what has a place keeps it
+        // first.
         Map<String, List<ZoneInput>> regions = new HashMap<>();
-        zones.values().forEach(zone -> regions.computeIfAbsent(zone.region(), r -> new ArrayList<>())
-                .add(zone));
+        zones.values()
+                .forEach(
+                        zone ->
+                                regions.computeIfAbsent(zone.region(), r -> new ArrayList<>())
+                                        .add(zone));
         for (ZoneInput zone : zones.values()) {
-            keep(zone, from.get(zone.zone()), aims.get(zone.zone()), zones, regions.get(zone.region()), free,
+            keep(
+                    zone,
+                    from.get(zone.zone()),
+                    aims.get(zone.zone()),
+                    zones,
+                    regions.get(zone.region()),
+                    free,
                     whole);
         }
         for (ZoneInput zone : zones.values()) {
@@ -211,7 +238,10 @@
             double left = left(aim);
             // Guards against a zone whose traffic goes far while there is room near.
             left = assign(zone, aim, left, regions.get(zone.region()), free);
-            left = left <= EPSILON ? left : assign(zone, aim, left, List.copyOf(zones.values()), free);
+            left =
+                    left <= EPSILON
+                            ? left
+                            : assign(zone, aim, left, List.copyOf(zones.values()), free);
             if (left > EPSILON) {
                 double stays = staysAtHome(zone, aim, left);
                 aim.add(zone.zone(), stays);
@@ -240,22 +270,38 @@
             ill.add(zone.zone(), Math.min(settings.trial(), now));
             return ill;
         }
-        double most = zone.demand() <= 0 ? 1 : Math.min(1, settings.fill() * zone.room() / zone.demand());
-        // Guards against overflow that comes and goes: what went away comes back under a lower mark only.
-        double back = zone.demand() <= 0 ? 1 : Math.min(1, settings.backFill() * zone.room() / zone.demand());
+        double most =
+                zone.demand() <= 0 ? 1 : Math.min(1, settings.fill() * zone.room() / zone.demand());
+        // Guards against overflow that comes and goes: what went away comes back under a lower mark
+        // only.
+        double back =
+                zone.demand() <= 0
+                        ? 1
+                        : Math.min(1, settings.backFill() * zone.room() / zone.demand());
         double part = now > most ? most : Math.max(now, back);
-        Parts well = new Parts(part < 1 - EPSILON ? Why.FULL : now < 1 - EPSILON ? Why.BACK : Why.WELL);
+        Parts well =
+                new Parts(part < 1 - EPSILON ? Why.FULL : now < 1 - EPSILON ? Why.BACK : Why.WELL);
         well.add(zone.zone(), part);
         return well;
     }
 
-    private void keep(ZoneInput zone, Parts held, Parts aim, Map<Zone, ZoneInput> zones,
-            List<ZoneInput> region, Map<Zone, Double> free, Map<Zone, Double> whole) {
+    private void keep(
+            ZoneInput zone,
+            Parts held,
+            Parts aim,
+            Map<Zone, ZoneInput> zones,
+            List<ZoneInput> region,
+            Map<Zone, Double> free,
+            Map<Zone, Double> whole) {
         if (held.to.keySet().stream().allMatch(zone.zone()::equals)) {
             return;
         }
-        double near = region.stream().filter(other -> !other.zone().equals(zone.zone()))
-                .mapToDouble(other -> free.getOrDefault(other.zone(), 0.0)).sum() * settings.backFill();
+        double near =
+                region.stream()
+                                .filter(other -> !other.zone().equals(zone.zone()))
+                                .mapToDouble(other -> free.getOrDefault(other.zone(), 0.0))
+                                .sum()
+                        * settings.backFill();
         for (Map.Entry<Zone, Double> each : held.to.entrySet()) {
             ZoneInput there = zones.get(each.getKey());
             if (each.getKey().equals(zone.zone()) || !free.containsKey(each.getKey())) {
@@ -265,7 +311,8 @@
             if (far && near > each.getValue() * zone.demand()) {
                 continue; // There is room nearer by, and some to spare.
             }
-            double bears = zone.demand() <= 0 ? 1 : Math.max(0, whole.get(each.getKey()) / zone.demand());
+            double bears =
+                    zone.demand() <= 0 ? 1 : Math.max(0, whole.get(each.getKey()) / zone.demand());
             double kept = Math.min(Math.min(each.getValue(), bears), left(aim));
             aim.add(each.getKey(), kept);
             free.merge(each.getKey(), -kept * zone.demand(), Double::sum);
@@ -274,14 +321,20 @@
     }
 
     /** Shares out by free room; what is left over. */
-    private static double assign(ZoneInput from, Parts aim, double left, List<ZoneInput> among,
-            Map<Zone, Double> free) {
+    private static double assign(
+            ZoneInput from, Parts aim, double left, List<ZoneInput> among, Map<Zone, Double> free) {
         if (left <= EPSILON) {
             return left;
         }
-        List<ZoneInput> others = among.stream().filter(other -> !other.zone().equals(from.zone())
-                && free.getOrDefault(other.zone(), 0.0) > EPSILON).toList();
-        double room = others.stream().mapToDouble(other -> free.getOrDefault(other.zone(), 0.0)).sum();
+        List<ZoneInput> others =
+                among.stream()
+                        .filter(
+                                other ->
+                                        !other.zone().equals(from.zone())
+                                                && free.getOrDefault(other.zone(), 0.0) > EPSILON)
+                        .toList();
+        double room =
+                others.stream().mapToDouble(other -> free.getOrDefault(other.zone(), 0.0)).sum();
         if (room <= EPSILON) {
             return left;
         }
@@ -290,17 +343,19 @@
         for (ZoneInput other : others) {
             double share = free.getOrDefault(other.zone(), 0.0) / room;
             aim.add(other.zone(), left * part * share);
-            free.computeIfPresent(other.zone(), (zone, was) -> Math.max(0, was - wanted * part * share));
+            free.computeIfPresent(
+                    other.zone(), (zone, was) -> Math.max(0, was - wanted * part * share));
         }
         return left * (1 - part);
     }
 
     /**
-     * Where nothing near or far has room, a zone that still serves takes what it bears; the rest is shed
-     * there.
+     * Where nothing near or far has room, a zone that still serves takes what it bears; the rest is
+     * shed there.
      */
     private static double staysAtHome(ZoneInput zone, Parts aim, double left) {
-        // An ill zone as well: where all look ill at once it is not the zones, and shedding all would help
+        // An ill zone as well: where all look ill at once it is not the zones, and shedding all
+        // would help
         // nobody.
         if (!serves(zone)) {
             return 0;
@@ -322,9 +377,13 @@
             same.why = waits ? held.why : aim.why;
             return same;
         }
-        // Guards against ops shed for seconds that others had room for: of a zone that is gone all moves at
+        // Guards against ops shed for seconds that others had room for: of a zone that is gone all
+        // moves at
         // once, as far as the origin bears it.
-        double most = aim.why == Why.GONE ? 1 : back && !waits ? settings.stepBack() : settings.stepAway();
+        double most =
+                aim.why == Why.GONE
+                        ? 1
+                        : back && !waits ? settings.stepBack() : settings.stepAway();
         if (zone.demand() > 0) {
             most = Math.min(most, mayMove / zone.demand());
         }
@@ -343,28 +402,38 @@
         return copy;
     }
 
-    /** The aim, but for the part at home, which stays as it is; the others make up the rest as they would. */
+    /**
+     * The aim, but for the part at home, which stays as it is; the others make up the rest as they
+     * would.
+     */
     private static Parts withHome(Parts held, Parts aim, Zone home) {
         Parts parts = new Parts(aim.why);
-        double others = aim.shed + aim.to.entrySet().stream().filter(each -> !each.getKey().equals(home))
-                .mapToDouble(Map.Entry::getValue).sum();
+        double others =
+                aim.shed
+                        + aim.to.entrySet().stream()
+                                .filter(each -> !each.getKey().equals(home))
+                                .mapToDouble(Map.Entry::getValue)
+                                .sum();
         double rest = 1 - held.to(home);
         double scale = others <= EPSILON ? 0 : Math.min(1, rest / others);
         parts.add(home, held.to(home));
-        aim.to.forEach((to, share) -> {
-            if (!to.equals(home)) {
-                parts.add(to, share * scale);
-            }
-        });
+        aim.to.forEach(
+                (to, share) -> {
+                    if (!to.equals(home)) {
+                        parts.add(to, share * scale);
+                    }
+                });
         parts.shed = aim.shed * scale;
         // What the aim has no other place for stays where it is, in the parts in which it is there.
-        double left = Math.max(0, 1 - parts.shed - parts.to.values().stream().mapToDouble(p -> p).sum());
+        double left =
+                Math.max(0, 1 - parts.shed - parts.to.values().stream().mapToDouble(p -> p).sum());
         double heldOthers = Math.max(EPSILON, rest);
-        held.to.forEach((to, share) -> {
-            if (!to.equals(home)) {
-                parts.add(to, left * share / heldOthers);
-            }
-        });
+        held.to.forEach(
+                (to, share) -> {
+                    if (!to.equals(home)) {
+                        parts.add(to, left * share / heldOthers);
+                    }
+                });
         parts.shed += left * held.shed / heldOthers;
         return parts;
     }
@@ -379,40 +448,67 @@
     }
 
     /**
-     * Keeps each zone's room while members are on either plan; what does not fit is served or shed at home.
+     * Keeps each zone's room while members are on either plan; what does not fit is served or shed
+     * at home.
      */
-    private static void fit(Map<Zone, Parts> held, Map<Zone, ZoneInput> zones, Map<Zone, Parts> steps) {
+    private static void fit(
+            Map<Zone, Parts> held, Map<Zone, ZoneInput> zones, Map<Zone, Parts> steps) {
         Map<Zone, Double> sure = new HashMap<>();
         Map<Zone, Double> grows = new HashMap<>();
-        held.forEach((from, parts) -> parts.to.forEach((to, part) -> sure.merge(to,
-                zones.get(from).demand() * (to.equals(from) ? Math.max(part, steps.get(from).to(to)) : part),
-                Double::sum)));
-        steps.forEach((from, parts) -> parts.to.forEach((to, part) -> {
-            double more = zones.get(from).demand() * (part - held.get(from).to(to));
-            if (to.equals(from) && held.get(from).to(to) <= 0) {
-                sure.merge(to, more, Double::sum);
-            } else if (!to.equals(from) && more > 0) {
-                grows.merge(to, more, Double::sum);
-            }
-        }));
-        grows.forEach((to, more) -> {
-            double room = Math.max(0, zones.get(to).room() - sure.getOrDefault(to, 0.0));
-            if (more > room + EPSILON) {
-                steps.forEach((from, parts) -> returns(held.get(from), zones.get(from), parts, to,
-                        1 - room / more));
-            }
-        });
+        held.forEach(
+                (from, parts) ->
+                        parts.to.forEach(
+                                (to, part) ->
+                                        sure.merge(
+                                                to,
+                                                zones.get(from).demand()
+                                                        * (to.equals(from)
+                                                                ? Math.max(
+                                                                        part,
+                                                                        steps.get(from).to(to))
+                                                                : part),
+                                                Double::sum)));
+        steps.forEach(
+                (from, parts) ->
+                        parts.to.forEach(
+                                (to, part) -> {
+                                    double more =
+                                            zones.get(from).demand()
+                                                    * (part - held.get(from).to(to));
+                                    if (to.equals(from) && held.get(from).to(to) <= 0) {
+                                        sure.merge(to, more, Double::sum);
+                                    } else if (!to.equals(from) && more > 0) {
+                                        grows.merge(to, more, Double::sum);
+                                    }
+                                }));
+        grows.forEach(
+                (to, more) -> {
+                    double room = Math.max(0, zones.get(to).room() - sure.getOrDefault(to, 0.0));
+                    if (more > room + EPSILON) {
+                        steps.forEach(
+                                (from, parts) ->
+                                        returns(
+                                                held.get(from),
+                                                zones.get(from),
+                                                parts,
+                                                to,
+                                                1 - room / more));
+                    }
+                });
     }
 
     /** A part of what a step adds to a zone is taken back from it. */
     private static void returns(Parts held, ZoneInput from, Parts step, Zone zone, double part) {
-        double back = from.zone().equals(zone) ? 0 : part * Math.max(0, step.to(zone) - held.to(zone));
+        double back =
+                from.zone().equals(zone) ? 0 : part * Math.max(0, step.to(zone) - held.to(zone));
         if (back <= EPSILON) {
             return;
         }
         step.add(zone, -back);
-        double stays = serves(from) ? Math.min(back, Math.max(0, held.to(from.zone()) - step.to(from.zone())))
-                : 0;
+        double stays =
+                serves(from)
+                        ? Math.min(back, Math.max(0, held.to(from.zone()) - step.to(from.zone())))
+                        : 0;
         if (stays > EPSILON) {
             step.add(from.zone(), stays);
         }
@@ -432,8 +528,13 @@
         }
         int shed = Math.max(0, (int) Math.floor(parts.shed * Row.ALL + 1e-6));
         int left = Row.ALL - sum - shed;
-        Zone largest = to.entrySet().stream().max(Map.Entry.<Zone, Integer>comparingByValue()
-                .thenComparing(Map.Entry.comparingByKey())).map(Map.Entry::getKey).orElse(null);
+        Zone largest =
+                to.entrySet().stream()
+                        .max(
+                                Map.Entry.<Zone, Integer>comparingByValue()
+                                        .thenComparing(Map.Entry.comparingByKey()))
+                        .map(Map.Entry::getKey)
+                        .orElse(null);
         if (to.containsKey(zone)) {
             to.merge(zone, left, Integer::sum);
         } else if (shed > 0 || largest == null) {
--- a/src/main/java/cairnbridge/zones/plan/Row.java
+++ b/src/main/java/cairnbridge/zones/plan/Row.java
@@ -4,8 +4,8 @@
 import java.util.TreeMap;
 
 /**
- * Where one zone's traffic is served, in thousandths: by zone, and what is shed at home. They add up to a
- * thousand.
+ * Where one zone's traffic is served, in thousandths: by zone, and what is shed at home. They add
+ * up to a thousand.
  */
 public record Row(Map<Zone, Integer> to, int shed, Why why) {
     public static final int ALL = 1000;
--- a/src/main/java/cairnbridge/zones/plan/Server.java
+++ b/src/main/java/cairnbridge/zones/plan/Server.java
@@ -1,5 +1,6 @@
 package cairnbridge.zones.plan;
 
-/** One cache of the list: started in Unix milliseconds, 0 for long ago; size as the list states it. */
-public record Server(long node, Zone zone, boolean ready, double size, long started) {
-}
+/**
+ * One cache of the list: started in Unix milliseconds, 0 for long ago; size as the list states it.
+ */
+public record Server(long node, Zone zone, boolean ready, double size, long started) {}
--- a/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneHealth.java
@@ -15,24 +15,26 @@
 import java.util.TreeMap;
 
 /**
- * Turns what members tell and the list of nodes into what the planner needs. What one member finds is its own
- * trouble: a node or a zone is held lost or ill only by most of those who send there. Times in tenths of a
- * millisecond.
+ * Turns what members tell and the list of nodes into what the planner needs. What one member finds
+ * is its own trouble: a node or a zone is held lost or ill only by most of those who send there.
+ * Times in tenths of a millisecond.
  */
 public final class ZoneHealth {
     private static final long SECOND = 10_000, ILL_AFTER = 15_000, WELL_AFTER = 3 * SECOND;
     private static final double ILL_FROM = 0.25, WELL_UNDER = 0.1;
     private static final long LEAST_ENDED = 10;
+
     /** What members have told so lately counts, where it is enough of them. */
     private static final long FRESH = 3 * SECOND;
+
     private static final int LEAST_FRESH = 6;
 
     /**
      * @param nodeRate ops a second that a warm node of size one bears, as the operator states it
      * @param coldFrom part of that which a node bears at its start, rising over warmUp
      */
-    public record Rates(double nodeRate, double coldFrom, long warmUp, Map<String, String> regions) {
-    }
+    public record Rates(
+            double nodeRate, double coldFrom, long warmUp, Map<String, String> regions) {}
 
     private static final class Found {
         long illSince = -1, wellSince = -1;
@@ -40,12 +42,10 @@
     }
 
     /** When a member last told something new. */
-    private record Heard(Incarnation incarnation, long counter, long at) {
-    }
+    private record Heard(Incarnation incarnation, long counter, long at) {}
 
     /** What one member tells of one zone. */
-    private record Report(long ended, long bad) {
-    }
+    private record Report(long ended, long bad) {}
 
     private final Rates rates;
     private final Map<Zone, Found> found = new HashMap<>();
@@ -55,11 +55,17 @@
         this.rates = rates;
     }
 
-    /** living: members to be reckoned with; unixMillis is the time that the servers' starts are told in. */
-    public List<ZoneInput> inputs(List<Claim> living, List<Server> servers, long now, long unixMillis) {
+    /**
+     * living: members to be reckoned with; unixMillis is the time that the servers' starts are told
+     * in.
+     */
+    public List<ZoneInput> inputs(
+            List<Claim> living, List<Server> servers, long now, long unixMillis) {
         Map<Zone, List<Server>> byZone = new TreeMap<>();
-        servers.forEach(server -> byZone.computeIfAbsent(server.zone(), zone -> new ArrayList<>())
-                .add(server));
+        servers.forEach(
+                server ->
+                        byZone.computeIfAbsent(server.zone(), zone -> new ArrayList<>())
+                                .add(server));
         Map<Zone, Double> demand = new HashMap<>();
         for (Claim claim : living) {
             if (claim.told() != null && !claim.told().zone().isEmpty()) {
@@ -70,31 +76,37 @@
         }
         List<Claim> fresh = fresh(living, now);
         List<ZoneInput> inputs = new ArrayList<>();
-        byZone.forEach((zone, nodes) -> {
-            Condition condition = Condition.WELL;
-            double room = 0;
-            Set<Long> lost = lost(fresh, nodes, zone);
-            for (Server server : nodes) {
-                if (server.ready() && !lost.contains(server.node())) {
-                    room += server.size() * rates.nodeRate() * warmth(server, unixMillis);
-                }
-            }
-            if (room <= 0 || isOut(zone, fresh)) {
-                room = 0;
-                condition = Condition.GONE;
-            } else if (isIll(zone, fresh, now)) {
-                condition = Condition.ILL;
-            }
-            inputs.add(new ZoneInput(zone, rates.regions().getOrDefault(zone.name(), ""), room,
-                    demand.getOrDefault(zone, 0.0), condition));
-        });
+        byZone.forEach(
+                (zone, nodes) -> {
+                    Condition condition = Condition.WELL;
+                    double room = 0;
+                    Set<Long> lost = lost(fresh, nodes, zone);
+                    for (Server server : nodes) {
+                        if (server.ready() && !lost.contains(server.node())) {
+                            room += server.size() * rates.nodeRate() * warmth(server, unixMillis);
+                        }
+                    }
+                    if (room <= 0 || isOut(zone, fresh)) {
+                        room = 0;
+                        condition = Condition.GONE;
+                    } else if (isIll(zone, fresh, now)) {
+                        condition = Condition.ILL;
+                    }
+                    inputs.add(
+                            new ZoneInput(
+                                    zone,
+                                    rates.regions().getOrDefault(zone.name(), ""),
+                                    room,
+                                    demand.getOrDefault(zone, 0.0),
+                                    condition));
+                });
         return inputs;
     }
 
     /**
-     * Those whose last word is new. Guards against a large fleet, in which each tells seldom so that all
-     * together don't talk of nothing else, and most still say how it was: those who told lately are a fair
-     * sample.
+     * Those whose last word is new. Guards against a large fleet, in which each tells seldom so
+     * that all together don't talk of nothing else, and most still say how it was: those who told
+     * lately are a fair sample.
      */
     private List<Claim> fresh(List<Claim> living, long now) {
         Set<MemberId> there = new HashSet<>();
@@ -102,7 +114,8 @@
         for (Claim claim : living) {
             there.add(claim.id());
             Heard before = heard.get(claim.id());
-            if (before == null || before.counter != claim.counter()
+            if (before == null
+                    || before.counter != claim.counter()
                     || before.incarnation.life() != claim.incarnation().life()) {
                 heard.put(claim.id(), new Heard(claim.incarnation(), claim.counter(), now));
                 fresh.add(claim);
@@ -131,8 +144,13 @@
 
     /** One that is alone in its zone, and the only one to send there, is all there is to go by. */
     private static long leastFinding(List<Claim> members, Zone zone, int senders) {
-        long inZone = members.stream().filter(claim -> claim.told() != null
-                && claim.told().zone().equals(zone.name())).count();
+        long inZone =
+                members.stream()
+                        .filter(
+                                claim ->
+                                        claim.told() != null
+                                                && claim.told().zone().equals(zone.name()))
+                        .count();
         return senders == 1 && inZone == 1 ? 1 : 2;
     }
 
@@ -145,7 +163,8 @@
     }
 
     /**
-     * Nodes out of reach for most of those who send to their zone, and for two at least where there are two.
+     * Nodes out of reach for most of those who send to their zone, and for two at least where there
+     * are two.
      */
     private static Set<Long> lost(List<Claim> living, List<Server> nodes, Zone zone) {
         Set<Long> own = new HashSet<>();
@@ -167,11 +186,12 @@
         Set<Long> lost = new HashSet<>();
         long least = leastFinding(living, zone, senders);
         int all = senders;
-        without.forEach((node, count) -> {
-            if (2 * count > all && count >= least) {
-                lost.add(node);
-            }
-        });
+        without.forEach(
+                (node, count) -> {
+                    if (2 * count > all && count >= least) {
+                        lost.add(node);
+                    }
+                });
         return lost;
     }
 
@@ -187,8 +207,8 @@
     }
 
     /**
-     * Late or failing for most who send there and taken together, for some time; well again under a lower
-     * mark.
+     * Late or failing for most who send there and taken together, for some time; well again under a
+     * lower mark.
      */
     private boolean isIll(Zone zone, List<Claim> living, long now) {
         long ended = 0;
@@ -196,7 +216,8 @@
         int senders = 0;
         int finding = 0;
         for (Claim claim : living) {
-            Report report = claim.told() == null ? new Report(0, 0) : report(claim.told().figures(), zone);
+            Report report =
+                    claim.told() == null ? new Report(0, 0) : report(claim.told().figures(), zone);
             if (report.ended >= LEAST_ENDED) {
                 senders++;
                 finding += report.bad >= ILL_FROM * report.ended ? 1 : 0;
@@ -205,8 +226,11 @@
             bad += report.bad;
         }
         Found state = found.computeIfAbsent(zone, each -> new Found());
-        boolean most = ended >= LEAST_ENDED && bad >= ILL_FROM * ended && 2 * finding > senders
-                && finding >= Math.min(2, living.size());
+        boolean most =
+                ended >= LEAST_ENDED
+                        && bad >= ILL_FROM * ended
+                        && 2 * finding > senders
+                        && finding >= Math.min(2, living.size());
         boolean well = ended >= LEAST_ENDED ? bad < WELL_UNDER * ended : bad == 0;
         state.illSince = !most ? -1 : state.illSince < 0 ? now : state.illSince;
         state.wellSince = !well ? -1 : state.wellSince < 0 ? now : state.wellSince;
--- a/src/main/java/cairnbridge/zones/plan/ZoneInput.java
+++ b/src/main/java/cairnbridge/zones/plan/ZoneInput.java
@@ -9,6 +9,13 @@
  * @param condition what most members find
  */
 public record ZoneInput(Zone zone, String region, double room, double demand, Condition condition) {
-    /** GONE: no node of it can be reached; ILL: reached, but a good part of what it does is late or fails. */
-    public enum Condition { WELL, ILL, GONE }
+    /**
+     * GONE: no node of it can be reached; ILL: reached, but a good part of what it does is late or
+     * fails.
+     */
+    public enum Condition {
+        WELL,
+        ILL,
+        GONE
+    }
 }
--- a/src/main/java/cairnbridge/zones/use/ZonePlacement.java
+++ b/src/main/java/cairnbridge/zones/use/ZonePlacement.java
@@ -19,18 +19,19 @@
 import java.util.function.Function;
 
 /**
- * One zone's row of a plan, as the module asks for it. A key's zone is chosen by weighted rendezvous hashing
- * (Schindelhauer and Schomaker 2005): when parts change only those keys move that have to, and the same ones
- * at every proxy.
+ * One zone's row of a plan, as the module asks for it. A key's zone is chosen by weighted
+ * rendezvous hashing (Schindelhauer and Schomaker 2005): when parts change only those keys move
+ * that have to, and the same ones at every proxy.
  */
 public final class ZonePlacement implements Placement {
     /** What has been placed since the start, for the figures; a new plan goes on counting. */
     public static final class Counts {
-        public final LongAdder near = new LongAdder(), far = new LongAdder(), shed = new LongAdder();
+        public final LongAdder near = new LongAdder(),
+                far = new LongAdder(),
+                shed = new LongAdder();
     }
 
-    private record Choice(ZoneId zone, long salt, double weight, boolean out) {
-    }
+    private record Choice(ZoneId zone, long salt, double weight, boolean out) {}
 
     private static final long SALT = 0x7A6F6E65L, ALONE_SALT = 0x616C6F6EL;
     private final ZoneId home;
@@ -46,17 +47,31 @@
      * @param alonePart of the traffic for such a zone, what goes elsewhere by this proxy's own word
      * @param shedBy by category, the part of its ops to be turned away
      */
-    public ZonePlacement(Zone home, Row row, Function<Zone, ZoneId> ids, Set<Zone> out, double alonePart,
-            Map<Settings.Category, Double> shedBy, Counts counts) {
+    public ZonePlacement(
+            Zone home,
+            Row row,
+            Function<Zone, ZoneId> ids,
+            Set<Zone> out,
+            double alonePart,
+            Map<Settings.Category, Double> shedBy,
+            Counts counts) {
         this.home = ids.apply(home);
         this.counts = counts;
         this.alonePart = alonePart;
         this.shedBy = Map.copyOf(shedBy);
         shed = (double) row.shed() / Row.ALL;
         Map<Zone, Integer> to = new HashMap<>(row.to());
-        choices = row.ordered().keySet().stream().filter(zone -> ids.apply(zone) != null)
-                .map(zone -> new Choice(ids.apply(zone), zone.name().hashCode() * SALT, to.get(zone),
-                        out.contains(zone))).toArray(Choice[]::new);
+        choices =
+                row.ordered().keySet().stream()
+                        .filter(zone -> ids.apply(zone) != null)
+                        .map(
+                                zone ->
+                                        new Choice(
+                                                ids.apply(zone),
+                                                zone.name().hashCode() * SALT,
+                                                to.get(zone),
+                                                out.contains(zone)))
+                        .toArray(Choice[]::new);
     }
 
     /**
@@ -65,24 +80,40 @@
      * @param zones their names, in the order of the list's numbers
      * @param mix ops that came lately, by category
      */
-    public static ZonePlacement of(Zone home, Row row, Set<Zone> out, double alonePart, List<String> zones,
-            List<Settings.Category> categories, double[] mix, Counts counts) {
-        Function<Zone, ZoneId> ids = zone -> {
-            int at = zones.indexOf(zone.name());
-            return at < 0 ? null : new ZoneId(at);
-        };
-        return new ZonePlacement(home, row, ids, out, alonePart,
-                ShedByBenefit.parts(categories, mix, (double) row.shed() / Row.ALL), counts);
+    public static ZonePlacement of(
+            Zone home,
+            Row row,
+            Set<Zone> out,
+            double alonePart,
+            List<String> zones,
+            List<Settings.Category> categories,
+            double[] mix,
+            Counts counts) {
+        Function<Zone, ZoneId> ids =
+                zone -> {
+                    int at = zones.indexOf(zone.name());
+                    return at < 0 ? null : new ZoneId(at);
+                };
+        return new ZonePlacement(
+                home,
+                row,
+                ids,
+                out,
+                alonePart,
+                ShedByBenefit.parts(categories, mix, (double) row.shed() / Row.ALL),
+                counts);
     }
 
     /** Zones none of whose ready caches a proxy reaches, by the figures that it tells its fleet. */
-    public static Set<Zone> outOfReach(List<Server> servers, List<Long> unreachable, List<Long> zonesOut) {
+    public static Set<Zone> outOfReach(
+            List<Server> servers, List<Long> unreachable, List<Long> zonesOut) {
         Set<Zone> out = new HashSet<>();
         Set<Zone> within = new HashSet<>();
         for (Server server : servers) {
             if (server.ready()) {
-                boolean none = unreachable.contains(server.node())
-                        || zonesOut.contains(Names.hash(server.zone().name()));
+                boolean none =
+                        unreachable.contains(server.node())
+                                || zonesOut.contains(Names.hash(server.zone().name()));
                 (none ? out : within).add(server.zone());
             }
         }
@@ -93,7 +124,9 @@
     @Override
     public ZoneId zone(long point, Settings.Category category) {
         ZoneId zone = choose(point, category);
-        (zone == NOWHERE ? counts.shed : zone != null && zone.equals(home) ? counts.near : counts.far)
+        (zone == NOWHERE
+                        ? counts.shed
+                        : zone != null && zone.equals(home) ? counts.near : counts.far)
                 .increment();
         return zone;
     }
@@ -112,7 +145,8 @@
         if (best == null || !best.out) {
             return best == null ? NOWHERE : best.zone;
         }
-        // Its plan has not followed yet: a part goes elsewhere by this proxy's own word, the rest is turned
+        // Its plan has not followed yet: a part goes elsewhere by this proxy's own word, the rest
+        // is turned
         // away.
         Choice other = unit(point ^ ALONE_SALT) < alonePart ? best(point, true) : null;
         return other == null ? NOWHERE : other.zone;
--- a/src/main/java/cairnbridge/zones/use/ZoneTally.java
+++ b/src/main/java/cairnbridge/zones/use/ZoneTally.java
@@ -34,24 +34,32 @@
                 halvedAt = now;
                 return;
             }
-            counts.values().forEach(count -> {
-                count.ended /= 2;
-                count.bad /= 2;
-            });
+            counts.values()
+                    .forEach(
+                            count -> {
+                                count.ended /= 2;
+                                count.bad /= 2;
+                            });
             counts.values().removeIf(count -> count.ended < 0.25);
         }
     }
 
-    /** Triples of a zone, pushes that ended there, and those late or failed; where most went comes first. */
+    /**
+     * Triples of a zone, pushes that ended there, and those late or failed; where most went comes
+     * first.
+     */
     public List<Long> triples(long now) {
         halve(now);
         List<Long> triples = new ArrayList<>();
-        counts.entrySet().stream().sorted((a, b) -> Double.compare(b.getValue().ended, a.getValue().ended))
-                .limit(MOST).forEach(each -> {
-                    triples.add(each.getKey());
-                    triples.add(Math.round(each.getValue().ended));
-                    triples.add(Math.round(each.getValue().bad));
-                });
+        counts.entrySet().stream()
+                .sorted((a, b) -> Double.compare(b.getValue().ended, a.getValue().ended))
+                .limit(MOST)
+                .forEach(
+                        each -> {
+                            triples.add(each.getKey());
+                            triples.add(Math.round(each.getValue().ended));
+                            triples.add(Math.round(each.getValue().bad));
+                        });
         return triples;
     }
 }
--- a/src/main/java/org/apache/hc/core5/reactor/Handover.java
+++ b/src/main/java/org/apache/hc/core5/reactor/Handover.java
@@ -3,12 +3,11 @@
 import java.nio.channels.SocketChannel;
 
 /**
- * Gives a reactor a connection that it has not accepted itself. It stands in the library's package because
- * the library accepts only on sockets that it opens, and sets no SO_REUSEPORT on those.
+ * Gives a reactor a connection that it has not accepted itself. It stands in the library's package
+ * because the library accepts only on sockets that it opens, and sets no SO_REUSEPORT on those.
  */
 public final class Handover {
-    private Handover() {
-    }
+    private Handover() {}
 
     public static void give(DefaultConnectingIOReactor reactor, SocketChannel accepted) {
         reactor.selectWorker().enqueueChannel(new ChannelEntry(accepted, null));
--- a/src/test/java/cairnbridge/adapter/AdapterTest.java
+++ b/src/test/java/cairnbridge/adapter/AdapterTest.java
@@ -12,10 +12,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class AdapterTest {
-    private static final String START = "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,"
-            + "{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},"
-            + "\"new\":[1]}],"
-            + "[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
+    private static final String START =
+            "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},\"new\":[1]}],[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
 
     private static String answer(String input) throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -25,30 +23,43 @@
 
     @Test
     void anOpIsSentAndAnEmptyBatchAnsweredEmpty() throws Exception {
-        String order = "{\"clock-s\":10.00525,\"events\":[[\"ORDER\",3,2025963407446468,0,0,"
-                + "\"91f03b7c55d20a64\",10.5]]}\n";
+        String order =
+                "{\"clock-s\":10.00525,\"events\":[[\"ORDER\",3,2025963407446468,0,0,"
+                        + "\"91f03b7c55d20a64\",10.5]]}\n";
         String[] lines = answer("{\"clock-s\":9,\"events\":[]}\n" + START + order).split("\n");
         assertEquals("{\"do\":[]}", lines[0]);
         assertTrue(lines[2].contains("[\"ATTEMPT\",3,2025963407446468,77,"), lines[2]);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"{}", "{\"domain\":{\"mode\":\"aside\"}}",
-        "{\"registry-mode\":\"subscribe\",\"tenants\":[{}],\"rules\":{\"cold-from\":0,\"warm-up-s\":99}}"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{}",
+                "{\"domain\":{\"mode\":\"aside\"}}",
+                "{\"registry-mode\":\"subscribe\",\"tenants\":[{}],\"rules\":{\"cold-from\":0,\"warm-up-s\":99}}"
+            })
     void oddSettingsGiveAnAnswerAndNoFault(String params) throws Exception {
-        String reply = answer("{\"clock-s\":1,\"events\":[[\"START\",0,1," + params + "],[\"POOL\",0,[]],"
-                + "[\"MEMBERSHIP\",0,0,1,0],[\"ORDER\",0,5,0,0,null,1.5,null,null,null,true]]}\n");
+        String reply =
+                answer(
+                        "{\"clock-s\":1,\"events\":[[\"START\",0,1,"
+                                + params
+                                + "],[\"POOL\",0,[]],[\"MEMBERSHIP\",0,0,1,0],[\"ORDER\",0,5,0,0,null,1.5,null,null,null,true]]}\n");
         assertTrue(reply.contains("[\"PUSH_BACK\",0,5,"), reply);
         assertEquals(params.contains("subscribe"), reply.contains("[\"TAIL\",0,true]"), reply);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "{\"clock-s\":1,\"events\":[[\"HELLO\",1]]} | unknown message HELLO",
-        "{\"clock-s\":1,\"events\":[[\"ORDER\"]]} | proxy-id is missing",
-        "{\"clock-s\":1,\"events\":[[\"WAKEUP\",8,1]]} | instance 8 was not started",
-        "{\"clock-s\":1} | events is missing", "[1] | a batch must be an object",
-        "{\"clock-s\":1,\"events\":[ | not valid JSON"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{\"clock-s\":1,\"events\":[[\"HELLO\",1]]} | unknown message HELLO",
+                "{\"clock-s\":1,\"events\":[[\"ORDER\"]]} | proxy-id is missing",
+                "{\"clock-s\":1,\"events\":[[\"WAKEUP\",8,1]]} | instance 8 was not started",
+                "{\"clock-s\":1} | events is missing",
+                "[1] | a batch must be an object",
+                "{\"clock-s\":1,\"events\":[ | not valid JSON"
+            })
     void malformedInputNamesTheLineAndTheFault(String line, String fault) {
         Malformed e = assertThrows(Malformed.class, () -> answer(START + line + "\n"));
         assertTrue(e.getMessage().matches("(?s)line [23]: .*"), e.getMessage());
--- a/src/test/java/cairnbridge/config/FleetConfigTest.java
+++ b/src/test/java/cairnbridge/config/FleetConfigTest.java
@@ -20,9 +20,9 @@
 
 /** The operator's file of a fleet: what it says, and what is said of a faulty one. */
 class FleetConfigTest {
-    private static final String GOOD = "cluster = \"c\"\nsecret-file = \"secret\"\nbind = \"127.0.0.1:0\"\n";
-    @TempDir
-    Path folder;
+    private static final String GOOD =
+            "cluster = \"c\"\nsecret-file = \"secret\"\nbind = \"127.0.0.1:0\"\n";
+    @TempDir Path folder;
 
     @BeforeEach
     void secret() throws IOException {
@@ -42,58 +42,73 @@
     @Test
     void theFileUnderDeployIsReadAndSaysWhatIsUsual() throws IOException {
         Files.writeString(folder.resolve("fleet.secret"), "sixteen bytes or more");
-        FleetConfig config = FleetConfig.of(Files.readString(Path.of("deploy/fleet.toml")), folder, "p1");
+        FleetConfig config =
+                FleetConfig.of(Files.readString(Path.of("deploy/fleet.toml")), folder, "p1");
         assertEquals(FleetSettings.USUAL, config.view());
         assertEquals(List.of(new Endpoint("127.0.0.1", 7946)), config.carrier().seeds());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "cluster = 7 | fleet.cluster: is not a text",
-        "cluster = \"\" | fleet.cluster: is not set",
-        "bind = \"here:1\" | fleet.bind: is not an address and a port: here:1",
-        "secret-file = \"none\" | fleet.secret-file: cannot be read: none",
-        "secret-file = \"short\" | fleet.secret-file: holds fewer than 16 bytes: short",
-        "name = \"a b\" | fleet.name: is no member's name: a b",
-        "advertise = \"10.0.0.1\" | fleet.advertise: is not an address and a port: 10.0.0.1",
-        "seeds = \"10.0.0.1:1\" | fleet.seeds: is not a list",
-        "seeds = [\"x\"] | fleet.seeds: is not an address and a port: x",
-        "protocol = 3 | fleet.protocol: is not a number from 1 to 2",
-        "bytes-per-s = 10 | fleet.bytes-per-s: is not a number from 2000 to 1000000000",
-        "zone-s = [] | fleet.zone-s: is no key of this table",
-        "zones = 3 | fleet.zones: is not a table",
-        "zones.voters = [\"p1\", \"p2\"] | fleet.zones.voters: are not an odd number up to 9, each named "
-            + "once",
-        "zones.voters = [\"p 1\"] | fleet.zones.voters: has what is no member's name: p 1",
-        "zones.voters = [\"p1\"] | fleet.zones.node-ops-per-s: is not a number from 0.001 to 1000000000",
-        "zones.hold = 3 | fleet.zones.hold: is no key of this table",
-        "recovery = 3 | fleet.recovery: is not a table",
-        "recovery.most-age-s = 3 | fleet.recovery.folder: is not set",
-        "recovery = {folder = \"s\", most-age-s = 0} | fleet.recovery.most-age-s: is not a "
-            + "number from 1 to 1000000",
-        "recovery = {folder = \"s\", origin = 4} | fleet.recovery.origin: is no key of this table",
-        "view = 3 | fleet.view: is not a table",
-        "view.probe-every-s = \"1\" | fleet.view.probe-every-s: is not a number from 0.05 to 1000000",
-        "view.probe-timeout-s = 0.4 | fleet.view.probe-timeout-s: is over half of probe-every-s",
-        "view.datagram = 100 | fleet.view.datagram: is not a number from 1000 to 8000",
-        "use.shares = 1 | fleet.use.shares: is not true or false",
-        "use.sharse = true | fleet.use.sharse: is no key of this table",
-        "routes.\"10.0.0.1:1\" = \"x\" | fleet.routes: is not an address and a port: x"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "cluster = 7 | fleet.cluster: is not a text",
+                "cluster = \"\" | fleet.cluster: is not set",
+                "bind = \"here:1\" | fleet.bind: is not an address and a port: here:1",
+                "secret-file = \"none\" | fleet.secret-file: cannot be read: none",
+                "secret-file = \"short\" | fleet.secret-file: holds fewer than 16 bytes: short",
+                "name = \"a b\" | fleet.name: is no member's name: a b",
+                "advertise = \"10.0.0.1\" | fleet.advertise: is not an address and a port:"
+                        + " 10.0.0.1",
+                "seeds = \"10.0.0.1:1\" | fleet.seeds: is not a list",
+                "seeds = [\"x\"] | fleet.seeds: is not an address and a port: x",
+                "protocol = 3 | fleet.protocol: is not a number from 1 to 2",
+                "bytes-per-s = 10 | fleet.bytes-per-s: is not a number from 2000 to 1000000000",
+                "zone-s = [] | fleet.zone-s: is no key of this table",
+                "zones = 3 | fleet.zones: is not a table",
+                "zones.voters = [\"p1\", \"p2\"] | fleet.zones.voters: are not an odd number up to"
+                        + " 9, each named once",
+                "zones.voters = [\"p 1\"] | fleet.zones.voters: has what is no member's name: p 1",
+                "zones.voters = [\"p1\"] | fleet.zones.node-ops-per-s: is not a number from 0.001"
+                        + " to 1000000000",
+                "zones.hold = 3 | fleet.zones.hold: is no key of this table",
+                "recovery = 3 | fleet.recovery: is not a table",
+                "recovery.most-age-s = 3 | fleet.recovery.folder: is not set",
+                "recovery = {folder = \"s\", most-age-s = 0} | fleet.recovery.most-age-s: is not a "
+                        + "number from 1 to 1000000",
+                "recovery = {folder = \"s\", origin = 4} | fleet.recovery.origin: is no key of this"
+                        + " table",
+                "view = 3 | fleet.view: is not a table",
+                "view.probe-every-s = \"1\" | fleet.view.probe-every-s: is not a number from 0.05"
+                        + " to 1000000",
+                "view.probe-timeout-s = 0.4 | fleet.view.probe-timeout-s: is over half of"
+                        + " probe-every-s",
+                "view.datagram = 100 | fleet.view.datagram: is not a number from 1000 to 8000",
+                "use.shares = 1 | fleet.use.shares: is not true or false",
+                "use.sharse = true | fleet.use.sharse: is no key of this table",
+                "routes.\"10.0.0.1:1\" = \"x\" | fleet.routes: is not an address and a port: x"
+            })
     void aFaultIsNamedByItsKey(String line, String fault) {
         String key = line.substring(0, line.indexOf(' '));
-        String text = GOOD.lines().filter(each -> !each.startsWith(key + " "))
-                .reduce("", (a, b) -> a + b + "\n")
-                + line + "\n";
-        assertEquals(fault, assertThrows(ConfigFault.class, () -> FleetConfig.of(text, folder, "p"))
-                .getMessage());
+        String text =
+                GOOD.lines()
+                                .filter(each -> !each.startsWith(key + " "))
+                                .reduce("", (a, b) -> a + b + "\n")
+                        + line
+                        + "\n";
+        assertEquals(
+                fault,
+                assertThrows(ConfigFault.class, () -> FleetConfig.of(text, folder, "p"))
+                        .getMessage());
     }
 
     @Test
     void whatIsKeptStandsBesideTheFileUnlessItSaysOtherwise() {
         assertTrue(FleetConfig.of(GOOD, folder, "p1").recovery().isEmpty());
-        RecoverySettings kept = FleetConfig.of(GOOD + "recovery.folder = \"store\"\n", folder,
-                "p1").recovery()
-                .orElseThrow();
+        RecoverySettings kept =
+                FleetConfig.of(GOOD + "recovery.folder = \"store\"\n", folder, "p1")
+                        .recovery()
+                        .orElseThrow();
         assertEquals(folder.resolve("store"), kept.store().folder());
         assertEquals("c", kept.store().cluster());
         assertEquals(2_000, kept.store().snapshotEvery());
@@ -102,8 +117,10 @@
 
     @Test
     void whatIsNoTomlIsNamedByItsLine() {
-        ConfigFault fault = assertThrows(ConfigFault.class, () ->
-                FleetConfig.of(GOOD + "seeds = [\n=\n", folder, "p"));
+        ConfigFault fault =
+                assertThrows(
+                        ConfigFault.class,
+                        () -> FleetConfig.of(GOOD + "seeds = [\n=\n", folder, "p"));
         assertTrue(fault.getMessage().startsWith("fleet: line 5 is no TOML: "), fault.getMessage());
         assertFalse(fault.getMessage().contains("\n"));
     }
--- a/src/test/java/cairnbridge/decision/BoundsTest.java
+++ b/src/test/java/cairnbridge/decision/BoundsTest.java
@@ -15,20 +15,30 @@
     void aWatchThatFallsSilentIsReplacedAndTheChangeInHandBeforeItCountsAsTold() {
         long dialled = Bounds.SILENCE_MILLIS + Bounds.LOOK_MILLIS;
         assertTrue(dialled + Bounds.CALL_MILLIS <= IN_HAND);
-        assertTrue(Bounds.SILENCE_MILLIS >= Bounds.HEARTBEAT_MILLIS * 3 / 2, "a late one is no silence");
+        assertTrue(
+                Bounds.SILENCE_MILLIS >= Bounds.HEARTBEAT_MILLIS * 3 / 2,
+                "a late one is no silence");
     }
 
     @Test
     void aCallThatHangsWhenDiscoveryReturnsAndOneThatFailsAtOnceAreFollowedByAnotherInTime() {
         long hung = Bounds.CALL_MILLIS + Bounds.LOOK_MILLIS;
-        assertTrue(hung + 2 * Bounds.MOST_BACKOFF_MILLIS + Bounds.CALL_MILLIS <= IN_HAND, "the watch's own");
-        assertTrue(hung + Bounds.MOST_WAIT_MILLIS + Bounds.CALL_MILLIS <= IN_HAND, "the module asks");
+        assertTrue(
+                hung + 2 * Bounds.MOST_BACKOFF_MILLIS + Bounds.CALL_MILLIS <= IN_HAND,
+                "the watch's own");
+        assertTrue(
+                hung + Bounds.MOST_WAIT_MILLIS + Bounds.CALL_MILLIS <= IN_HAND, "the module asks");
         assertTrue(Bounds.CALL_MILLIS >= 1000, "a discovery that is only slow is not given up");
     }
 
     @ParameterizedTest
-    @CsvSource({"200, 200, 800, 900", "2000, 2000, 2600, 2700", "3000, 3000, 3600, 3700",
-        "3249, 3000, 3600, 3700", "60000, 3000, 3600, 3700"})
+    @CsvSource({
+        "200, 200, 800, 900",
+        "2000, 2000, 2600, 2700",
+        "3000, 3000, 3600, 3700",
+        "3249, 3000, 3600, 3700",
+        "60000, 3000, 3600, 3700"
+    })
     void whatIsOwedAtSigtermIsAnsweredBeforeSigkill(long ttl, long serves, long ends, long kill) {
         assertEquals(serves, Bounds.stopServesMillis(ttl));
         assertEquals(ends, Bounds.stopEndsMillis(ttl));
--- a/src/test/java/cairnbridge/decision/ColdSumTest.java
+++ b/src/test/java/cairnbridge/decision/ColdSumTest.java
@@ -18,19 +18,22 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * What all processes together send to one cold cache. Guards against budgets that each process keeps and
- * whose sum, rounded by chance and begun anew with each restart, fells the cache: over N calls in one span
- * only 2 root of N + 2 are chance. N is what the settings allow, a warm cache's capacity taken as no more
- * than it gets.
+ * What all processes together send to one cold cache. Guards against budgets that each process
+ * keeps and whose sum, rounded by chance and begun anew with each restart, fells the cache: over N
+ * calls in one span only 2 root of N + 2 are chance. N is what the settings allow, a warm cache's
+ * capacity taken as no more than it gets.
  */
 class ColdSumTest {
     private static final int CACHES = 20, COLD = 21;
     private static final long STEP = SECOND / 100, BEFORE = 6 * SECOND, AFTER = 9 * SECOND;
-    /** Of FakeHost's settings: the multiple of its capacity that a cold cache bears, and its warm-up. */
+
+    /**
+     * Of FakeHost's settings: the multiple of its capacity that a cold cache bears, and its
+     * warm-up.
+     */
     private static final double MULTIPLE = 2, COLD_FROM = 0.25, WARM_UP = 10 * SECOND;
 
-    private record Out(FakeHost.Pushed push, long sent, long due, Ending ending) {
-    }
+    private record Out(FakeHost.Pushed push, long sent, long due, Ending ending) {}
 
     /** One process with its own part of the traffic; a restart replaces its host. */
     private static final class Process {
@@ -47,8 +50,15 @@
 
     /** A plain run, and fleets whose settings name more or fewer processes than live. */
     @ParameterizedTest
-    @CsvSource({"20, 20, 0", "30, 30, 0", "100, 100, 0", "30, 30, 10", "30, 60, 5", "60, 20, 5",
-        "100, 100, 30"})
+    @CsvSource({
+        "20, 20, 0",
+        "30, 30, 0",
+        "100, 100, 0",
+        "30, 30, 10",
+        "30, 60, 5",
+        "60, 20, 5",
+        "100, 100, 30"
+    })
     void theSumAtOneColdCacheStaysWithinItsBudgetAndChance(int living, int told, int restarted) {
         int sent = 0, served = 0;
         for (long seed = 1; seed <= 8; seed++) {
@@ -56,7 +66,11 @@
             List<Process> fleet = new ArrayList<>();
             for (int i = 0; i < living; i++) {
                 // Some processes get several times the mean.
-                double rate = 400.0 / living * (0.4 + 1.2 * chance.nextDouble()) * (i % 9 == 0 ? 3 : 0.75);
+                double rate =
+                        400.0
+                                / living
+                                * (0.4 + 1.2 * chance.nextDouble())
+                                * (i % 9 == 0 ? 3 : 0.75);
                 fleet.add(new Process(host(told, seed * 1000 + i), rate));
             }
             long start = fleet.get(0).host.clock, joined = start + BEFORE, id = 0;
@@ -92,20 +106,29 @@
             }
             served += cold.size();
             sent += id;
-            double rate = (double) warm / CACHES / BEFORE; // Calls to a warm one in a tenth of a millisecond.
+            double rate =
+                    (double) warm
+                            / CACHES
+                            / BEFORE; // Calls to a warm one in a tenth of a millisecond.
             check(cold, joined, rate, "seed " + seed);
         }
-        assertTrue(served > sent / 200, "the cold cache is used, or never warms: " + served + " of " + sent);
+        assertTrue(
+                served > sent / 200,
+                "the cold cache is used, or never warms: " + served + " of " + sent);
     }
 
     private static FakeHost host(int told, long seed) {
         return new FakeHost(Effect.REDELIVERABLE, Group.ALL, true, told, seed).listed(CACHES);
     }
 
-    /** Most are acked; some take so long that a second copy goes out; some break, or find no connection. */
+    /**
+     * Most are acked; some take so long that a second copy goes out; some break, or find no
+     * connection.
+     */
     private static Out out(FakeHost.Pushed push, long now, RandomGenerator chance) {
         double luck = chance.nextDouble();
-        Ending ending = luck < 0.03 ? Ending.BROKEN : luck < 0.06 ? Ending.NO_CONNECTION : Ending.ACKED;
+        Ending ending =
+                luck < 0.03 ? Ending.BROKEN : luck < 0.06 ? Ending.NO_CONNECTION : Ending.ACKED;
         long took = luck > 0.95 ? SECOND / 3 : SECOND / 100 + chance.nextLong(SECOND / 50);
         return new Out(push, now, now + took, ending);
     }
@@ -114,14 +137,23 @@
         for (Out each : List.copyOf(process.out)) {
             if (each.due <= now) {
                 process.out.remove(each);
-                process.host.tell(new Event.PushEnded(new OpId(each.push.op()), each.push.push(),
-                        new NodeId(each.push.node()), each.ending, 0, now - each.sent,
-                        each.ending == Ending.ACKED, null));
+                process.host.tell(
+                        new Event.PushEnded(
+                                new OpId(each.push.op()),
+                                each.push.push(),
+                                new NodeId(each.push.node()),
+                                each.ending,
+                                0,
+                                now - each.sent,
+                                each.ending == Ending.ACKED,
+                                null));
             }
         }
     }
 
-    /** Over every span of the settings' length: guards also against a burst that lies across two. */
+    /**
+     * Over every span of the settings' length: guards also against a burst that lies across two.
+     */
     private static void check(List<Long> cold, long joined, double rate, String where) {
         for (int from = 0; from < cold.size(); from++) {
             int to = from;
@@ -130,9 +162,15 @@
             }
             double warmth = COLD_FROM + (1 - COLD_FROM) * (cold.get(from) - joined) / WARM_UP;
             double budget = MULTIPLE * warmth * rate * SECOND;
-            assertTrue(to - from <= budget + 2 * Math.sqrt(budget) + 2, where + ": " + (to - from)
-                    + " calls in one span, " + (cold.get(from) - joined) / 10 + " ms after it started, N "
-                    + budget);
+            assertTrue(
+                    to - from <= budget + 2 * Math.sqrt(budget) + 2,
+                    where
+                            + ": "
+                            + (to - from)
+                            + " calls in one span, "
+                            + (cold.get(from) - joined) / 10
+                            + " ms after it started, N "
+                            + budget);
         }
     }
 }
--- a/src/test/java/cairnbridge/decision/FakeHost.java
+++ b/src/test/java/cairnbridge/decision/FakeHost.java
@@ -29,15 +29,17 @@
     static final long SECOND = 10_000;
     static final long ASK_WITHIN = 10 * SECOND;
     static final long ORIGIN = 900;
+
     /** Nodes of higher ids are of another machine kind. */
     static final long SLOW = 700;
 
-    record Pushed(long op, int push, long node) {
-    }
+    record Pushed(long op, int push, long node) {}
 
     final List<Pushed> pushes = new ArrayList<>();
+
     /** Of each push, until when it may begin. */
     final List<Long> latestBegins = new ArrayList<>();
+
     final List<String> answers = new ArrayList<>();
     final List<String> calls = new ArrayList<>();
     private final Map<Long, List<TimerId>> timers = new TreeMap<>();
@@ -49,6 +51,7 @@
 
     Effect effect = Effect.REDELIVERABLE;
     boolean write, repeat;
+
     /** What nodes report with each end, by node; one that is not here reports nothing. */
     final Map<Long, double[]> reports = new TreeMap<>();
 
@@ -60,20 +63,54 @@
         this(effect, group, aside, proxies, seed, "", tenants);
     }
 
-    FakeHost(Effect effect, Group group, boolean aside, int proxies, long seed, String columns,
+    FakeHost(
+            Effect effect,
+            Group group,
+            boolean aside,
+            int proxies,
+            long seed,
+            String columns,
             Tenant... tenants) {
         this.effect = effect;
-        Category category = new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
-        settings = new Settings(new PeerId(0), proxies, new ZoneId(0), aside,
-                new MachineKind(aside ? 9 : -1), 3, SECOND, false, ASK_WITHIN, 10, 100, 0.25, 10 * SECOND, 2,
-                SECOND, 6, true, true, false, true, true, SECOND, 0.1, false,
-                new Settings.Prices(0, 0, 0, 0, 0),
-                columns.isEmpty() ? List.of() : List.of(columns.split(" ")), List.of(category),
-                List.of(tenants));
+        Category category =
+                new Category(effect, group, SECOND, SECOND / 2, 0, 2 * SECOND, 1, 0.5, false);
+        settings =
+                new Settings(
+                        new PeerId(0),
+                        proxies,
+                        new ZoneId(0),
+                        aside,
+                        new MachineKind(aside ? 9 : -1),
+                        3,
+                        SECOND,
+                        false,
+                        ASK_WITHIN,
+                        10,
+                        100,
+                        0.25,
+                        10 * SECOND,
+                        2,
+                        SECOND,
+                        6,
+                        true,
+                        true,
+                        false,
+                        true,
+                        true,
+                        SECOND,
+                        0.1,
+                        false,
+                        new Settings.Prices(0, 0, 0, 0, 0),
+                        columns.isEmpty() ? List.of() : List.of(columns.split(" ")),
+                        List.of(category),
+                        List.of(tenants));
         router = new Router(settings, seed, clock, this, Learnt.NOTHING);
     }
 
-    /** Another router takes the place of an earlier host's, with what that had learnt; some time later. */
+    /**
+     * Another router takes the place of an earlier host's, with what that had learnt; some time
+     * later.
+     */
     FakeHost follows(FakeHost earlier, long later) {
         clock = earlier.clock + later;
         router = new Router(settings, 5, clock, this, earlier.router.learnt());
@@ -108,10 +145,13 @@
         boolean origin = node == ORIGIN;
         MachineKind kind = new MachineKind(origin ? 9 : node > SLOW ? 1 : 0);
         int group = (int) node % 2;
-        return new Entry(new NodeId(node), state, kind, 1, started, new CellId(group), new ZoneId(group));
+        return new Entry(
+                new NodeId(node), state, kind, 1, started, new CellId(group), new ZoneId(group));
     }
 
-    /** A node that is ready for a moment; what is left of its id shows whether anybody remembers it. */
+    /**
+     * A node that is ready for a moment; what is left of its id shows whether anybody remembers it.
+     */
     WeakReference<Object> comesAndGoes(long node) {
         Entry ready = entry(node, State.READY, 0);
         changed(ready);
@@ -144,8 +184,17 @@
     }
 
     FakeHost op(long id, long key, long ttl) {
-        tell(new Event.OpArrived(new OpId(id), new CategoryId(0), new TenantId(0), new KeyId(key),
-                clock + ttl, 0, -1, repeat, write));
+        tell(
+                new Event.OpArrived(
+                        new OpId(id),
+                        new CategoryId(0),
+                        new TenantId(0),
+                        new KeyId(key),
+                        clock + ttl,
+                        0,
+                        -1,
+                        repeat,
+                        write));
         return this;
     }
 
@@ -156,8 +205,16 @@
 
     FakeHost ends(Pushed pushed, Ending ending, long took) {
         pass(took);
-        tell(new Event.PushEnded(new OpId(pushed.op), pushed.push, new NodeId(pushed.node), ending, 0, took,
-                ending == Ending.ACKED, reports.get(pushed.node)));
+        tell(
+                new Event.PushEnded(
+                        new OpId(pushed.op),
+                        pushed.push,
+                        new NodeId(pushed.node),
+                        ending,
+                        0,
+                        took,
+                        ending == Ending.ACKED,
+                        reports.get(pushed.node)));
         return this;
     }
 
--- a/src/test/java/cairnbridge/decision/ManyProxiesTest.java
+++ b/src/test/java/cairnbridge/decision/ManyProxiesTest.java
@@ -19,17 +19,24 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-/** What does no harm in one proxy but would in all of them: the same failure met by many routers at once. */
+/**
+ * What does no harm in one proxy but would in all of them: the same failure met by many routers at
+ * once.
+ */
 class ManyProxiesTest {
     private static final int PROXIES = 60, CACHES = 20;
 
     private static List<FakeHost> many(Effect effect) {
         return LongStream.range(0, PROXIES)
-                .mapToObj(seed -> new FakeHost(effect, Group.ALL, true, PROXIES, seed).listed(CACHES))
-                        .toList();
+                .mapToObj(
+                        seed -> new FakeHost(effect, Group.ALL, true, PROXIES, seed).listed(CACHES))
+                .toList();
     }
 
-    /** Guards against a release in which seven in ten start by an old list and fell what has just started. */
+    /**
+     * Guards against a release in which seven in ten start by an old list and fell what has just
+     * started.
+     */
     @Test
     void proxiesKilledTogetherServeByTheOldListAndSpareWhatIsColdWhenTheLateOneComes() {
         List<FakeHost> fleet = many(Effect.REDELIVERABLE);
@@ -37,10 +44,13 @@
         int pushes = 0;
         for (FakeHost host : fleet) {
             long id = 0;
-            // Discovery is silent for six seconds: two of the caches named are gone, nobody has said so.
+            // Discovery is silent for six seconds: two of the caches named are gone, nobody has
+            // said so.
             for (; id < 60; id++) {
                 host.op(id, id * 131, SECOND).pass(10);
-                for (int tries = 0; host.lastNode() <= 2 && host.pushes.size() > id && tries < 4; tries++) {
+                for (int tries = 0;
+                        host.lastNode() <= 2 && host.pushes.size() > id && tries < 4;
+                        tries++) {
                     host.ends(Ending.NO_CONNECTION, 5);
                 }
                 host.ends(Ending.ACKED, 20).pass(SECOND / 10);
@@ -56,17 +66,27 @@
                 host.op(id, id * 131, SECOND).ends(Ending.ACKED, 20).pass(SECOND / 30);
             }
             pushes += host.pushes.size() - before;
-            host.pushes.subList(before, host.pushes.size()).stream().filter(push -> push.node() > 20)
+            host.pushes.subList(before, host.pushes.size()).stream()
+                    .filter(push -> push.node() > 20)
                     .forEach(push -> cold.merge(push.node(), 1, Integer::sum));
             assertEquals(List.of(), host.answers, "every op found a cache");
         }
         int fair = pushes / (CACHES - 2);
         assertEquals(6, cold.size(), "cold caches are used, or they never warm");
-        cold.forEach((node, sent) -> assertTrue(sent < 0.8 * fair,
-                node + " got " + sent + " of all proxies while it was cold, a warm one " + fair));
+        cold.forEach(
+                (node, sent) ->
+                        assertTrue(
+                                sent < 0.8 * fair,
+                                node
+                                        + " got "
+                                        + sent
+                                        + " of all proxies while it was cold, a warm one "
+                                        + fair));
     }
 
-    /** Guards against pushes to nodes that drain, made from what a cut-off zone has left unanswered. */
+    /**
+     * Guards against pushes to nodes that drain, made from what a cut-off zone has left unanswered.
+     */
     @Test
     void aZoneCutOffWhileAListIsOnItsWayLosesNoOpAndTheListCountsAtOnce() {
         for (FakeHost host : many(Effect.REDELIVERABLE)) {
@@ -90,20 +110,25 @@
             int listed = host.pushes.size();
             host.pass(SECOND);
             for (FakeHost.Pushed push : host.pushes.subList(listed, host.pushes.size())) {
-                assertTrue(push.node() % 2 == 1 || push.node() > 8, "sent to " + push.node() + ", it drains");
+                assertTrue(
+                        push.node() % 2 == 1 || push.node() > 8,
+                        "sent to " + push.node() + ", it drains");
             }
             Set<String> answered = new HashSet<>(host.answers);
             assertEquals(answered.size(), host.answers.size(), "one answer an op");
             for (FakeHost.Pushed push : silent) {
                 boolean owed = acked.contains(push.op());
-                assertEquals(owed ? 0 : 1, answered.contains("nack " + push.op()) ? 1 : 0,
+                assertEquals(
+                        owed ? 0 : 1,
+                        answered.contains("nack " + push.op()) ? 1 : 0,
                         "op " + push.op() + " has one answer by its TTL");
             }
         }
     }
 
     /**
-     * Guards against a write done twice, once at each of two nodes, where connections are reset in crowds.
+     * Guards against a write done twice, once at each of two nodes, where connections are reset in
+     * crowds.
      */
     @Test
     void resetsUnderAtMostOnceOpsAreDeadLetteredAtEveryProxyAndNeverPushedAgain() {
@@ -122,8 +147,9 @@
                 if (id % 4 == 0) {
                     host.ends(Ending.NO_CONNECTION, 2); // Proof that it never ran.
                 }
-                boolean out = host.pushes.get(host.pushes.size() - 1).op() == id
-                        && host.answers.size() == expected.size();
+                boolean out =
+                        host.pushes.get(host.pushes.size() - 1).op() == id
+                                && host.answers.size() == expected.size();
                 if (out) {
                     host.ends(Ending.BROKEN, 5);
                     expected.add("dead " + id);
@@ -135,8 +161,11 @@
             assertEquals(expected, host.answers);
             Map<Long, Long> mayHaveRun = new HashMap<>();
             host.pushes.forEach(push -> mayHaveRun.merge(push.op(), 1L, Long::sum));
-            mayHaveRun.forEach((id, count) -> assertTrue(count <= (id % 4 == 0 ? 2 : 1),
-                    "op " + id + " was pushed " + count + " times"));
+            mayHaveRun.forEach(
+                    (id, count) ->
+                            assertTrue(
+                                    count <= (id % 4 == 0 ? 2 : 1),
+                                    "op " + id + " was pushed " + count + " times"));
         }
     }
 
@@ -169,8 +198,17 @@
         double fair = (double) PROXIES * 30 / CACHES;
         assertEquals(12, cold.size(), "each of the cold ones is used");
         assertTrue(warm > PROXIES * 30 / 2, "the eight warm ones bear most, " + warm);
-        // The settings let a cold cache take twice its warmth of what a warm one is sent, in one span.
-        cold.forEach((node, sent) -> assertTrue(sent < fair,
-                node + " got " + sent + " in its first second, a warm one got " + fair + " before"));
+        // The settings let a cold cache take twice its warmth of what a warm one is sent, in one
+        // span.
+        cold.forEach(
+                (node, sent) ->
+                        assertTrue(
+                                sent < fair,
+                                node
+                                        + " got "
+                                        + sent
+                                        + " in its first second, a warm one got "
+                                        + fair
+                                        + " before"));
     }
 }
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -68,7 +68,9 @@
         assertTrue(there > 0 && there < 10, there + " of 60 met a node that may be cold");
     }
 
-    /** Guards against ops held towards their TTL for a fetch whose long answer is still being read. */
+    /**
+     * Guards against ops held towards their TTL for a fetch whose long answer is still being read.
+     */
     @Test
     void whoWaitsForAFetchAsksTheCacheOnceItsAnswerHasBegun() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
@@ -155,14 +157,20 @@
     void anOpOutAtItsTtlIsNackedOnlyWhereComingBackLaterIsHarmless(Effect effect, String answer) {
         FakeHost host = new FakeHost(effect).listed(3);
         host.op(1, 5, SECOND).pass(SECOND);
-        assertEquals(List.of(answer), host.answers, "advised to come back after a repeat may be forgotten");
+        assertEquals(
+                List.of(answer),
+                host.answers,
+                "advised to come back after a repeat may be forgotten");
     }
 
     @ParameterizedTest
     @CsvSource({
-        "AT_MOST_ONCE, ERROR, false", "AT_MOST_ONCE, BROKEN, false", "AT_MOST_ONCE, TIMED_OUT, false",
-        "AT_MOST_ONCE, FULL, true", "AT_MOST_ONCE, NO_CONNECTION, true", "REDELIVERABLE, ERROR, true",
-        "DEDUPLICATED, ERROR, true"})
+        "AT_MOST_ONCE, ERROR, false", "AT_MOST_ONCE, BROKEN, false",
+                "AT_MOST_ONCE, TIMED_OUT, false",
+        "AT_MOST_ONCE, FULL, true", "AT_MOST_ONCE, NO_CONNECTION, true",
+                "REDELIVERABLE, ERROR, true",
+        "DEDUPLICATED, ERROR, true"
+    })
     void aFurtherPushNeedsProofOrARepeatableEffect(Effect effect, Ending ending, boolean again) {
         FakeHost host = new FakeHost(effect).listed(3);
         host.op(1, 5, SECOND).ends(ending, 10);
@@ -178,7 +186,8 @@
         host.op(1, 5, SECOND).ends(Ending.BROKEN, 10);
         boolean all = group == Group.ALL;
         assertEquals(all ? 2 : 1, host.pushes.size(), "the other node is of another zone and cell");
-        assertEquals(all ? List.of() : List.of("dead 1"), host.answers, "a nack would promise too much");
+        assertEquals(
+                all ? List.of() : List.of("dead 1"), host.answers, "a nack would promise too much");
     }
 
     @Test
@@ -189,7 +198,8 @@
     }
 
     /**
-     * Guards against a further push that begins, after a dial, when the node may have forgotten the first.
+     * Guards against a further push that begins, after a dial, when the node may have forgotten the
+     * first.
      */
     @ParameterizedTest
     @CsvSource({"REDELIVERABLE, 20000", "AT_MOST_ONCE, 20000", "DEDUPLICATED, 10000"})
@@ -201,14 +211,17 @@
         assertEquals(List.of(start + 2 * SECOND - tick, start + further - tick), host.latestBegins);
     }
 
-    /** Guards against an op that outlasts its process: what was taken is answered before that ends. */
+    /**
+     * Guards against an op that outlasts its process: what was taken is answered before that ends.
+     */
     @ParameterizedTest
     @CsvSource({"REDELIVERABLE, nack 1", "AT_MOST_ONCE, dead 1"})
     void aProxyThatIsToEndAnswersWhatItHasBeforeThen(Effect effect, String answer) {
         FakeHost host = new FakeHost(effect).listed(3).op(1, 5, 2 * SECOND).op(2, 6, SECOND / 10);
         host.tell(new Event.StopBy(host.clock + SECOND));
         host.pass(SECOND - 1);
-        assertEquals(answer, host.answers.get(host.answers.size() - 1), "the second had its own TTL");
+        assertEquals(
+                answer, host.answers.get(host.answers.size() - 1), "the second had its own TTL");
         assertEquals(2, host.answers.size());
         host.pass(2 * SECOND);
         assertEquals(2, host.answers.size(), "one answer an op");
@@ -225,7 +238,8 @@
             }
             host.ends(Ending.ACKED, 20);
         }
-        assertTrue(used.size() >= 4, "one key is half the traffic of eight caches, yet met " + used);
+        assertTrue(
+                used.size() >= 4, "one key is half the traffic of eight caches, yet met " + used);
     }
 
     @Test
@@ -262,11 +276,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"inflight qps x0, 20, 10, true", "latency_ms util x0, 900, 0.9, true",
-        "inflight qps x0, 1, 10, false", "latency_ms util x0, 40, 0.3, false", "x1, 9, 9, false",
-        "inflight qps x0, NaN, 10, false", "inflight qps x0, -20, 10, false", "inflight qps, 20, 10, false",
-        "queue_age heat x0, 20, 10, false", "latency_ms util x0, Infinity, 0.9, false"})
-    void aCacheThatReportsACrowdGetsFewerOps(String columns, double first, double second, boolean fewer) {
+    @CsvSource({
+        "inflight qps x0, 20, 10, true",
+        "latency_ms util x0, 900, 0.9, true",
+        "inflight qps x0, 1, 10, false",
+        "latency_ms util x0, 40, 0.3, false",
+        "x1, 9, 9, false",
+        "inflight qps x0, NaN, 10, false",
+        "inflight qps x0, -20, 10, false",
+        "inflight qps, 20, 10, false",
+        "queue_age heat x0, 20, 10, false",
+        "latency_ms util x0, Infinity, 0.9, false"
+    })
+    void aCacheThatReportsACrowdGetsFewerOps(
+            String columns, double first, double second, boolean fewer) {
         long there = 0;
         for (int seed = 0; seed < 5; seed++) {
             FakeHost host = FakeHost.reporting(columns, seed).listed(8);
@@ -301,7 +324,8 @@
         host.acks(0, 100, 20).pass(SECOND).pushes.clear();
         host.acks(100, 500, 20);
         long slow = host.pushes.stream().filter(p -> p.node() > FakeHost.SLOW).count();
-        assertTrue(slow > 40 && slow < 140, slow + " of 400 went to caches of a third of the speed");
+        assertTrue(
+                slow > 40 && slow < 140, slow + " of 400 went to caches of a third of the speed");
     }
 
     @Test
@@ -317,17 +341,23 @@
             }
             cold += host.pushes.stream().filter(p -> p.node() == 21).count();
         }
-        assertTrue(cold > 12 && cold < 100, "400 proxies sent " + cold + " of 3600 to one of 21 caches");
+        assertTrue(
+                cold > 12 && cold < 100,
+                "400 proxies sent " + cold + " of 3600 to one of 21 caches");
     }
 
     @Test
     void aHeavyProxyOfManyIsNotTakenForExcess() {
         Tenant tenant = new Tenant(90, 1);
-        FakeHost host = new FakeHost(Effect.DEDUPLICATED, Group.ALL, true, 300, 1, tenant).listed(60);
+        FakeHost host =
+                new FakeHost(Effect.DEDUPLICATED, Group.ALL, true, 300, 1, tenant).listed(60);
         for (long op = 0; op < 200; op++) {
             host.op(op, op, SECOND).ends(Ending.ACKED, op < 100 ? 200 : 470).pass(SECOND / 20);
         }
-        assertEquals(List.of(), host.answers, "ten a second are its own, though a third is its even part");
+        assertEquals(
+                List.of(),
+                host.answers,
+                "ten a second are its own, though a third is its even part");
     }
 
     @Test
@@ -358,7 +388,8 @@
                 host.ends(Ending.ACKED, SECOND / 4);
             }
         }
-        assertTrue(host.answers.stream().anyMatch(a -> a.startsWith("nack")), "the bound has fallen");
+        assertTrue(
+                host.answers.stream().anyMatch(a -> a.startsWith("nack")), "the bound has fallen");
     }
 
     @Test
@@ -381,7 +412,9 @@
         for (long op = 40; op < 240; op++) {
             host.op(op, op, SECOND);
         }
-        assertTrue(host.answers.size() > 100, "only " + host.answers.size() + " of 200 answered at once");
+        assertTrue(
+                host.answers.size() > 100,
+                "only " + host.answers.size() + " of 200 answered at once");
     }
 
     @Test
@@ -407,7 +440,8 @@
 
     @Test
     void aDrainingNodeGetsNothingNew() {
-        FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
+        FakeHost host =
+                new FakeHost(Effect.REDELIVERABLE).listed(2).changed(entry(1, State.DRAINING, 0));
         for (long op = 0; op < 40; op++) {
             assertEquals(2, host.op(op, op, SECOND).lastNode());
         }
@@ -422,7 +456,9 @@
         assertTrue(cold > 0 && cold < 25, "got " + cold + " of 200");
     }
 
-    /** Guards against a fleet whose caches all lost their power: none is warm to have a share of. */
+    /**
+     * Guards against a fleet whose caches all lost their power: none is warm to have a share of.
+     */
     @Test
     void cachesThatAreAllColdGetAShareOfWhatAWarmOneWasSentBefore() {
         long[] sent = new long[2];
@@ -431,7 +467,9 @@
             for (long node = 1; node <= 5; node++) {
                 host.changed(entry(node, State.READY, host.clock));
             }
-            for (long op = 0; op < 100; op++) { // A second of 100 ops; a quarter of five times 40 is 50.
+            for (long op = 0;
+                    op < 100;
+                    op++) { // A second of 100 ops; a quarter of five times 40 is 50.
                 int before = host.pushes.size();
                 host.op(op, op, SECOND).pass(SECOND / 100);
                 if (host.pushes.size() > before && host.lastNode() <= 5) {
@@ -440,12 +478,14 @@
                 }
             }
         }
-        assertTrue(sent[0] < 40 && sent[1] > sent[0] + 10 && sent[1] < 75, sent[0] + " and " + sent[1]);
+        assertTrue(
+                sent[0] < 40 && sent[1] > sent[0] + 10 && sent[1] < 75,
+                sent[0] + " and " + sent[1]);
     }
 
     /**
-     * Guards against caches that are all cold, whose share of a second is sent in its first half, so that
-     * nothing is served in the other.
+     * Guards against caches that are all cold, whose share of a second is sent in its first half,
+     * so that nothing is served in the other.
      */
     @Test
     void whatColdCachesMayBeSentIsSpreadOverTheSecond() {
@@ -463,8 +503,9 @@
             }
         }
         for (int half = 2; half < sent.length; half++) {
-            assertTrue(sent[half] > sent[half - 1] * 0.6, "by halves of a second: "
-                    + java.util.Arrays.toString(sent));
+            assertTrue(
+                    sent[half] > sent[half - 1] * 0.6,
+                    "by halves of a second: " + java.util.Arrays.toString(sent));
         }
     }
 
@@ -473,11 +514,15 @@
     void theRateThatAWarmCacheIsSentIsLearnt() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(4);
         host.acks(0, 2_000, SECOND / 100);
-        assertTrue(host.sendRate() > 20 && host.sendRate() < 30, "100 ops a second at four: "
-                + host.sendRate());
+        assertTrue(
+                host.sendRate() > 20 && host.sendRate() < 30,
+                "100 ops a second at four: " + host.sendRate());
     }
 
-    /** Guards against a process that starts after a release, and crowds the few caches that are warm. */
+    /**
+     * Guards against a process that starts after a release, and crowds the few caches that are
+     * warm.
+     */
     @Test
     void aProxyThatHasJustStartedUsesColdCachesFromItsFirstOpsOn() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8);
@@ -486,10 +531,14 @@
         }
         host.acks(0, 200, SECOND / 400);
         long cold = host.pushes.stream().filter(p -> p.node() > 2).count();
-        assertTrue(cold > 80 && cold < 160, cold + " of 200 at six caches that are half cold, two are warm");
+        assertTrue(
+                cold > 80 && cold < 160,
+                cold + " of 200 at six caches that are half cold, two are warm");
     }
 
-    /** Guards against ops turned away while a release is under way, as if all caches were crowded. */
+    /**
+     * Guards against ops turned away while a release is under way, as if all caches were crowded.
+     */
     @Test
     void whatIsOnlyColdIsNoJam() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8).acks(0, 200, 100);
@@ -500,7 +549,9 @@
         assertEquals(List.of(), host.answers);
     }
 
-    /** Guards against a jam seen in a few milliseconds' wait of one's own, where caches are quick. */
+    /**
+     * Guards against a jam seen in a few milliseconds' wait of one's own, where caches are quick.
+     */
     @Test
     void whatIsQuickByAnyMeasureIsNoJam() {
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8).acks(0, 200, 3);
@@ -508,14 +559,18 @@
         assertEquals(List.of(), host.answers);
     }
 
-    /** Twenty ops at a time, acked one after another, each after its span at a node of low or high id. */
+    /**
+     * Twenty ops at a time, acked one after another, each after its span at a node of low or high
+     * id.
+     */
     private static void crowds(FakeHost host, long low, long high) {
         for (long id = 1000; id < 1100; id += 20) {
             int before = host.pushes.size();
             for (long each = id; each < id + 20; each++) {
                 host.op(each, each, SECOND);
             }
-            for (FakeHost.Pushed push : List.copyOf(host.pushes.subList(before, host.pushes.size()))) {
+            for (FakeHost.Pushed push :
+                    List.copyOf(host.pushes.subList(before, host.pushes.size()))) {
                 host.ends(push, Ending.ACKED, push.node() > 4 ? high : low);
             }
         }
@@ -531,14 +586,17 @@
             host.acks(100 + 40 * seed, 140 + 40 * seed, SECOND / 50);
             cold += host.pushes.stream().filter(p -> p.node() == 21).count();
         }
-        assertTrue(cold > 0 && cold < 20, "100 proxies met the cold cache of 21 " + cold + " times");
+        assertTrue(
+                cold > 0 && cold < 20, "100 proxies met the cold cache of 21 " + cold + " times");
     }
 
     @Test
     void aSmallShareOfOneProxyOfManyIsNotTakenForExcess() {
         FakeHost host = FakeHost.oneOf(300, 1, new Tenant(90, 1)).listed(60);
         for (long op = 0; op < 40; op++) {
-            host.op(op, op, SECOND).ends(Ending.ACKED, op < 20 ? 200 : SECOND / 10).pass(SECOND * 4);
+            host.op(op, op, SECOND)
+                    .ends(Ending.ACKED, op < 20 ? 200 : SECOND / 10)
+                    .pass(SECOND * 4);
         }
         assertEquals(List.of(), host.answers, "a third of an op a second is due, a quarter came");
     }
@@ -558,7 +616,10 @@
     private static int spilled(int seed, long gap) {
         FakeHost host = FakeHost.oneOf(50, seed).listed(60);
         long home = host.op(1, 77, SECOND).lastNode();
-        host.ends(Ending.ACKED, 20).pass(gap).op(2, 77, 2 * SECOND).ends(Ending.ACKED, SECOND / 2 - 1);
+        host.ends(Ending.ACKED, 20)
+                .pass(gap)
+                .op(2, 77, 2 * SECOND)
+                .ends(Ending.ACKED, SECOND / 2 - 1);
         return host.op(3, 77, SECOND).lastNode() == home ? 0 : 1;
     }
 
@@ -567,7 +628,9 @@
         FakeHost host = new FakeHost(Effect.REDELIVERABLE).listed(8).acks(0, 40, SECOND / 5);
         int sent = host.op(100, 100, 2 * SECOND).pushes.size();
         host.pass(SECOND / 2);
-        assertTrue(host.pushes.size() > sent, "a fifth of a second is usual, the target is half of one");
+        assertTrue(
+                host.pushes.size() > sent,
+                "a fifth of a second is usual, the target is half of one");
     }
 
     @Test
@@ -584,7 +647,9 @@
                 }
             }
         }
-        assertTrue(fetched > 0 && fetched < 80, fetched + " of 120 were sent to an origin that answers none");
+        assertTrue(
+                fetched > 0 && fetched < 80,
+                fetched + " of 120 were sent to an origin that answers none");
     }
 
     @Test
@@ -606,7 +671,8 @@
             FakeHost host = FakeHost.oneOf(500, seed).listed(60);
             for (long op = 0; op < 12; op++) {
                 host.op(op, op, SECOND).ends(Ending.MISS, 10);
-                if (host.lastNode() == ORIGIN && host.pushes.get(host.pushes.size() - 1).op() == op) {
+                if (host.lastNode() == ORIGIN
+                        && host.pushes.get(host.pushes.size() - 1).op() == op) {
                     host.pass(SECOND).ends(Ending.CALLED_OFF, SECOND - 100);
                     fetched += op < 2 ? 0 : 1;
                 }
@@ -656,11 +722,13 @@
 
     @ParameterizedTest
     @CsvSource({"1, 0, true", "1, 5, false", "600, 0, false"})
-    void afterASwitchABadNodeIsKnownUnlessItStartedAnewOrThatIsLongAgo(int later, int start, boolean known) {
+    void afterASwitchABadNodeIsKnownUnlessItStartedAnewOrThatIsLongAgo(
+            int later, int start, boolean known) {
         FakeHost before = new FakeHost(Effect.REDELIVERABLE).listed(5);
         long home = before.op(1, 5, SECOND).lastNode();
         for (long op = 2; op < 30; op++) {
-            before.ends(before.lastNode() == home ? Ending.ERROR : Ending.ACKED, 5).op(op, op, SECOND);
+            before.ends(before.lastNode() == home ? Ending.ERROR : Ending.ACKED, 5)
+                    .op(op, op, SECOND);
         }
         FakeHost host = new FakeHost(Effect.DEDUPLICATED, Group.ALL, true, 300, 1);
         host.follows(before, later * SECOND).listed(5);
@@ -708,8 +776,8 @@
     }
 
     /**
-     * Guards against shares that stay as small, or as large, as a configuration says that has long been
-     * overtaken.
+     * Guards against shares that stay as small, or as large, as a configuration says that has long
+     * been overtaken.
      */
     @Test
     void whatIsSharedOutFollowsTheLivingProxies() {
@@ -729,14 +797,19 @@
                 }
             }
         }
-        assertTrue(few.pushes.size() > 2 * many.pushes.size(), "a slow origin's limit is shared among "
-                + "3 or 300: " + few.pushes.size() + " and " + many.pushes.size()
+        assertTrue(
+                few.pushes.size() > 2 * many.pushes.size(),
+                "a slow origin's limit is shared among "
+                        + "3 or 300: "
+                        + few.pushes.size()
+                        + " and "
+                        + many.pushes.size()
                         + " of 60 were let through");
     }
 
     /**
-     * Guards against a node that each proxy has to find out of reach for itself; and against trust by
-     * hearsay.
+     * Guards against a node that each proxy has to find out of reach for itself; and against trust
+     * by hearsay.
      */
     @Test
     void aHintMakesANodeDistrustedSoonerAndTrustIsWonBackByItsOwnAnswersOnly() {
@@ -750,8 +823,10 @@
         assertTrue(there < 8, there + " of 60 ops went to a node that a zone cannot reach");
         int later = told.pass(10 * SECOND).pushes.size();
         told.acks(1000, 1300, 5);
-        long back = told.pushes.subList(later + 200, later + 300).stream().filter(p -> p.node() == home)
-                .count();
+        long back =
+                told.pushes.subList(later + 200, later + 300).stream()
+                        .filter(p -> p.node() == home)
+                        .count();
         assertTrue(back > 8, back + " of 100 once it has answered");
     }
 }
--- a/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
+++ b/src/test/java/cairnbridge/fleet/carrier/CarrierTest.java
@@ -34,10 +34,21 @@
     private static final byte[] SECRET = "sixteen bytes or more".getBytes();
     private final List<Carrier> carriers = new ArrayList<>();
 
-    private Carrier carrier(String name, String cluster, int protocol, Endpoint... seeds) throws IOException {
-        CarrierSettings settings = new CarrierSettings(new MemberId(name), cluster, SECRET,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Optional.empty(), List.of(seeds),
-                List.of(), Map.of(), protocol, 100_000, System.currentTimeMillis());
+    private Carrier carrier(String name, String cluster, int protocol, Endpoint... seeds)
+            throws IOException {
+        CarrierSettings settings =
+                new CarrierSettings(
+                        new MemberId(name),
+                        cluster,
+                        SECRET,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        Optional.empty(),
+                        List.of(seeds),
+                        List.of(),
+                        Map.of(),
+                        protocol,
+                        100_000,
+                        System.currentTimeMillis());
         Told told = Told.of("a", "r", protocol, Told.State.SERVING, "", "", Told.Figures.NONE);
         Carrier carrier = new Carrier(settings, FleetSettings.USUAL, told, name.hashCode(), this);
         carriers.add(carrier);
@@ -72,7 +83,8 @@
         // Nobody reads it here.
     }
 
-    private static void until(java.util.function.BooleanSupplier holds) throws InterruptedException {
+    private static void until(java.util.function.BooleanSupplier holds)
+            throws InterruptedException {
         while (!holds.getAsBoolean()) {
             Thread.sleep(5);
         }
@@ -84,9 +96,16 @@
         Carrier second = carrier("b", "c", 2, first.at());
         until(() -> first.view().figures().alive() == 2 && second.view().figures().alive() == 2);
         second.tell(Told.of("z", "r", 2, Told.State.DRAINING, "", "", Told.Figures.NONE));
-        until(() -> first.view().of(new MemberId("b")).map(Claim::told)
-                .filter(told -> told.state() == Told.State.DRAINING).isPresent());
-        assertEquals(0, first.figures().refusals(Refusal.UNKNOWN_VERSION),
+        until(
+                () ->
+                        first.view()
+                                .of(new MemberId("b"))
+                                .map(Claim::told)
+                                .filter(told -> told.state() == Told.State.DRAINING)
+                                .isPresent());
+        assertEquals(
+                0,
+                first.figures().refusals(Refusal.UNKNOWN_VERSION),
                 "the second speaks as the first does");
         second.leave();
         until(() -> first.view().count(Standing.LEFT) == 1);
@@ -100,7 +119,8 @@
         Carrier second = carrier("b", "c", 2, first.at());
         until(() -> first.view().figures().alive() == 2 && second.view().figures().alive() == 2);
         Carrier other = carrier("x", "another", 2, first.at());
-        try (DatagramSocket socket = new DatagramSocket(); Socket stream = new Socket()) {
+        try (DatagramSocket socket = new DatagramSocket();
+                Socket stream = new Socket()) {
             InetSocketAddress at = first.at().socket();
             for (int i = 0; i < 50; i++) {
                 byte[] bytes = "hello hello hello hello hello hello hello hello".getBytes();
@@ -110,16 +130,21 @@
             }
             stream.connect(at);
             stream.getOutputStream().write(new byte[100]);
-            until(() -> first.figures().refusals(Refusal.FOREIGN) >= 50
-                    && first.figures().refusals(Refusal.CUT_SHORT) >= 50
-                    && first.figures().refusals(Refusal.OTHER_CLUSTER) >= 1);
+            until(
+                    () ->
+                            first.figures().refusals(Refusal.FOREIGN) >= 50
+                                    && first.figures().refusals(Refusal.CUT_SHORT) >= 50
+                                    && first.figures().refusals(Refusal.OTHER_CLUSTER) >= 1);
         }
         assertEquals(2, first.view().members().size());
         assertEquals(1, other.view().members().size());
         assertEquals(Standing.ALIVE, second.view().of(new MemberId("a")).get().standing());
     }
 
-    /** Other parts talk over the same streams; one that is gone answers nobody, and that is said too. */
+    /**
+     * Other parts talk over the same streams; one that is gone answers nobody, and that is said
+     * too.
+     */
     @Test
     void aWordGetsItsAnswerAndOneThatIsLostGetsNone() throws Exception {
         Carrier first = carrier("a", "c", 2);
@@ -127,27 +152,52 @@
         until(() -> second.view().figures().alive() == 2);
         CompletableFuture<String> answer = new CompletableFuture<>();
         CompletableFuture<Boolean> silence = new CompletableFuture<>();
-        second.execute(() -> second.say(first.at(), "plans", new byte[40_000], bytes ->
-                answer.complete(new String(bytes))));
+        second.execute(
+                () ->
+                        second.say(
+                                first.at(),
+                                "plans",
+                                new byte[40_000],
+                                bytes -> answer.complete(new String(bytes))));
         assertEquals("plans of b in 40000", answer.get());
         first.stop();
-        until(() -> {
-            second.execute(() -> second.say(first.at(), "plans", new byte[1], bytes ->
-                    silence.complete(bytes == null)));
-            return silence.isDone();
-        });
+        until(
+                () -> {
+                    second.execute(
+                            () ->
+                                    second.say(
+                                            first.at(),
+                                            "plans",
+                                            new byte[1],
+                                            bytes -> silence.complete(bytes == null)));
+                    return silence.isDone();
+                });
         assertTrue(silence.get());
     }
 
     @Test
     void anAddressThatIsTakenIsSaidInOneLine() throws Exception {
         Carrier first = carrier("a", "c", 2);
-        CarrierSettings same = new CarrierSettings(new MemberId("b"), "c", SECRET, first.at().socket(),
-                Optional.empty(), List.of(), List.of(), Map.of(), 2, 100_000, 1);
+        CarrierSettings same =
+                new CarrierSettings(
+                        new MemberId("b"),
+                        "c",
+                        SECRET,
+                        first.at().socket(),
+                        Optional.empty(),
+                        List.of(),
+                        List.of(),
+                        Map.of(),
+                        2,
+                        100_000,
+                        1);
         Told told = Told.of("a", "r", 2, Told.State.SERVING, "", "", Told.Figures.NONE);
-        IOException fault = assertThrows(IOException.class, () ->
-                new Carrier(same, FleetSettings.USUAL, told, 1,
-                this));
-        assertTrue(fault.getMessage().startsWith("cannot listen on ") && !fault.getMessage().contains("\n"));
+        IOException fault =
+                assertThrows(
+                        IOException.class,
+                        () -> new Carrier(same, FleetSettings.USUAL, told, 1, this));
+        assertTrue(
+                fault.getMessage().startsWith("cannot listen on ")
+                        && !fault.getMessage().contains("\n"));
     }
 }
--- a/src/test/java/cairnbridge/fleet/carrier/CodecTest.java
+++ b/src/test/java/cairnbridge/fleet/carrier/CodecTest.java
@@ -24,8 +24,15 @@
 class CodecTest {
     private static final Endpoint AT = new Endpoint("10.20.30.40", 7946);
     private static final MemberId ME = new MemberId("proxy-1"), OTHER = new MemberId("proxy-2");
-    private static final Told TOLD = Told.of("zone-a", "region", 2, Told.State.SERVING, "10.0.0.1:80", "",
-            new Told.Figures(7, 100, 41, true, List.of(-1L, 5L)));
+    private static final Told TOLD =
+            Told.of(
+                    "zone-a",
+                    "region",
+                    2,
+                    Told.State.SERVING,
+                    "10.0.0.1:80",
+                    "",
+                    new Told.Figures(7, 100, 41, true, List.of(-1L, 5L)));
     private static final byte[] SECRET = "sixteen bytes or more".getBytes();
     private final Seal seal = new Seal("cluster", SECRET, 2);
 
@@ -33,20 +40,32 @@
         List<Claim> claims = new ArrayList<>();
         for (int i = 0; i < many; i++) {
             Standing standing = Standing.values()[i % 4];
-            claims.add(new Claim(new MemberId("m" + i), AT, new Incarnation(Long.MAX_VALUE - i, i), standing,
-                    standing == Standing.SUSPECT ? OTHER : null, i * 1_000_000_007L, i % 2 == 0 ? TOLD
-                            : null));
+            claims.add(
+                    new Claim(
+                            new MemberId("m" + i),
+                            AT,
+                            new Incarnation(Long.MAX_VALUE - i, i),
+                            standing,
+                            standing == Standing.SUSPECT ? OTHER : null,
+                            i * 1_000_000_007L,
+                            i % 2 == 0 ? TOLD : null));
         }
         return claims;
     }
 
     private static List<Packet> packets() {
-        List<Message> bodies = List.of(new Message.Ping(Long.MAX_VALUE, OTHER, claims(3)),
-                new Message.Ack(1, claims(0)), new Message.AskOther(2, OTHER, AT, claims(1)),
-                new Message.NoWord(3, claims(2)), new Message.Gossip(claims(5)),
-                new Message.Digest(List.of(Long.MIN_VALUE, 0L, 3L)),
+        List<Message> bodies =
+                List.of(
+                        new Message.Ping(Long.MAX_VALUE, OTHER, claims(3)),
+                        new Message.Ack(1, claims(0)),
+                        new Message.AskOther(2, OTHER, AT, claims(1)),
+                        new Message.NoWord(3, claims(2)),
+                        new Message.Gossip(claims(5)),
+                        new Message.Digest(List.of(Long.MIN_VALUE, 0L, 3L)),
                         new Message.Entries(List.of(0, 255), claims(9)));
-        return bodies.stream().map(body -> new Packet(ME, AT, new Incarnation(3, 4), -99, body)).toList();
+        return bodies.stream()
+                .map(body -> new Packet(ME, AT, new Incarnation(3, 4), -99, body))
+                .toList();
     }
 
     @Test
@@ -60,22 +79,46 @@
     }
 
     @Test
-    void claimsThatDoNotFitADatagramAreLeftOutAndTheSizeTheyAreCountedAsIsNotTooSmall() throws Refused {
-        Packet packet = new Packet(ME, AT, new Incarnation(3, 4), -99, new Message.Gossip(claims(60)));
+    void claimsThatDoNotFitADatagramAreLeftOutAndTheSizeTheyAreCountedAsIsNotTooSmall()
+            throws Refused {
+        Packet packet =
+                new Packet(ME, AT, new Incarnation(3, 4), -99, new Message.Gossip(claims(60)));
         byte[] bytes = Codec.write(packet, 2, 1_000);
         assertTrue(bytes.length <= 1_000 && bytes.length > 800, "uses " + bytes.length);
         assertTrue(Codec.read(bytes, 2).body().claims().size() > 3);
-        int bare = Codec.write(new Packet(ME, AT, new Incarnation(3, 4), -99, new Message.Gossip(List.of())),
-                2,
-                1_000).length;
+        int bare =
+                Codec.write(
+                                new Packet(
+                                        ME,
+                                        AT,
+                                        new Incarnation(3, 4),
+                                        -99,
+                                        new Message.Gossip(List.of())),
+                                2,
+                                1_000)
+                        .length;
         for (Claim claim : claims(40)) {
-            int size = Codec.write(new Packet(ME, AT, new Incarnation(3, 4), -99,
-                    new Message.Gossip(List.of(claim))), 2, 10_000).length - bare;
-            assertTrue(size <= claim.bytes(), claim + " takes " + size + ", is counted as " + claim.bytes());
+            int size =
+                    Codec.write(
+                                            new Packet(
+                                                    ME,
+                                                    AT,
+                                                    new Incarnation(3, 4),
+                                                    -99,
+                                                    new Message.Gossip(List.of(claim))),
+                                            2,
+                                            10_000)
+                                    .length
+                            - bare;
+            assertTrue(
+                    size <= claim.bytes(),
+                    claim + " takes " + size + ", is counted as " + claim.bytes());
         }
     }
 
-    /** Guards against an exception, or a claim, out of what a broken network or a stranger sends. */
+    /**
+     * Guards against an exception, or a claim, out of what a broken network or a stranger sends.
+     */
     @Test
     void anyBytesAtAllAreAPacketOrARefusal() {
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(5);
@@ -84,7 +127,10 @@
             for (int spoilt = 0; spoilt < 1 + i % 4; spoilt++) {
                 bytes[chance.nextInt(bytes.length)] = (byte) chance.nextInt();
             }
-            byte[] some = i % 3 == 0 ? java.util.Arrays.copyOf(bytes, chance.nextInt(bytes.length)) : bytes;
+            byte[] some =
+                    i % 3 == 0
+                            ? java.util.Arrays.copyOf(bytes, chance.nextInt(bytes.length))
+                            : bytes;
             try {
                 Codec.read(some, 2);
             } catch (Refused e) {
@@ -102,15 +148,18 @@
         byte[] packet = {1, 2, 3};
         ByteBuffer good = seal.seal(2, 77, 5, packet);
         assertArrayEquals(packet, seal.open(good.duplicate(), 10_000).packet());
-        refused(Refusal.FOREIGN,
+        refused(
+                Refusal.FOREIGN,
                 ByteBuffer.wrap("GET / HTTP/1.1\r\n\r\n and more than a head's bytes".getBytes()));
         refused(Refusal.FOREIGN, ByteBuffer.allocate(0));
         for (int length = 2; length < good.remaining(); length++) {
             refused(Refusal.CUT_SHORT, good.duplicate().limit(length));
         }
         refused(Refusal.OTHER_CLUSTER, new Seal("another", SECRET, 2).seal(2, 77, 5, packet));
-        refused(Refusal.FORGED, new Seal("cluster", "another secret of theirs".getBytes(), 2)
-                .seal(2, 77, 5, packet));
+        refused(
+                Refusal.FORGED,
+                new Seal("cluster", "another secret of theirs".getBytes(), 2)
+                        .seal(2, 77, 5, packet));
         refused(Refusal.UNKNOWN_VERSION, seal.seal(3, 77, 5, packet));
         refused(Refusal.MALFORMED, seal.seal(2, 77, 5, new byte[10_001]));
         for (int at = 8; at < good.remaining(); at++) {
@@ -127,12 +176,14 @@
             seen.take(ME, 10, number);
         }
         for (long number : new long[] {5, 70, 6, 69, 8, 1}) {
-            Refused refused = assertThrows(Refused.class, () -> seen.take(ME, 10, number), "number "
-                    + number);
+            Refused refused =
+                    assertThrows(
+                            Refused.class, () -> seen.take(ME, 10, number), "number " + number);
             assertEquals(Refusal.SEEN_BEFORE, refused.why);
         }
         seen.take(ME, 11, 1);
-        assertEquals(Refusal.EARLIER_LIFE, assertThrows(Refused.class, () -> seen.take(ME, 10, 99)).why);
+        assertEquals(
+                Refusal.EARLIER_LIFE, assertThrows(Refused.class, () -> seen.take(ME, 10, 99)).why);
     }
 
     @Test
@@ -152,8 +203,9 @@
             byte[] bytes = TOLD.raw();
             bytes[chance.nextInt(bytes.length)] = (byte) chance.nextInt();
             Told told = Told.of(bytes);
-            assertTrue(told.figures().unreachable().size() <= Told.MOST_UNREACHABLE
-                    && told.zone().length() <= 64);
+            assertTrue(
+                    told.figures().unreachable().size() <= Told.MOST_UNREACHABLE
+                            && told.zone().length() <= 64);
             assertTrue(told.protocol() >= 1 && told.state() != null);
         }
         assertThrows(IllegalArgumentException.class, () -> Told.of(new byte[Told.MOST_BYTES + 1]));
