--- a/src/test/java/cairnbridge/fleet/use/UsesTest.java
+++ b/src/test/java/cairnbridge/fleet/use/UsesTest.java
@@ -34,12 +34,26 @@
     private static final long SECOND = 10_000;
     private final List<Claim> members = new ArrayList<>();
 
-    private UsesTest member(int number, String zone, Standing standing, boolean listing,
-            Long... unreachable) {
-        Told told = Told.of(zone, "r", 2, Told.State.SERVING, "", "",
-                new Told.Figures(0, 0, 0, listing, List.of(unreachable)));
-        members.add(new Claim(new MemberId("p" + number), new Endpoint("10.0.0.1", 1000 + number),
-                new Incarnation(1, 0), standing, null, 1, told));
+    private UsesTest member(
+            int number, String zone, Standing standing, boolean listing, Long... unreachable) {
+        Told told =
+                Told.of(
+                        zone,
+                        "r",
+                        2,
+                        Told.State.SERVING,
+                        "",
+                        "",
+                        new Told.Figures(0, 0, 0, listing, List.of(unreachable)));
+        members.add(
+                new Claim(
+                        new MemberId("p" + number),
+                        new Endpoint("10.0.0.1", 1000 + number),
+                        new Incarnation(1, 0),
+                        standing,
+                        null,
+                        1,
+                        told));
         return this;
     }
 
@@ -51,8 +65,12 @@
     }
 
     private View view() {
-        View view = new View(new MemberId("p1"), members, 0,
-                new ViewFigures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0));
+        View view =
+                new View(
+                        new MemberId("p1"),
+                        members,
+                        0,
+                        new ViewFigures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0));
         members.clear();
         return view;
     }
@@ -69,7 +87,9 @@
     void sharesFollowTheLivingQuicklyUpAndSlowlyDown() {
         LivingCount count = new LivingCount(10, 0);
         assertEquals(10, count.count(members(1, 10, "a").view(), 0));
-        assertEquals(30, after(count, members(1, 30, "a").view(), 0, 8),
+        assertEquals(
+                30,
+                after(count, members(1, 30, "a").view(), 0, 8),
                 "a fleet that has grown beyond its size");
         View fewer = members(1, 12, "a").view();
         int soon = after(count, fewer, 8 * SECOND, 1);
@@ -87,12 +107,19 @@
     @Test
     void aNodeThatMostOfAZoneCannotReachIsSaidOnce() {
         NodeHints hints = new NodeHints("a");
-        member(1, "a", Standing.ALIVE, false, 7L).member(2, "a", Standing.ALIVE, false, 7L, 8L)
-                .member(3, "a", Standing.ALIVE, false, 7L).member(4, "a", Standing.ALIVE, false)
-                .member(5, "b", Standing.ALIVE, false, 9L).member(6, "b", Standing.ALIVE, false, 9L)
-                .member(7, "a", Standing.DEAD, false, 8L).member(8, "a", Standing.DEAD, false, 8L);
+        member(1, "a", Standing.ALIVE, false, 7L)
+                .member(2, "a", Standing.ALIVE, false, 7L, 8L)
+                .member(3, "a", Standing.ALIVE, false, 7L)
+                .member(4, "a", Standing.ALIVE, false)
+                .member(5, "b", Standing.ALIVE, false, 9L)
+                .member(6, "b", Standing.ALIVE, false, 9L)
+                .member(7, "a", Standing.DEAD, false, 8L)
+                .member(8, "a", Standing.DEAD, false, 8L);
         View view = view();
-        assertEquals(List.of(7L), hints.hints(view), "8 is said by one, and by dead ones; 9 by another zone");
+        assertEquals(
+                List.of(7L),
+                hints.hints(view),
+                "8 is said by one, and by dead ones; 9 by another zone");
         assertEquals(List.of(), hints.hints(view));
         assertEquals(List.of(), hints.hints(members(1, 4, "a").view()));
         assertEquals(List.of(7L), hints.hints(view), "it has been within reach meanwhile");
@@ -121,34 +148,58 @@
             reach.ended(node, false, 61 + node);
         }
         assertEquals(100, reach.unreachable(200).size());
-        Told told = Told.of("a", "r", 2, Told.State.SERVING, "", "", new Told.Figures(0, 0, 0, true,
-                reach.unreachable(200)));
-        assertEquals(Told.MOST_UNREACHABLE, told.figures().unreachable().size(), "as many as are told");
+        Told told =
+                Told.of(
+                        "a",
+                        "r",
+                        2,
+                        Told.State.SERVING,
+                        "",
+                        "",
+                        new Told.Figures(0, 0, 0, true, reach.unreachable(200)));
+        assertEquals(
+                Told.MOST_UNREACHABLE, told.figures().unreachable().size(), "as many as are told");
     }
 
     /**
-     * Guards against a lost zone of many caches, of which a proxy meets each too seldom to find it out, and
-     * against one that is given its traffic back because nobody has tried it for a while.
+     * Guards against a lost zone of many caches, of which a proxy meets each too seldom to find it
+     * out, and against one that is given its traffic back because nobody has tried it for a while.
      */
     @Test
     void aZoneOfManyCachesIsOutAfterFourFailuresAndStaysSoWhileItsProbesFail() {
-        Settings settings = SettingsReader.read(Tree.parse("{\"domain\":{\"mode\":\"aside\","
-                + "\"origin-kind\":1}}", "settings"));
+        Settings settings =
+                SettingsReader.read(
+                        Tree.parse(
+                                "{\"domain\":{\"mode\":\"aside\"," + "\"origin-kind\":1}}",
+                                "settings"));
         FleetTally tally = new FleetTally(List.of("a", "b"), settings, 0);
         List<Event.Entry> entries = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            entries.add(new Event.Entry(new NodeId(i), Event.State.READY, new MachineKind(0), 1, 0,
-                    new CellId(0), new ZoneId(i < 10 ? 0 : 1)));
+            entries.add(
+                    new Event.Entry(
+                            new NodeId(i),
+                            Event.State.READY,
+                            new MachineKind(0),
+                            1,
+                            0,
+                            new CellId(0),
+                            new ZoneId(i < 10 ? 0 : 1)));
         }
         tally.listed(new Event.Roster(Event.Scope.FULL, 1, entries));
         for (int i = 0; i < 8; i++) {
             tally.ended(new NodeId(i), 0, Event.Ending.NO_CONNECTION, 10, 5_000, SECOND + i);
-            tally.ended(new NodeId(10 + i), 0, i == 3 ? Event.Ending.ACKED : Event.Ending.BROKEN, 10, 5_000,
+            tally.ended(
+                    new NodeId(10 + i),
+                    0,
+                    i == 3 ? Event.Ending.ACKED : Event.Ending.BROKEN,
+                    10,
+                    5_000,
                     SECOND + i);
         }
         tally.publish(2 * SECOND);
         assertEquals(List.of(), tally.unreachable(), "each cache was met once");
-        assertEquals(List.of(Names.hash("b"), Names.hash("a")).stream().sorted().toList(),
+        assertEquals(
+                List.of(Names.hash("b"), Names.hash("a")).stream().sorted().toList(),
                 tally.out().stream().sorted().toList());
         tally.probed(new NodeId(12), Event.Ending.ACKED, 2 * SECOND);
         for (int i = 0; i < 8; i++) {
@@ -181,12 +232,14 @@
             }
         }
         assertEquals(12, shares.size());
-        shares.forEach((id, share) -> assertTrue(share > 20 && share < 90, id + " has " + share + " of 600"));
+        shares.forEach(
+                (id, share) ->
+                        assertTrue(share > 20 && share < 90, id + " has " + share + " of 600"));
     }
 
     /**
-     * Guards against a cache probed by two that each believe it is their duty, more than twice as often as
-     * planned.
+     * Guards against a cache probed by two that each believe it is their duty, more than twice as
+     * often as planned.
      */
     @Test
     void whileViewsDifferNoNodeIsProbedMoreThanTwiceAsOftenAndNoneIsForgotten() {
@@ -203,21 +256,26 @@
             for (int i = 0; i < 8; i++) {
                 boolean split = now > 20 * SECOND && now < 40 * SECOND;
                 View held = !split ? all : i < 4 ? cut : cutOff;
-                duties.get(i).due(held, nodes, now).forEach(node -> probes.merge(node, 1, Integer::sum));
+                duties.get(i)
+                        .due(held, nodes, now)
+                        .forEach(node -> probes.merge(node, 1, Integer::sum));
             }
         }
         for (long node : nodes) {
             int count = probes.getOrDefault(node, 0);
-            assertTrue(count >= 20 && count <= 60, count + " probes of node " + node
-                    + " in 60 s, 30 are planned");
+            assertTrue(
+                    count >= 20 && count <= 60,
+                    count + " probes of node " + node + " in 60 s, 30 are planned");
         }
     }
 
     @Test
     void aFewCallForALostListAndTheOthersOnceOneOfThemHasIt() {
         View away = members(1, 20, "a").view();
-        long callers = LongStream.rangeClosed(1, 20).filter(i -> new ListCalls(new MemberId("p" + i), "a")
-                .mayCall(away, 2_000)).count();
+        long callers =
+                LongStream.rangeClosed(1, 20)
+                        .filter(i -> new ListCalls(new MemberId("p" + i), "a").mayCall(away, 2_000))
+                        .count();
         assertEquals(3, callers);
         View back = members(1, 20, "a").member(21, "a", Standing.ALIVE, true).view();
         View elsewhere = members(1, 20, "a").member(21, "b", Standing.ALIVE, true).view();
--- a/src/test/java/cairnbridge/fleet/view/MembershipPropertyTest.java
+++ b/src/test/java/cairnbridge/fleet/view/MembershipPropertyTest.java
@@ -16,18 +16,32 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * What must hold after any course of joins, crashes, freezes, cuts, losses and heals. A course that fails is
- * made shorter, step by step, and printed with its seed. -Dfleet.courses=N plays more of them.
+ * What must hold after any course of joins, crashes, freezes, cuts, losses and heals. A course that
+ * fails is made shorter, step by step, and printed with its seed. -Dfleet.courses=N plays more of
+ * them.
  */
 class MembershipPropertyTest {
-    private static final int COURSES = Integer.getInteger("fleet.courses", 60), STEPS = 14, MOST = 14;
+    private static final int COURSES = Integer.getInteger("fleet.courses", 60),
+            STEPS = 14,
+            MOST = 14;
     private static final long FIRST = Long.getLong("fleet.seed", 1);
 
-    enum What { JOIN, CRASH, RESTART, LEAVE, FREEZE, THAW, CUT, ONE_WAY, HEAL, LOSS, PASS }
-
-    record Step(What what, int who, int value) {
+    enum What {
+        JOIN,
+        CRASH,
+        RESTART,
+        LEAVE,
+        FREEZE,
+        THAW,
+        CUT,
+        ONE_WAY,
+        HEAL,
+        LOSS,
+        PASS
     }
 
+    record Step(What what, int who, int value) {}
+
     @Test
     void afterQuietAllThatLiveHoldTheSameAndNoIncarnationGoesBack() {
         for (long seed = FIRST; seed < FIRST + COURSES; seed++) {
@@ -44,7 +58,11 @@
         List<Step> course = new ArrayList<>();
         for (int i = 0; i < STEPS; i++) {
             What[] all = What.values();
-            course.add(new Step(all[chance.nextInt(all.length)], chance.nextInt(1000), chance.nextInt(1000)));
+            course.add(
+                    new Step(
+                            all[chance.nextInt(all.length)],
+                            chance.nextInt(1000),
+                            chance.nextInt(1000)));
             course.add(new Step(What.PASS, 0, chance.nextInt(1000)));
         }
         return course;
@@ -66,14 +84,18 @@
         SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed);
         Map<List<MemberId>, Incarnation> newest = new HashMap<>();
         List<String> back = new ArrayList<>();
-        net.watcher = (holder, before, after, why) -> {
-            if (after != null && before != null) {
-                Incarnation last = newest.put(List.of(holder.id, after.id()), after.incarnation());
-                if (last != null && holder.machine != null && last.compareTo(after.incarnation()) > 0) {
-                    back.add(holder.id + " goes back on " + after.id());
-                }
-            }
-        };
+        net.watcher =
+                (holder, before, after, why) -> {
+                    if (after != null && before != null) {
+                        Incarnation last =
+                                newest.put(List.of(holder.id, after.id()), after.incarnation());
+                        if (last != null
+                                && holder.machine != null
+                                && last.compareTo(after.incarnation()) > 0) {
+                            back.add(holder.id + " goes back on " + after.id());
+                        }
+                    }
+                };
         Node seedNode = net.add("p0");
         for (int i = 1; i < 6; i++) {
             net.add("p" + i, seedNode);
@@ -100,14 +122,16 @@
         switch (step.what) {
             case JOIN -> {
                 if (net.nodes().size() < MOST && who != null) {
-                    // One that runs and is within reach is among its seeds, else nobody could ever find it.
+                    // One that runs and is within reach is among its seeds, else nobody could ever
+                    // find it.
                     Node node = net.add("p" + net.nodes().size(), first, who);
                     net.side(node, who.side);
                     net.pass(SECOND / 20);
                 }
             }
             case CRASH -> {
-                // One seed outlives everything: with none, parts that never met could not find one another.
+                // One seed outlives everything: with none, parts that never met could not find one
+                // another.
                 if (who != null && running.size() > 2 && who != first) {
                     net.crash(who);
                 }
@@ -135,8 +159,14 @@
                     net.thaw(any);
                 }
             }
-            case CUT -> net.nodes().forEach(node -> net.side(node,
-                    (node.id.name().hashCode() * 31 + step.value) % (2 + step.who % 2)));
+            case CUT ->
+                    net.nodes()
+                            .forEach(
+                                    node ->
+                                            net.side(
+                                                    node,
+                                                    (node.id.name().hashCode() * 31 + step.value)
+                                                            % (2 + step.who % 2)));
             case ONE_WAY -> {
                 if (who != null) {
                     net.cutOneWay(who, any);
--- a/src/test/java/cairnbridge/fleet/view/MembershipTest.java
+++ b/src/test/java/cairnbridge/fleet/view/MembershipTest.java
@@ -26,6 +26,7 @@
 class MembershipTest {
     private static final long STEP = SECOND / 20;
     private final SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, 7);
+
     /** Deaths of members that ran and were not frozen, as any view held them. */
     private final List<String> falseDeaths = new ArrayList<>();
 
@@ -35,14 +36,19 @@
             net.add("p" + i, first);
         }
         agreed(10);
-        net.watcher = (holder, before, after, why) -> {
-            if (after != null && after.standing() == Standing.DEAD
-                    && (before == null || before.standing().isLiving())
-                    && net.running().stream().anyMatch(node -> node.id.equals(after.id())
-                            && node.side == holder.side)) {
-                falseDeaths.add(holder.id + " held " + after.id() + " dead: " + why);
-            }
-        };
+        net.watcher =
+                (holder, before, after, why) -> {
+                    if (after != null
+                            && after.standing() == Standing.DEAD
+                            && (before == null || before.standing().isLiving())
+                            && net.running().stream()
+                                    .anyMatch(
+                                            node ->
+                                                    node.id.equals(after.id())
+                                                            && node.side == holder.side)) {
+                        falseDeaths.add(holder.id + " held " + after.id() + " dead: " + why);
+                    }
+                };
         return net.nodes();
     }
 
@@ -64,8 +70,8 @@
     }
 
     /**
-     * Guards against a fleet that starts at once, each with its first call answered before the rest was
-     * there.
+     * Guards against a fleet that starts at once, each with its first call answered before the rest
+     * was there.
      */
     @Test
     void twoHundredThatStartAtOnceAgreeWithinSevenSeconds() {
@@ -77,8 +83,9 @@
     }
 
     /**
-     * Guards against parts of a fleet that starts at once, each joined through one that knew nobody: they
-     * found each other only when the seeds that were missed were asked, after five seconds and more.
+     * Guards against parts of a fleet that starts at once, each joined through one that knew
+     * nobody: they found each other only when the seeds that were missed were asked, after five
+     * seconds and more.
      */
     @Test
     void twoPairsThatMetFirstAreOneFleetWithinTwoSeconds() {
@@ -141,8 +148,8 @@
     }
 
     /**
-     * Guards against a cut found out ever more slowly, as those asked in vain are taken for deafness of one's
-     * own.
+     * Guards against a cut found out ever more slowly, as those asked in vain are taken for
+     * deafness of one's own.
      */
     @Test
     void aSmallPartThatIsCutOffKnowsItWithinTwelveSeconds() {
@@ -150,8 +157,10 @@
         nodes.forEach(node -> net.side(node, nodes.indexOf(node) < 4 ? 1 : 0));
         net.pass(12 * SECOND);
         for (Node node : nodes.subList(0, 4)) {
-            assertEquals(4, node.machine.figures().alive() + node.machine.figures().suspect(), node.id
-                    + " holds more");
+            assertEquals(
+                    4,
+                    node.machine.figures().alive() + node.machine.figures().suspect(),
+                    node.id + " holds more");
         }
     }
 
@@ -213,13 +222,17 @@
         assertEquals(List.of(), falseDeaths);
     }
 
-    /** Guards against a death for want of one rumour: of hundreds of refutations each misses some view. */
+    /**
+     * Guards against a death for want of one rumour: of hundreds of refutations each misses some
+     * view.
+     */
     @Test
     void whoHoldsASuspectForLongAsksItBeforeItsTimeIsUp() {
         fleet(50);
         net.loss = 0.1;
         net.pass(900 * SECOND);
-        long suspicions = net.nodes().stream().mapToLong(node -> node.machine.figures().suspicions()).sum();
+        long suspicions =
+                net.nodes().stream().mapToLong(node -> node.machine.figures().suspicions()).sum();
         assertTrue(suspicions > 1_000, suspicions + " suspicions had to be refuted");
         assertEquals(List.of(), falseDeaths);
     }
@@ -228,11 +241,12 @@
     void whoTakesItsLeaveIsNoCrashAndIsNotAskedForAgain() {
         List<Node> nodes = fleet(12);
         Set<String> held = new TreeSet<>();
-        net.watcher = (holder, before, after, why) -> {
-            if (before == null || after == null || before.standing() != after.standing()) {
-                held.add(after == null ? "none" : after.standing() + " " + why);
-            }
-        };
+        net.watcher =
+                (holder, before, after, why) -> {
+                    if (before == null || after == null || before.standing() != after.standing()) {
+                        held.add(after == null ? "none" : after.standing() + " " + why);
+                    }
+                };
         net.leave(nodes.get(4));
         agreed(2);
         net.pass(20 * SECOND);
@@ -240,7 +254,10 @@
         assertEquals(0, nodes.get(0).machine.figures().deaths());
     }
 
-    /** Guards against a leave that is held a crash for half a minute by a view that one rumour has missed. */
+    /**
+     * Guards against a leave that is held a crash for half a minute by a view that one rumour has
+     * missed.
+     */
     @Test
     void whoHasMissedALeaveIsToldOnceItSuspects() {
         List<Node> nodes = fleet(12);
@@ -259,8 +276,9 @@
     void whatAMemberTellsReachesAllAndUnknownFieldsWithIt() {
         List<Node> nodes = fleet(12);
         byte[] raw = {(byte) 0xA2, 0x64, 's', 't', 'a', 't', 'e', 0, 0x61, 'x', 1};
-        byte[] good = {(byte) 0xA2, 0x64, 'z', 'o', 'n', 'e', 0x61, 'b', 0x63, 'n', 'e', 'w', (byte) 0x82, 1,
-                2};
+        byte[] good = {
+            (byte) 0xA2, 0x64, 'z', 'o', 'n', 'e', 0x61, 'b', 0x63, 'n', 'e', 'w', (byte) 0x82, 1, 2
+        };
         net.tell(nodes.get(2), new FleetEvent.Tell(Told.of(good)));
         net.pass(3 * SECOND);
         for (Node node : nodes) {
@@ -275,24 +293,54 @@
     @Test
     void theTableIsBoundedAndTheGoneMakeRoomForTheLiving() {
         FleetSettings u = FleetSettings.USUAL;
-        FleetSettings small = new FleetSettings(u.probeEvery(), u.probeTimeOut(), u.others(), u.gossipEvery(),
-                u.fanout(), u.spread(), u.suspicionLeast(), u.suspicionMost(), u.syncEvery(),
+        FleetSettings small =
+                new FleetSettings(
+                        u.probeEvery(),
+                        u.probeTimeOut(),
+                        u.others(),
+                        u.gossipEvery(),
+                        u.fanout(),
+                        u.spread(),
+                        u.suspicionLeast(),
+                        u.suspicionMost(),
+                        u.syncEvery(),
                         u.askDeadEvery(),
-                u.rememberDead(), u.rememberLeft(), u.figuresEvery(), 10, u.datagram());
+                        u.rememberDead(),
+                        u.rememberLeft(),
+                        u.figuresEvery(),
+                        10,
+                        u.datagram());
         SimulatedNet other = new SimulatedNet(small, 3);
         Node alone = other.add("alone");
         Claim one = alone.machine.self();
         for (int i = 0; i < 1_000; i++) {
-            Claim claim = new Claim(new MemberId("x" + i), one.at(), new Incarnation(5, 0),
-                    i % 2 == 0 ? Standing.DEAD : Standing.LEFT, null, 0, null);
-            Packet packet = new Packet(new MemberId("x0"), one.at(), new Incarnation(6, 0), 0,
-                    new Message.Gossip(List.of(claim)));
+            Claim claim =
+                    new Claim(
+                            new MemberId("x" + i),
+                            one.at(),
+                            new Incarnation(5, 0),
+                            i % 2 == 0 ? Standing.DEAD : Standing.LEFT,
+                            null,
+                            0,
+                            null);
+            Packet packet =
+                    new Packet(
+                            new MemberId("x0"),
+                            one.at(),
+                            new Incarnation(6, 0),
+                            0,
+                            new Message.Gossip(List.of(claim)));
             other.tell(alone, new FleetEvent.Heard(packet));
         }
         assertTrue(alone.machine.view().members().size() <= 11);
         for (int i = 0; i < 20; i++) {
-            Packet packet = new Packet(new MemberId("y" + i), one.at(), new Incarnation(6, 0), 0,
-                    new Message.Gossip(List.of()));
+            Packet packet =
+                    new Packet(
+                            new MemberId("y" + i),
+                            one.at(),
+                            new Incarnation(6, 0),
+                            0,
+                            new Message.Gossip(List.of()));
             other.tell(alone, new FleetEvent.Heard(packet));
         }
         assertEquals(11, alone.machine.figures().alive());
@@ -302,10 +350,23 @@
     @Test
     void oldDeadAreForgottenByAllAndStayForgotten() {
         FleetSettings u = FleetSettings.USUAL;
-        FleetSettings brief = new FleetSettings(u.probeEvery(), u.probeTimeOut(), u.others(), u.gossipEvery(),
-                u.fanout(), u.spread(), u.suspicionLeast(), u.suspicionMost(), u.syncEvery(),
+        FleetSettings brief =
+                new FleetSettings(
+                        u.probeEvery(),
+                        u.probeTimeOut(),
+                        u.others(),
+                        u.gossipEvery(),
+                        u.fanout(),
+                        u.spread(),
+                        u.suspicionLeast(),
+                        u.suspicionMost(),
+                        u.syncEvery(),
                         u.askDeadEvery(),
-                20 * SECOND, 20 * SECOND, u.figuresEvery(), u.mostMembers(), u.datagram());
+                        20 * SECOND,
+                        20 * SECOND,
+                        u.figuresEvery(),
+                        u.mostMembers(),
+                        u.datagram());
         SimulatedNet other = new SimulatedNet(brief, 3);
         Node first = other.add("p0");
         for (int i = 1; i < 8; i++) {
@@ -325,7 +386,8 @@
         List<Node> nodes = fleet(4);
         Node impostor = net.add("p2", nodes.get(0));
         net.pass(30 * SECOND);
-        long lines = net.said.stream().filter(line -> line.contains("calls itself p2 as well")).count();
+        long lines =
+                net.said.stream().filter(line -> line.contains("calls itself p2 as well")).count();
         assertTrue(lines >= 1 && lines <= 2, net.said + " by " + impostor.id);
     }
 
@@ -338,9 +400,12 @@
     private static String course(long seed) {
         SimulatedNet net = new SimulatedNet(FleetSettings.USUAL, seed);
         StringBuilder course = new StringBuilder();
-        net.watcher = (holder, before, after, why) -> course.append(net.now()).append(holder.id)
-                .append(after.id())
-                .append(after.standing());
+        net.watcher =
+                (holder, before, after, why) ->
+                        course.append(net.now())
+                                .append(holder.id)
+                                .append(after.id())
+                                .append(after.standing());
         Node first = net.add("p0");
         for (int i = 1; i < 10; i++) {
             net.add("p" + i, first);
--- a/src/test/java/cairnbridge/lab/ReportTest.java
+++ b/src/test/java/cairnbridge/lab/ReportTest.java
@@ -30,9 +30,9 @@
 
 /** A page of plots: what is on it, and what it says to files that it cannot use. */
 class ReportTest {
-    private static final Pattern PICTURE = Pattern.compile("data:image/svg\\+xml;base64,([A-Za-z0-9+/=]+)");
-    @TempDir
-    Path folder;
+    private static final Pattern PICTURE =
+            Pattern.compile("data:image/svg\\+xml;base64,([A-Za-z0-9+/=]+)");
+    @TempDir Path folder;
 
     @BeforeAll
     static void noScreen() {
@@ -49,7 +49,9 @@
         List<String> pictures = new ArrayList<>();
         Matcher picture = PICTURE.matcher(Files.readString(page));
         while (picture.find()) {
-            pictures.add(new String(Base64.getDecoder().decode(picture.group(1)), StandardCharsets.UTF_8));
+            pictures.add(
+                    new String(
+                            Base64.getDecoder().decode(picture.group(1)), StandardCharsets.UTF_8));
         }
         return pictures;
     }
@@ -59,19 +61,40 @@
         Path zones = run("zone-lost");
         Path power = run("power-all");
         Path page = folder.resolve("page.html");
-        List<String> names = Report.write("a <page>", List.of(zones, power), page,
-                Optional.of(folder.resolve("png")));
-        assertEquals(List.of("zone-lost-load", "zone-lost-zones", "zone-lost-origin", "zone-lost-spans",
-                "zone-lost-members", "zone-lost-plans", "power-all-load", "power-all-zones",
-                "power-all-origin", "power-all-spans", "power-all-members", "power-all-return"), names);
+        List<String> names =
+                Report.write(
+                        "a <page>",
+                        List.of(zones, power),
+                        page,
+                        Optional.of(folder.resolve("png")));
+        assertEquals(
+                List.of(
+                        "zone-lost-load",
+                        "zone-lost-zones",
+                        "zone-lost-origin",
+                        "zone-lost-spans",
+                        "zone-lost-members",
+                        "zone-lost-plans",
+                        "power-all-load",
+                        "power-all-zones",
+                        "power-all-origin",
+                        "power-all-spans",
+                        "power-all-members",
+                        "power-all-return"),
+                names);
         List<String> pictures = pictures(page);
         assertEquals(names.size(), pictures.size());
         assertTrue(pictures.get(1).contains("zone a served") && pictures.get(1).contains("<path"));
         String text = Files.readString(page);
-        assertTrue(text.contains("<h1>a &lt;page&gt;</h1>") && text.contains("zone a is out of use after"));
-        assertTrue(!text.contains("src=\"http") && !text.contains("<script"), "it needs nothing else");
+        assertTrue(
+                text.contains("<h1>a &lt;page&gt;</h1>")
+                        && text.contains("zone a is out of use after"));
+        assertTrue(
+                !text.contains("src=\"http") && !text.contains("<script"), "it needs nothing else");
         for (String name : names) {
-            assertEquals(860, ImageIO.read(folder.resolve("png").resolve(name + ".png").toFile()).getWidth());
+            assertEquals(
+                    860,
+                    ImageIO.read(folder.resolve("png").resolve(name + ".png").toFile()).getWidth());
         }
         Path again = folder.resolve("again.html");
         Report.write("a <page>", List.of(zones, power), again, Optional.empty());
@@ -79,16 +102,30 @@
     }
 
     @Test
-    void anExperimentsPageComparesPoliciesAndSizesOverSeedsAndNamesWhatDidNotHold() throws Exception {
-        Files.writeString(folder.resolve("small.drill"), "fleet 2\nalone\ncaches 3\nclients 60\n"
-                + "start all\nwait 3s\nserved at-least 99%\ncache-fails c1..c3 yes\nwait 1s\n"
-                + "served at-least 99%\n");
-        Path file = Files.writeString(folder.resolve("e.toml"), "scenarios = [\"small.drill\"]\n"
-                + "sizes = [1, 2]\npolicies = [\"router\", \"ring\"]\nseeds = 2\n");
+    void anExperimentsPageComparesPoliciesAndSizesOverSeedsAndNamesWhatDidNotHold()
+            throws Exception {
+        Files.writeString(
+                folder.resolve("small.drill"),
+                "fleet 2\n"
+                        + "alone\n"
+                        + "caches 3\n"
+                        + "clients 60\n"
+                        + "start all\n"
+                        + "wait 3s\n"
+                        + "served at-least 99%\n"
+                        + "cache-fails c1..c3 yes\n"
+                        + "wait 1s\n"
+                        + "served at-least 99%\n");
+        Path file =
+                Files.writeString(
+                        folder.resolve("e.toml"),
+                        "scenarios = [\"small.drill\"]\n"
+                                + "sizes = [1, 2]\npolicies = [\"router\", \"ring\"]\nseeds = 2\n");
         Path results = folder.resolve("e.jsonl");
-        Results.run(ExperimentFile.read(file), results, "abc", 2, (done, all) -> { });
+        Results.run(ExperimentFile.read(file), results, "abc", 2, (done, all) -> {});
         Path page = folder.resolve("page.html");
-        assertEquals(List.of("e-service", "e-spans", "e-fetches", "e-settling-small", "e-cost"),
+        assertEquals(
+                List.of("e-service", "e-spans", "e-fetches", "e-settling-small", "e-cost"),
                 Report.write("e", List.of(results), page, Optional.empty()));
         assertTrue(pictures(page).get(0).contains("small x2"));
         String text = Files.readString(page);
@@ -110,7 +147,14 @@
     }
 
     private String fault(Path file) {
-        return assertThrows(ConfigFault.class, () -> Report.write("t", List.of(file),
-                folder.resolve("p.html"), Optional.empty())).getMessage();
+        return assertThrows(
+                        ConfigFault.class,
+                        () ->
+                                Report.write(
+                                        "t",
+                                        List.of(file),
+                                        folder.resolve("p.html"),
+                                        Optional.empty()))
+                .getMessage();
     }
 }
--- a/src/test/java/cairnbridge/proxy/AttemptTest.java
+++ b/src/test/java/cairnbridge/proxy/AttemptTest.java
@@ -29,20 +29,23 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * What was allowed when it was decided is asked again where the bytes leave, whatever the owner thread
- * does.
+ * What was allowed when it was decided is asked again where the bytes leave, whatever the owner
+ * thread does.
  */
 class AttemptTest {
     private static final long LATEST = 50 * Clock.MILLI;
     private long now = 1;
-    private final Clock clock = new Clock() {
-        @Override
-        long now() {
-            return now;
-        }
-    };
+    private final Clock clock =
+            new Clock() {
+                @Override
+                long now() {
+                    return now;
+                }
+            };
+
     /** Nobody empties it: the owner is busy for as long as the test lasts. */
     private final Inbox inbox = new Inbox(99);
+
     private final Figures figures = new Figures(List.of("view"));
     private Exchange client;
     private PushCall attempt;
@@ -50,7 +53,9 @@
 
     @BeforeEach
     void decide() {
-        client = new Exchange(new Listen(clock, List.of("view"), figures), inbox, done -> { }, () -> { });
+        client =
+                new Exchange(
+                        new Listen(clock, List.of("view"), figures), inbox, done -> {}, () -> {});
         client.method = "PUT";
         client.target = "/view/1";
         client.value = new byte[100];
@@ -76,17 +81,24 @@
     void whatIsNoLongerAllowedDoesNotBeginAndProvablyNeverRan(Refusal what) {
         assertNull(attempt.permission.refusal(now));
         happens(what);
-        assertThrows(IOException.class,
+        assertThrows(
+                IOException.class,
                 () -> attempt.produceRequest((request, entity, context) -> sent = true, null));
         assertFalse(sent);
         assertEquals(Ending.NEVER_SENT, ending());
-        assertTrue(figures.text().contains("refused." + what.name().toLowerCase() + ":1|c"), figures.text());
+        assertTrue(
+                figures.text().contains("refused." + what.name().toLowerCase() + ":1|c"),
+                figures.text());
     }
 
-    /** Guards against a long body whose last byte leaves after the idempotency window, or for nobody. */
+    /**
+     * Guards against a long body whose last byte leaves after the idempotency window, or for
+     * nobody.
+     */
     @ParameterizedTest
     @EnumSource(Refusal.class)
-    void theLastByteOfABodyIsHeldBackTooButForANodeThatDrainsMeanwhile(Refusal what) throws IOException {
+    void theLastByteOfABodyIsHeldBackTooButForANodeThatDrainsMeanwhile(Refusal what)
+            throws IOException {
         Trickle out = new Trickle();
         attempt.body(new RemainingBytes(client.value));
         attempt.produce(out);
@@ -104,35 +116,43 @@
         }
     }
 
-    /** Guards against a node that goes on with an answer whose client was gone as it began to pass. */
+    /**
+     * Guards against a node that goes on with an answer whose client was gone as it began to pass.
+     */
     @Test
     void aClientWhoseConnectionBreaksUnderTheHeadOfAnAnswerHasGone() throws Exception {
         BasicHttpRequest request = new BasicHttpRequest("GET", "/view/1");
         request.addHeader(Exchange.ID, "9b1f");
         request.addHeader(Exchange.TTL, "900m");
         AtomicBoolean ended = new AtomicBoolean();
-        client.handleRequest(request, null, new ResponseChannel() {
-            @Override
-            public void sendInformation(HttpResponse response, HttpContext context) {
-                // None is sent.
-            }
-
-            @Override
-            public void sendResponse(HttpResponse response, EntityDetails entity, HttpContext context)
-                    throws IOException {
-                throw new IOException("Broken pipe");
-            }
-
-            @Override
-            public void pushPromise(HttpRequest promise, AsyncPushProducer producer, HttpContext context) {
-                // None is made.
-            }
-
-            @Override
-            public void terminateExchange() {
-                ended.set(true);
-            }
-        }, null);
+        client.handleRequest(
+                request,
+                null,
+                new ResponseChannel() {
+                    @Override
+                    public void sendInformation(HttpResponse response, HttpContext context) {
+                        // None is sent.
+                    }
+
+                    @Override
+                    public void sendResponse(
+                            HttpResponse response, EntityDetails entity, HttpContext context)
+                            throws IOException {
+                        throw new IOException("Broken pipe");
+                    }
+
+                    @Override
+                    public void pushPromise(
+                            HttpRequest promise, AsyncPushProducer producer, HttpContext context) {
+                        // None is made.
+                    }
+
+                    @Override
+                    public void terminateExchange() {
+                        ended.set(true);
+                    }
+                },
+                null);
         assertFalse(client.hasGone());
         client.stream(client.newPipe(-1));
         assertTrue(client.hasGone() && ended.get());
--- a/src/test/java/cairnbridge/proxy/CrossingsTest.java
+++ b/src/test/java/cairnbridge/proxy/CrossingsTest.java
@@ -62,30 +62,47 @@
         }
     }
 
-    /** Starts with a cache that does not answer its dial, an op on its way there, and a list to come. */
+    /**
+     * Starts with a cache that does not answer its dial, an op on its way there, and a list to
+     * come.
+     */
     private Late waiting(Socket[] client, CountDownLatch change, String state) throws Exception {
         dialSeconds = 5;
         Late late = new Late();
         cache = new StandIn(request -> HIT);
         origin = new StandIn(request -> "200 OK||fetched");
-        String told = list(2, false, target("late", late.address(), "cache", state),
-                target("c", cache.address(), "cache", "Ready")) + "\n";
-        discovery = new StandIn(request -> "") {
-            @Override
-            Void serve(Socket socket) throws IOException, InterruptedException {
-                seen.add(message(socket));
-                OutputStream out = socket.getOutputStream();
-                out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
-                while (!change.await(100, TimeUnit.MILLISECONDS)) {
-                    out.write("1\r\n\n\r\n".getBytes());
-                }
-                out.write((Integer.toHexString(told.length()) + "\r\n" + told + "\r\n").getBytes());
-                message(socket); // Until the other side ends it.
-                return null;
-            }
-        };
-        proxy = serve(list(1, true, target("late", late.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready")));
+        String told =
+                list(
+                                2,
+                                false,
+                                target("late", late.address(), "cache", state),
+                                target("c", cache.address(), "cache", "Ready"))
+                        + "\n";
+        discovery =
+                new StandIn(request -> "") {
+                    @Override
+                    Void serve(Socket socket) throws IOException, InterruptedException {
+                        seen.add(message(socket));
+                        OutputStream out = socket.getOutputStream();
+                        out.write(
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+                        while (!change.await(100, TimeUnit.MILLISECONDS)) {
+                            out.write("1\r\n\n\r\n".getBytes());
+                        }
+                        out.write(
+                                (Integer.toHexString(told.length()) + "\r\n" + told + "\r\n")
+                                        .getBytes());
+                        message(socket); // Until the other side ends it.
+                        return null;
+                    }
+                };
+        proxy =
+                serve(
+                        list(
+                                1,
+                                true,
+                                target("late", late.address(), "cache", "Ready"),
+                                target("o", origin.address(), "origin", "Ready")));
         int held = proxy.held();
         client[0] = client();
         send(client[0], "GET /view/1", ttl(4000), ""); // Less than the dial may take.
@@ -93,7 +110,10 @@
         return late;
     }
 
-    /** Guards against a send after the word that nothing new may go there, as the connection comes up. */
+    /**
+     * Guards against a send after the word that nothing new may go there, as the connection comes
+     * up.
+     */
     @ParameterizedTest
     @ValueSource(strings = {"Terminating", "Gone"})
     void anAttemptThatWaitsForItsConnectionIsWithdrawnWhenTheListClosesItsNode(String state)
@@ -128,18 +148,36 @@
         }
     }
 
-    /** By the page who closes has gone; a half-close looks the same from here, and counts as that. */
+    /**
+     * By the page who closes has gone; a half-close looks the same from here, and counts as that.
+     */
     @ParameterizedTest
-    @CsvSource({"close, 0", "half, 0", "reset, 0", "close, 1", "half, 1", "reset, 1", "close, 30000",
-        "half, 30000", "reset, 30000", "close, 600000", "half, 600000", "reset, 600000"})
+    @CsvSource({
+        "close, 0",
+        "half, 0",
+        "reset, 0",
+        "close, 1",
+        "half, 1",
+        "reset, 1",
+        "close, 30000",
+        "half, 30000",
+        "reset, 30000",
+        "close, 600000",
+        "half, 600000",
+        "reset, 600000"
+    })
     void aClientsEndIsSeenThoughBytesLieBeforeIt(String end, int junk) throws Exception {
         cacheDoes = request -> SILENT;
         start();
         Socket leaving = client();
         send(leaving, "GET /view/1", ttl(60_000), "");
         until(() -> cache.seen.size() == 1);
-        leaving.getOutputStream().write("GET /view/2 HTTP/1.1\r\n".repeat(junk / 22 + 1).substring(0, junk)
-                .getBytes(StandardCharsets.ISO_8859_1));
+        leaving.getOutputStream()
+                .write(
+                        "GET /view/2 HTTP/1.1\r\n"
+                                .repeat(junk / 22 + 1)
+                                .substring(0, junk)
+                                .getBytes(StandardCharsets.ISO_8859_1));
         leave(leaving, end);
         until(() -> cache.ended.get() == 1);
     }
@@ -159,22 +197,27 @@
     @Test
     void theLastAnswerComesWholeAndWithoutAResetThoughItsClientHasSaidMore() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        cacheDoes = request -> {
-            answer.await();
-            return HIT;
-        };
+        cacheDoes =
+                request -> {
+                    answer.await();
+                    return HIT;
+                };
         start();
         Socket rude = client();
         send(rude, "GET /view/1", ttl(9000), "");
         until(() -> cache.seen.size() == 1);
-        daemon(() -> {
-            byte[] more = "GET /view/2 HTTP/1.1\r\n".repeat(1000).getBytes(StandardCharsets.ISO_8859_1);
-            for (int i = 0; i < 40; i++) {
-                rude.getOutputStream().write(more);
-                answer.countDown();
-            }
-            return null;
-        });
+        daemon(
+                () -> {
+                    byte[] more =
+                            "GET /view/2 HTTP/1.1\r\n"
+                                    .repeat(1000)
+                                    .getBytes(StandardCharsets.ISO_8859_1);
+                    for (int i = 0; i < 40; i++) {
+                        rude.getOutputStream().write(more);
+                        answer.countDown();
+                    }
+                    return null;
+                });
         assertEquals("kept", body(message(rude)));
         assertEquals(400, code(message(rude)));
         assertEquals(-1, rude.getInputStream().read(), "ended, not reset");
@@ -182,21 +225,24 @@
     }
 
     /**
-     * Guards against an op with more patience than the platform has: it is answered before the process
-     * ends.
+     * Guards against an op with more patience than the platform has: it is answered before the
+     * process ends.
      */
     @Test
-    void whatWasTakenBeforeAPlannedEndIsAnsweredWithinItHoweverLongItsClientWouldWait() throws Exception {
+    void whatWasTakenBeforeAPlannedEndIsAnsweredWithinItHoweverLongItsClientWouldWait()
+            throws Exception {
         cacheDoes = request -> SILENT;
         start();
         Socket patient = client();
         send(patient, "GET /view/1", ttl(60_000), "");
         until(() -> cache.seen.size() == 1);
         long told = System.nanoTime();
-        Thread drain = daemon(() -> {
-            proxy.drain();
-            return null;
-        });
+        Thread drain =
+                daemon(
+                        () -> {
+                            proxy.drain();
+                            return null;
+                        });
         String answer = message(patient);
         long millis = (System.nanoTime() - told) / 1_000_000;
         assertNotNull(answer);
@@ -206,8 +252,8 @@
     }
 
     /**
-     * Whatever else it is told meanwhile, and if its start is not over: it answers, and ends by itself in
-     * time.
+     * Whatever else it is told meanwhile, and if its start is not over: it answers, and ends by
+     * itself in time.
      */
     @ParameterizedTest
     @ValueSource(strings = {"", "TERM", "HUP", "HUP TERM HUP"})
@@ -229,7 +275,8 @@
         long millis = (System.nanoTime() - told) / 1_000_000;
         assertTrue(millis <= 1000 + Bounds.KILL_SPARE_MILLIS, "answered after " + millis);
         assertEquals(-1, client.getInputStream().read(), "ended, not reset");
-        process.waitFor(); // By itself; nothing is owed any more, so that a SIGKILL would find nothing.
+        process.waitFor(); // By itself; nothing is owed any more, so that a SIGKILL would find
+        // nothing.
     }
 
     @Test
@@ -243,30 +290,45 @@
 
     /** Guards against an answer that seems whole because nothing says how long it is. */
     @ParameterizedTest
-    @ValueSource(strings = {"Connection: close;;part", "Transfer-Encoding: chunked;;4;part;",
-        "Transfer-Encoding: chunked;;4;part;0;", "Content-Length: 9;;part"})
+    @ValueSource(
+            strings = {
+                "Connection: close;;part",
+                "Transfer-Encoding: chunked;;4;part;",
+                "Transfer-Encoding: chunked;;4;part;0;",
+                "Content-Length: 9;;part"
+            })
     void anAnswerThatIsResetOnItsWayIsNoAnswer(String head) throws Exception {
         start();
-        StandIn cut = new StandIn(request -> HIT) {
-            @Override
-            Void serve(Socket socket) throws IOException {
-                String request = message(socket);
-                seen.add(request);
-                socket.getOutputStream().write(("HTTP/1.1 200 OK;" + head).replace(";", "\r\n").getBytes());
-                socket.setSoLinger(true, 0);
-                socket.close();
-                return null;
-            }
-        };
-        proxy = serve(list(1, true, target("cut", cut.address(), "cache", "Ready"),
-                target("o", cut.address(), "origin", "Ready")));
+        StandIn cut =
+                new StandIn(request -> HIT) {
+                    @Override
+                    Void serve(Socket socket) throws IOException {
+                        String request = message(socket);
+                        seen.add(request);
+                        socket.getOutputStream()
+                                .write(("HTTP/1.1 200 OK;" + head).replace(";", "\r\n").getBytes());
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                        return null;
+                    }
+                };
+        proxy =
+                serve(
+                        list(
+                                1,
+                                true,
+                                target("cut", cut.address(), "cache", "Ready"),
+                                target("o", cut.address(), "origin", "Ready")));
         assertEquals(502, code(ask("PUT /loan/1", ttl(900), "v")), "it may have run: no nack");
         assertEquals(1, cut.seen.size());
         String read1 = ask("GET /view/1", ttl(900), "");
         assertTrue(code(read1) != 200, read1);
     }
 
-    /** Guards against a connection reset by a close over what crosses it: the client sees a plain end. */
+    /**
+     * Guards against a connection reset by a close over what crosses it: the client sees a plain
+     * end.
+     */
     @Test
     void aRequestThatCrossesAPlannedCloseIsNotSentOnAndItsConnectionEndsPlainly() throws Exception {
         start();
--- a/src/test/java/cairnbridge/proxy/DiscoveryTest.java
+++ b/src/test/java/cairnbridge/proxy/DiscoveryTest.java
@@ -23,7 +23,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** A change is in hand within the time in which it counts as told, whatever became of the calls before. */
+/**
+ * A change is in hand within the time in which it counts as told, whatever became of the calls
+ * before.
+ */
 class DiscoveryTest extends Stories {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -44,8 +47,8 @@
                 String request = message(socket);
                 if (request != null) {
                     seen.add(request);
-                    turns[Math.min(calls.getAndIncrement(), turns.length - 1)].take(socket,
-                            socket.getOutputStream());
+                    turns[Math.min(calls.getAndIncrement(), turns.length - 1)].take(
+                            socket, socket.getOutputStream());
                 }
                 return null;
             }
@@ -81,29 +84,51 @@
         out.write((HEAD + chunk(text)).getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** What discovery has counts as told from a process's first moment: nothing goes by an older list. */
+    /**
+     * What discovery has counts as told from a process's first moment: nothing goes by an older
+     * list.
+     */
     @Test
     void aStartingProxySendsNothingByItsOldListWhileDiscoverysIsOnItsWay() throws Exception {
         StandIn gone = new StandIn(request -> HIT);
         AtomicInteger tries = new AtomicInteger();
-        startWith(discovery((socket, out) -> {
-            until(() -> tries.get() >= 30); // Clients come all the while.
-            tell(out, list(2, false, target("c", cache.address(), "cache", "Ready"),
-                    target("gone", gone.address(), "cache", "Terminating")) + "\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            until(() -> tries.get() >= 30); // Clients come all the while.
+                            tell(
+                                    out,
+                                    list(
+                                                    2,
+                                                    false,
+                                                    target("c", cache.address(), "cache", "Ready"),
+                                                    target(
+                                                            "gone",
+                                                            gone.address(),
+                                                            "cache",
+                                                            "Terminating"))
+                                            + "\n");
+                            hang(socket, out);
+                        }));
         proxy.stop();
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        Thread clients = daemon(() -> {
-            for (int code = 0; code != 200; tries.incrementAndGet()) {
-                code = oneRead(port);
-            }
-            return null;
-        });
-        proxy = serve(list(1, true, target("gone", gone.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready")));
+        Thread clients =
+                daemon(
+                        () -> {
+                            for (int code = 0; code != 200; tries.incrementAndGet()) {
+                                code = oneRead(port);
+                            }
+                            return null;
+                        });
+        proxy =
+                serve(
+                        list(
+                                1,
+                                true,
+                                target("gone", gone.address(), "cache", "Ready"),
+                                target("o", origin.address(), "origin", "Ready")));
         clients.join();
         assertEquals(List.of(), gone.seen);
         assertEquals(1, cache.seen.size());
@@ -116,16 +141,30 @@
         Turn failing = DiscoveryTest::reset;
         Turn down = (socket, out) -> out.write("HTTP/1.1 503 Down\r\n\r\n".getBytes());
         Turn cut = (socket, out) -> tell(out, "{\"rev\":1,\"all\":fal");
-        startWith(discovery(failing, down, failing, cut, failing, failing, failing, (socket, out) -> {
-                    back.set(System.nanoTime()); // From here on discovery would answer; this call hangs on.
-                    hang(socket, out);
-                }, failing, (socket, out) -> {
-                    tell(out, change(2) + "\n");
-                    hang(socket, out);
-                }));
+        startWith(
+                discovery(
+                        failing,
+                        down,
+                        failing,
+                        cut,
+                        failing,
+                        failing,
+                        failing,
+                        (socket, out) -> {
+                            back.set(System.nanoTime()); // From here on discovery would answer;
+                            // this call hangs on.
+                            hang(socket, out);
+                        },
+                        failing,
+                        (socket, out) -> {
+                            tell(out, change(2) + "\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         long millis = (System.nanoTime() - back.get()) / 1_000_000;
-        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2, "in hand after " + millis);
+        assertTrue(
+                millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2,
+                "in hand after " + millis);
     }
 
     /** Guards against a watch that is open and dead, whatever it brought last. */
@@ -133,45 +172,78 @@
     @ValueSource(strings = {"", "\n", "{\"rev\":1,\"all\":false,\"targets\":[]}\n", "{\"rev\":"})
     void whatASilentWatchMissesIsInHandInTime(String last) throws Exception {
         AtomicLong silent = new AtomicLong();
-        startWith(discovery((socket, out) -> {
-            out.write(HEAD.getBytes(StandardCharsets.ISO_8859_1));
-            if (!last.isEmpty()) {
-                out.write(chunk(last).getBytes(StandardCharsets.ISO_8859_1));
-            }
-            silent.set(System.nanoTime());
-            hang(socket, out);
-        }, (socket, out) -> {
-            tell(out, change(2) + "\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            out.write(HEAD.getBytes(StandardCharsets.ISO_8859_1));
+                            if (!last.isEmpty()) {
+                                out.write(chunk(last).getBytes(StandardCharsets.ISO_8859_1));
+                            }
+                            silent.set(System.nanoTime());
+                            hang(socket, out);
+                        },
+                        (socket, out) -> {
+                            tell(out, change(2) + "\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         long millis = (System.nanoTime() - silent.get()) / 1_000_000;
-        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS, "in hand after " + millis);
+        assertTrue(
+                millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS, "in hand after " + millis);
     }
 
-    /** Guards against a change that is missed for good, as what comes behind it says nothing of it. */
+    /**
+     * Guards against a change that is missed for good, as what comes behind it says nothing of it.
+     */
     @Test
     void aLineThatCannotBeUsedHasTheWholeListAskedFor() throws Exception {
-        startWith(discovery((socket, out) -> {
-            tell(out, "{\"rev\":2,\"all\":false,\"targets\":[{\"uid\":\"c\",oops}]}\n");
-            hang(socket, out);
-        }, (socket, out) -> {
-            tell(out, change(3).replace("false", "true").replace("]}", ","
-                    + target("o", origin.address(), "origin", "Ready") + "]}") + "\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            tell(
+                                    out,
+                                    "{\"rev\":2,\"all\":false,\"targets\":[{\"uid\":\"c\",oops}]}\n");
+                            hang(socket, out);
+                        },
+                        (socket, out) -> {
+                            tell(
+                                    out,
+                                    change(3)
+                                                    .replace("false", "true")
+                                                    .replace(
+                                                            "]}",
+                                                            ","
+                                                                    + target(
+                                                                            "o",
+                                                                            origin.address(),
+                                                                            "origin",
+                                                                            "Ready")
+                                                                    + "]}")
+                                            + "\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         assertFalse(discovery.seen.get(1).contains("after="), discovery.seen.get(1));
     }
 
-    /** Lists may come indented; words in quotes may hold braces, and a blank line is a heartbeat. */
+    /**
+     * Lists may come indented; words in quotes may hold braces, and a blank line is a heartbeat.
+     */
     @Test
     void aListThatGoesOverSeveralLinesIsOneList() throws Exception {
-        startWith(discovery((socket, out) -> {
-            tell(out, "\n" + change(2).replace("{", "{\n    ").replace(",", ",\n  ")
-                    .replace("\"az\":\"a\"", "\"az\":\"a}\\\"{\"") + "\n\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            tell(
+                                    out,
+                                    "\n"
+                                            + change(2)
+                                                    .replace("{", "{\n    ")
+                                                    .replace(",", ",\n  ")
+                                                    .replace("\"az\":\"a\"", "\"az\":\"a}\\\"{\"")
+                                            + "\n\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         assertEquals(1, discovery.seen.size());
     }
@@ -179,15 +251,18 @@
     /** Guards against half a line taken for a line, and one that is told only behind it. */
     @Test
     void aWatchThatEndsAmidALineIsAskedForWhatItMissed() throws Exception {
-        startWith(discovery((socket, out) -> {
-            String text = change(7) + "\n";
-            String size = Integer.toHexString(text.length());
-            out.write((HEAD + size + "\r\n" + text.substring(0, 30)).getBytes());
-            reset(socket, out);
-        }, (socket, out) -> {
-            tell(out, change(7) + "\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            String text = change(7) + "\n";
+                            String size = Integer.toHexString(text.length());
+                            out.write((HEAD + size + "\r\n" + text.substring(0, 30)).getBytes());
+                            reset(socket, out);
+                        },
+                        (socket, out) -> {
+                            tell(out, change(7) + "\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         assertTrue(discovery.seen.get(1).contains("after=1 "), discovery.seen.get(1));
     }
@@ -198,78 +273,105 @@
         shape = "\"registry-mode\":\"subscribe\",\"rules\":{\"ask-within-s\":60},";
         AtomicLong back = new AtomicLong();
         Turn failing = DiscoveryTest::reset;
-        startWith(discovery(failing, failing, failing, (socket, out) -> {
-            back.set(System.nanoTime());
-            hang(socket, out);
-        }, (socket, out) -> {
-            tell(out, change(2) + "\n");
-            hang(socket, out);
-        }));
+        startWith(
+                discovery(
+                        failing,
+                        failing,
+                        failing,
+                        (socket, out) -> {
+                            back.set(System.nanoTime());
+                            hang(socket, out);
+                        },
+                        (socket, out) -> {
+                            tell(out, change(2) + "\n");
+                            hang(socket, out);
+                        }));
         untilInUse();
         long millis = (System.nanoTime() - back.get()) / 1_000_000;
-        assertTrue(millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2, "in hand after " + millis);
+        assertTrue(
+                millis <= Bounds.TOLD_MILLIS - Bounds.TOLD_SLACK_MILLIS / 2,
+                "in hand after " + millis);
     }
 
     /**
-     * A real limit on the process: clients that say nothing hold all that it may, and discovery comes back.
+     * A real limit on the process: clients that say nothing hold all that it may, and discovery
+     * comes back.
      */
     @Test
     void idleClientsThatFillTheDescriptorsDoNotKeepTheListAway() throws Exception {
         sockets = 96;
         CountDownLatch up = new CountDownLatch(1);
         AtomicLong told = new AtomicLong();
-        startWith(discovery((socket, out) -> {
-            if (up.getCount() > 0) {
-                reset(socket, out);
-            } else {
-                tell(out, change(2) + "\n");
-                told.compareAndSet(0, System.nanoTime());
-                hang(socket, out);
-            }
-        }));
+        startWith(
+                discovery(
+                        (socket, out) -> {
+                            if (up.getCount() > 0) {
+                                reset(socket, out);
+                            } else {
+                                tell(out, change(2) + "\n");
+                                told.compareAndSet(0, System.nanoTime());
+                                hang(socket, out);
+                            }
+                        }));
         proxy.stop();
-        config(list(1, true, target("c", cache.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready")), discovery.address());
+        config(
+                list(
+                        1,
+                        true,
+                        target("c", cache.address(), "cache", "Ready"),
+                        target("o", origin.address(), "origin", "Ready")),
+                discovery.address());
         String classes = System.getProperty("java.class.path");
         // The program is one file; here each of its libraries is one, and is held open.
         long limit = sockets + classes.split(File.pathSeparator).length;
-        ProcessBuilder builder = new ProcessBuilder("bash", "-c", "ulimit -n " + limit + "; exec \"$@\"", "-",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", classes,
-                "cairnbridge.cli.Main", "serve");
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        "bash",
+                        "-c",
+                        "ulimit -n " + limit + "; exec \"$@\"",
+                        "-",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        classes,
+                        "cairnbridge.cli.Main",
+                        "serve");
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", folder.toString());
         Process process = builder.start();
         opened.add(process::destroyForcibly);
         BufferedReader log = log(process);
         int port = port(log);
-        daemon(() -> {
-            while (log.readLine() != null) {
-                Thread.onSpinWait(); // Its log is taken, so that it never waits for that.
-            }
-            return null;
-        });
-        List<Socket> idle = new ArrayList<>();
-        Thread crowd = daemon(() -> {
-            while (true) {
-                // More than the process may hold, opened anew as it ends them.
-                idle.removeIf(Socket::isClosed);
-                for (int i = idle.size(); i < 150; i++) {
-                    idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
-                }
-                for (Socket each : idle) {
-                    each.setSoTimeout(1);
-                    try {
-                        if (each.getInputStream().read() < 0) {
-                            each.close();
-                        }
-                    } catch (IOException e) {
-                        if (!(e instanceof java.net.SocketTimeoutException)) {
-                            each.close();
-                        }
+        daemon(
+                () -> {
+                    while (log.readLine() != null) {
+                        Thread.onSpinWait(); // Its log is taken, so that it never waits for that.
                     }
-                }
-            }
-        });
+                    return null;
+                });
+        List<Socket> idle = new ArrayList<>();
+        Thread crowd =
+                daemon(
+                        () -> {
+                            while (true) {
+                                // More than the process may hold, opened anew as it ends them.
+                                idle.removeIf(Socket::isClosed);
+                                for (int i = idle.size(); i < 150; i++) {
+                                    idle.add(new Socket(InetAddress.getLoopbackAddress(), port));
+                                }
+                                for (Socket each : idle) {
+                                    each.setSoTimeout(1);
+                                    try {
+                                        if (each.getInputStream().read() < 0) {
+                                            each.close();
+                                        }
+                                    } catch (IOException e) {
+                                        if (!(e instanceof java.net.SocketTimeoutException)) {
+                                            each.close();
+                                        }
+                                    }
+                                }
+                            }
+                        });
         until(() -> idle.size() >= 150);
         int calls = discovery.seen.size();
         until(() -> discovery.seen.size() >= calls + 3);
--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -64,7 +64,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "status please", "maint-on", "maint-on nobody", "maint-off nobody", "STATUS"})
+    @ValueSource(
+            strings = {
+                "",
+                "status please",
+                "maint-on",
+                "maint-on nobody",
+                "maint-off nobody",
+                "STATUS"
+            })
     void whatIsNoCallOrNamesNobodyIsRefused(String line) throws Exception {
         start();
         String answer = call(line);
@@ -73,7 +81,9 @@
         assertTrue(call("status").startsWith("200"));
     }
 
-    /** Guards against a call of which a part is carried out, or that says yes to what is not kept. */
+    /**
+     * Guards against a call of which a part is carried out, or that says yes to what is not kept.
+     */
     @Test
     void whatIsNotOneCallOrCannotBeKeptChangesNothing() throws Exception {
         start();
@@ -84,7 +94,8 @@
         Files.move(away, folder);
         assertEquals(200, code(ask("GET /view/1", ttl(800), "")));
         assertTrue(says("hosts_down:0|g"));
-        IOException taken = assertThrows(IOException.class, () -> new Door(proxy.door(), proxy, null));
+        IOException taken =
+                assertThrows(IOException.class, () -> new Door(proxy.door(), proxy, null));
         assertTrue(taken.getMessage().startsWith("cannot listen on "), taken.getMessage());
     }
 
@@ -114,12 +125,13 @@
     @Test
     void theFiguresCountEachOpAndPushOnceAndNothingOfTheRehearsal() throws Exception {
         CountDownLatch late = new CountDownLatch(1);
-        cacheDoes = request -> {
-            if (request.contains("/slow")) {
-                late.await();
-            }
-            return request.contains("/absent") ? MISS : HIT;
-        };
+        cacheDoes =
+                request -> {
+                    if (request.contains("/slow")) {
+                        late.await();
+                    }
+                    return request.contains("/absent") ? MISS : HIT;
+                };
         originDoes = request -> request.startsWith("PUT") ? "500 Ill||" : "200 OK||fetched";
         start();
         assertTrue(says("backend_calls:0|c") && says("inflight:0|g"));
@@ -135,7 +147,8 @@
         assertEquals(200, code(message(slow)));
         until(() -> says("inflight:0|g"));
         String stats = call("stats");
-        assertEquals("""
+        assertEquals(
+                """
                 lb.calls.view.success:3|c
                 lb.calls.view.busy:0|c
                 lb.calls.view.failure:0|c
@@ -151,22 +164,27 @@
                 lb.attempts_refused.node_closed:0|c
                 lb.attempts_refused.too_late:0|c
                 EOF
-                """, stats);
+                """,
+                stats);
     }
 
     @Test
     void aNodeTakenOutGetsNothingWhateverTheListSaysUntilItIsPutBack() throws Exception {
         CountDownLatch change = new CountDownLatch(1);
         StandIn out = new StandIn(request -> HIT);
-        discoveryDoes = request -> {
-            change.await();
-            return "200 OK||" + list(2, false, target("out", out.address(), "cache", "Ready")) + "\n";
-        };
+        discoveryDoes =
+                request -> {
+                    change.await();
+                    return "200 OK||"
+                            + list(2, false, target("out", out.address(), "cache", "Ready"))
+                            + "\n";
+                };
         start(target("out", out.address(), "cache", "Ready"));
         for (int key = 0; out.seen.isEmpty(); key++) {
             assertEquals(200, code(ask("GET /view/" + key, ttl(800), "")));
         }
-        assertTrue(call("maint-on out").startsWith("200") && call("maint-on out").startsWith("200"));
+        assertTrue(
+                call("maint-on out").startsWith("200") && call("maint-on out").startsWith("200"));
         until(() -> out.ended.get() == out.connections.size());
         until(() -> says("hosts_down:1|g"));
         out.seen.clear();
@@ -182,7 +200,8 @@
     }
 
     /**
-     * Guards against a hold that the younger of two processes refuses as it starts, and that then nobody has.
+     * Guards against a hold that the younger of two processes refuses as it starts, and that then
+     * nobody has.
      */
     @Test
     void aHoldThatComesBeforeAnyListIsTaken() throws Exception {
@@ -190,10 +209,13 @@
         origin = new StandIn(request -> originDoes.apply(request));
         discovery = new StandIn(request -> discoveryDoes.apply(request));
         CountDownLatch change = new CountDownLatch(1);
-        discoveryDoes = request -> {
-            change.await();
-            return "200 OK||" + list(2, true, target("c", cache.address(), "cache", "Ready")) + "\n";
-        };
+        discoveryDoes =
+                request -> {
+                    change.await();
+                    return "200 OK||"
+                            + list(2, true, target("c", cache.address(), "cache", "Ready"))
+                            + "\n";
+                };
         proxy = serve(list(1, true));
         assertTrue(call("maint-on c").startsWith("200"));
         change.countDown();
@@ -208,20 +230,30 @@
         start(target("out", out.address(), "cache", "Ready"));
         assertTrue(call("maint-on out").startsWith("200"));
         proxy.stop();
-        String known = list(1, true, target("out", out.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready"));
+        String known =
+                list(
+                        1,
+                        true,
+                        target("out", out.address(), "cache", "Ready"),
+                        target("o", origin.address(), "origin", "Ready"));
         proxy = serve(known);
         assertEquals(503, code(ask("GET /view/1", ttl(800), "")));
         Serve younger = serve(known);
         assertTrue(call(younger, "maint-off out").startsWith("200"));
         until(() -> code(ask("GET /view/1", ttl(800), "")) == 200);
         try (var files = Files.list(folder)) {
-            assertEquals(List.of(), files.map(Path::getFileName).map(Path::toString)
-                    .filter(name -> name.startsWith("hold-")).toList());
+            assertEquals(
+                    List.of(),
+                    files.map(Path::getFileName)
+                            .map(Path::toString)
+                            .filter(name -> name.startsWith("hold-"))
+                            .toList());
         }
     }
 
-    /** Guards against a new version that has to learn anew, under load, which node answers nothing. */
+    /**
+     * Guards against a new version that has to learn anew, under load, which node answers nothing.
+     */
     @Test
     void aProcessThatServesKeepsWhatItHasLearntForTheNextBesideIt() throws Exception {
         originDoes = request -> "500 Ill||";
@@ -231,7 +263,10 @@
             ask("GET /view/" + i, ttl(800), "");
         }
         Path kept = folder.resolve("learnt");
-        until(() -> Files.exists(kept) && Files.readString(kept).matches(".*\"share\":0\\.[0-3].*"));
+        until(
+                () ->
+                        Files.exists(kept)
+                                && Files.readString(kept).matches(".*\"share\":0\\.[0-3].*"));
     }
 
     /** Guards against a start that fails and then waits, or complains of itself. */
@@ -243,10 +278,15 @@
             more = "\"admin_addr\":\"127.0.0.1:" + (door ? taken.getLocalPort() : 0) + "\",";
             config(list(1, true), "127.0.0.1:9");
             Process process = process();
-            List<String> lines = log(process).lines().filter(line -> !line.contains("roster: ")).toList();
+            List<String> lines =
+                    log(process).lines().filter(line -> !line.contains("roster: ")).toList();
             assertEquals(1, process.waitFor());
-            assertEquals(List.of("cannot listen on /127.0.0.1:" + taken.getLocalPort()
-                    + ": Address already in use"), lines);
+            assertEquals(
+                    List.of(
+                            "cannot listen on /127.0.0.1:"
+                                    + taken.getLocalPort()
+                                    + ": Address already in use"),
+                    lines);
         }
     }
 
@@ -261,8 +301,13 @@
         Files.writeString(mark, "128");
         until(() -> !serves());
         try (var files = Files.list(folder)) {
-            Path own = files.filter(file -> file.getFileName().toString().startsWith("runs-")
-                    && !file.equals(mark)).findFirst().orElseThrow();
+            Path own =
+                    files.filter(
+                                    file ->
+                                            file.getFileName().toString().startsWith("runs-")
+                                                    && !file.equals(mark))
+                            .findFirst()
+                            .orElseThrow();
             until(() -> Integer.parseInt("0" + Files.readString(own)) > 0);
         }
         Files.delete(mark);
@@ -299,20 +344,29 @@
         AtomicInteger served = new AtomicInteger();
         AtomicBoolean over = new AtomicBoolean();
         List<String> turnedBack = new CopyOnWriteArrayList<>();
-        Thread asking = daemon(() -> {
-            for (int i = 0; !over.get(); i++) {
-                try (Socket each = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                    send(each, "GET /view/" + i, ttl(800).replace("9b1f", "x" + i), "");
-                    if (message(each) == null) { // A nack is an answer: the machine may be short of time.
-                        turnedBack.add("request " + i + ": closed unread");
-                    }
-                } catch (IOException e) {
-                    turnedBack.add("request " + i + ": " + e);
-                }
-                served.incrementAndGet();
-            }
-            return null;
-        });
+        Thread asking =
+                daemon(
+                        () -> {
+                            for (int i = 0; !over.get(); i++) {
+                                try (Socket each =
+                                        new Socket(InetAddress.getLoopbackAddress(), port)) {
+                                    send(
+                                            each,
+                                            "GET /view/" + i,
+                                            ttl(800).replace("9b1f", "x" + i),
+                                            "");
+                                    if (message(each)
+                                            == null) { // A nack is an answer: the machine may be
+                                        // short of time.
+                                        turnedBack.add("request " + i + ": closed unread");
+                                    }
+                                } catch (IOException e) {
+                                    turnedBack.add("request " + i + ": " + e);
+                                }
+                                served.incrementAndGet();
+                            }
+                            return null;
+                        });
         assertEquals(port, port(youngLog));
         signal(old, "TERM");
         line(oldLog, "drains");
--- a/src/test/java/cairnbridge/proxy/StartTest.java
+++ b/src/test/java/cairnbridge/proxy/StartTest.java
@@ -8,7 +8,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Processes that are started together, on one machine here, are ready in time whatever discovery does. */
+/**
+ * Processes that are started together, on one machine here, are ready in time whatever discovery
+ * does.
+ */
 class StartTest extends Stories {
     private static final int PROCESSES = 10, IN_TIME = 9;
     private static final long READY_NANOS = 10_000_000_000L;
@@ -17,29 +20,39 @@
     @ValueSource(strings = {"up", "refused", "hung", "returning"})
     void nineInTenAreReadyWithinTenSeconds(String does) throws Exception {
         AtomicInteger calls = new AtomicInteger();
-        discoveryDoes = request -> switch (does) {
-            case "hung" -> SILENT;
-            case "returning" -> calls.incrementAndGet() <= 3 * PROCESSES ? RESET : QUIET;
-            default -> QUIET;
-        };
+        discoveryDoes =
+                request ->
+                        switch (does) {
+                            case "hung" -> SILENT;
+                            case "returning" ->
+                                    calls.incrementAndGet() <= 3 * PROCESSES ? RESET : QUIET;
+                            default -> QUIET;
+                        };
         start();
         if (does.equals("refused")) {
             discovery.close();
         }
-        config(list(1, true, target("c", cache.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready")), discovery.address());
+        config(
+                list(
+                        1,
+                        true,
+                        target("c", cache.address(), "cache", "Ready"),
+                        target("o", origin.address(), "origin", "Ready")),
+                discovery.address());
         long started = System.nanoTime();
         List<Thread> waiting = new ArrayList<>();
         AtomicInteger ready = new AtomicInteger();
         for (int i = 0; i < PROCESSES; i++) {
             Process process = process();
-            waiting.add(daemon(() -> {
-                port(log(process));
-                if (System.nanoTime() - started <= READY_NANOS) {
-                    ready.incrementAndGet();
-                }
-                return null;
-            }));
+            waiting.add(
+                    daemon(
+                            () -> {
+                                port(log(process));
+                                if (System.nanoTime() - started <= READY_NANOS) {
+                                    ready.incrementAndGet();
+                                }
+                                return null;
+                            }));
         }
         for (Thread each : waiting) {
             each.join(Math.max(1, (READY_NANOS - (System.nanoTime() - started)) / 1_000_000));
--- a/src/test/java/cairnbridge/proxy/Stories.java
+++ b/src/test/java/cairnbridge/proxy/Stories.java
@@ -29,19 +29,25 @@
 /** One proxy on real sockets, among stand-ins for caches, origin, discovery and clients. */
 @Timeout(20)
 abstract class Stories {
-    static final String HIT = "200 OK|X-Store: hit|kept", MISS = "404 Not Found|X-Store: miss|",
-            RESET = "reset", CLOSING = "and close: ", SILENT = "silent", QUIET = "quiet",
+    static final String HIT = "200 OK|X-Store: hit|kept",
+            MISS = "404 Not Found|X-Store: miss|",
+            RESET = "reset",
+            CLOSING = "and close: ",
+            SILENT = "silent",
+            QUIET = "quiet",
             EMPTY = "200 OK||{\"rev\":1,\"all\":false,\"targets\":[]}\n";
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
     final List<AutoCloseable> opened = new ArrayList<>();
-    Does cacheDoes = request -> HIT, originDoes = request -> "200 OK||fetched",
+    Does cacheDoes = request -> HIT,
+            originDoes = request -> "200 OK||fetched",
             discoveryDoes = request -> QUIET;
     int sockets = 256, port;
     double idleSeconds = 60, dialSeconds = 0.2;
+
     /** More of the configuration and of its settings, for a deployment of another shape. */
     String more = "", shape = "", copies = "false";
+
     volatile boolean broken;
     Clock clock = new Clock();
     StandIn cache, origin, discovery;
@@ -55,7 +61,9 @@
         }
     }
 
-    /** What a server of the fleet sees and does: requests as texts, answers as status|header|body. */
+    /**
+     * What a server of the fleet sees and does: requests as texts, answers as status|header|body.
+     */
     class StandIn implements AutoCloseable {
         final List<String> seen = new CopyOnWriteArrayList<>();
         final List<Socket> connections = new CopyOnWriteArrayList<>();
@@ -67,19 +75,22 @@
         StandIn(Does does) throws IOException {
             this.does = does;
             opened.add(this);
-            accepting = daemon(() -> {
-                while (true) {
-                    Socket socket = server.accept();
-                    connections.add(socket);
-                    daemon(() -> {
-                        try {
-                            return serve(socket);
-                        } finally {
-                            ended.incrementAndGet();
-                        }
-                    });
-                }
-            });
+            accepting =
+                    daemon(
+                            () -> {
+                                while (true) {
+                                    Socket socket = server.accept();
+                                    connections.add(socket);
+                                    daemon(
+                                            () -> {
+                                                try {
+                                                    return serve(socket);
+                                                } finally {
+                                                    ended.incrementAndGet();
+                                                }
+                                            });
+                                }
+                            });
         }
 
         String address() {
@@ -96,27 +107,43 @@
                     socket.close();
                     return null;
                 } else if (answer.startsWith(CLOSING)) {
-                    socket.getOutputStream().write(answer.substring(CLOSING.length()).replace(";", "\r\n")
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                    socket.getOutputStream()
+                            .write(
+                                    answer.substring(CLOSING.length())
+                                            .replace(";", "\r\n")
+                                            .getBytes(StandardCharsets.ISO_8859_1));
                     socket.close();
                     return null;
                 } else if (answer.equals(QUIET)) {
                     quiet(socket);
                 } else if (answer.startsWith("HTTP/")) {
-                    socket.getOutputStream().write(answer.replace(";", "\r\n")
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                    socket.getOutputStream()
+                            .write(
+                                    answer.replace(";", "\r\n")
+                                            .getBytes(StandardCharsets.ISO_8859_1));
                 } else if (!answer.equals(SILENT)) {
                     String[] part = answer.split("\\|", 3);
                     String header = part[1].isEmpty() ? "" : part[1] + "\r\n";
-                    socket.getOutputStream().write(("HTTP/1.1 " + part[0] + "\r\n" + header
-                            + "Content-Length: " + part[2].length() + "\r\n\r\n" + part[2])
-                            .getBytes(StandardCharsets.ISO_8859_1));
+                    socket.getOutputStream()
+                            .write(
+                                    ("HTTP/1.1 "
+                                                    + part[0]
+                                                    + "\r\n"
+                                                    + header
+                                                    + "Content-Length: "
+                                                    + part[2].length()
+                                                    + "\r\n\r\n"
+                                                    + part[2])
+                                            .getBytes(StandardCharsets.ISO_8859_1));
                 }
             }
             return null;
         }
 
-        /** A watch on which nothing changes: an empty line now and then, until the other side closes. */
+        /**
+         * A watch on which nothing changes: an empty line now and then, until the other side
+         * closes.
+         */
         private void quiet(Socket socket) throws IOException, InterruptedException {
             String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
             socket.getOutputStream().write(head.getBytes());
@@ -129,7 +156,8 @@
         @Override
         public void close() throws IOException, InterruptedException {
             server.close();
-            accepting.join(); // A system call that still accepts keeps the port open after its close.
+            accepting.join(); // A system call that still accepts keeps the port open after its
+            // close.
             for (Socket each : connections) {
                 each.close();
             }
@@ -145,13 +173,15 @@
     }
 
     static Thread daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException | InterruptedException e) {
-                // The story is over, or the other side has closed.
-            }
-        });
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                work.run();
+                            } catch (IOException | InterruptedException e) {
+                                // The story is over, or the other side has closed.
+                            }
+                        });
         thread.setDaemon(true);
         thread.start();
         return thread;
@@ -175,8 +205,16 @@
                 String lower = text.toLowerCase();
                 int at = lower.indexOf("content-length: ");
                 chunked = lower.contains("transfer-encoding: chunked");
-                length = chunked ? Integer.MAX_VALUE : text.length() + (at < 0 ? 0
-                        : Integer.parseInt(lower.substring(at + 16, lower.indexOf("\r\n", at))));
+                length =
+                        chunked
+                                ? Integer.MAX_VALUE
+                                : text.length()
+                                        + (at < 0
+                                                ? 0
+                                                : Integer.parseInt(
+                                                        lower.substring(
+                                                                at + 16,
+                                                                lower.indexOf("\r\n", at))));
             }
             tail = tail << 8 | b;
             if (bytes.size() == length || chunked && (tail << 8 >>> 8) == 0x0D0A300D0A0D0AL) {
@@ -187,19 +225,32 @@
     }
 
     static String target(String uid, String address, String kind, String state) {
-        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address + "\",\"az\":\"a\",\"model\":\"" + kind
-                + "\",\"pod_group\":1,\"state\":\"" + state
+        return "{\"uid\":\""
+                + uid
+                + "\",\"endpoint\":\""
+                + address
+                + "\",\"az\":\"a\",\"model\":\""
+                + kind
+                + "\",\"pod_group\":1,\"state\":\""
+                + state
                 + "\",\"capacity_hint\":1,\"boot_ms\":0,\"news\":[1]}";
     }
 
     static String list(int version, boolean whole, String... targets) {
-        return "{\"rev\":" + version + ",\"all\":" + whole
-                + ",\"targets\":[" + String.join(",", targets) + "]}";
+        return "{\"rev\":"
+                + version
+                + ",\"all\":"
+                + whole
+                + ",\"targets\":["
+                + String.join(",", targets)
+                + "]}";
     }
 
     ProxyConfig config(String known, String discoveryAddress) throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
                 {"name":"p","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964","known":%s,
                  "limits":{"sockets":%d},%s
                  "settings":{%s"azs":["a"],"host-types":["cache","origin"],"granularity-s":0.005,
@@ -210,8 +261,17 @@
                    {"name":"loan","effect":"once","group":"all","ttl-s":1,"benefit":5,"overdue-benefit":0.2}],
                   "limits":{"cancel":true,"most-pushes":4,"second-copies":%s,"retry-after":true,
                    "max-retry-after-s":2,"dial-timeout-s":%s,"keepalive-s":%s}}}
-                """.formatted(port, discoveryAddress, known, sockets, more, shape, copies, dialSeconds,
-                idleSeconds));
+                """
+                        .formatted(
+                                port,
+                                discoveryAddress,
+                                known,
+                                sockets,
+                                more,
+                                shape,
+                                copies,
+                                dialSeconds,
+                                idleSeconds));
         return ProxyConfig.read(Map.of("LB_CONFIG", file.toString(), "TMPDIR", folder.toString()));
     }
 
@@ -219,8 +279,11 @@
         cache = new StandIn(request -> cacheDoes.apply(request));
         origin = new StandIn(request -> originDoes.apply(request));
         discovery = new StandIn(request -> discoveryDoes.apply(request));
-        List<String> targets = new ArrayList<>(List.of(target("c", cache.address(), "cache", "Ready"),
-                target("o", origin.address(), "origin", "Ready")));
+        List<String> targets =
+                new ArrayList<>(
+                        List.of(
+                                target("c", cache.address(), "cache", "Ready"),
+                                target("o", origin.address(), "origin", "Ready")));
         targets.addAll(List.of(more));
         proxy = serve(list(1, true, targets.toArray(String[]::new)));
     }
@@ -235,8 +298,13 @@
     /** The program as the platform starts it, with the configuration written last. */
     Process process() throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                "cairnbridge.cli.Main", "serve");
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        java,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "cairnbridge.cli.Main",
+                        "serve");
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", folder.toString());
         Process process = builder.start();
@@ -271,9 +339,17 @@
     }
 
     static void send(Socket socket, String line, String headers, String body) throws IOException {
-        socket.getOutputStream().write((line + " HTTP/1.1\r\nHost: app.svc\r\n" + headers
-                + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body)
-                .getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream()
+                .write(
+                        (line
+                                        + " HTTP/1.1\r\nHost: app.svc\r\n"
+                                        + headers
+                                        + (body.isEmpty()
+                                                ? ""
+                                                : "Content-Length: " + body.length() + "\r\n")
+                                        + "\r\n"
+                                        + body)
+                                .getBytes(StandardCharsets.ISO_8859_1));
     }
 
     static String ttl(int millis) {
--- a/src/test/java/cairnbridge/proxy/WaitingTest.java
+++ b/src/test/java/cairnbridge/proxy/WaitingTest.java
@@ -16,20 +16,22 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * How the threads wait for one another. Guards against a thread that spins, or counts on time going by while
- * another works: where one thread of a process runs at a time neither ever ends.
+ * How the threads wait for one another. Guards against a thread that spins, or counts on time going
+ * by while another works: where one thread of a process runs at a time neither ever ends.
  */
 @Timeout(20)
 class WaitingTest {
     @Test
     void whoFindsTheInboxFullSleepsUntilItsOwnerTakesAndNothingIsLostOrTurned() throws Exception {
         Inbox inbox = new Inbox(2);
-        Thread poster = Stories.daemon(() -> {
-            for (int i = 0; i < 5; i++) {
-                inbox.post(notice(i));
-            }
-            return null;
-        });
+        Thread poster =
+                Stories.daemon(
+                        () -> {
+                            for (int i = 0; i < 5; i++) {
+                                inbox.post(notice(i));
+                            }
+                            return null;
+                        });
         Stories.until(() -> poster.getState() == Thread.State.WAITING);
         inbox.first(notice(9));
         assertEquals(9, number(inbox.poll()), "what staff wait for goes before a full queue");
@@ -43,11 +45,14 @@
     void anIdleOwnerSleepsAndIsWokenByWhatIsUrgent() throws Exception {
         Inbox inbox = new Inbox(2);
         CompletableFuture<Integer> got = new CompletableFuture<>();
-        Thread owner = Stories.daemon(() -> {
-            Notice notice = inbox.poll(TimeUnit.SECONDS.toNanos(15));
-            got.complete(number(notice instanceof Notice.Woken ? inbox.poll() : notice));
-            return null;
-        });
+        Thread owner =
+                Stories.daemon(
+                        () -> {
+                            Notice notice = inbox.poll(TimeUnit.SECONDS.toNanos(15));
+                            got.complete(
+                                    number(notice instanceof Notice.Woken ? inbox.poll() : notice));
+                            return null;
+                        });
         Stories.until(() -> owner.getState() == Thread.State.TIMED_WAITING);
         inbox.first(notice(7));
         assertEquals(7, got.get(10, TimeUnit.SECONDS));
@@ -58,14 +63,21 @@
         AtomicBoolean mayTake = new AtomicBoolean();
         AtomicInteger asked = new AtomicInteger();
         CountDownLatch taken = new CountDownLatch(3);
-        Accept accept = new Accept(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 16, () -> {
-            asked.incrementAndGet();
-            return mayTake.get();
-        }, channel -> taken.countDown());
-        Thread thread = Stories.daemon(() -> {
-            accept.run();
-            return null;
-        });
+        Accept accept =
+                new Accept(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        16,
+                        () -> {
+                            asked.incrementAndGet();
+                            return mayTake.get();
+                        },
+                        channel -> taken.countDown());
+        Thread thread =
+                Stories.daemon(
+                        () -> {
+                            accept.run();
+                            return null;
+                        });
         Socket[] clients = new Socket[3];
         for (int i = 0; i < clients.length; i++) {
             clients[i] = new Socket(accept.address().getAddress(), accept.address().getPort());
@@ -76,7 +88,8 @@
         Thread.sleep(200);
         long turns = asked.get() - first;
         long most = (System.nanoTime() - from) / 200_000 + 50;
-        assertTrue(turns <= most, "asked " + turns + " times where a sleep of 0.2 ms allows " + most);
+        assertTrue(
+                turns <= most, "asked " + turns + " times where a sleep of 0.2 ms allows " + most);
         assertEquals(3, taken.getCount());
         mayTake.set(true);
         assertTrue(taken.await(10, TimeUnit.SECONDS));
--- a/src/test/java/cairnbridge/recovery/RecoveryTest.java
+++ b/src/test/java/cairnbridge/recovery/RecoveryTest.java
@@ -26,11 +26,19 @@
 class RecoveryTest {
     private static final long SECOND = 10_000, MILLI = 10;
     private static final int READ = 0, LOAN = 1, DEAR = 2, KEYED = 3;
-    private static final List<Category> CATEGORIES = List.of(category(Effect.REDELIVERABLE, 1),
-            category(Effect.AT_MOST_ONCE, 2), category(Effect.REDELIVERABLE, 9),
-            category(Effect.DEDUPLICATED, 1));
-    private static final RecoverySettings SETTINGS = new RecoverySettings(new StoreSettings(Path.of("unused"),
-            "c", 1_000, 1_000_000), 3_600 * SECOND, 10 * SECOND, 8, 120 * SECOND);
+    private static final List<Category> CATEGORIES =
+            List.of(
+                    category(Effect.REDELIVERABLE, 1),
+                    category(Effect.AT_MOST_ONCE, 2),
+                    category(Effect.REDELIVERABLE, 9),
+                    category(Effect.DEDUPLICATED, 1));
+    private static final RecoverySettings SETTINGS =
+            new RecoverySettings(
+                    new StoreSettings(Path.of("unused"), "c", 1_000, 1_000_000),
+                    3_600 * SECOND,
+                    10 * SECOND,
+                    8,
+                    120 * SECOND);
 
     private static Category category(Effect effect, double benefit) {
         return new Category(effect, Group.ALL, SECOND, SECOND / 4, 2, SECOND, benefit, 0, false);
@@ -72,11 +80,29 @@
     private final Recovery recovery = make(4, 7);
 
     private Recovery make(int peers, long version) {
-        Trusted trusted = new Trusted(List.of(), 3, 5, version, version == 0 ? "" : "{}", List.of(), peers,
+        Trusted trusted =
+                new Trusted(
+                        List.of(),
+                        3,
+                        5,
+                        version,
+                        version == 0 ? "" : "{}",
+                        List.of(),
+                        peers,
+                        true,
+                        List.of());
+        return new Recovery(
+                SETTINGS,
+                trusted,
+                CATEGORIES,
+                5,
+                new MachineKind(1),
                 true,
-                List.of());
-        return new Recovery(SETTINGS, trusted, CATEGORIES, 5, new MachineKind(1), true, "p1", "a",
-                RandomGeneratorFactory.of("L64X128MixRandom").create(1), now, host);
+                "p1",
+                "a",
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+                now,
+                host);
     }
 
     private static Sight.Seen returning(String id, long version, int pace) {
@@ -99,8 +125,15 @@
     }
 
     private Verdict arrives(int category, long key) {
-        return recovery.arrives(new Arrival(new OpId(++ops), new CategoryId(category), new KeyId(key),
-                category == LOAN, false, now + SECOND), now);
+        return recovery.arrives(
+                new Arrival(
+                        new OpId(++ops),
+                        new CategoryId(category),
+                        new KeyId(key),
+                        category == LOAN,
+                        false,
+                        now + SECOND),
+                now);
     }
 
     private Verdict.Kind kind(int category, long key) {
@@ -153,7 +186,12 @@
     void oneWithAnOlderListAsksForThatOfTheMajority() {
         Recovery old = make(4, 3);
         old.guessed(3, 0, now);
-        old.viewed(new Sight(List.of(returning("p2", 7, 8), returning("p3", 7, 8), returning("p4", 8, 8))),
+        old.viewed(
+                new Sight(
+                        List.of(
+                                returning("p2", 7, 8),
+                                returning("p3", 7, 8),
+                                returning("p4", 8, 8))),
                 now);
         assertFalse(old.isConfirmed());
         assertTrue(host.did.contains("ask p4"), host.did.toString());
@@ -329,7 +367,9 @@
             waits += verdict.why() == Verdict.Why.JOINED ? 1 : 0;
             recovery.answered(new OpId(ops));
         }
-        assertTrue(mine > 60 && mine < 140 && mine + waits == 300, mine + " mine, " + waits + " waited");
+        assertTrue(
+                mine > 60 && mine < 140 && mine + waits == 300,
+                mine + " mine, " + waits + " waited");
         now += SECOND;
         for (int key = 0; key < 300; key++) {
             assertEquals(Verdict.Kind.TAKEN, kind(DEAR, key));
@@ -343,12 +383,28 @@
         toReads();
         now = began + SECOND / 2;
         CategoryId loan = new CategoryId(LOAN);
-        Verdict hidden = recovery.arrives(new Arrival(new OpId(++ops), loan, new KeyId(1), true, true,
-                began + SECOND / 2), now);
+        Verdict hidden =
+                recovery.arrives(
+                        new Arrival(
+                                new OpId(++ops),
+                                loan,
+                                new KeyId(1),
+                                true,
+                                true,
+                                began + SECOND / 2),
+                        now);
         assertEquals(Verdict.Why.HIDDEN, hidden.why());
         assertEquals(Verdict.Kind.DEAD_LETTERED, hidden.kind());
-        Verdict fresh = recovery.arrives(new Arrival(new OpId(++ops), loan, new KeyId(1), true, true,
-                began + 2 * SECOND), now);
+        Verdict fresh =
+                recovery.arrives(
+                        new Arrival(
+                                new OpId(++ops),
+                                loan,
+                                new KeyId(1),
+                                true,
+                                true,
+                                began + 2 * SECOND),
+                        now);
         assertEquals(Verdict.Kind.TAKEN, fresh.kind());
         assertEquals(1, recovery.hidden());
     }
@@ -358,8 +414,14 @@
     void aDeduplicatedRepeatGoesOnlyWhereTheMarksAreKept() {
         long began = now;
         toReads();
-        Arrival repeat = new Arrival(new OpId(++ops), new CategoryId(KEYED), new KeyId(1), true, true,
-                began + SECOND / 2);
+        Arrival repeat =
+                new Arrival(
+                        new OpId(++ops),
+                        new CategoryId(KEYED),
+                        new KeyId(1),
+                        true,
+                        true,
+                        began + SECOND / 2);
         recovery.guessed(7, began - 100 * SECOND, now);
         assertEquals(Verdict.Kind.TAKEN, recovery.arrives(repeat, now).kind());
         recovery.answered(repeat.op());
@@ -413,8 +475,13 @@
                 case 0 -> {
                     List<Sight.Seen> others = new ArrayList<>();
                     for (int i = chance.nextInt(6); i > 0; i--) {
-                        others.add(chance.nextBoolean() ? whole("p" + (i + 1), chance.nextInt(10))
-                                : returning("p" + (i + 1), chance.nextInt(10), 1 + chance.nextInt(20)));
+                        others.add(
+                                chance.nextBoolean()
+                                        ? whole("p" + (i + 1), chance.nextInt(10))
+                                        : returning(
+                                                "p" + (i + 1),
+                                                chance.nextInt(10),
+                                                1 + chance.nextInt(20)));
                     }
                     one.viewed(new Sight(others), now);
                 }
@@ -425,7 +492,11 @@
                 case 5 -> {
                     if (!under.isEmpty()) {
                         OpId op = under.remove(chance.nextInt(under.size()));
-                        one.pushEnded(op, chance.nextBoolean(), chance.nextBoolean(), chance.nextInt(3_000),
+                        one.pushEnded(
+                                op,
+                                chance.nextBoolean(),
+                                chance.nextBoolean(),
+                                chance.nextInt(3_000),
                                 now);
                         one.answered(op);
                     }
@@ -433,47 +504,81 @@
                 default -> {
                     int category = chance.nextInt(CATEGORIES.size());
                     OpId op = new OpId(++ops);
-                    Verdict verdict = one.arrives(new Arrival(op, new CategoryId(category),
-                            chance.nextInt(9) == 0 ? null : new KeyId(chance.nextInt(20)), category == LOAN,
-                            chance.nextBoolean(), now + chance.nextLong(SECOND)), now);
+                    Verdict verdict =
+                            one.arrives(
+                                    new Arrival(
+                                            op,
+                                            new CategoryId(category),
+                                            chance.nextInt(9) == 0
+                                                    ? null
+                                                    : new KeyId(chance.nextInt(20)),
+                                            category == LOAN,
+                                            chance.nextBoolean(),
+                                            now + chance.nextLong(SECOND)),
+                                    now);
                     boolean once = CATEGORIES.get(category).effect() != Effect.REDELIVERABLE;
                     boolean taken = verdict.kind() == Verdict.Kind.TAKEN;
-                    assertTrue(!taken || !once || one.isConfirmed(), "seed " + seed + ": by a guess");
-                    assertTrue(!taken || one.phase().compareTo(Phase.WRITES) >= 0, "seed " + seed
-                            + ": early");
-                    assertTrue(verdict.kind() != Verdict.Kind.NACKED || verdict.retryAfter() > 0,
+                    assertTrue(
+                            !taken || !once || one.isConfirmed(), "seed " + seed + ": by a guess");
+                    assertTrue(
+                            !taken || one.phase().compareTo(Phase.WRITES) >= 0,
+                            "seed " + seed + ": early");
+                    assertTrue(
+                            verdict.kind() != Verdict.Kind.NACKED || verdict.retryAfter() > 0,
                             "seed " + seed + ": told to come at once");
                     if (taken) {
                         under.add(op);
                     }
                 }
             }
-            assertTrue(one.phase().compareTo(last) >= 0, "seed " + seed + ": back to " + one.phase());
+            assertTrue(
+                    one.phase().compareTo(last) >= 0, "seed " + seed + ": back to " + one.phase());
             last = one.phase();
         }
     }
 
     @Test
     void whatIsTrustedItemByItem() {
-        Kept kept = new Kept("c", 8, "b", 1_000_000, 4, 7, "{}",
-                List.of(new Kept.Peer("p2", "127.0.0.1:1", 2, 0,
-                true), new Kept.Peer("p3", "127.0.0.1:2", 2, 0, false)), 6, null, 0, 0, 0, List.of(),
+        Kept kept =
+                new Kept(
+                        "c",
+                        8,
+                        "b",
+                        1_000_000,
+                        4,
+                        7,
+                        "{}",
+                        List.of(
+                                new Kept.Peer("p2", "127.0.0.1:1", 2, 0, true),
+                                new Kept.Peer("p3", "127.0.0.1:2", 2, 0, false)),
+                        6,
+                        null,
+                        0,
+                        0,
+                        0,
+                        List.of(),
                         List.of(5L));
         Trusted good = Trust.judge(kept, "c", "b", 1_010_000, 60_000);
         assertEquals(List.of(5L), good.held());
-        assertEquals(List.of(8L, 6L, 7L, 1L), List.of(good.life(), good.epochFloor(), good.rosterVersion(),
-                (long) good.peers()));
+        assertEquals(
+                List.of(8L, 6L, 7L, 1L),
+                List.of(good.life(), good.epochFloor(), good.rosterVersion(), (long) good.peers()));
         assertTrue(good.trust());
         for (long clock : new long[] {1_061_000, 900_000}) { // Too old, and of the future.
             Trusted part = Trust.judge(kept, "c", "b", clock, 60_000);
             assertEquals(List.of(5L), part.held());
-            assertEquals(List.of(8L, 6L, 0L, 0L),
-                    List.of(part.life(), part.epochFloor(), part.rosterVersion(),
-                    (long) part.peers()));
+            assertEquals(
+                    List.of(8L, 6L, 0L, 0L),
+                    List.of(
+                            part.life(),
+                            part.epochFloor(),
+                            part.rosterVersion(),
+                            (long) part.peers()));
             assertFalse(part.trust());
         }
         Trusted other = Trust.judge(kept, "d", "b", 1_010_000, 60_000);
-        assertEquals(List.of(0L, 0L, 0L),
+        assertEquals(
+                List.of(0L, 0L, 0L),
                 List.of(other.life(), other.epochFloor(), (long) other.held().size()));
     }
 }
--- a/src/test/java/cairnbridge/store/LedgerTest.java
+++ b/src/test/java/cairnbridge/store/LedgerTest.java
@@ -14,15 +14,27 @@
 
 /** A store's files: what is read back after faults and losses of power. */
 class LedgerTest {
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     private Ledger.Opened open() throws IOException {
         return new Ledger(new FolderDisk(folder), "c").open();
     }
 
     private static Kept list(long version) {
-        return new Kept("c", 0, "boot", 5, 0, version, "list " + version, List.of(), 0, null, 0, 0, 0,
+        return new Kept(
+                "c",
+                0,
+                "boot",
+                5,
+                0,
+                version,
+                "list " + version,
+                List.of(),
+                0,
+                null,
+                0,
+                0,
+                0,
                 List.of(),
                 List.of());
     }
@@ -51,8 +63,10 @@
         ledger.snapshot(list(2));
         Path newest;
         try (var files = Files.list(folder)) {
-            newest = files.filter(file -> file.getFileName().toString().startsWith("snapshot-")).max(
-                    (a, b) -> Integer.compare(number(a), number(b))).orElseThrow();
+            newest =
+                    files.filter(file -> file.getFileName().toString().startsWith("snapshot-"))
+                            .max((a, b) -> Integer.compare(number(a), number(b)))
+                            .orElseThrow();
         }
         byte[] whole = Files.readAllBytes(newest);
         assertEquals(2, open().kept().rosterVersion());
@@ -60,7 +74,9 @@
             Files.write(newest, Arrays.copyOf(whole, length));
             Kept kept = open().kept();
             assertEquals(1, kept.rosterVersion(), "torn at " + length);
-            assertEquals(List.of(7L, 9L, 1L), List.of(kept.life(), kept.epoch(), (long) kept.held().size()));
+            assertEquals(
+                    List.of(7L, 9L, 1L),
+                    List.of(kept.life(), kept.epoch(), (long) kept.held().size()));
         }
     }
 
@@ -92,7 +108,9 @@
         Ledger.Opened mine = open();
         assertEquals(0, mine.kept().rosterVersion());
         assertEquals(List.of(), mine.kept().held());
-        assertTrue(mine.faults().toString().contains("is of cluster 'other'"), mine.faults().toString());
+        assertTrue(
+                mine.faults().toString().contains("is of cluster 'other'"),
+                mine.faults().toString());
     }
 
     /** Guards against files that grow for as long as a proxy runs. */
--- a/src/test/java/cairnbridge/store/StoreTest.java
+++ b/src/test/java/cairnbridge/store/StoreTest.java
@@ -19,8 +19,7 @@
 /** The thread that keeps a proxy's state, beside disks that fail. */
 @Timeout(60)
 class StoreTest {
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
     private final ConcurrentLinkedQueue<String> log = new ConcurrentLinkedQueue<>();
 
     private Store store(Disk disk) {
@@ -101,7 +100,8 @@
     }
 
     private static Kept state(long version) {
-        return new Kept("c", 0, "boot", 5, 0, version, "list", List.of(), 0, null, 0, 0, 0, List.of(),
+        return new Kept(
+                "c", 0, "boot", 5, 0, version, "list", List.of(), 0, null, 0, 0, 0, List.of(),
                 List.of());
     }
 
@@ -114,7 +114,9 @@
         assertTrue(store.keep(Entry.Kind.HELD, 3).get(5, TimeUnit.SECONDS));
         store.stop();
         Kept kept = store(new FolderDisk(folder)).start(5_000).orElseThrow();
-        assertEquals(List.of(11L, 4L, 3L), List.of(kept.life(), kept.rosterVersion(), kept.held().get(0)));
+        assertEquals(
+                List.of(11L, 4L, 3L),
+                List.of(kept.life(), kept.rosterVersion(), kept.held().get(0)));
     }
 
     @Test
@@ -130,9 +132,14 @@
         disk.full = false;
         assertTrue(store.keep(Entry.Kind.HELD, 9).get(5, TimeUnit.SECONDS));
         store.stop();
-        assertEquals(1, log.stream().filter(line -> line.contains("nothing is kept")).count(),
+        assertEquals(
+                1,
+                log.stream().filter(line -> line.contains("nothing is kept")).count(),
+                log.toString());
+        assertEquals(
+                1,
+                log.stream().filter(line -> line.contains("keeps again")).count(),
                 log.toString());
-        assertEquals(1, log.stream().filter(line -> line.contains("keeps again")).count(), log.toString());
         assertEquals(List.of(9L), store(new FolderDisk(folder)).start(5_000).orElseThrow().held());
     }
 
@@ -153,7 +160,8 @@
         Thread.sleep(1_100);
         store.look();
         store.look();
-        assertEquals(1, log.stream().filter(line -> line.contains("has not answered for 1 s")).count());
+        assertEquals(
+                1, log.stream().filter(line -> line.contains("has not answered for 1 s")).count());
         CountDownLatch late = new CountDownLatch(1);
         store.whenOpened(kept -> late.countDown());
         disk.gate.countDown();
--- a/src/test/java/cairnbridge/zones/ZonesTest.java
+++ b/src/test/java/cairnbridge/zones/ZonesTest.java
@@ -8,8 +8,8 @@
 import cairnbridge.fleet.member.Endpoint;
 import cairnbridge.fleet.member.Incarnation;
 import cairnbridge.fleet.member.MemberId;
-import cairnbridge.fleet.member.Standing;
 import cairnbridge.fleet.member.Recovering;
+import cairnbridge.fleet.member.Standing;
 import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.View;
 import cairnbridge.fleet.view.ViewFigures;
@@ -39,15 +39,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Six members in three zones with a plan in common: who proposes, who votes, and who is left behind. */
+/**
+ * Six members in three zones with a plan in common: who proposes, who votes, and who is left
+ * behind.
+ */
 class ZonesTest {
     private static final long SECOND = 10_000;
     private static final Zone A = new Zone("a");
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
     private final Map<String, Member> members = new TreeMap<>();
+
     /** What all remember of plans from before a loss of power. */
     private long floor;
+
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Set<String>> cut = new HashMap<>();
     private final Map<String, List<Long>> unreachable = new HashMap<>();
@@ -63,13 +67,24 @@
 
         Member(String name) throws IOException {
             this.name = name;
-            ZonesConfig config = new ZonesConfig(true, List.of(new MemberId("p1"), new MemberId("p2"),
-                    new MemberId("p3")), folder.resolve(name), 100, Map.of("a", "r", "b", "r", "c", "s"),
-                    PlanSettings.USUAL, 0.2);
-            zones = new Zones(new MemberId(name), config,
-                    new ZoneHealth.Rates(100, 0.25, 3 * SECOND, config.regions()),
-                    RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode()), floor,
-                    new RegisterFile(new FolderDisk(folder), name).read(), this);
+            ZonesConfig config =
+                    new ZonesConfig(
+                            true,
+                            List.of(new MemberId("p1"), new MemberId("p2"), new MemberId("p3")),
+                            folder.resolve(name),
+                            100,
+                            Map.of("a", "r", "b", "r", "c", "s"),
+                            PlanSettings.USUAL,
+                            0.2);
+            zones =
+                    new Zones(
+                            new MemberId(name),
+                            config,
+                            new ZoneHealth.Rates(100, 0.25, 3 * SECOND, config.regions()),
+                            RandomGeneratorFactory.of("L64X128MixRandom").create(name.hashCode()),
+                            floor,
+                            new RegisterFile(new FolderDisk(folder), name).read(),
+                            this);
         }
 
         @Override
@@ -86,14 +101,15 @@
         /** While its disk stands still, registers wait. */
         @Override
         public void keep(Register register, Consumer<String> then) {
-            Runnable writes = () -> {
-                try {
-                    new RegisterFile(new FolderDisk(folder), name).write(register);
-                    then.accept("");
-                } catch (IOException e) {
-                    then.accept(e.toString());
-                }
-            };
+            Runnable writes =
+                    () -> {
+                        try {
+                            new RegisterFile(new FolderDisk(folder), name).write(register);
+                            then.accept("");
+                        } catch (IOException e) {
+                            then.accept(e.toString());
+                        }
+                    };
             if (diskStands) {
                 disk.add(writes);
             } else {
@@ -138,20 +154,45 @@
     private View view(String holder) {
         List<Claim> claims = new ArrayList<>();
         for (Member member : members.values()) {
-            boolean dead = gone.contains(member.name) || member.frozen || isCut(holder, member.name);
-            String zone = List.of("a", "b", "c").get((Integer.parseInt(member.name.substring(1)) - 1) % 3);
-            Told told = Told.of(zone, "r", 2, Told.State.SERVING, "", "", member.zones.plan().epoch(),
-                    new Recovering(0, 0, floor),
-                            new Told.Figures(0, 0, 100, 1, true,
+            boolean dead =
+                    gone.contains(member.name) || member.frozen || isCut(holder, member.name);
+            String zone =
+                    List.of("a", "b", "c")
+                            .get((Integer.parseInt(member.name.substring(1)) - 1) % 3);
+            Told told =
+                    Told.of(
+                            zone,
+                            "r",
+                            2,
+                            Told.State.SERVING,
+                            "",
+                            "",
+                            member.zones.plan().epoch(),
+                            new Recovering(0, 0, floor),
+                            new Told.Figures(
+                                    0,
+                                    0,
+                                    100,
+                                    1,
+                                    true,
                                     unreachable.getOrDefault(member.name, List.of()),
-                            List.of(Names.hash(zone), 50L, 0L), List.of()));
-            claims.add(new Claim(new MemberId(member.name), new Endpoint("10.0.0.1", 1),
-                    new Incarnation(1, 0),
-                    dead ? Standing.DEAD : Standing.ALIVE, null, 1, told));
+                                    List.of(Names.hash(zone), 50L, 0L),
+                                    List.of()));
+            claims.add(
+                    new Claim(
+                            new MemberId(member.name),
+                            new Endpoint("10.0.0.1", 1),
+                            new Incarnation(1, 0),
+                            dead ? Standing.DEAD : Standing.ALIVE,
+                            null,
+                            1,
+                            told));
         }
-        return new View(new MemberId(holder), claims, 0,
-                new ViewFigures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-                0, 0));
+        return new View(
+                new MemberId(holder),
+                claims,
+                0,
+                new ViewFigures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0));
     }
 
     private void after(int seconds) {
@@ -167,8 +208,13 @@
 
     private void loses(String... names) {
         for (String name : names) {
-            unreachable.put(name, List.of(Names.hash("a0"), Names.hash("a1"), Names.hash("a2"),
-                    Names.hash("a3")));
+            unreachable.put(
+                    name,
+                    List.of(
+                            Names.hash("a0"),
+                            Names.hash("a1"),
+                            Names.hash("a2"),
+                            Names.hash("a3")));
         }
     }
 
@@ -254,15 +300,16 @@
         members.keySet().forEach(name -> assertEquals(0, plan(name).row(b).to(b), name));
         assertTrue(members.get("p1").zones.staff("restore b").startsWith("400 drained for "));
         after(16);
-        assertEquals("200 taken, zones shows when it is in force",
+        assertEquals(
+                "200 taken, zones shows when it is in force",
                 members.get("p1").zones.staff("restore b"));
         after(30);
         members.keySet().forEach(name -> assertEquals(Row.ALL, plan(name).row(b).to(b), name));
     }
 
     /**
-     * Guards against a voter that answers by a promise which a loss of power may take back, and against one
-     * that waits for its disk: with the others' it is a majority all the same.
+     * Guards against a voter that answers by a promise which a loss of power may take back, and
+     * against one that waits for its disk: with the others' it is a majority all the same.
      */
     @Test
     void aVoterWhoseDiskStandsStillAnswersNothingUntilItIsKeptAndOthersGoOn() throws IOException {
@@ -272,11 +319,15 @@
         List<byte[]> answers = new ArrayList<>();
         Vote.Prepare high = new Vote.Prepare(new Ballot(50, "p9"));
         slow.zones.asked(Zones.VOTE, VoteCodec.write(high), answers::add);
-        slow.zones.asked(Zones.VOTE, VoteCodec.write(new Vote.Prepare(new Ballot(60, "p9"))), answers::add);
+        slow.zones.asked(
+                Zones.VOTE, VoteCodec.write(new Vote.Prepare(new Ballot(60, "p9"))), answers::add);
         assertEquals(0, answers.size(), "nothing is kept yet");
         loses("p1", "p4");
         after(6);
-        assertEquals(0, plan("p5").row(new Zone("a")).to(new Zone("a")), "two of three voters are enough");
+        assertEquals(
+                0,
+                plan("p5").row(new Zone("a")).to(new Zone("a")),
+                "two of three voters are enough");
         slow.diskStands = false;
         List.copyOf(slow.disk).forEach(Runnable::run);
         assertTrue(answers.size() >= 2, "what waited is answered in its turn");
@@ -296,7 +347,8 @@
         unreachable.clear();
         members.keySet().removeIf(name -> name.compareTo("p3") > 0);
         after(3);
-        assertTrue(plan("p2").epoch() >= epoch, "nobody but the voters' files knew it: "
-                + plan("p2").epoch());
+        assertTrue(
+                plan("p2").epoch() >= epoch,
+                "nobody but the voters' files knew it: " + plan("p2").epoch());
     }
 }
--- a/src/test/java/cairnbridge/zones/agree/AgreementTest.java
+++ b/src/test/java/cairnbridge/zones/agree/AgreementTest.java
@@ -30,20 +30,23 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Every order in which messages of some proposers and three voters can arrive, get lost or come late, up to a
- * depth: of each epoch one plan at most is ever agreed on, and a later agreement is built on the earlier one.
+ * Every order in which messages of some proposers and three voters can arrive, get lost or come
+ * late, up to a depth: of each epoch one plan at most is ever agreed on, and a later agreement is
+ * built on the earlier one.
  */
 class AgreementTest {
     private static final int VOTERS = 3;
 
-    private record Mail(int proposer, int voter, Vote vote) {
-    }
+    private record Mail(int proposer, int voter, Vote vote) {}
 
     /** Whoever accepted which ballot, ever; agreed are the plans that a majority has accepted. */
-    private record World(List<Register> voters, List<Attempt> proposers, List<Integer> restarts,
+    private record World(
+            List<Register> voters,
+            List<Attempt> proposers,
+            List<Integer> restarts,
             Set<Mail> mail,
-                         Map<Ballot, Set<Integer>> accepted, Map<Ballot, Plan> plans) {
-    }
+            Map<Ballot, Set<Integer>> accepted,
+            Map<Ballot, Plan> plans) {}
 
     private static Plan after(Plan plan, String maker) {
         return new Plan(plan.epoch() + 1, Map.of(), Map.of(), maker + "/" + plan.maker());
@@ -82,7 +85,8 @@
             mail.add(new Mail(one.proposer, one.voter, outcome.answer()));
             Map<Ballot, Set<Integer>> accepted = new HashMap<>(world.accepted);
             Map<Ballot, Plan> plans = new HashMap<>(world.plans);
-            if (outcome.answer() instanceof Vote.Accepted && one.vote instanceof Vote.Accept accept) {
+            if (outcome.answer() instanceof Vote.Accepted
+                    && one.vote instanceof Vote.Accept accept) {
                 Set<Integer> who = new HashSet<>(accepted.getOrDefault(accept.ballot(), Set.of()));
                 who.add(one.voter);
                 accepted.put(accept.ballot(), who);
@@ -116,21 +120,36 @@
     private static void check(World world) {
         Map<Long, Plan> byEpoch = new HashMap<>();
         Map<Ballot, Plan> agreed = new HashMap<>();
-        world.accepted.forEach((ballot, who) -> {
-            if (2 * who.size() > VOTERS) {
-                Plan plan = world.plans.get(ballot);
-                agreed.put(ballot, plan);
-                Plan other = byEpoch.put(plan.epoch(), plan);
-                if (other != null && !other.equals(plan)) {
-                    fail("two plans are agreed on for epoch " + plan.epoch() + ": " + plan + " and " + other);
-                }
-            }
-        });
-        agreed.forEach((ballot, plan) -> agreed.forEach((later, next) -> {
-            if (later.compareTo(ballot) > 0 && !next.maker().endsWith(plan.maker())) {
-                fail(next + " was agreed on after " + plan + " and is not built on it");
-            }
-        }));
+        world.accepted.forEach(
+                (ballot, who) -> {
+                    if (2 * who.size() > VOTERS) {
+                        Plan plan = world.plans.get(ballot);
+                        agreed.put(ballot, plan);
+                        Plan other = byEpoch.put(plan.epoch(), plan);
+                        if (other != null && !other.equals(plan)) {
+                            fail(
+                                    "two plans are agreed on for epoch "
+                                            + plan.epoch()
+                                            + ": "
+                                            + plan
+                                            + " and "
+                                            + other);
+                        }
+                    }
+                });
+        agreed.forEach(
+                (ballot, plan) ->
+                        agreed.forEach(
+                                (later, next) -> {
+                                    if (later.compareTo(ballot) > 0
+                                            && !next.maker().endsWith(plan.maker())) {
+                                        fail(
+                                                next
+                                                        + " was agreed on after "
+                                                        + plan
+                                                        + " and is not built on it");
+                                    }
+                                }));
     }
 
     /** How many different worlds were looked at. */
@@ -163,12 +182,16 @@
 
     @ParameterizedTest
     @CsvSource({"1, 14, 1, 40000", "2, 12, 0, 80000", "2, 9, 1, 40000", "3, 7, 1, 40000"})
-    void inEveryOrderOfMessagesOnePlanAnEpochIsAgreedOn(int proposers, int depth, int restarts, int most) {
+    void inEveryOrderOfMessagesOnePlanAnEpochIsAgreedOn(
+            int proposers, int depth, int restarts, int most) {
         int worlds = explore(proposers, depth, restarts, most);
         assertTrue(worlds > 1_000, worlds + " worlds");
     }
 
-    /** Beyond the depth that can be looked at whole: courses by chance, with loss, late mail and restarts. */
+    /**
+     * Beyond the depth that can be looked at whole: courses by chance, with loss, late mail and
+     * restarts.
+     */
     @Test
     void inLongCoursesByChanceOnePlanAnEpochIsAgreedOn() {
         int agreed = 0;
@@ -183,8 +206,14 @@
                 if (what == 0) {
                     Set<Mail> less = new HashSet<>(world.mail);
                     less.remove(one);
-                    world = new World(world.voters, world.proposers, world.restarts, less, world.accepted,
-                            world.plans);
+                    world =
+                            new World(
+                                    world.voters,
+                                    world.proposers,
+                                    world.restarts,
+                                    less,
+                                    world.accepted,
+                                    world.plans);
                 } else if (what == 1) {
                     world = restarts(world, chance.nextInt(3));
                 } else {
@@ -192,7 +221,11 @@
                 }
                 check(world);
             }
-            agreed += (int) world.accepted.values().stream().filter(who -> 2 * who.size() > VOTERS).count();
+            agreed +=
+                    (int)
+                            world.accepted.values().stream()
+                                    .filter(who -> 2 * who.size() > VOTERS)
+                                    .count();
         }
         assertTrue(agreed > 4_000, agreed + " plans were agreed on");
     }
@@ -206,27 +239,41 @@
         world = deliver(world, 0, Vote.Accept.class, 0, 1);
         List<Register> forgetful = new ArrayList<>(world.voters);
         forgetful.set(1, Register.EMPTY);
-        World lost = new World(forgetful, world.proposers, world.restarts, world.mail, world.accepted,
-                world.plans);
+        World lost =
+                new World(
+                        forgetful,
+                        world.proposers,
+                        world.restarts,
+                        world.mail,
+                        world.accepted,
+                        world.plans);
         lost = deliver(lost, 1, Vote.Prepare.class, 1, 2);
         lost = deliver(lost, 1, Vote.Promise.class, 1, 2);
         World wrong = deliver(lost, 1, Vote.Accept.class, 1, 2);
         assertThrows(AssertionError.class, () -> check(wrong));
     }
 
-    private static World deliver(World world, int proposer, Class<? extends Vote> kind, int... voters) {
+    private static World deliver(
+            World world, int proposer, Class<? extends Vote> kind, int... voters) {
         World after = world;
         for (int voter : voters) {
-            Mail one = after.mail.stream().filter(mail -> mail.proposer == proposer && mail.voter == voter
-                    && kind.isInstance(mail.vote)).findFirst().orElseThrow();
+            Mail one =
+                    after.mail.stream()
+                            .filter(
+                                    mail ->
+                                            mail.proposer == proposer
+                                                    && mail.voter == voter
+                                                    && kind.isInstance(mail.vote))
+                            .findFirst()
+                            .orElseThrow();
             after = arrives(after, one);
         }
         return after;
     }
 
     /**
-     * Guards against a voter that takes part again with an older register than one it has answered by: the
-     * bytes were forced, their name in the folder was not.
+     * Guards against a voter that takes part again with an older register than one it has answered
+     * by: the bytes were forced, their name in the folder was not.
      */
     @Test
     void aLossOfPowerNeverBringsBackARegisterThatWasAnsweredBy() throws IOException {
@@ -246,19 +293,25 @@
                 if (chance.nextInt(3) == 0) {
                     disk.losePower();
                     long read = file.read().promised().round();
-                    assertTrue(read >= answered, "seed " + seed + ": " + read + " after " + answered);
+                    assertTrue(
+                            read >= answered, "seed " + seed + ": " + read + " after " + answered);
                 }
             }
         }
     }
 
     @Test
-    void aRegisterIsReadAsItWasWrittenAndASpoiltOneIsRefused(@TempDir Path folder) throws IOException {
+    void aRegisterIsReadAsItWasWrittenAndASpoiltOneIsRefused(@TempDir Path folder)
+            throws IOException {
         Path path = folder.resolve("register");
         RegisterFile file = new RegisterFile(new FolderDisk(folder), "register");
         assertEquals(Register.EMPTY, file.read());
-        Plan plan = new Plan(7, Map.of(new Zone("a"), new Row(Map.of(new Zone("b"), 400), 600, Why.GONE)),
-                Map.of(new Zone("c"), 5L), "p1");
+        Plan plan =
+                new Plan(
+                        7,
+                        Map.of(new Zone("a"), new Row(Map.of(new Zone("b"), 400), 600, Why.GONE)),
+                        Map.of(new Zone("c"), 5L),
+                        "p1");
         Register register = new Register(new Ballot(9, "p2"), new Ballot(8, "p1"), plan);
         file.write(register);
         assertEquals(register, file.read());
@@ -271,13 +324,17 @@
             Files.write(path, java.util.Arrays.copyOf(good, at));
             assertThrows(IOException.class, file::read, at + " bytes");
         }
-        for (Vote vote : List.of(new Vote.Prepare(register.promised()),
-                new Vote.Accepted(register.promised()),
-                new Vote.Promise(register.promised(), register.accepted(), plan),
-                new Vote.Accept(register.promised(), plan),
+        for (Vote vote :
+                List.of(
+                        new Vote.Prepare(register.promised()),
+                        new Vote.Accepted(register.promised()),
+                        new Vote.Promise(register.promised(), register.accepted(), plan),
+                        new Vote.Accept(register.promised(), plan),
                         new Vote.Refused(Ballot.NONE, register.promised()))) {
             assertEquals(vote, VoteCodec.readVote(VoteCodec.write(vote)));
-            assertThrows(IllegalArgumentException.class, () -> VoteCodec.readRegister(VoteCodec.write(vote)));
+            assertThrows(
+                    IllegalArgumentException.class,
+                    () -> VoteCodec.readRegister(VoteCodec.write(vote)));
         }
     }
 }
--- a/src/test/java/cairnbridge/zones/plan/PlannerTest.java
+++ b/src/test/java/cairnbridge/zones/plan/PlannerTest.java
@@ -15,10 +15,16 @@
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 
-/** How traffic is moved between zones: a story for each rule, and what must hold for any course of inputs. */
+/**
+ * How traffic is moved between zones: a story for each rule, and what must hold for any course of
+ * inputs.
+ */
 class PlannerTest {
     private static final long SECOND = 10_000;
-    private static final Zone A = new Zone("a"), B = new Zone("b"), C = new Zone("c"), D = new Zone("d");
+    private static final Zone A = new Zone("a"),
+            B = new Zone("b"),
+            C = new Zone("c"),
+            D = new Zone("d");
     private Planner planner = new Planner(PlanSettings.USUAL, 0);
     private final Map<Zone, ZoneInput> zones = new HashMap<>();
     private final Map<Zone, Long> drained = new HashMap<>();
@@ -30,14 +36,18 @@
         return zone(zone, region, room, demand, Condition.WELL);
     }
 
-    private PlannerTest zone(Zone zone, String region, double room, double demand, Condition condition) {
+    private PlannerTest zone(
+            Zone zone, String region, double room, double demand, Condition condition) {
         zones.put(zone, new ZoneInput(zone, region, room, demand, condition));
         return this;
     }
 
     /** a, b and c in one region, d in another; each at half of its room. */
     private PlannerTest calm() {
-        return zone(A, "r", 400, 200).zone(B, "r", 400, 200).zone(C, "r", 400, 200).zone(D, "s", 400, 200);
+        return zone(A, "r", 400, 200)
+                .zone(B, "r", 400, 200)
+                .zone(C, "r", 400, 200)
+                .zone(D, "s", 400, 200);
     }
 
     private Plan after(int seconds) {
@@ -62,21 +72,36 @@
     @Test
     void aLostZoneIsOutOfUseAtOnceAndItsLoadGoesNearAsFarAsTheOriginBearsIt() {
         PlanSettings usual = PlanSettings.USUAL;
-        planner = new Planner(new PlanSettings(usual.stepAway(), usual.stepBack(), usual.stepEvery(),
-                usual.hold(),
-                usual.fill(), usual.backFill(), usual.trial(), 60), now);
+        planner =
+                new Planner(
+                        new PlanSettings(
+                                usual.stepAway(),
+                                usual.stepBack(),
+                                usual.stepEvery(),
+                                usual.hold(),
+                                usual.fill(),
+                                usual.backFill(),
+                                usual.trial(),
+                                60),
+                        now);
         calm().zone(A, "r", 0, 200, Condition.GONE).after(1);
         assertEquals(0, plan.row(A).to(A));
         assertEquals(700, plan.row(A).shed(), 2, "60 of 200 ops a second: " + plan.row(A));
         after(6);
-        assertEquals(new Row(Map.of(B, 500, C, 500), 0, Why.GONE).to(), plan.row(A).to(), "near, by room");
+        assertEquals(
+                new Row(Map.of(B, 500, C, 500), 0, Why.GONE).to(),
+                plan.row(A).to(),
+                "near, by room");
         assertEquals(Plan.FIRST.row(D), plan.row(D));
         int settled = steps;
         after(30);
         assertEquals(settled, steps, "quiet means no steps");
     }
 
-    /** Guards against ops that are shed step by step while others have room and the origin would bear it. */
+    /**
+     * Guards against ops that are shed step by step while others have room and the origin would
+     * bear it.
+     */
     @Test
     void aLostZoneMovesWholeWhereTheOriginBearsIt() {
         calm().zone(A, "r", 0, 200, Condition.GONE).after(1);
@@ -112,7 +137,8 @@
         for (int i = 0; i < 40; i++) {
             zone(A, "r", 400, 600 + 15 * (i % 5 - 2)).after(1);
         }
-        assertTrue(steps - settled <= 3, steps - settled + " steps for a demand that only breathes");
+        assertTrue(
+                steps - settled <= 3, steps - settled + " steps for a demand that only breathes");
     }
 
     @Test
@@ -124,30 +150,41 @@
         assertEquals(Row.ALL, plan.row(B).to(B));
     }
 
-    /** Guards against all traffic shed where all zones answer late, as they do behind a slow origin. */
+    /**
+     * Guards against all traffic shed where all zones answer late, as they do behind a slow origin.
+     */
     @Test
     void whereAllLookIllNothingMoves() {
-        zone(A, "r", 400, 200, Condition.ILL).zone(B, "r", 400, 200, Condition.ILL).zone(D, "s", 400, 200,
-                Condition.ILL).after(20);
+        zone(A, "r", 400, 200, Condition.ILL)
+                .zone(B, "r", 400, 200, Condition.ILL)
+                .zone(D, "s", 400, 200, Condition.ILL)
+                .after(20);
         assertEquals(Map.of(), plan.rows());
     }
 
     @Test
     void farOnlyWhereNothingNearHasRoom() {
-        calm().zone(B, "r", 220, 200).zone(C, "r", 230, 200).zone(A, "r", 0, 200, Condition.GONE).after(20);
+        calm().zone(B, "r", 220, 200)
+                .zone(C, "r", 230, 200)
+                .zone(A, "r", 0, 200, Condition.GONE)
+                .after(20);
         assertTrue(plan.row(A).to(D) > 700, plan.row(A).toString());
         zone(B, "r", 800, 200).after(20);
         assertEquals(0, plan.row(A).to(D), "nearer, once that has room");
     }
 
-    /** Guards against a storm on the last zone: where nobody has room, ops are turned away at home. */
+    /**
+     * Guards against a storm on the last zone: where nobody has room, ops are turned away at home.
+     */
     @Test
     void withoutRoomAnywhereTheRestIsShedAtHome() {
         zone(A, "r", 0, 200, Condition.GONE).zone(B, "r", 220, 200).after(20);
-        assertTrue(plan.row(A).shed() > 900 && plan.row(A).why() == Why.PANIC, plan.row(A).toString());
+        assertTrue(
+                plan.row(A).shed() > 900 && plan.row(A).why() == Why.PANIC, plan.row(A).toString());
         assertEquals(Row.ALL, plan.row(B).to(B));
         zone(A, "r", 300, 900).zone(B, "r", 220, 200).after(40);
-        assertTrue(plan.row(A).to(A) * 900 / Row.ALL <= 300 && plan.row(A).shed() > 500,
+        assertTrue(
+                plan.row(A).to(A) * 900 / Row.ALL <= 300 && plan.row(A).shed() > 500,
                 plan.row(A).toString());
     }
 
@@ -170,7 +207,9 @@
         for (Zone zone : List.of(A, B)) {
             assertEquals(0, plan.row(zone).to(A) + plan.row(zone).to(B), plan.row(zone).toString());
         }
-        assertTrue(plan.row(A).to(C) + plan.row(B).to(C) > 0 && plan.row(A).to(D) + plan.row(B).to(D) > 0);
+        assertTrue(
+                plan.row(A).to(C) + plan.row(B).to(C) > 0
+                        && plan.row(A).to(D) + plan.row(B).to(D) > 0);
         bears(plan, plan);
     }
 
@@ -183,10 +222,13 @@
                 int held = one.row(from.zone()).to(target.zone());
                 int next = other.row(from.zone()).to(target.zone());
                 int part = Math.max(held, next);
-                only &= from.zone().equals(target.zone()) || next <= held + 2; // What rounding leaves over.
+                only &=
+                        from.zone().equals(target.zone())
+                                || next <= held + 2; // What rounding leaves over.
                 sum += from.demand() * part / Row.ALL;
             }
-            // Nothing that is added may bring a zone over its room; what is there already may take a while to
+            // Nothing that is added may bring a zone over its room; what is there already may take
+            // a while to
             // go.
             if (!only && sum > target.room() * 1.003 + 1) {
                 fail(target + " is sent " + sum + " by " + one + " and " + other);
@@ -209,11 +251,17 @@
                 String region = test.zones.get(zone).region();
                 switch (chance.nextInt(5)) {
                     case 0 -> test.zone(zone, region, 0, chance.nextInt(800), Condition.GONE);
-                    case 1 -> test.zone(zone, region, 100 + chance.nextInt(900), chance.nextInt(800),
-                            Condition.ILL);
+                    case 1 ->
+                            test.zone(
+                                    zone,
+                                    region,
+                                    100 + chance.nextInt(900),
+                                    chance.nextInt(800),
+                                    Condition.ILL);
                     case 2 -> test.drained.put(zone, 1L);
                     case 3 -> test.drained.clear();
-                    default -> test.zone(zone, region, 100 + chance.nextInt(900), chance.nextInt(800));
+                    default ->
+                            test.zone(zone, region, 100 + chance.nextInt(900), chance.nextInt(800));
                 }
                 for (int i = 0; i < 3; i++) {
                     Plan before = test.plan;
@@ -221,11 +269,21 @@
                     try {
                         test.bears(before, test.plan);
                         for (Zone each : all) {
-                            test.plan.row(each).to().keySet().forEach(to -> {
-                                if (test.zones.get(to).condition() == Condition.GONE) {
-                                    fail(each + " is sent to " + to + ", which is gone");
-                                }
-                            });
+                            test.plan
+                                    .row(each)
+                                    .to()
+                                    .keySet()
+                                    .forEach(
+                                            to -> {
+                                                if (test.zones.get(to).condition()
+                                                        == Condition.GONE) {
+                                                    fail(
+                                                            each
+                                                                    + " is sent to "
+                                                                    + to
+                                                                    + ", which is gone");
+                                                }
+                                            });
                         }
                     } catch (AssertionError e) {
                         fail("seed " + seed + " turn " + turn + ": " + e.getMessage());
@@ -263,7 +321,12 @@
     @Test
     void planningForFiveHundredZonesIsQuickAndThePlanSmall() {
         for (int i = 0; i < 500; i++) {
-            zone(new Zone("z" + i), "r" + i / 10, 400, 200, i % 3 == 0 ? Condition.GONE : Condition.WELL);
+            zone(
+                    new Zone("z" + i),
+                    "r" + i / 10,
+                    400,
+                    200,
+                    i % 3 == 0 ? Condition.GONE : Condition.WELL);
         }
         after(12);
         long micros = Long.MAX_VALUE;
@@ -274,7 +337,6 @@
         }
         int bytes = PlanCodec.write(plan).length;
         assertTrue(bytes < 16_000, bytes + " bytes");
-        assertTrue(micros < 100_000, micros
-                + " us, which is ten times what it took");
+        assertTrue(micros < 100_000, micros + " us, which is ten times what it took");
     }
 }
--- a/src/test/java/cairnbridge/zones/plan/ZoneHealthTest.java
+++ b/src/test/java/cairnbridge/zones/plan/ZoneHealthTest.java
@@ -20,10 +20,12 @@
 class ZoneHealthTest {
     private static final long SECOND = 10_000;
     private static final int MEMBERS = 96;
-    private final ZoneHealth health = new ZoneHealth(new ZoneHealth.Rates(60, 0.25, 3 * SECOND,
-            Map.of("a", "r", "b", "r")));
-    private final List<Server> servers = IntStream.range(0, 128).mapToObj(i -> new Server(i,
-            new Zone(i % 2 == 0 ? "a" : "b"), true, 1, 0)).toList();
+    private final ZoneHealth health =
+            new ZoneHealth(new ZoneHealth.Rates(60, 0.25, 3 * SECOND, Map.of("a", "r", "b", "r")));
+    private final List<Server> servers =
+            IntStream.range(0, 128)
+                    .mapToObj(i -> new Server(i, new Zone(i % 2 == 0 ? "a" : "b"), true, 1, 0))
+                    .toList();
     private final List<Claim> living = new ArrayList<>();
 
     ZoneHealthTest() {
@@ -34,11 +36,31 @@
 
     private static Claim claim(int member, long counter, boolean out) {
         long a = Names.hash("a");
-        Told told = Told.of(member % 2 == 0 ? "a" : "b", "r", 2, Told.State.SERVING, "", "",
-                new Told.Figures(0, 0, 10, 1, true, List.of(), List.of(a, 10L, out ? 10L : 0L),
-                        out ? List.of(a) : List.of()));
-        return new Claim(new MemberId("p" + member), new Endpoint("10.0.0.1", 1000 + member),
-                new Incarnation(1, 0), Standing.ALIVE, null, counter, told);
+        Told told =
+                Told.of(
+                        member % 2 == 0 ? "a" : "b",
+                        "r",
+                        2,
+                        Told.State.SERVING,
+                        "",
+                        "",
+                        new Told.Figures(
+                                0,
+                                0,
+                                10,
+                                1,
+                                true,
+                                List.of(),
+                                List.of(a, 10L, out ? 10L : 0L),
+                                out ? List.of(a) : List.of()));
+        return new Claim(
+                new MemberId("p" + member),
+                new Endpoint("10.0.0.1", 1000 + member),
+                new Incarnation(1, 0),
+                Standing.ALIVE,
+                null,
+                counter,
+                told);
     }
 
     private void tell(int from, int to, boolean out) {
@@ -49,12 +71,15 @@
 
     private Condition a(long now) {
         return health.inputs(living, servers, now, 0).stream()
-                .filter(input -> input.zone().equals(new Zone("a"))).findFirst().orElseThrow().condition();
+                .filter(input -> input.zone().equals(new Zone("a")))
+                .findFirst()
+                .orElseThrow()
+                .condition();
     }
 
     /**
-     * Guards against a large fleet in which a lost zone is found out when half of all have told, each in its
-     * turn: nobody has met all of its caches, and most still say how it was.
+     * Guards against a large fleet in which a lost zone is found out when half of all have told,
+     * each in its turn: nobody has met all of its caches, and most still say how it was.
      */
     @Test
     void aZoneIsLostByThoseWhoToldLatelyHoweverManySayHowItWas() {
