--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	mvn -B -ntp verify
 
 lint:
-	mvn -B -ntp -q -Plint clean test-compile
+	mvn -B -ntp -q -Plint clean test-compile checkstyle:check@style-check spotless:check
 
 # LB_CONFIG names the configuration file.
 run: build
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -59,7 +59,8 @@
         return of(
                 Tree.parse(
                         """
-                        {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "known": {"all": true, "targets": []},
+                        {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+                         "known": {"all": true, "targets": []},
                          "admin_addr": "127.0.0.1:0", "learnt": "",
                          "settings": {"categories": [{"name": "read", "effect": "repeatable"}],
                           "host-types": ["cache", "origin"], "domain": {"mode": "aside", "origin-kind": 1},
--- a/src/main/java/cairnbridge/lab/model/ProxyModel.java
+++ b/src/main/java/cairnbridge/lab/model/ProxyModel.java
@@ -295,24 +295,17 @@
     /** Connections to a node break; those who wait for it hear of that a span later. */
     public void broken(NodeId node) {
         ops.forEach(
-                (id, op) ->
-                        op.calls.stream()
-                                .filter(call -> !call.over && call.node.equals(node))
-                                .forEach(
-                                        call ->
-                                                agenda.in(
-                                                        net.span(zone, zone),
-                                                        () ->
-                                                                when(
-                                                                        () ->
-                                                                                ended(
-                                                                                        id,
-                                                                                        op,
-                                                                                        call,
-                                                                                        new Reply(
-                                                                                                Ending
-                                                                                                        .BROKEN,
-                                                                                                0))))));
+                (id, op) -> {
+                    for (Call call : op.calls) {
+                        if (!call.over && call.node.equals(node)) {
+                            agenda.in(net.span(zone, zone), () -> when(() -> reset(id, op, call)));
+                        }
+                    }
+                });
+    }
+
+    private void reset(OpId id, Live op, Call call) {
+        ended(id, op, call, new Reply(Ending.BROKEN, 0));
     }
 
     @Override
--- a/src/test/java/cairnbridge/adapter/AdapterTest.java
+++ b/src/test/java/cairnbridge/adapter/AdapterTest.java
@@ -13,7 +13,9 @@
 
 class AdapterTest {
     private static final String START =
-            "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,{\"categories\":[{\"effect\":\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},\"new\":[1]}],[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
+            "{\"clock-s\":10.0,\"events\":[[\"START\",3,42,{\"categories\":[{\"effect\":"
+                    + "\"repeatable\",\"ttl-s\":1}],\"limits\":{\"most-pushes\":2},\"new\":[1]}],"
+                    + "[\"POOL\",0,[[0,1,0,1,null,77,0]]],[\"MEMBERSHIP\",3,0,1,0]]}\n";
 
     private static String answer(String input) throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -37,14 +39,16 @@
             value = {
                 "{}",
                 "{\"domain\":{\"mode\":\"aside\"}}",
-                "{\"registry-mode\":\"subscribe\",\"tenants\":[{}],\"rules\":{\"cold-from\":0,\"warm-up-s\":99}}"
+                "{\"registry-mode\":\"subscribe\",\"tenants\":[{}],"
+                        + "\"rules\":{\"cold-from\":0,\"warm-up-s\":99}}"
             })
     void oddSettingsGiveAnAnswerAndNoFault(String params) throws Exception {
         String reply =
                 answer(
                         "{\"clock-s\":1,\"events\":[[\"START\",0,1,"
                                 + params
-                                + "],[\"POOL\",0,[]],[\"MEMBERSHIP\",0,0,1,0],[\"ORDER\",0,5,0,0,null,1.5,null,null,null,true]]}\n");
+                                + "],[\"POOL\",0,[]],[\"MEMBERSHIP\",0,0,1,0],"
+                                + "[\"ORDER\",0,5,0,0,null,1.5,null,null,null,true]]}\n");
         assertTrue(reply.contains("[\"PUSH_BACK\",0,5,"), reply);
         assertEquals(params.contains("subscribe"), reply.contains("[\"TAIL\",0,true]"), reply);
     }
