--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -38,7 +38,8 @@
             ZonesCommand.class,
             RecoveryCommand.class,
             FuzzCommand.class,
-            LabCommand.class
+            LabCommand.class,
+            ScaleCommand.class
         })
 public final class Main implements Callable<Integer> {
     @Spec private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -0,0 +1,21 @@
+package cairnbridge.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** Groups the commands that measure how costs grow with the size of a fleet. */
+@Command(
+        name = "scale",
+        description = "Measures what the program costs at several sizes, as JSON lines.",
+        subcommands = {})
+final class ScaleCommand implements Callable<Integer> {
+    @Spec private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a subcommand is needed");
+    }
+}
