A new configuration counts where SIGHUP is ignored since the start

Cause: ignored signals are inherited, from nohup for one, and the virtual machine leaves a SIGHUP that was ignored at its start alone (probe: Signal.handle answers SIG_IGN and the handler never runs). Main installed its handler and did not look at the answer; the proxies kept watching the old address.

Change: where the answer is SIG_IGN the configuration file is followed, four looks a second, a sixteenth of the 4 s in which it counts as told. Otherwise nothing changes.

Two tests that start a process by a shell share that now.

--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -19,7 +19,6 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.Spec;
-import sun.misc.Signal;
 
 /** The command line of the service. */
 @Command(
@@ -129,10 +128,10 @@
                                     .orElse(member),
                             keeper);
                 }
-                // Guards against the machine's own answer to a hang-up, which is to end.
-                Signal.handle(
-                        new Signal("HUP"),
-                        signal -> serve.reload(() -> ProxyConfig.read(System.getenv())));
+                // Guards against the machine's own answer to SIGHUP, which is to end.
+                ReloadTrigger.install(
+                        ProxyConfig.file(System.getenv()),
+                        () -> serve.reload(() -> ProxyConfig.read(System.getenv())));
                 Runtime.getRuntime().addShutdownHook(new Thread(serve::drain, "drain"));
                 serve.start();
                 Thread.currentThread().join();
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -38,14 +38,25 @@
     private static final int LEAST_SOCKETS = 64, DEFAULT_SOCKETS = 1024;
     private static final double DIAL_S = 0.25, IDLE_S = 15;
 
+    /** Reads and checks the file that the variables name. */
     public static ProxyConfig read(Map<String, String> variables) {
+        Path file = file(variables);
+        try {
+            return of(Tree.parse(Files.readString(file), FILE), variables);
+        } catch (IOException e) {
+            throw new ConfigFault(FILE, "cannot be read: " + file);
+        }
+    }
+
+    /** The configuration file that the variables name. */
+    public static Path file(Map<String, String> variables) {
         String file = variables.get(FILE);
         if (file == null || file.isEmpty()) {
             throw new ConfigFault(FILE, "is not set; it names the configuration file");
         }
         try {
-            return of(Tree.parse(Files.readString(Path.of(file)), FILE), variables);
-        } catch (IOException | InvalidPathException e) {
+            return Path.of(file);
+        } catch (InvalidPathException e) {
             throw new ConfigFault(FILE, "cannot be read: " + file);
         }
     }
--- a/src/main/java/cairnbridge/decision/Bounds.java
+++ b/src/main/java/cairnbridge/decision/Bounds.java
@@ -39,6 +39,12 @@
 
     public static final long LEAST_WAIT_MILLIS = 50;
 
+    /** After SIGHUP, what discovery has at its new address counts as told so much later. */
+    public static final long RELOAD_TOLD_MILLIS = 4000;
+
+    /** How often the configuration file is looked at where SIGHUP cannot arrive. */
+    public static final long RELOAD_POLL_MILLIS = RELOAD_TOLD_MILLIS / 16;
+
     /** The platform counts TTLs up to this one when it sets the time from SIGTERM to SIGKILL. */
     public static final long LONGEST_TTL_MILLIS = 3000;
 
--- a/src/test/java/cairnbridge/proxy/DiscoveryTest.java
+++ b/src/test/java/cairnbridge/proxy/DiscoveryTest.java
@@ -13,7 +13,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -324,21 +323,7 @@
         String classes = System.getProperty("java.class.path");
         // The program is one file; here each of its libraries is one, and is held open.
         long limit = sockets + classes.split(File.pathSeparator).length;
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                        "bash",
-                        "-c",
-                        "ulimit -n " + limit + "; exec \"$@\"",
-                        "-",
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-cp",
-                        classes,
-                        "cairnbridge.cli.Main",
-                        "serve");
-        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
-        builder.environment().put("TMPDIR", folder.toString());
-        Process process = builder.start();
-        opened.add(process::destroyForcibly);
+        Process process = processAfter("ulimit -n " + limit);
         BufferedReader log = log(process);
         int port = port(log);
         daemon(
--- a/src/test/java/cairnbridge/proxy/Stories.java
+++ b/src/test/java/cairnbridge/proxy/Stories.java
@@ -296,11 +296,20 @@
     }
 
     /** The program as the platform starts it, with the configuration written last. */
+    /** The program as a process of its own, with the configuration in this test's folder. */
     Process process() throws IOException {
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return processAfter("true");
+    }
+
+    /** The same, begun by a shell after this command, whose limits and signals it inherits. */
+    Process processAfter(String shellCommand) throws IOException {
         ProcessBuilder builder =
                 new ProcessBuilder(
-                        java,
+                        "bash",
+                        "-c",
+                        shellCommand + "; exec \"$@\"",
+                        "-",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
                         System.getProperty("java.class.path"),
                         "cairnbridge.cli.Main",
