scale data-path: what a request, a byte, an idle connection and a node cost a real proxy

Cause: nothing tells what a proxy process costs by the size of a body, by idle connections and by the nodes in its list, as slopes that can be carried to other sizes.

Change: a command starts the proxy as a process with the deployment's machine arguments, cache nodes and discovery as stand-ins, asks at an even rate, and reads processor time and resident memory under /proc and the live heap after a full collection through jcmd. Every wait is bounded; a point that needs more descriptors than are allowed is refused with one line, status 2.

Failed on the way: clients in a closed loop, as fast as answers came, met 503 with Connection: close once the proxy shed load, and with a TTL of 5 s the process broke off; the clients now keep a rate, obey Connection: close, and count what was closed without an answer.

--- a/src/test/java/cairnbridge/cli/ScaleCommandsTest.java
+++ b/src/test/java/cairnbridge/cli/ScaleCommandsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cairnbridge.config.ConfigFault;
+import cairnbridge.scale.datapath.DataPathPlan;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -42,6 +43,46 @@
         assertNames(new ScaleRouterCommand(), option, text);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "--requests, 0",
+        "--body, 65537",
+        "--body, '512,,8192'",
+        "--connections, -1",
+        "--nodes, 0",
+        "--rate, 0",
+        "--ttl-ms, soon",
+        "--repeats, 0",
+        "--seed, x",
+        "--jvm-args, no-such-file"
+    })
+    void theDataPathCommandNamesTheOptionThatCannotBeUsed(String option, String text) {
+        assertNames(new ScaleDataPathCommand(), option, text);
+    }
+
+    @Test
+    void aPointThatNeedsMoreDescriptorsThanAreAllowedIsRefusedBeforeItStarts() {
+        DataPathPlan plan =
+                new DataPathPlan(
+                        1,
+                        List.of(1),
+                        List.of(900),
+                        List.of(10),
+                        1,
+                        800,
+                        1,
+                        800,
+                        1,
+                        1,
+                        Path.of("none"));
+        ScaleDataPathCommand.checkDescriptors(plan, plan.descriptors());
+        ConfigFault fault =
+                assertThrows(
+                        ConfigFault.class,
+                        () -> ScaleDataPathCommand.checkDescriptors(plan, plan.descriptors() - 1));
+        assertTrue(fault.getMessage().startsWith("--connections: "), fault.getMessage());
+    }
+
     private static void assertNames(Callable<Integer> command, String option, String text) {
         new CommandLine(command).parseArgs(option, text);
         ConfigFault fault = assertThrows(ConfigFault.class, command::call);
