--- a/src/main/java/cairnbridge/cli/ScaleRouterCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleRouterCommand.java
@@ -2,6 +2,7 @@
 
 import cairnbridge.scale.MeasurementContext;
 import cairnbridge.scale.MeasurementWriter;
+import cairnbridge.scale.router.FleetLoad;
 import cairnbridge.scale.router.RouterLoad;
 import cairnbridge.scale.router.RouterScale;
 import java.io.IOException;
@@ -21,6 +22,7 @@
     private static final int MOST_PROXIES = 1_000_000, MOST_KEYS = 10_000_000;
     private static final double LEAST_RATE = 0.1, MOST_RATE = 1_000_000;
     private static final double LEAST_LATENCY = 0.1, MOST_LATENCY = 500;
+    private static final double MOST_SECONDS = 60;
     private static final double LEAST_SKEW = 1, MOST_SKEW = 10;
 
     @Option(
@@ -78,6 +80,14 @@
             description = "1 for keys alike, 3 for few hot ones: ${DEFAULT-VALUE}.")
     private String skew;
 
+    @Option(
+            names = "--fleet-seconds",
+            defaultValue = "0",
+            description =
+                    "Adds up instead what all proxies send to the nodes in so many simulated"
+                            + " seconds; 0 for none: ${DEFAULT-VALUE}.")
+    private String fleetSeconds;
+
     @Option(
             names = "--seed",
             defaultValue = "1",
@@ -90,7 +100,12 @@
                 SizeOption.list("--nodes", nodes, 1, MOST_NODES).stream().map(this::load).toList();
         int often = SizeOption.one("--plays", plays, 1, MOST_PLAYS);
         MeasurementWriter writer = new MeasurementWriter(System.out, MeasurementContext.here());
-        new RouterScale(writer).measure(loads, often);
+        double seconds = SizeOption.decimal("--fleet-seconds", fleetSeconds, 0, MOST_SECONDS);
+        if (seconds > 0) {
+            new FleetLoad(writer).measure(loads, seconds);
+        } else {
+            new RouterScale(writer).measure(loads, often);
+        }
         return 0;
     }
 
--- a/src/main/java/cairnbridge/scale/router/RouterDrive.java
+++ b/src/main/java/cairnbridge/scale/router/RouterDrive.java
@@ -55,6 +55,9 @@
     private long arrivals;
     private int pushesOfRequest;
     private int arrivingHome;
+    private NodeSamples samples;
+    private int nextSample;
+    private long nextSampleAt = Long.MAX_VALUE;
 
     /**
      * The decider is made with this host.
@@ -91,6 +94,18 @@
         return counts;
     }
 
+    /** What has been counted so far; it goes on to count. */
+    DriveCounts counts() {
+        return counts;
+    }
+
+    /** From now on requests and samples of what is in flight are added to these. */
+    void sampleInto(NodeSamples into) {
+        samples = into;
+        nextSample = 0;
+        nextSampleAt = clock + NodeSamples.INTERVAL;
+    }
+
     /** Time passes, with its timers and answers. */
     void pass(long ticks) {
         passUntil(clock + ticks);
@@ -115,6 +130,10 @@
     }
 
     private void moveClock(long to) {
+        while (nextSampleAt <= to && nextSample < samples.samples()) {
+            samples.add(nextSample++, inFlight);
+            nextSampleAt += NodeSamples.INTERVAL;
+        }
         counts.inFlightTicks += (double) pushes.size() * Math.max(0, to - clock);
         clock = Math.max(clock, to);
     }
@@ -161,6 +180,9 @@
         }
         pushes.add(new Push(clock + latency, op, pushesOfRequest++, node, clock));
         inFlight[node]++;
+        if (samples != null) {
+            samples.sent(node);
+        }
     }
 
     private void placed(int node) {
--- a/src/main/java/cairnbridge/scale/router/RouterLoad.java
+++ b/src/main/java/cairnbridge/scale/router/RouterLoad.java
@@ -46,6 +46,12 @@
     /** The clock at the start of a drive; far from 0, so that no node counts as just started. */
     static final long START = 1_000 * SECOND;
 
+    /** The same load with other chance. */
+    RouterLoad withSeed(long other) {
+        return new RouterLoad(
+                nodes, proxies, zones, requests, perSecond, latencyMillis, keys, skew, other);
+    }
+
     /** The settings of the drill's proxies, for this many proxies and nodes. */
     Settings settings() {
         return settings(proxies);
--- a/src/main/java/cairnbridge/scale/router/RouterScale.java
+++ b/src/main/java/cairnbridge/scale/router/RouterScale.java
@@ -50,7 +50,7 @@
         for (RouterLoad size : sizes) {
             warmUp(size);
             for (int play = 1; play <= plays; play++) {
-                Map<String, Double> figures = figures(withSeed(size, size.seed() + play - 1));
+                Map<String, Double> figures = figures(size.withSeed(size.seed() + play - 1));
                 writer.write("router", settings(size, play), figures);
                 figures.forEach(
                         (name, value) ->
@@ -86,7 +86,7 @@
         }
     }
 
-    private static Map<String, Object> settings(RouterLoad load, int play) {
+    static Map<String, Object> settings(RouterLoad load, int play) {
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("nodes", load.nodes());
         settings.put("play", play);
@@ -101,19 +101,6 @@
         return settings;
     }
 
-    private static RouterLoad withSeed(RouterLoad load, long seed) {
-        return new RouterLoad(
-                load.nodes(),
-                load.proxies(),
-                load.zones(),
-                load.requests(),
-                load.perSecond(),
-                load.latencyMillis(),
-                load.keys(),
-                load.skew(),
-                seed);
-    }
-
     private static void warmUp(RouterLoad load) {
         int[] homes = KeyHomes.of(load);
         drive(load, homes).arrive(WARM_UP_REQUESTS);
@@ -138,7 +125,7 @@
         ThreadCosts driver = ThreadCosts.of(() -> fixed.arrive(load.requests()));
         RouterDrive drive = drive(load, homes);
         ThreadCosts all = ThreadCosts.of(() -> drive.arrive(load.requests()));
-        DriveCounts counts = drive.arrive(0);
+        DriveCounts counts = drive.counts();
         Map<String, Double> figures = new LinkedHashMap<>(countFigures(load, counts));
         figures.put(
                 "cpu_us_per_request",
--- a/src/test/java/cairnbridge/cli/ScaleCommandsTest.java
+++ b/src/test/java/cairnbridge/cli/ScaleCommandsTest.java
@@ -37,6 +37,7 @@
         "--zones, 400",
         "--keys, 0",
         "--skew, 0.5",
+        "--fleet-seconds, -1",
         "--seed, x"
     })
     void theRouterCommandNamesTheOptionThatCannotBeUsed(String option, String text) {
--- a/src/test/java/cairnbridge/scale/router/RouterScaleTest.java
+++ b/src/test/java/cairnbridge/scale/router/RouterScaleTest.java
@@ -7,6 +7,7 @@
 import cairnbridge.decision.Event.State;
 import cairnbridge.scale.router.DriveCounts.HostCall;
 import java.util.Arrays;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -97,6 +98,21 @@
         assertEquals(REQUESTS, play(load).calls(HostCall.PUSH));
     }
 
+    /**
+     * Little's law holds for all proxies together, and the worst node has no less than the mean.
+     */
+    @Test
+    void aFleetsLoadOnTheNodesIsTheSumOverItsProxies() {
+        int proxies = 20;
+        Map<String, Double> figures = FleetLoad.figures(load(FEW, proxies, 0), 1);
+        assertEquals(proxies * (double) (int) PER_SECOND, figures.get("requests"));
+        double expected = proxies * PER_SECOND * LATENCY_MS / 1000 / FEW;
+        assertEquals(expected, figures.get("mean_in_flight_per_node"), 0.1 * expected);
+        double requests = figures.get("worst_requests_over_mean");
+        assertTrue(requests >= 1 && requests < 2, "of requests " + requests);
+        assertTrue(figures.get("worst_in_flight_over_mean") >= 1);
+    }
+
     @Test
     void theSameSeedGivesTheSameCounts() {
         assertArrayEquals(
