--- a/src/main/java/cairnbridge/scale/datapath/MeasuredProxy.java
+++ b/src/main/java/cairnbridge/scale/datapath/MeasuredProxy.java
@@ -164,8 +164,7 @@
 
     /** What lives on its heap, after a full collection. */
     long liveHeapBytes() throws IOException, InterruptedException {
-        diagnose("GC.run");
-        Matcher used = HEAP_USED.matcher(diagnose("GC.heap_info"));
+        Matcher used = HEAP_USED.matcher(diagnose("GC.run\nGC.heap_info"));
         long kilobytes = 0;
         while (used.find()) {
             kilobytes += Long.parseLong(used.group(1));
@@ -173,6 +172,7 @@
         return kilobytes * 1024;
     }
 
+    /** One call for several commands, a line each, as every call starts a machine of its own. */
     private String diagnose(String command) throws IOException, InterruptedException {
         Process call =
                 new ProcessBuilder(tool("jcmd"), Long.toString(process.pid()), command)
