Hollow proxies: measure the control part at several fleet sizes on sockets

Cause: what membership and its uses cost a proxy as a fleet grows was known from the simulated net alone, which has no sockets, no threads and no figures that change.

Change: "scale control" starts fleets of proxies that have the real carrier, view and uses but no clients, pool or caches, over child processes that speak JSON lines. An option that cannot be read is now said in one line by every command, as values out of range were already; a missing command still shows the usage.

--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -58,9 +58,14 @@
         System.exit(
                 args.length == 1 && args[0].equals("serve")
                         ? serve()
-                        : new CommandLine(new Main())
-                                .setExecutionExceptionHandler(Main::faulty)
-                                .execute(args));
+                        : commandLine().execute(args));
+    }
+
+    /** All commands, with faults said in one line. */
+    static CommandLine commandLine() {
+        return new CommandLine(new Main())
+                .setExecutionExceptionHandler(Main::faulty)
+                .setParameterExceptionHandler(Main::misread);
     }
 
     private static int serve() {
@@ -84,6 +89,17 @@
         return 2;
     }
 
+    /** An option that cannot be read is said in one line; a missing command shows all of them. */
+    private static int misread(CommandLine.ParameterException e, String[] args) {
+        CommandLine command = e.getCommandLine();
+        command.getErr().println(e.getMessage());
+        boolean isCommandMissing = e.getClass() == CommandLine.ParameterException.class;
+        if (isCommandMissing && e.getArgSpec() == null) {
+            command.usage(command.getErr());
+        }
+        return 2;
+    }
+
     private static void end() {
         Runtime.getRuntime().halt(BROKEN);
     }
--- /dev/null
+++ b/src/main/java/cairnbridge/scale/control/HollowProxy.java
@@ -0,0 +1,247 @@
+package cairnbridge.scale.control;
+
+import cairnbridge.config.FleetConfig;
+import cairnbridge.fleet.Fleet;
+import cairnbridge.fleet.FleetProxy;
+import cairnbridge.fleet.carrier.CarrierSettings;
+import cairnbridge.fleet.member.Endpoint;
+import cairnbridge.fleet.member.Recovering;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.FleetSettings;
+import cairnbridge.fleet.view.View;
+import cairnbridge.zones.plan.Row;
+import cairnbridge.zones.plan.Server;
+import cairnbridge.zones.plan.Zone;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
+
+/**
+ * The real control part of a proxy, on loopback sockets, with a stub in place of clients, pool and
+ * caches. A killed one may be started again under the same name, at another port.
+ */
+final class HollowProxy implements FleetProxy {
+    private static final String CLUSTER = "scale";
+    private static final byte[] SECRET =
+            "a secret for measurements only".getBytes(StandardCharsets.UTF_8);
+    private static final long BYTES_PER_SECOND = 60_000;
+    private static final long PROBE_NODES_EVERY = 2 * FleetSettings.SECOND;
+    private static final int MOST_LOAD = 1_000;
+    private static final int LOAD_LIMIT = 6_000;
+    private static final long FREEZE_WAIT_SECONDS = 5;
+
+    private final MemberIdentity identity;
+    private final HollowSettings settings;
+    private final AtomicReference<ChangeWatch> watch;
+    private final RandomGenerator chance;
+    private final List<Server> servers;
+    private final AtomicLong probes = new AtomicLong();
+    private volatile Fleet fleet;
+    private volatile Freeze freeze;
+    private volatile long carrierThread;
+
+    /** The carrier's thread waits for an end while it is held. */
+    private record Freeze(CountDownLatch held, CountDownLatch end) {}
+
+    /** watch: the change that all members of a process look for; may hold null. */
+    HollowProxy(
+            MemberIdentity identity, HollowSettings settings, AtomicReference<ChangeWatch> watch) {
+        this.identity = identity;
+        this.settings = settings;
+        this.watch = watch;
+        chance =
+                RandomGeneratorFactory.of("L64X128MixRandom")
+                        .create(settings.seed() * 31 + identity.number());
+        Zone zone = new Zone(identity.zone());
+        servers =
+                IntStream.range(0, settings.nodes())
+                        .mapToObj(node -> new Server(node + 1L, zone, true, 1, 0))
+                        .toList();
+    }
+
+    /** Begins a life; seeds are asked at the join. */
+    void start(long life, List<Endpoint> seeds) throws IOException {
+        freeze = null;
+        fleet =
+                new Fleet(
+                        config(life, seeds),
+                        settings.members(),
+                        "",
+                        "",
+                        chance.nextLong(),
+                        Fleet.Epochs.NONE,
+                        this);
+        fleet.start();
+    }
+
+    private FleetConfig config(long life, List<Endpoint> seeds) {
+        CarrierSettings carrier =
+                new CarrierSettings(
+                        identity.id(),
+                        CLUSTER,
+                        SECRET,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        Optional.empty(),
+                        seeds,
+                        List.of(),
+                        Map.of(),
+                        CarrierSettings.NEWEST_PROTOCOL,
+                        BYTES_PER_SECOND,
+                        life);
+        boolean probesNodes = settings.nodes() > 0;
+        return new FleetConfig(
+                carrier,
+                FleetSettings.USUAL,
+                identity.zone(),
+                identity.region(),
+                true,
+                true,
+                probesNodes,
+                PROBE_NODES_EVERY,
+                true,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    MemberIdentity identity() {
+        return identity;
+    }
+
+    /** Where others reach it. */
+    Endpoint at() {
+        return fleet.at();
+    }
+
+    View view() {
+        return fleet.view();
+    }
+
+    /** The fleet's own gauges, by name. */
+    Map<String, Long> gauges() {
+        return fleet.gauges();
+    }
+
+    /** Turns to probe a cache node so far, over all lives. */
+    long probes() {
+        return probes.get();
+    }
+
+    /** The id of the carrier's thread; 0 before its first turn. */
+    long carrierThread() {
+        return carrierThread;
+    }
+
+    /** Ends without a word. */
+    void kill() {
+        fleet.stop();
+    }
+
+    /** Takes its leave and ends. */
+    void leave() throws InterruptedException {
+        fleet.leave();
+    }
+
+    /** Holds the carrier's thread; returns once it stands still. */
+    void freeze() throws InterruptedException {
+        Freeze begun = new Freeze(new CountDownLatch(1), new CountDownLatch(1));
+        freeze = begun;
+        if (!begun.held().await(FREEZE_WAIT_SECONDS, TimeUnit.SECONDS)) {
+            throw new IllegalStateException(identity.id() + " did not stand still");
+        }
+    }
+
+    /** Lets the carrier's thread go on. */
+    void thaw() {
+        Freeze held = freeze;
+        freeze = null;
+        held.end().countDown();
+    }
+
+    @Override
+    public void seen(View view) {
+        carrierThread = Thread.currentThread().getId();
+        Freeze asked = freeze;
+        if (asked != null) {
+            asked.held().countDown();
+            try {
+                asked.end().await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return;
+        }
+        ChangeWatch current = watch.get();
+        if (current != null) {
+            current.look(view);
+        }
+    }
+
+    @Override
+    public Told.State state() {
+        return Told.State.SERVING;
+    }
+
+    @Override
+    public Told.Figures figures() {
+        long load = settings.changingFigures() ? chance.nextInt(MOST_LOAD) : 0;
+        long rate = settings.changingFigures() ? chance.nextInt(MOST_LOAD) : 0;
+        return new Told.Figures(load, LOAD_LIMIT, rate, 1, false, List.of(), List.of(), List.of());
+    }
+
+    @Override
+    public List<Server> servers() {
+        return servers;
+    }
+
+    @Override
+    public double coldFrom() {
+        return 1;
+    }
+
+    @Override
+    public long warmUp() {
+        return 0;
+    }
+
+    @Override
+    public void placed(Zone home, Row row, Set<Zone> out, double alonePart) {
+        // Plans over zones are off.
+    }
+
+    @Override
+    public void lives(int proxies) {
+        // There is no limit to be shared out.
+    }
+
+    @Override
+    public void doubts(long node) {
+        // There is no pool that would use it.
+    }
+
+    @Override
+    public Recovering recovering() {
+        return Recovering.NOT;
+    }
+
+    @Override
+    public byte[] roster() {
+        return new byte[0];
+    }
+
+    @Override
+    public void probe(long node) {
+        probes.incrementAndGet();
+    }
+}
