Hollow proxies: each part of a play is written as it comes; a dead child is noticed

Change: the figures at rest and each change are written as soon as they are there. The end of a child's output fails the commands to it at once.

--- a/src/main/java/cairnbridge/scale/control/ControlMeasurements.java
+++ b/src/main/java/cairnbridge/scale/control/ControlMeasurements.java
@@ -108,19 +108,31 @@
             throws IOException, InterruptedException {
         ControlSettings settings = request.settings(plan.members(), play);
         Map<String, Object> described = settings.describe(play + 1);
-        try (ControlRun run = new ControlRun(settings, plan.heapLimit())) {
+        try (ControlRun run =
+                new ControlRun(settings, plan.heapLimit(), new LineListener(described))) {
             PlayResult result = run.play();
             Map<String, Number> figures = new LinkedHashMap<>(result.figures());
             figures.putAll(ChangeSummary.of(result.changes()));
             writer.write(ControlFits.PLAY, described, figures);
             fits.add(plan.members(), figures);
-            writeChanges(described, result.changes());
         }
     }
 
-    private void writeChanges(Map<String, Object> described, List<ChangeResult> changes)
-            throws IOException {
-        for (ChangeResult change : changes) {
+    /** Writes a line for each part of a play. */
+    private final class LineListener implements ControlRun.Listener {
+        private final Map<String, Object> described;
+
+        LineListener(Map<String, Object> described) {
+            this.described = described;
+        }
+
+        @Override
+        public void quiet(Map<String, Number> figures) throws IOException {
+            writer.write("control_quiet", described, figures);
+        }
+
+        @Override
+        public void changed(ChangeResult change) throws IOException {
             Map<String, Object> settings = new LinkedHashMap<>(described);
             settings.put("kind", change.kind().word());
             writer.write("control_change", settings, change.figures());
--- a/src/main/java/cairnbridge/scale/control/ControlRun.java
+++ b/src/main/java/cairnbridge/scale/control/ControlRun.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,7 +32,17 @@
     private static final double NANOS = 1e9;
     private static final long SECOND_MILLIS = 1_000;
 
+    /** Is told each result as soon as it is there, so that a run that is cut short leaves some. */
+    interface Listener {
+        /** The fleet was measured at rest. */
+        void quiet(Map<String, Number> figures) throws IOException;
+
+        /** A change was made and waited for. */
+        void changed(ChangeResult change) throws IOException;
+    }
+
     private final ControlSettings settings;
+    private final Listener listener;
     private final List<HollowChild> children = new ArrayList<>();
     private final Map<Integer, Long> lives = new HashMap<>();
     private final Map<String, Number> figures = new LinkedHashMap<>();
@@ -41,8 +52,10 @@
     private int running;
 
     /** Starts the processes, without members yet. */
-    ControlRun(ControlSettings settings, long heapLimit) throws IOException, InterruptedException {
+    ControlRun(ControlSettings settings, long heapLimit, Listener listener)
+            throws IOException, InterruptedException {
         this.settings = settings;
+        this.listener = listener;
         try {
             for (int i = 0; i < settings.processes(); i++) {
                 children.add(new HollowChild(heapLimit));
@@ -64,6 +77,7 @@
         Thread.sleep(settings.settleSeconds() * SECOND_MILLIS);
         measureHeap();
         measureQuiet();
+        listener.quiet(Collections.unmodifiableMap(figures));
         List<ChangeResult> changes = measureChanges();
         return new PlayResult(figures, changes);
     }
@@ -158,7 +172,9 @@
         Usage before = usage(false);
         long datagrams = DatagramCounter.sent();
         for (int i = 0; i < settings.changes(); i++) {
-            results.add(change(chooser.next()));
+            ChangeResult result = change(chooser.next());
+            listener.changed(result);
+            results.add(result);
             Thread.sleep(BETWEEN_CHANGES_MILLIS);
         }
         record("changes", before, datagrams);
--- a/src/main/java/cairnbridge/scale/control/HollowChild.java
+++ b/src/main/java/cairnbridge/scale/control/HollowChild.java
@@ -12,9 +12,16 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** A child process with hollow proxies, as the measuring process speaks to it. */
 final class HollowChild implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(HollowChild.class.getName());
+
+    /** Stands for the end of a process's output; no reply is empty. */
+    private static final String END = "";
+
     private static final long REPLY_SECONDS = 60;
     private static final long END_SECONDS = 5;
     private static final String MAIN_CLASS = "cairnbridge.cli.Main";
@@ -55,7 +62,9 @@
                 replies.add(line);
             }
         } catch (IOException e) {
-            replies.add(""); // No reply: the next one that is waited for is refused.
+            LOG.log(Level.FINE, "replies cannot be read any more", e);
+        } finally {
+            replies.add(END);
         }
     }
 
@@ -72,6 +81,10 @@
         if (line == null) {
             throw new IOException("a process with hollow proxies did not answer in time");
         }
+        if (line.equals(END)) {
+            replies.add(END);
+            throw new IOException("a process with hollow proxies has ended");
+        }
         HollowReply reply = HollowMessages.readReply(line);
         if (reply instanceof HollowReply.Failed failed) {
             throw new IOException("a process with hollow proxies failed: " + failed.reason());
--- a/src/test/java/cairnbridge/scale/control/ControlMeasurementsTest.java
+++ b/src/test/java/cairnbridge/scale/control/ControlMeasurementsTest.java
@@ -10,6 +10,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -32,16 +33,23 @@
                         new PrintStream(notes, true, StandardCharsets.UTF_8))
                 .run();
         List<String> lines = output.toString(StandardCharsets.UTF_8).lines().toList();
-        assertEquals(2, lines.size());
-        JsonNode play = new ObjectMapper().readTree(lines.get(0));
-        assertEquals("control_play", play.path("name").asText());
-        JsonNode figures = play.path("figures");
+        assertEquals(
+                List.of("control_quiet", "control_change", "control_play"),
+                lines.stream().map(line -> read(line).path("name").asText()).toList());
+        assertEquals("kill", read(lines.get(1)).path("settings").path("kind").asText());
+        JsonNode figures = read(lines.get(2)).path("figures");
         assertEquals(4, figures.path("members_agreeing").asInt());
         assertEquals(0, figures.path("changes_not_known_to_all").asInt());
         assertTrue(figures.path("quiet_bytes_sent_per_second_per_member").asDouble() > 0);
         assertTrue(figures.path("heap_bytes_per_member").asDouble() > 0);
-        JsonNode change = new ObjectMapper().readTree(lines.get(1));
-        assertEquals("kill", change.path("settings").path("kind").asText());
         assertTrue(notes.toString(StandardCharsets.UTF_8).startsWith("4 members in 2 processes"));
     }
+
+    private static JsonNode read(String line) {
+        try {
+            return new ObjectMapper().readTree(line);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
