Hollow proxies: rest begins when the joins are no longer passed on

The simulated course waits until no word is left to be passed on; the one on sockets measured from some seconds after the agreement, while each member still passed on its 149 joins.

Change: figures stay steady until no member has a word to pass on, for 60 s at most, and begin to change after that. How long it took and what was left is among the figures. The earlier figures at rest on sockets hold the joins.

--- a/src/main/java/cairnbridge/scale/control/ControlRun.java
+++ b/src/main/java/cairnbridge/scale/control/ControlRun.java
@@ -27,6 +27,7 @@
     private static final long WAVE_MILLIS = 500;
     private static final long POLL_MILLIS = 200;
     private static final long AGREEMENT_SECONDS = 60;
+    private static final long RUMOURS_SECONDS = 60;
     private static final long KNOWN_SECONDS = 45;
     private static final long BETWEEN_CHANGES_MILLIS = 1_000;
     private static final double NANOS = 1e9;
@@ -74,6 +75,10 @@
                 ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
         startMembers();
         awaitAgreement();
+        awaitEndOfRumours();
+        if (settings.hollow().changingFigures()) {
+            askAll(new HollowCommand.ChangeFigures(), Done.class);
+        }
         Thread.sleep(settings.settleSeconds() * SECOND_MILLIS);
         measureHeap();
         measureQuiet();
@@ -136,6 +141,24 @@
                 .sum();
     }
 
+    /** Guards against joins that are still passed on while the fleet is measured at rest. */
+    private void awaitEndOfRumours() throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        int waiting = rumoursWaiting();
+        while (waiting > 0 && secondsSince(from) < RUMOURS_SECONDS) {
+            Thread.sleep(POLL_MILLIS);
+            waiting = rumoursWaiting();
+        }
+        figures.put("seconds_to_end_of_rumours", secondsSince(from));
+        figures.put("rumours_waiting", waiting);
+    }
+
+    private int rumoursWaiting() throws IOException, InterruptedException {
+        return askAll(new HollowCommand.AskAgreement(running), Agreement.class).stream()
+                .mapToInt(Agreement::rumoursWaiting)
+                .sum();
+    }
+
     private void measureHeap() throws IOException, InterruptedException {
         Usage usage = usage(true);
         figures.put(
--- a/src/main/java/cairnbridge/scale/control/HollowCommand.java
+++ b/src/main/java/cairnbridge/scale/control/HollowCommand.java
@@ -9,6 +9,7 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = HollowCommand.Configure.class, name = "configure"),
     @JsonSubTypes.Type(value = HollowCommand.StartMembers.class, name = "start-members"),
+    @JsonSubTypes.Type(value = HollowCommand.ChangeFigures.class, name = "change-figures"),
     @JsonSubTypes.Type(value = HollowCommand.WatchChange.class, name = "watch-change"),
     @JsonSubTypes.Type(value = HollowCommand.MakeChange.class, name = "make-change"),
     @JsonSubTypes.Type(value = HollowCommand.AskKnowledge.class, name = "ask-knowledge"),
@@ -22,6 +23,9 @@
     /** Starts members in their first life; seeds as ADDRESS:PORT. */
     record StartMembers(List<Integer> numbers, List<String> seeds) implements HollowCommand {}
 
+    /** From now on members tell new figures all the time. */
+    record ChangeFigures() implements HollowCommand {}
+
     /** From now on each member's view is looked at for a change that is made next. */
     record WatchChange(int subject, ChangeKind kind, long life) implements HollowCommand {}
 
--- a/src/main/java/cairnbridge/scale/control/HollowMembers.java
+++ b/src/main/java/cairnbridge/scale/control/HollowMembers.java
@@ -31,6 +31,7 @@
     private final Map<String, Long> ended = new HashMap<>();
 
     private long endedProbes;
+    private boolean changingFigures;
 
     HollowMembers(HollowSettings settings) {
         this.settings = settings;
@@ -39,6 +40,9 @@
     /** Starts a member; its place. */
     Endpoint start(int number, long life, List<Endpoint> seeds) throws IOException {
         HollowProxy proxy = new HollowProxy(MemberIdentity.of(number), settings, watch);
+        if (changingFigures) {
+            proxy.changeFigures();
+        }
         proxy.start(life, seeds);
         running.put(number, proxy);
         return proxy.at();
@@ -91,6 +95,17 @@
         running.values().forEach(HollowProxy::kill);
     }
 
+    /** Words on members that all together have still to pass on. */
+    int rumoursWaiting() {
+        return running.values().stream().mapToInt(HollowProxy::rumoursWaiting).sum();
+    }
+
+    /** From now on the members tell new figures all the time. */
+    void changeFigures() {
+        changingFigures = true;
+        running.values().forEach(HollowProxy::changeFigures);
+    }
+
     int running() {
         return running.size();
     }
--- a/src/main/java/cairnbridge/scale/control/HollowProcess.java
+++ b/src/main/java/cairnbridge/scale/control/HollowProcess.java
@@ -55,6 +55,10 @@
         if (command instanceof HollowCommand.StartMembers start) {
             return start(start);
         }
+        if (command instanceof HollowCommand.ChangeFigures) {
+            members.changeFigures();
+            return new HollowReply.Done();
+        }
         if (command instanceof HollowCommand.WatchChange watch) {
             members.watch(
                     new ChangeWatch(
@@ -70,7 +74,8 @@
                             endpoints(change.seeds())));
         }
         if (command instanceof HollowCommand.AskAgreement ask) {
-            return new HollowReply.Agreement(members.agreeing(ask.alive()), members.running());
+            return new HollowReply.Agreement(
+                    members.agreeing(ask.alive()), members.running(), members.rumoursWaiting());
         }
         if (command instanceof HollowCommand.AskUsage ask) {
             return members.usage(ask.collectGarbage());
--- a/src/main/java/cairnbridge/scale/control/HollowProxy.java
+++ b/src/main/java/cairnbridge/scale/control/HollowProxy.java
@@ -50,6 +50,7 @@
     private final AtomicLong probes = new AtomicLong();
     private volatile Fleet fleet;
     private volatile Freeze freeze;
+    private volatile boolean changingFigures;
     private volatile long carrierThread;
 
     /** The carrier's thread waits for an end while it is held. */
@@ -143,6 +144,16 @@
         return carrierThread;
     }
 
+    /** How many words on members it has still to pass on. */
+    int rumoursWaiting() {
+        return fleet.view().figures().rumours();
+    }
+
+    /** From now on load and rate change all the time. */
+    void changeFigures() {
+        changingFigures = true;
+    }
+
     /** Ends without a word. */
     void kill() {
         fleet.stop();
@@ -195,8 +206,8 @@
 
     @Override
     public Told.Figures figures() {
-        long load = settings.changingFigures() ? chance.nextInt(MOST_LOAD) : 0;
-        long rate = settings.changingFigures() ? chance.nextInt(MOST_LOAD) : 0;
+        long load = changingFigures ? chance.nextInt(MOST_LOAD) : 0;
+        long rate = changingFigures ? chance.nextInt(MOST_LOAD) : 0;
         return new Told.Figures(load, LOAD_LIMIT, rate, 1, false, List.of(), List.of(), List.of());
     }
 
--- a/src/main/java/cairnbridge/scale/control/HollowReply.java
+++ b/src/main/java/cairnbridge/scale/control/HollowReply.java
@@ -28,8 +28,8 @@
     /** When members of this process came to know, by the machine's monotonic clock. */
     record Knowledge(List<Long> knownAtNanos) implements HollowReply {}
 
-    /** How many of the running members agree. */
-    record Agreement(int agreeing, int running) implements HollowReply {}
+    /** How many of the running members agree, and what all have still to pass on. */
+    record Agreement(int agreeing, int running, int rumoursWaiting) implements HollowReply {}
 
     /**
      * What was used since the start; members that ended count up to their end.
--- a/src/test/java/cairnbridge/scale/control/ControlMeasurementsTest.java
+++ b/src/test/java/cairnbridge/scale/control/ControlMeasurementsTest.java
@@ -39,6 +39,7 @@
         assertEquals("kill", read(lines.get(1)).path("settings").path("kind").asText());
         JsonNode figures = read(lines.get(2)).path("figures");
         assertEquals(4, figures.path("members_agreeing").asInt());
+        assertEquals(0, figures.path("rumours_waiting").asInt(-1));
         assertEquals(0, figures.path("changes_not_known_to_all").asInt());
         assertTrue(figures.path("quiet_bytes_sent_per_second_per_member").asDouble() > 0);
         assertTrue(figures.path("heap_bytes_per_member").asDouble() > 0);
--- a/src/test/java/cairnbridge/scale/control/HollowMembersTest.java
+++ b/src/test/java/cairnbridge/scale/control/HollowMembersTest.java
@@ -85,6 +85,7 @@
     @Test
     void bytesStayBelowWhatItsRoundsMaySend() throws IOException, InterruptedException {
         startAll();
+        members.changeFigures();
         Usage before = members.usage(false);
         Thread.sleep(MEASURED_MILLIS);
         Usage after = members.usage(false);
