--- a/src/main/java/cairnbridge/cli/ScaleCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -10,7 +10,11 @@
 @Command(
         name = "scale",
         description = "Measures what the program costs at several sizes, as JSON lines.",
-        subcommands = {ScaleRouterCommand.class, ScaleDataPathCommand.class})
+        subcommands = {
+            ScaleControlCommand.class,
+            ScaleDataPathCommand.class,
+            ScaleRouterCommand.class
+        })
 final class ScaleCommand implements Callable<Integer> {
     @Spec private CommandSpec spec;
 
