--- /dev/null
+++ b/src/test/java/cairnbridge/fleet/use/DutiesPropertyTest.java
@@ -0,0 +1,129 @@
+package cairnbridge.fleet.use;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.decision.Mix;
+import cairnbridge.fleet.member.Claim;
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.fleet.member.Standing;
+import cairnbridge.fleet.member.Told;
+import cairnbridge.fleet.view.View;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * After any sequence of views and nodes, due gives what its plain definition gives.
+ * -Dduties.courses=N plays more of them.
+ */
+class DutiesPropertyTest {
+    private static final int COURSES = Integer.getInteger("duties.courses", 300);
+    private static final long FIRST = Long.getLong("duties.seed", 1);
+    private static final int STEPS = 60;
+    private static final long EVERY = 20_000;
+
+    /** Some have the same hash, so that equal weights are met. */
+    private static final List<String> NAMES =
+            List.of("self", "AaAa", "BBBB", "AaBB", "BBAa", "p1", "p2", "p3", "p4", "p5", "p6");
+
+    private int dueInAll;
+
+    /** The definition: all members are weighed for every node, in every call. */
+    private static final class PlainDuties {
+        private final Map<Long, Long> probedAt = new HashMap<>();
+
+        List<Long> due(View view, List<Long> nodes, long now) {
+            probedAt.keySet().retainAll(nodes);
+            List<Long> due = new ArrayList<>();
+            for (long node : nodes) {
+                if (!DutyFleet.SELF.equals(owner(view, node))) {
+                    probedAt.remove(node);
+                } else if (now - probedAt.computeIfAbsent(node, id -> now) >= EVERY) {
+                    probedAt.put(node, now);
+                    due.add(node);
+                }
+            }
+            return due;
+        }
+
+        private static MemberId owner(View view, long node) {
+            return view.members().stream()
+                    .filter(PlainDuties::canTakeDuties)
+                    .map(Claim::id)
+                    .min(
+                            Comparator.comparing(
+                                            (MemberId id) -> Mix.of(id.name().hashCode(), node))
+                                    .reversed()
+                                    .thenComparing(Comparator.naturalOrder()))
+                    .orElse(null);
+        }
+
+        private static boolean canTakeDuties(Claim claim) {
+            return claim.standing().isLiving()
+                    && claim.told() != null
+                    && claim.told().zone().equals(DutyFleet.ZONE)
+                    && List.of(Told.State.SERVING, Told.State.STANDBY)
+                            .contains(claim.told().state());
+        }
+    }
+
+    @Test
+    void anySequenceOfViewsAndNodesGivesWhatThePlainDefinitionGives() {
+        for (long seed = FIRST; seed < FIRST + COURSES; seed++) {
+            play(seed);
+        }
+        assertTrue(dueInAll > 10 * COURSES, dueInAll + " due in all courses");
+    }
+
+    private void play(long seed) {
+        Random random = new Random(seed);
+        Duties duties = new Duties(DutyFleet.SELF, DutyFleet.ZONE, EVERY);
+        PlainDuties plain = new PlainDuties();
+        DutyFleet fleet = new DutyFleet();
+        NAMES.forEach(name -> fleet.alive(name, DutyFleet.ZONE));
+        View view = fleet.view();
+        List<Long> nodes = LongStream.range(0, 12).boxed().toList();
+        long now = 0;
+        for (int step = 0; step < STEPS; step++) {
+            if (random.nextInt(3) == 0) {
+                nodes = LongStream.range(0, 20).filter(i -> random.nextInt(3) > 0).boxed().toList();
+            }
+            if (random.nextInt(3) > 0) {
+                change(fleet, random);
+                view = fleet.view();
+            }
+            now += random.nextLong(EVERY);
+            List<Long> due = plain.due(view, nodes, now);
+            assertEquals(due, duties.due(view, nodes, now), "seed " + seed + ", step " + step);
+            dueInAll += due.size();
+        }
+    }
+
+    private static void change(DutyFleet fleet, Random random) {
+        for (int i = random.nextInt(4); i >= 0; i--) {
+            String name = NAMES.get(random.nextInt(NAMES.size()));
+            switch (random.nextInt(6)) {
+                case 0 -> fleet.remove(name);
+                case 1 -> fleet.silent(name, Standing.ALIVE);
+                case 2 -> fleet.alive(name, random.nextBoolean() ? DutyFleet.ZONE : "b");
+                default ->
+                        fleet.put(
+                                name,
+                                DutyFleet.ZONE,
+                                any(Standing.values(), random),
+                                any(Told.State.values(), random),
+                                random.nextInt(9));
+            }
+        }
+    }
+
+    private static <T> T any(T[] values, Random random) {
+        return values[random.nextInt(values.length)];
+    }
+}
