scale turns reads views that nobody has read yet, and measures a whole turn

Each published view is a new one: a view that keeps what it has worked out would seem free to every later call over the same object. The part whole-turn does what duties, hints, count and voters do with one and the same view. Checked: TurnCostsTest.

--- a/src/main/java/cairnbridge/scale/upkeep/TurnCosts.java
+++ b/src/main/java/cairnbridge/scale/upkeep/TurnCosts.java
@@ -96,11 +96,12 @@
         parts.add(perView("duties", duties()));
         parts.add(perView("duties-same-view", dutiesOfSameView()));
         parts.add(perView("living", () -> next().living().size()));
-        parts.add(perView("find-voters", this::findVoters));
+        parts.add(perView("find-voters", () -> findVoters(next())));
         parts.add(perView("node-hints", nodeHints()));
         parts.add(perView("living-count", livingCount()));
         parts.add(new Part("list-calls", 1, listCalls()));
         parts.add(perView("fleet-tally", fleetTally()));
+        parts.add(perView("whole-turn", wholeTurn()));
         parts.add(perView("make-view", () -> member.view().members().size()));
         parts.add(perView("gauges", () -> next().figures().alive() + next().figures().dead()));
         parts.add(new Part("membership-second", 1, this::membershipSecond));
@@ -112,8 +113,10 @@
         return new Part(name, VIEWS_A_SECOND, call);
     }
 
+    /** A view that nobody has read yet, as each that is published. */
     private View next() {
-        return views.get(turns++ % DISTINCT_VIEWS);
+        View view = views.get(turns++ % DISTINCT_VIEWS);
+        return new View(view.self(), view.members(), view.whole(), view.figures());
     }
 
     private long now() {
@@ -137,8 +140,7 @@
         return new Duties(fleet.self(), SampleFleet.zone(0), 2 * FleetSettings.SECOND);
     }
 
-    private int findVoters() {
-        View view = next();
+    private int findVoters(View view) {
         int found = 0;
         for (int voter = 0; voter < VOTERS; voter++) {
             MemberId id = SampleFleet.id(voter * members / VOTERS);
@@ -188,6 +190,20 @@
         };
     }
 
+    /** Duties, hints, count and voters, with one and the same view. */
+    private IntSupplier wholeTurn() {
+        Duties duties = newDuties();
+        NodeHints hints = new NodeHints(SampleFleet.zone(0));
+        LivingCount count = new LivingCount(members, 0);
+        return () -> {
+            View view = next();
+            return duties.due(view, fleet.nodes(), now()).size()
+                    + hints.hints(view).size()
+                    + count.count(view, now())
+                    + findVoters(view);
+        };
+    }
+
     private int membershipSecond() {
         member.second(FIGURES_A_SECOND);
         return 1;
--- a/src/test/java/cairnbridge/scale/upkeep/TurnCostsTest.java
+++ b/src/test/java/cairnbridge/scale/upkeep/TurnCostsTest.java
@@ -30,6 +30,7 @@
                     "living-count",
                     "list-calls",
                     "fleet-tally",
+                    "whole-turn",
                     "make-view",
                     "gauges",
                     "membership-second",
