--- a/src/main/java/cairnbridge/fleet/member/Told.java
+++ b/src/main/java/cairnbridge/fleet/member/Told.java
@@ -23,6 +23,7 @@
     public static final int MOST_BYTES = 800;
 
     public static final int MOST_UNREACHABLE = 16, MOST_TEXT = 64, MOST_ZONES = 8;
+    private static final int MOST_PROTOCOL = 255, MOST_PERCENT = 100;
     private static final CBORFactory CBOR = new CBORFactory();
 
     /** How far a member is in its life. */
@@ -66,7 +67,7 @@
     private final byte[] raw;
 
     /** What the bytes say, read when it is first asked for; any thread may be the first. */
-    private volatile Read read;
+    private volatile Content content;
 
     private Told(byte[] raw) {
         this.raw = raw;
@@ -166,99 +167,124 @@
     }
 
     public String zone() {
-        return text("zone");
+        return content().zone;
     }
 
     public String region() {
-        return text("region");
+        return content().region;
     }
 
     public String clients() {
-        return text("clients");
+        return content().clients;
     }
 
     public String door() {
-        return text("door");
+        return content().door;
     }
 
     public long epoch() {
-        return Math.max(0, number("epoch", 0));
+        return content().epoch;
     }
 
     public Recovering recovering() {
-        return new Recovering(
-                (int) Math.max(0, Math.min(100, number("recovery", 0))),
-                (int) Math.max(0, Math.min(Integer.MAX_VALUE, number("pace", 0))),
-                Math.max(0, number("epoch-floor", 0)));
+        return content().recovering;
     }
 
     /** 1 where it is not told. */
     public int protocol() {
-        return (int) Math.max(1, Math.min(255, number("protocol", 1)));
+        return content().protocol;
     }
 
     public State state() {
-        String name = text("state");
-        return Arrays.stream(State.values())
-                .filter(each -> each.name().equals(name))
-                .findFirst()
-                .orElse(State.UNKNOWN);
+        return content().state;
     }
 
     public Figures figures() {
-        return read().figures;
+        return content().figures;
     }
 
-    private static List<Long> numbers(Map<String, Object> fields, String name, int most) {
-        List<Long> numbers = new ArrayList<>();
-        if (fields.get(name) instanceof List<?> list) {
-            for (Object each : list) {
-                if (each instanceof Long number && numbers.size() < most) {
-                    numbers.add(number);
-                }
-            }
+    private Content content() {
+        Content known = content;
+        if (known == null) {
+            known = Content.of(parse(raw));
+            content = known;
         }
-        return numbers;
+        return known;
     }
 
-    private String text(String name) {
-        return fields().get(name) instanceof String text ? cut(text) : "";
-    }
+    /** The fields with their types; views are gone through many times a second. */
+    private record Content(
+            String zone,
+            String region,
+            String clients,
+            String door,
+            long epoch,
+            Recovering recovering,
+            int protocol,
+            State state,
+            Figures figures) {
 
-    private long number(String name, long absent) {
-        return number(fields(), name, absent);
-    }
+        static Content of(Map<String, Object> fields) {
+            return new Content(
+                    text(fields, "zone"),
+                    text(fields, "region"),
+                    text(fields, "clients"),
+                    text(fields, "door"),
+                    within(number(fields, "epoch", 0), 0, Long.MAX_VALUE),
+                    recovering(fields),
+                    (int) within(number(fields, "protocol", 1), 1, MOST_PROTOCOL),
+                    state(text(fields, "state")),
+                    figures(fields));
+        }
 
-    private static long number(Map<String, Object> fields, String name, long absent) {
-        return fields.get(name) instanceof Long number ? number : absent;
-    }
+        private static Recovering recovering(Map<String, Object> fields) {
+            return new Recovering(
+                    (int) within(number(fields, "recovery", 0), 0, MOST_PERCENT),
+                    (int) within(number(fields, "pace", 0), 0, Integer.MAX_VALUE),
+                    within(number(fields, "epoch-floor", 0), 0, Long.MAX_VALUE));
+        }
 
-    private Map<String, Object> fields() {
-        return read().fields;
-    }
+        private static State state(String name) {
+            return Arrays.stream(State.values())
+                    .filter(each -> each.name().equals(name))
+                    .findFirst()
+                    .orElse(State.UNKNOWN);
+        }
 
-    private Read read() {
-        Read done = read;
-        if (done == null) {
-            done = Read.of(parse(raw));
-            read = done;
+        private static Figures figures(Map<String, Object> fields) {
+            return new Figures(
+                    number(fields, "load", 0),
+                    number(fields, "limit", 0),
+                    number(fields, "rate", 0),
+                    number(fields, "roster", 0),
+                    Boolean.TRUE.equals(fields.get("listing")),
+                    numbers(fields, "unreachable", MOST_UNREACHABLE),
+                    numbers(fields, "zones", 3 * MOST_ZONES),
+                    numbers(fields, "out", MOST_ZONES));
+        }
+
+        private static String text(Map<String, Object> fields, String name) {
+            return fields.get(name) instanceof String text ? cut(text) : "";
         }
-        return done;
-    }
 
-    private record Read(Map<String, Object> fields, Figures figures) {
-        static Read of(Map<String, Object> fields) {
-            return new Read(
-                    fields,
-                    new Figures(
-                            number(fields, "load", 0),
-                            number(fields, "limit", 0),
-                            number(fields, "rate", 0),
-                            number(fields, "roster", 0),
-                            Boolean.TRUE.equals(fields.get("listing")),
-                            numbers(fields, "unreachable", MOST_UNREACHABLE),
-                            numbers(fields, "zones", 3 * MOST_ZONES),
-                            numbers(fields, "out", MOST_ZONES)));
+        private static long number(Map<String, Object> fields, String name, long absent) {
+            return fields.get(name) instanceof Long number ? number : absent;
+        }
+
+        private static long within(long number, long least, long most) {
+            return Math.max(least, Math.min(most, number));
+        }
+
+        private static List<Long> numbers(Map<String, Object> fields, String name, int most) {
+            List<Long> numbers = new ArrayList<>();
+            if (fields.get(name) instanceof List<?> list) {
+                for (Object each : list) {
+                    if (each instanceof Long number && numbers.size() < most) {
+                        numbers.add(number);
+                    }
+                }
+            }
+            return numbers;
         }
     }
 
