Membership gives up deciding when to announce what its owner wants known

When new figures may be announced, and what is urgent, is a job of its own with state that nothing else read: it moves to Announcer, with no change but names and one method that sets and spreads the member's own claim.

--- a/src/main/java/cairnbridge/fleet/view/Membership.java
+++ b/src/main/java/cairnbridge/fleet/view/Membership.java
@@ -7,7 +7,6 @@
 import cairnbridge.fleet.member.Message;
 import cairnbridge.fleet.member.Packet;
 import cairnbridge.fleet.member.Standing;
-import cairnbridge.fleet.member.Told;
 import cairnbridge.fleet.view.FleetHost.Why;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,14 +34,8 @@
 
     private static final long TELL_AGAIN = FleetSettings.SECOND / 2;
 
-    /** How many of a fleet's members may tell new figures in a second, all together. */
-    private static final double FIGURES_A_SECOND = 20;
-
     private static final int MOST_CLASHES = 5;
 
-    /** So many members, on average, tell out of turn that a zone is lost. */
-    private static final int URGENT = 120;
-
     /** So many of those who hear of a suspicion probe the suspect at once, on average. */
     private static final int SECOND_OPINIONS = 5;
 
@@ -62,15 +55,11 @@
     private final Rumours rumours = new Rumours();
     private final Probes probes;
     private final Syncs syncs;
+    private final Announcer announcer = new Announcer(this);
     private Claim self;
 
-    /** Told by the owner, not yet by the member. */
-    private Told wanted;
-
-    private long toldAt, changedAt, turnedAt, suspectedAt = Long.MIN_VALUE / 2, troubledSince;
-    private long tellAt = Long.MAX_VALUE;
-    private List<Long> drawnFor = List.of();
-    private boolean urgent, started;
+    private long changedAt, turnedAt, suspectedAt = Long.MIN_VALUE / 2, troubledSince;
+    private boolean started;
     private long suspicions,
             refutations,
             deaths,
@@ -139,8 +128,7 @@
             syncs.answered(answered.call(), answered.packet());
             probes.answered(answered.call(), answered.packet());
         } else if (event instanceof FleetEvent.Tell tell) {
-            wanted = tell.told();
-            tell();
+            announcer.want(tell.told());
         } else {
             leave();
         }
@@ -188,70 +176,18 @@
         return self;
     }
 
-    private boolean hasLeft() {
+    boolean hasLeft() {
         return self.standing() == Standing.LEFT;
     }
 
-    /**
-     * Figures wait for their time, so that a large fleet does not talk of nothing else; all other
-     * news goes at once.
-     */
-    private void tell() {
-        if (wanted == null || hasLeft() || wanted.equals(self.told())) {
-            return;
-        }
-        boolean figures = self.told() != null && sameButFigures(wanted, self.told());
-        long due = figures ? toldAt + (isUrgent() ? settings.figuresEvery() : figuresEvery()) : now;
-        if (due <= now) {
-            toldAt = now;
-            self = self.tells(self.counter() + 1, wanted);
-            if (figures) {
-                rumours.figures(self);
-            } else {
-                rumours.standing(self);
-            }
-        } else if (due < tellAt) {
-            tellAt = due;
-            timers.at(
-                    due,
-                    () -> {
-                        tellAt = tellAt == due ? Long.MAX_VALUE : tellAt;
-                        tell();
-                    });
-        }
-    }
-
-    /**
-     * A zone lost is told out of turn, in a large fleet by some: enough of them to outweigh what
-     * others have said of it a moment ago.
-     */
-    private boolean isUrgent() {
-        List<Long> out = wanted.figures().out();
-        if (out.equals(self.told().figures().out())) {
-            return false;
-        }
-        if (!out.equals(drawnFor)) {
-            drawnFor = out;
-            urgent = chance.nextDouble() * livingWithMe() < URGENT;
+    /** From now on this member announces the claim as its own; others hear of it by gossip. */
+    void announce(Claim own, boolean figuresOnly) {
+        self = own;
+        if (figuresOnly) {
+            rumours.figures(self);
+        } else {
+            rumours.standing(self);
         }
-        return urgent;
-    }
-
-    private static boolean sameButFigures(Told one, Told other) {
-        return one.state() == other.state()
-                && one.zone().equals(other.zone())
-                && one.region().equals(other.region())
-                && one.clients().equals(other.clients())
-                && one.door().equals(other.door())
-                && one.protocol() == other.protocol()
-                && one.epoch() == other.epoch()
-                && one.recovering().phase() == other.recovering().phase();
-    }
-
-    private long figuresEvery() {
-        return Math.max(
-                settings.figuresEvery(),
-                (long) (table.living().size() / FIGURES_A_SECOND * FleetSettings.SECOND));
     }
 
     private void leave() {
