--- a/src/main/java/cairnbridge/cli/ScaleCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -13,7 +13,8 @@
         subcommands = {
             ScaleControlCommand.class,
             ScaleDataPathCommand.class,
-            ScaleRouterCommand.class
+            ScaleRouterCommand.class,
+            ScaleTurnsCommand.class
         })
 final class ScaleCommand implements Callable<Integer> {
     @Spec private CommandSpec spec;
