The commands that ask a running proxy share their option and their request

Change: AdminCall is a picocli mixin with the option and one method, send; nested conditional expressions in two commands have become a method each.

--- /dev/null
+++ b/src/main/java/cairnbridge/cli/AdminCall.java
@@ -0,0 +1,61 @@
+package cairnbridge.cli;
+
+import cairnbridge.admin.DoorClient;
+import cairnbridge.config.ConfigFault;
+import cairnbridge.config.ProxyConfig;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * The part that the commands which ask a running proxy have in common: the option that names its
+ * administration endpoint, and one request to it.
+ */
+final class AdminCall {
+    private static final int TIMEOUT_MILLIS = 3000;
+    private static final String REFUSAL_PREFIX = "400 ";
+
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec command;
+
+    @Option(
+            names = "--door",
+            required = true,
+            paramLabel = "ADDR",
+            description = "Address and port of the door.")
+    private String address;
+
+    /**
+     * Sends one request and prints the answer.
+     *
+     * @param request the request line
+     * @return the command's exit status: 1 if the answer is a refusal or there is none
+     */
+    int send(String request) {
+        InetSocketAddress endpoint = ProxyConfig.address(address);
+        if (endpoint == null) {
+            throw new ConfigFault("--door", "is not an address and a port: " + address);
+        }
+        try {
+            return print(DoorClient.ask(endpoint, request, TIMEOUT_MILLIS));
+        } catch (IOException e) {
+            command.commandLine()
+                    .getErr()
+                    .println("no answer from " + address + ": " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private int print(String answer) {
+        boolean refused = answer.startsWith(REFUSAL_PREFIX);
+        String text = answer.replaceFirst("\n?EOF\n*$", "").strip();
+        if (refused) {
+            command.commandLine().getErr().println(text);
+            return 1;
+        }
+        command.commandLine().getOut().println(text);
+        return 0;
+    }
+}
--- a/src/main/java/cairnbridge/cli/MembersCommand.java
+++ b/src/main/java/cairnbridge/cli/MembersCommand.java
@@ -2,25 +2,17 @@
 
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine.Spec;
 
-/** Asks a proxy's door what it holds of its fleet. */
+/** Shows the members of the fleet as one running proxy sees them. */
 @Command(
         name = "members",
         mixinStandardHelpOptions = true,
         description = "Shows the members of a proxy's fleet, as that proxy's door tells them.")
 final class MembersCommand implements Callable<Integer> {
-    @Spec private CommandSpec spec;
-
-    @Option(
-            names = "--door",
-            required = true,
-            paramLabel = "ADDR",
-            description = "Address and port of the door.")
-    private String door;
+    @Mixin private AdminCall admin;
 
     @Option(names = "--json", description = "One line of JSON in place of a table.")
     private boolean json;
@@ -30,7 +22,13 @@
 
     @Override
     public Integer call() {
-        String call = id != null ? "member " + id : json ? "members-json" : "members";
-        return DoorCall.make(spec, door, call);
+        return admin.send(request());
+    }
+
+    private String request() {
+        if (id != null) {
+            return "member " + id;
+        }
+        return json ? "members-json" : "members";
     }
 }
--- a/src/main/java/cairnbridge/cli/ZonesCommand.java
+++ b/src/main/java/cairnbridge/cli/ZonesCommand.java
@@ -3,24 +3,16 @@
 import cairnbridge.config.ConfigFault;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
 
-/** Shows the plan over zones that is in force at a proxy, and empties a zone or gives it back. */
+/** Shows the zone plan that is in force at a proxy, and drains or restores a zone. */
 @Command(
         name = "zones",
         mixinStandardHelpOptions = true,
         description = "Shows the plan over zones at a proxy; drains a zone or restores it.")
 final class ZonesCommand implements Callable<Integer> {
-    @Spec private CommandSpec spec;
-
-    @Option(
-            names = "--door",
-            required = true,
-            paramLabel = "ADDR",
-            description = "Address and port of the door.")
-    private String door;
+    @Mixin private AdminCall admin;
 
     @Option(
             names = "--drain",
@@ -42,10 +34,13 @@
         if (drain != null && restore != null) {
             throw new ConfigFault("--restore", "goes not with --drain");
         }
-        String call =
-                drain != null
-                        ? "zone-drain " + drain + " " + seconds
-                        : restore != null ? "zone-restore " + restore : "zones";
-        return DoorCall.make(spec, door, call);
+        return admin.send(request());
+    }
+
+    private String request() {
+        if (drain != null) {
+            return "zone-drain " + drain + " " + seconds;
+        }
+        return restore != null ? "zone-restore " + restore : "zones";
     }
 }
