--- /dev/null
+++ b/src/main/java/cairnbridge/cli/LabHuntCommand.java
@@ -0,0 +1,57 @@
+package cairnbridge.cli;
+
+import cairnbridge.config.ConfigFault;
+import cairnbridge.lab.hunt.Hunt;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Searches for scenarios in which the default policy does worse than a baseline. */
+@Command(
+        name = "hunt",
+        mixinStandardHelpOptions = true,
+        description = "Looks for days on which the program's policy does worse than a simple one.",
+        footer = "Example: lab hunt --rounds 10 --out lab/found-1.drill")
+final class LabHuntCommand implements Callable<Integer> {
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--rounds",
+            defaultValue = "10",
+            description = "${DEFAULT-VALUE}, if not given.")
+    private int rounds;
+
+    @Option(names = "--days", defaultValue = "32", description = "In each round: ${DEFAULT-VALUE}.")
+    private int days;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Of all chance: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(
+            names = "--out",
+            paramLabel = "FILE",
+            description = "Where the scenario goes that was found.")
+    private String out;
+
+    @Override
+    public Integer call() throws IOException {
+        if (rounds < 1 || days < 1) {
+            throw new ConfigFault(rounds < 1 ? "--rounds" : "--days", "is under 1");
+        }
+        Hunt.Found found = new Hunt(seed, this::say).run(rounds, days);
+        say(found.text());
+        if (out != null) {
+            Files.writeString(OptionChecks.path(out), found.text());
+        }
+        return 0;
+    }
+
+    private void say(String line) {
+        spec.commandLine().getOut().println(line);
+        spec.commandLine().getOut().flush();
+    }
+}
