Option checks and the seed option of the lab commands stand once

Checked: help texts of all commands and the answers to 21 faulty calls are the same to the byte (but for the line numbers of one stack trace, which `lab list` with a folder that is not there printed before as well). Change: OptionChecks.require and atLeastOne, a SeedOption mixin, short methods in place of the nested expressions.

--- a/src/main/java/cairnbridge/cli/DemoCommand.java
+++ b/src/main/java/cairnbridge/cli/DemoCommand.java
@@ -28,14 +28,12 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("cairnbridge-demo");
-        boolean served =
-                new Demo(
-                                folder,
-                                line -> {
-                                    spec.commandLine().getOut().println(line);
-                                    spec.commandLine().getOut().flush();
-                                })
-                        .run(seconds);
+        boolean served = new Demo(folder, this::say).run(seconds);
         return served ? 0 : 1;
     }
+
+    private void say(String line) {
+        spec.commandLine().getOut().println(line);
+        spec.commandLine().getOut().flush();
+    }
 }
--- a/src/main/java/cairnbridge/cli/FuzzCommand.java
+++ b/src/main/java/cairnbridge/cli/FuzzCommand.java
@@ -1,6 +1,5 @@
 package cairnbridge.cli;
 
-import cairnbridge.config.ConfigFault;
 import cairnbridge.drill.simulated.StoreRuns;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -28,9 +27,7 @@
 
     @Override
     public Integer call() {
-        if (!(minutes > 0)) {
-            throw new ConfigFault("--minutes", "is not above 0");
-        }
+        OptionChecks.require(minutes > 0, "--minutes", "is not above 0");
         long until = System.nanoTime() + (long) (minutes * 60e9);
         long next = seed;
         while (System.nanoTime() < until) {
--- a/src/main/java/cairnbridge/cli/LabHuntCommand.java
+++ b/src/main/java/cairnbridge/cli/LabHuntCommand.java
@@ -1,11 +1,11 @@
 package cairnbridge.cli;
 
-import cairnbridge.config.ConfigFault;
 import cairnbridge.lab.hunt.Hunt;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -28,8 +28,7 @@
     @Option(names = "--days", defaultValue = "32", description = "In each round: ${DEFAULT-VALUE}.")
     private int days;
 
-    @Option(names = "--seed", defaultValue = "1", description = "Of all chance: ${DEFAULT-VALUE}.")
-    private long seed;
+    @Mixin private SeedOption seed;
 
     @Option(
             names = "--out",
@@ -39,10 +38,9 @@
 
     @Override
     public Integer call() throws IOException {
-        if (rounds < 1 || days < 1) {
-            throw new ConfigFault(rounds < 1 ? "--rounds" : "--days", "is under 1");
-        }
-        Hunt.Found found = new Hunt(seed, this::say).run(rounds, days);
+        OptionChecks.atLeastOne(rounds, "--rounds");
+        OptionChecks.atLeastOne(days, "--days");
+        Hunt.Found found = new Hunt(seed.value(), this::say).run(rounds, days);
         say(found.text());
         if (out != null) {
             Files.writeString(OptionChecks.path(out), found.text());
--- a/src/main/java/cairnbridge/cli/LabRunCommand.java
+++ b/src/main/java/cairnbridge/cli/LabRunCommand.java
@@ -1,6 +1,7 @@
 package cairnbridge.cli;
 
 import cairnbridge.config.ConfigFault;
+import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.lab.policy.Policy;
 import cairnbridge.lab.run.Emulation;
@@ -12,6 +13,7 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -35,8 +37,7 @@
             description = "router, random, two, ring or bounded: ${DEFAULT-VALUE}.")
     private String policy;
 
-    @Option(names = "--seed", defaultValue = "1", description = "Of all chance: ${DEFAULT-VALUE}.")
-    private long seed;
+    @Mixin private SeedOption seed;
 
     @Option(
             names = "--size",
@@ -52,52 +53,56 @@
 
     @Override
     public Integer call() throws IOException {
-        Policy.Kind kind =
-                Arrays.stream(Policy.Kind.values())
-                        .filter(each -> each.word().equals(policy))
-                        .findFirst()
-                        .orElseThrow(
-                                () -> new ConfigFault("--policy", "there is no policy " + policy));
-        if (size < 1) {
-            throw new ConfigFault("--size", "is under 1");
-        }
-        long from = System.nanoTime();
-        Outcome outcome;
-        try {
-            outcome = new Emulation(DrillCommand.read(file).times(size), kind, seed).run();
-        } catch (ScenarioFault e) {
-            throw new ConfigFault(file, e.getMessage());
-        }
-        for (Outcome.Check check : outcome.checks()) {
-            say(
-                    "line "
-                            + check.line()
-                            + " "
-                            + check.step()
-                            + ": "
-                            + (check.held() ? "" : "DOES NOT HOLD, ")
-                            + check.figures());
-        }
+        Policy.Kind kind = kind();
+        OptionChecks.atLeastOne(size, "--size");
+        long began = System.nanoTime();
+        Outcome outcome = play(kind);
+        double seconds = (System.nanoTime() - began) / 1e9;
+        outcome.checks().forEach(check -> say(text(check)));
         outcome.crashes().forEach((name, why) -> say(name + " has crashed: " + why));
-        say(
-                String.format(
-                        Locale.ROOT,
-                        "%.4f of %d ops served, median %.1f ms, 99%% within %.1f ms; origin "
-                                + "fetches %d; %.1f s simulated in %.1f s, %d events",
-                        outcome.service(),
-                        outcome.asked(),
-                        outcome.medianSpan(),
-                        outcome.span99(),
-                        outcome.fetches(),
-                        outcome.simulatedMillis() / 1e3,
-                        (System.nanoTime() - from) / 1e9,
-                        outcome.events()));
+        say(sums(outcome, seconds));
         if (out != null) {
             Files.writeString(OptionChecks.path(out), RunRecord.lines(outcome));
         }
         return outcome.held() ? 0 : 1;
     }
 
+    private Policy.Kind kind() {
+        return Arrays.stream(Policy.Kind.values())
+                .filter(each -> each.word().equals(policy))
+                .findFirst()
+                .orElseThrow(() -> new ConfigFault("--policy", "there is no policy " + policy));
+    }
+
+    private Outcome play(Policy.Kind kind) {
+        Scenario scenario = DrillCommand.read(file);
+        try {
+            return new Emulation(scenario.times(size), kind, seed.value()).run();
+        } catch (ScenarioFault e) {
+            throw new ConfigFault(file, e.getMessage());
+        }
+    }
+
+    private static String text(Outcome.Check check) {
+        String verdict = check.held() ? "" : "DOES NOT HOLD, ";
+        return "line " + check.line() + " " + check.step() + ": " + verdict + check.figures();
+    }
+
+    private static String sums(Outcome outcome, double seconds) {
+        return String.format(
+                Locale.ROOT,
+                "%.4f of %d ops served, median %.1f ms, 99%% within %.1f ms; origin "
+                        + "fetches %d; %.1f s simulated in %.1f s, %d events",
+                outcome.service(),
+                outcome.asked(),
+                outcome.medianSpan(),
+                outcome.span99(),
+                outcome.fetches(),
+                outcome.simulatedMillis() / 1e3,
+                seconds,
+                outcome.events());
+    }
+
     private void say(String line) {
         spec.commandLine().getOut().println(line);
     }
--- a/src/main/java/cairnbridge/cli/SimulateCommand.java
+++ b/src/main/java/cairnbridge/cli/SimulateCommand.java
@@ -1,6 +1,5 @@
 package cairnbridge.cli;
 
-import cairnbridge.config.ConfigFault;
 import cairnbridge.drill.simulated.ViewRuns;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -80,21 +79,21 @@
         check(loss >= 0 && loss <= 1, "--loss");
         check(killed >= 0 && killed < 1, "--killed");
         check(seeds >= 1, "--seeds");
-        spec.commandLine()
-                .getOut()
-                .println(
-                        hours > 0
-                                ? ViewRuns.falseDeaths(members, loss, freezes, hours, seed)
-                                : killed > 0
-                                        ? ViewRuns.killedAtOnce(members, killed, loss, seeds, seed)
-                                        : ViewRuns.spread(
-                                                members, changes, quiet, loss, settled, seed));
+        spec.commandLine().getOut().println(measured());
         return 0;
     }
 
-    private static void check(boolean holds, String key) {
-        if (!holds) {
-            throw new ConfigFault(key, "is out of range");
+    private String measured() {
+        if (hours > 0) {
+            return ViewRuns.falseDeaths(members, loss, freezes, hours, seed);
         }
+        if (killed > 0) {
+            return ViewRuns.killedAtOnce(members, killed, loss, seeds, seed);
+        }
+        return ViewRuns.spread(members, changes, quiet, loss, settled, seed);
+    }
+
+    private static void check(boolean inRange, String option) {
+        OptionChecks.require(inRange, option, "is out of range");
     }
 }
