One class says how a simulated cache behaves, for the stand-in and the model

Cause: CacheNode, on sockets, and CacheModel, in simulated time, each held the whole rule (cold time, falling over, slots, late and failing answers), the model by the other's constants. Change: CacheBehavior, with the clock's units as a parameter; both ask it, and scenarios change it directly.

--- a/src/main/java/cairnbridge/drill/rig/Drill.java
+++ b/src/main/java/cairnbridge/drill/rig/Drill.java
@@ -175,14 +175,22 @@
                 parts.clear();
                 rig.heal();
             }
-            case CACHE_SLOW -> rig.cache(step.words().get(0)).span(step.millis(1));
+            case CACHE_SLOW ->
+                    rig.cache(step.words().get(0)).behavior().serviceTime(step.millis(1));
             case CACHE_FAILS ->
                     step.names(0)
                             .forEach(
-                                    uid -> rig.cache(uid).fails(step.words().get(1).equals("yes")));
+                                    uid ->
+                                            rig.cache(uid)
+                                                    .behavior()
+                                                    .failing(step.words().get(1).equals("yes")));
             case CACHE_GREY ->
                     step.names(0)
-                            .forEach(uid -> rig.cache(uid).grey(step.words().get(1).equals("yes")));
+                            .forEach(
+                                    uid ->
+                                            rig.cache(uid)
+                                                    .behavior()
+                                                    .grey(step.words().get(1).equals("yes")));
             case ORIGIN_SLOW -> rig.origin().span(step.millis(0));
             case DISCOVERY ->
                     rig.discovery(
--- a/src/main/java/cairnbridge/drill/rig/Rig.java
+++ b/src/main/java/cairnbridge/drill/rig/Rig.java
@@ -371,10 +371,10 @@
     long felled() {
         long felled = 0;
         for (CacheNode cache : caches.values()) {
-            felled += cache.fellOver.sum();
+            felled += cache.behavior().timesFallenOver();
         }
         for (CacheNode cache : gone) {
-            felled += cache.fellOver.sum();
+            felled += cache.behavior().timesFallenOver();
         }
         return felled;
     }
--- a/src/main/java/cairnbridge/drill/standin/CacheNode.java
+++ b/src/main/java/cairnbridge/drill/standin/CacheNode.java
@@ -6,35 +6,23 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * A cache: it starts empty and slow, takes so many requests at a time, and answers a miss for what
- * it lacks. It can be made slow, silent or failing, and told to drain. A cold one that is pushed
- * over its share refuses for a second.
+ * A stand-in for a cache server, on HTTP. It starts empty, answers a miss for what it lacks, and
+ * otherwise behaves as its {@link CacheBehavior} says.
  */
 public final class CacheNode extends Http {
-    public static final long COLD_MILLIS = 3000,
-            DOWN_MILLIS = 1000,
-            LATE_MILLIS = 450,
-            PATIENCE_MILLIS = 20,
-            SPAN_MILLIS = 2;
-    public static final int SLOTS = 32, COLD_FALLS_OVER = 24;
     private static final byte[] NOTHING = {};
 
     private final World world;
     private final String uid, zone;
-    private final long began = System.currentTimeMillis();
+    private final CacheBehavior behavior = new CacheBehavior(1, System.currentTimeMillis());
     private final Map<String, byte[]> values = new ConcurrentHashMap<>();
-    private final Semaphore slots = new Semaphore(SLOTS);
-    private final AtomicLong turn = new AtomicLong();
-    private volatile long spanMillis = SPAN_MILLIS, downUntil;
-    private volatile boolean failing, grey;
+    private final Semaphore slots = new Semaphore(CacheBehavior.SLOTS);
     public final LongAdder hits = new LongAdder(),
             misses = new LongAdder(),
             turnedAway = new LongAdder(),
-            fellOver = new LongAdder(),
             probes = new LongAdder();
 
     public CacheNode(World world, String uid, String zone) throws IOException {
@@ -58,20 +46,12 @@
 
     /** Unix milliseconds. */
     public long began() {
-        return began;
+        return behavior.began();
     }
 
-    public void span(long millis) {
-        spanMillis = millis;
-    }
-
-    public void fails(boolean on) {
-        failing = on;
-    }
-
-    /** Every third answer comes late, and probes go well. */
-    public void grey(boolean on) {
-        grey = on;
+    /** How this cache behaves; what is changed there takes effect at the next request. */
+    public CacheBehavior behavior() {
+        return behavior;
     }
 
     void store(String key, byte[] value) {
@@ -87,25 +67,20 @@
         long now = System.currentTimeMillis();
         if (exchange.getRequestURI().getPath().startsWith("/-/")) {
             probes.increment();
-            say(exchange, failing || now < downUntil ? 503 : 200, NOTHING);
+            say(exchange, behavior.answersProbes(now) ? 200 : 503, NOTHING);
             return;
         }
-        boolean cold = now - began < COLD_MILLIS;
-        int busy = SLOTS - slots.availablePermits();
-        if (cold && busy >= COLD_FALLS_OVER) {
-            fellOver.increment();
-            downUntil = now + DOWN_MILLIS;
-        }
-        if (now < downUntil || !slots.tryAcquire(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
+        boolean cold = behavior.isCold(now);
+        boolean admitted = behavior.admits(now, CacheBehavior.SLOTS - slots.availablePermits());
+        if (!admitted || !slots.tryAcquire(behavior.patience(), TimeUnit.MILLISECONDS)) {
             turnedAway.increment();
             exchange.getResponseHeaders().set("X-Never-Ran", "1");
             say(exchange, 503, NOTHING);
             return;
         }
         try {
-            boolean late = grey && turn.getAndIncrement() % 3 == 0;
-            TimeUnit.MILLISECONDS.sleep(late ? LATE_MILLIS : cold ? 2 * spanMillis : spanMillis);
-            if (failing) {
+            TimeUnit.MILLISECONDS.sleep(behavior.nextServiceTime(cold));
+            if (behavior.isFailing()) {
                 say(exchange, 500, NOTHING);
                 return;
             }
--- a/src/main/java/cairnbridge/lab/model/CacheModel.java
+++ b/src/main/java/cairnbridge/lab/model/CacheModel.java
@@ -2,38 +2,31 @@
 
 import cairnbridge.decision.Event.Ending;
 import cairnbridge.drill.simulated.Agenda;
-import cairnbridge.drill.standin.CacheNode;
+import cairnbridge.drill.standin.CacheBehavior;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
- * A cache: so many requests at a time, a span for each, twice that while it is cold, a bounded
- * store of which the least lately used is forgotten. One that is cold and has too many at a time
- * refuses for a second. The drill's own stand-in, as a model; what it can be made to do is the
- * same.
+ * A model of a cache server in simulated time: as the drill's stand-in it behaves as its {@link
+ * CacheBehavior} says; its store is bounded and drops the least recently used key.
  */
 public final class CacheModel {
-    private static final int LARGEST = 100_000;
-    private static final long COLD = CacheNode.COLD_MILLIS * Agenda.MILLI,
-            DOWN = CacheNode.DOWN_MILLIS * Agenda.MILLI,
-            LATE = CacheNode.LATE_MILLIS * Agenda.MILLI,
-            USUAL = CacheNode.SPAN_MILLIS * Agenda.MILLI,
-            PATIENCE = CacheNode.PATIENCE_MILLIS * Agenda.MILLI;
+    private static final int MAX_KEYS = 100_000;
 
     private final Agenda agenda;
     private final String zone;
-    private final long began;
+    private final CacheBehavior behavior;
     private final Places places;
     private final Map<Long, Boolean> values = new LinkedHashMap<>(16, 0.75f, true);
-    private long span = USUAL, downUntil, fellOver, turn, asked;
-    private boolean alive = true, failing, grey;
+    private long asked;
+    private boolean alive = true;
 
     public CacheModel(Agenda agenda, String zone) {
         this.agenda = agenda;
         this.zone = zone;
-        began = agenda.now();
-        places = new Places(agenda, CacheNode.SLOTS, PATIENCE);
+        behavior = new CacheBehavior(Agenda.MILLI, agenda.now());
+        places = new Places(agenda, CacheBehavior.SLOTS, behavior.patience());
     }
 
     public String zone() {
@@ -49,21 +42,15 @@
         return alive;
     }
 
-    public void span(long tenths) {
-        span = tenths;
-    }
-
-    public void fails(boolean on) {
-        failing = on;
-    }
-
-    public void grey(boolean on) {
-        grey = on;
+    /** How this cache behaves; what is changed there takes effect at the next request. */
+    public CacheBehavior behavior() {
+        return behavior;
     }
 
+    /** Stores a key, and drops the least recently used one if there are too many. */
     public void store(long key) {
         values.put(key, true);
-        if (values.size() > LARGEST) {
+        if (values.size() > MAX_KEYS) {
             values.remove(values.keySet().iterator().next());
         }
     }
@@ -74,12 +61,8 @@
     public void take(Request request, Consumer<Reply> then) {
         asked++;
         long now = agenda.now();
-        boolean cold = now - began < COLD;
-        if (cold && places.busy() >= CacheNode.COLD_FALLS_OVER) {
-            fellOver++;
-            downUntil = now + DOWN;
-        }
-        if (now < downUntil) {
+        boolean cold = behavior.isCold(now);
+        if (!behavior.admits(now, places.busy())) {
             then.accept(new Reply(Ending.FULL, 0));
             return;
         }
@@ -87,33 +70,31 @@
     }
 
     private void begin(Request request, boolean cold, Consumer<Reply> then) {
-        boolean late = grey && turn++ % 3 == 0;
-        agenda.in(
-                late ? LATE : cold ? 2 * span : span,
-                () -> {
-                    places.give();
-                    if (!alive) {
-                        return;
-                    }
-                    if (failing) {
-                        then.accept(new Reply(Ending.ERROR, 0));
-                        return;
-                    }
-                    boolean hit = values.get(request.key()) != null;
-                    then.accept(hit ? new Reply(Ending.ACKED, 1) : new Reply(Ending.MISS, 2));
-                });
+        agenda.in(behavior.nextServiceTime(cold), () -> end(request, then));
     }
 
+    private void end(Request request, Consumer<Reply> then) {
+        places.give();
+        if (alive) {
+            then.accept(reply(request));
+        }
+    }
+
+    private Reply reply(Request request) {
+        if (behavior.isFailing()) {
+            return new Reply(Ending.ERROR, 0);
+        }
+        boolean hit = values.get(request.key()) != null;
+        return hit ? new Reply(Ending.ACKED, 1) : new Reply(Ending.MISS, 2);
+    }
+
+    /** Whether a health probe that arrives now is answered well. */
     public boolean answersProbes() {
-        return alive && !failing && agenda.now() >= downUntil;
+        return alive && behavior.answersProbes(agenda.now());
     }
 
     /** Requests that came, whatever became of them. */
     public long asked() {
         return asked;
     }
-
-    public long fellOver() {
-        return fellOver;
-    }
 }
--- a/src/main/java/cairnbridge/lab/run/Emulation.java
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -329,9 +329,14 @@
                                         proxies.get(name).freeze(step.verb() == Step.Verb.FREEZE);
                                         fleet.freezes(name, step.verb() == Step.Verb.FREEZE);
                                     });
-            case CACHE_SLOW -> caches.get(step.words().get(0)).span(step.millis(1) * Agenda.MILLI);
-            case CACHE_FAILS -> step.names(0).forEach(uid -> caches.get(uid).fails(isYes(step)));
-            case CACHE_GREY -> step.names(0).forEach(uid -> caches.get(uid).grey(isYes(step)));
+            case CACHE_SLOW ->
+                    caches.get(step.words().get(0))
+                            .behavior()
+                            .serviceTime(step.millis(1) * Agenda.MILLI);
+            case CACHE_FAILS ->
+                    step.names(0).forEach(uid -> caches.get(uid).behavior().failing(isYes(step)));
+            case CACHE_GREY ->
+                    step.names(0).forEach(uid -> caches.get(uid).behavior().grey(isYes(step)));
             case CACHE_KILL -> step.names(0).forEach(this::killCache);
             case CACHE_START ->
                     step.names(0).forEach(uid -> cache(uid, caches.get(uid).zone(), agenda.now()));
@@ -561,10 +566,10 @@
     private long felled() {
         long felled = 0;
         for (CacheModel cache : gone) {
-            felled += cache.fellOver();
+            felled += cache.behavior().timesFallenOver();
         }
         for (CacheModel cache : caches.values()) {
-            felled += gone.contains(cache) ? 0 : cache.fellOver();
+            felled += gone.contains(cache) ? 0 : cache.behavior().timesFallenOver();
         }
         return felled;
     }
