Move the models, the measuring and the checks out of Emulation

Change: a move, with receivers named anew: EmulatedFleet holds the models and what is done to them, Measurements counts and samples, StepChecks checks what a step says; Emulation keeps the interpreter.

--- a/src/main/java/cairnbridge/lab/run/FleetSide.java
+++ b/src/main/java/cairnbridge/lab/run/FleetSide.java
@@ -402,7 +402,7 @@
             Recovering told =
                     returns ? new Recovering(back.phase().told(), back.pace(), 0) : Recovering.NOT;
             ZonesModel plans = proxy.zones();
-            boolean starts = agenda.now() - began.get(each.getKey()) < Emulation.STARTS;
+            boolean starts = agenda.now() - began.get(each.getKey()) < EmulatedFleet.STARTS;
             net.tell(
                     member,
                     new FleetEvent.Tell(
