The lab's steps, measurements and checks are short functions, one step a line

Cause: the formatter had set nested lambdas and conditional expressions over 80 columns in; two switches ran to 150 lines each.

--- a/src/main/java/cairnbridge/lab/run/EmulatedFleet.java
+++ b/src/main/java/cairnbridge/lab/run/EmulatedFleet.java
@@ -10,7 +10,6 @@
 import cairnbridge.drill.scenario.Scenario;
 import cairnbridge.drill.scenario.Step;
 import cairnbridge.drill.simulated.Agenda;
-import cairnbridge.drill.simulated.SimulatedNet;
 import cairnbridge.drill.standin.Clients;
 import cairnbridge.lab.model.CacheModel;
 import cairnbridge.lab.model.ClientsModel;
@@ -33,6 +32,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
 
 /**
  * The models of one run: proxies with the real decision code, caches, the origin, clients and what
@@ -44,6 +44,7 @@
 
     static final long EPOCH = 1_700_000_000L * Agenda.SECOND;
     private static final double SAME_ZONE_MS = 0.25, OTHER_ZONE_MS = 0.25, TAIL_MS = 0.1;
+    private static final long NET_CHANCE = 1, FIRST_CLIENTS_CHANCE = 100;
 
     final Scenario scenario;
     private final Policy.Maker policy;
@@ -76,7 +77,7 @@
         this.seed = seed;
         settings =
                 SettingsReader.read(Tree.parse(ProxySettings.of(scenario).toString(), "settings"));
-        net = new Net(chance(1), SAME_ZONE_MS, OTHER_ZONE_MS, TAIL_MS);
+        net = new Net(chance(NET_CHANCE), SAME_ZONE_MS, OTHER_ZONE_MS, TAIL_MS);
         origin = new OriginModel(agenda, scenario.size());
         roster = new RosterModel(agenda, scenario.zones());
         fleet = new FleetSide(scenario, settings, agenda, roster, seed);
@@ -87,6 +88,11 @@
         roster.put("origin", 1, zone(1), State.READY, 0);
     }
 
+    /**
+     * A generator that depends on the run's seed only.
+     *
+     * @param part which use it serves; each use draws from numbers of its own
+     */
     RandomGenerator chance(long part) {
         return RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 1_000_003 + part);
     }
@@ -95,20 +101,21 @@
         return scenario.zones().get((number - 1) % scenario.zones().size());
     }
 
-    void cache(String uid, String zone, long began) {
+    private void cache(String uid, String zone, long began) {
         CacheModel cache = new CacheModel(agenda, zone);
         caches.put(uid, cache);
         uids.put(RosterModel.id(uid), uid);
         roster.put(uid, 0, zone, State.READY, began);
     }
 
-    /** Those that run and hold a plan. */
+    /** The proxies that run, are not frozen and hold a zone plan. */
     List<ProxyModel> planning() {
         return proxies.values().stream()
                 .filter(proxy -> proxy.isRunning() && !proxy.isFrozen() && proxy.zones() != null)
                 .toList();
     }
 
+    /** Ops that all proxies have placed by their zone plans, as one of the counters has it. */
     long placed(Function<ZonePlacement.Counts, LongAdder> which) {
         return proxies.values().stream()
                 .filter(proxy -> proxy.zones() != null)
@@ -116,18 +123,21 @@
                 .sum();
     }
 
+    /** Ops that all proxies have placed by their zone plans, or shed. */
     long placed() {
         return placed(counts -> counts.near)
                 + placed(counts -> counts.far)
                 + placed(counts -> counts.shed);
     }
 
+    /** Whether by every plan a zone serves just this part of its traffic itself. */
     boolean servesAtHome(String name, int part) {
         Zone zone = new Zone(name);
         return planning().stream()
                 .allMatch(proxy -> proxy.zones().plan().row(zone).to(zone) == part);
     }
 
+    /** Starts a proxy, or starts it anew; it takes clients after {@link #STARTS}. */
     void start(String name) {
         int number = Integer.parseInt(name.substring(1));
         long life = ++lives;
@@ -140,16 +150,21 @@
             heldNodes.forEach(uid -> proxy.tell(new Event.Held(RosterModel.id(uid), true)));
         }
         roster.follows(proxy);
-        agenda.in(
-                STARTS,
-                () -> {
-                    if (proxy.isRunning() && proxies.get(name) == proxy) {
-                        taking.put(name, proxy);
-                    }
-                });
+        agenda.in(STARTS, () -> takeClients(proxy));
     }
 
-    /** At once, or once what it has taken is over. */
+    /** Sends clients to a proxy that has started, unless it was ended or replaced meanwhile. */
+    private void takeClients(ProxyModel proxy) {
+        if (proxy.isRunning() && proxies.get(proxy.name()) == proxy) {
+            taking.put(proxy.name(), proxy);
+        }
+    }
+
+    /**
+     * Ends a proxy.
+     *
+     * @param atOnce whether it ends without finishing what it has accepted
+     */
     void kill(String name, boolean atOnce) {
         ProxyModel proxy = proxies.get(name);
         taking.remove(name);
@@ -164,6 +179,7 @@
         }
     }
 
+    /** Ends a cache: it refuses connections from now on. */
     void killCache(String uid) {
         CacheModel cache = caches.get(uid);
         askedBefore.computeIfPresent(uid, (same, before) -> before - cache.asked());
@@ -172,35 +188,42 @@
         proxies.values().forEach(proxy -> proxy.broken(RosterModel.id(uid)));
     }
 
+    /**
+     * Replaces the clients of one zone's proxies, or of all where the zone is empty.
+     *
+     * @param perSecond ops that they ask for in a second; 0 for no clients
+     */
     void load(String zone, int perSecond) {
         ClientsModel before = clients.remove(zone);
         if (before != null) {
             before.end();
         }
         if (perSecond > 0) {
-            clients.put(
-                    zone,
-                    new ClientsModel(
-                            agenda,
-                            net,
-                            chance(100 + clients.size() + lives),
-                            () ->
-                                    taking.values().stream()
-                                            .filter(
-                                                    proxy ->
-                                                            proxy.isRunning()
-                                                                    && (zone.isEmpty()
-                                                                            || proxy.zone()
-                                                                                    .equals(zone)))
-                                            .toList(),
-                            keys,
-                            zone.isEmpty() ? zone(1) : zone,
-                            perSecond,
-                            counts,
-                            traces));
+            clients.put(zone, newClients(zone, perSecond));
         }
     }
 
+    private ClientsModel newClients(String zone, int perSecond) {
+        return new ClientsModel(
+                agenda,
+                net,
+                chance(FIRST_CLIENTS_CHANCE + clients.size() + lives),
+                () -> takingIn(zone),
+                keys,
+                zone.isEmpty() ? zone(1) : zone,
+                perSecond,
+                counts,
+                traces);
+    }
+
+    private List<ProxyModel> takingIn(String zone) {
+        return taking.values().stream()
+                .filter(ProxyModel::isRunning)
+                .filter(proxy -> zone.isEmpty() || proxy.zone().equals(zone))
+                .toList();
+    }
+
+    /** How many times a cold cache has fallen over, of all caches so far. */
     long felled() {
         long felled = 0;
         for (CacheModel cache : gone) {
@@ -212,33 +235,60 @@
         return felled;
     }
 
+    /** Parts the net into the sides that a step names. */
     void cut(Step step) {
         int side = 0;
         for (String part : String.join("", step.words()).split("\\|")) {
             side++;
             if (!part.equals("rest")) {
-                for (String name : new Step(step.line(), step.verb(), List.of(part)).names(0)) {
-                    for (SimulatedNet.Node node : fleet.net().nodes()) {
-                        if (node.id.name().equals(name)) {
-                            fleet.net().side(node, side);
-                        }
-                    }
-                }
+                List<String> names = new Step(step.line(), step.verb(), List.of(part)).names(0);
+                moveToSide(names, side);
             }
         }
     }
 
+    private void moveToSide(List<String> names, int side) {
+        for (String name : names) {
+            fleet.net().nodes().stream()
+                    .filter(node -> node.id.name().equals(name))
+                    .forEach(node -> fleet.net().side(node, side));
+        }
+    }
+
     /** The proxies that a step names in one of its words; all where it says so. */
     List<String> members(Step step, int word) {
         List<String> names = step.names(word);
-        if (!names.equals(List.of("all"))) {
-            return names;
-        }
-        List<String> all = new ArrayList<>();
-        for (int i = 1; i <= scenario.members(); i++) {
-            all.add("p" + i);
+        return names.equals(List.of("all")) ? members() : names;
+    }
+
+    /** The names of all proxies of the scenario, whether they run or not. */
+    List<String> members() {
+        return IntStream.rangeClosed(1, scenario.members()).mapToObj(i -> "p" + i).toList();
+    }
+
+    /** Lets simulated time pass. */
+    void pass(long millis) {
+        agenda.until(agenda.now() + millis * Agenda.MILLI);
+    }
+
+    /** Stops a proxy where it is, as a signal to its process does, or lets it go on. */
+    void freeze(String name, boolean on) {
+        proxies.get(name).freeze(on);
+        fleet.freezes(name, on);
+    }
+
+    /** Ends a proxy or a cache without warning. */
+    void losePower(String name) {
+        if (caches.containsKey(name)) {
+            killCache(name);
+        } else {
+            kill(name, true);
         }
-        return all;
+    }
+
+    /** Starts a cache again, empty, in the zone where it was. */
+    void startCache(String uid) {
+        cache(uid, caches.get(uid).zone(), agenda.now());
     }
 
     /** Tells all proxies that staff hold a node out of use, or no longer. */
@@ -279,9 +329,10 @@
         @Override
         public String zone(NodeId node) {
             String uid = uids.get(node);
-            return uid == null
-                    ? null
-                    : uid.equals("origin") ? EmulatedFleet.this.zone(1) : caches.get(uid).zone();
+            if (uid == null) {
+                return null;
+            }
+            return uid.equals("origin") ? EmulatedFleet.this.zone(1) : caches.get(uid).zone();
         }
     }
 }
--- a/src/main/java/cairnbridge/lab/run/Emulation.java
+++ b/src/main/java/cairnbridge/lab/run/Emulation.java
@@ -6,6 +6,7 @@
 import cairnbridge.drill.scenario.ScenarioFault;
 import cairnbridge.drill.scenario.Step;
 import cairnbridge.drill.simulated.Agenda;
+import cairnbridge.drill.standin.CacheBehavior;
 import cairnbridge.lab.policy.Policy;
 import java.util.EnumSet;
 import java.util.List;
@@ -77,6 +78,9 @@
                     Step.Verb.REVERSALS,
                     Step.Verb.NEAR);
 
+    /** The part of the seed's random choices that start-over steps draw from. */
+    private static final long START_OVER_CHANCE = 50;
+
     private final Scenario scenario;
     private final EmulatedFleet models;
     private final Measurements measurements;
@@ -127,133 +131,115 @@
 
     private void take(Step step) {
         switch (step.verb()) {
-            case START -> {
-                models.members(step, 0).forEach(models::start);
-                models.agenda.until(models.agenda.now() + EmulatedFleet.STARTS + 1);
-            }
-            case WAIT -> models.agenda.until(models.agenda.now() + step.millis(0) * Agenda.MILLI);
-            case KILL, STOP ->
-                    models.members(step, 0)
-                            .forEach(name -> models.kill(name, step.verb() == Step.Verb.KILL));
-            case FREEZE, THAW ->
-                    models.members(step, 0)
-                            .forEach(
-                                    name -> {
-                                        models.proxies
-                                                .get(name)
-                                                .freeze(step.verb() == Step.Verb.FREEZE);
-                                        models.fleet.freezes(name, step.verb() == Step.Verb.FREEZE);
-                                    });
-            case CACHE_SLOW ->
-                    models.caches
-                            .get(step.words().get(0))
-                            .behavior()
-                            .serviceTime(step.millis(1) * Agenda.MILLI);
-            case CACHE_FAILS ->
-                    step.names(0)
-                            .forEach(uid -> models.caches.get(uid).behavior().failing(isYes(step)));
-            case CACHE_GREY ->
-                    step.names(0)
-                            .forEach(uid -> models.caches.get(uid).behavior().grey(isYes(step)));
-            case CACHE_KILL -> step.names(0).forEach(models::killCache);
-            case CACHE_START ->
-                    step.names(0)
-                            .forEach(
-                                    uid ->
-                                            models.cache(
-                                                    uid,
-                                                    models.caches.get(uid).zone(),
-                                                    models.agenda.now()));
-            case CACHE_LISTED ->
-                    step.names(0)
-                            .forEach(
-                                    uid ->
-                                            models.roster.state(
-                                                    uid,
-                                                    switch (step.words().get(1)) {
-                                                        case "Ready" -> State.READY;
-                                                        case "Gone" -> State.GONE;
-                                                        default -> State.DRAINING;
-                                                    }));
-            case ORIGIN_SLOW -> models.origin.span(step.millis(0) * Agenda.MILLI);
-            case ORIGIN_PLACES -> models.origin.places(step.number(0));
-            case DISCOVERY -> {
-                boolean down = step.words().get(0).equals("down");
-                List<String> names =
-                        step.words().size() > 1
-                                ? models.members(step, 1)
-                                : models.members(
-                                        new Step(step.line(), step.verb(), List.of("all")), 0);
-                names.forEach(name -> models.roster.down(name, down));
-            }
-            case POWER_LOSS ->
-                    step.names(0)
-                            .forEach(
-                                    name -> {
-                                        if (models.caches.containsKey(name)) {
-                                            models.killCache(name);
-                                        } else {
-                                            models.kill(name, true);
-                                        }
-                                    });
-            case COST ->
-                    checks.holds(
-                            step, true, "not looked at on models: a proxy costs nothing there");
+            case START -> start(step);
+            case WAIT -> models.pass(step.millis(0));
+            case KILL -> models.members(step, 0).forEach(name -> models.kill(name, true));
+            case STOP -> models.members(step, 0).forEach(name -> models.kill(name, false));
+            case FREEZE -> models.members(step, 0).forEach(name -> models.freeze(name, true));
+            case THAW -> models.members(step, 0).forEach(name -> models.freeze(name, false));
+            case POWER_LOSS -> step.names(0).forEach(models::losePower);
             case POWER_BACK -> checks.powerBack();
+            case START_OVER -> startOver(step);
+            case SNAPSHOT_OLDER -> shiftSnapshots(step, -step.millis(1));
+            case SNAPSHOT_AHEAD -> shiftSnapshots(step, step.millis(1));
+            case SNAPSHOT_TORN -> models.members(step, 0).forEach(models.fleet::tears);
             case LOSS -> models.fleet.net().loss = step.part(0);
             case CUT -> models.cut(step);
-            case ONE_WAY ->
-                    step.names(0)
-                            .forEach(
-                                    from ->
-                                            step.names(1)
-                                                    .forEach(
-                                                            to ->
-                                                                    models.fleet.cutOneWay(
-                                                                            from, to)));
+            case ONE_WAY -> cutOneWay(step);
             case HEAL -> models.fleet.heals();
-            case HOLD, FREE -> models.hold(step.words().get(0), step.verb() == Step.Verb.HOLD);
-            case SNAPSHOT_OLDER, SNAPSHOT_AHEAD ->
-                    models.members(step, 0)
-                            .forEach(
-                                    name ->
-                                            models.fleet.shifts(
-                                                    name,
-                                                    step.millis(1)
-                                                            * (step.verb()
-                                                                            == Step.Verb
-                                                                                    .SNAPSHOT_OLDER
-                                                                    ? -1
-                                                                    : 1)));
-            case SNAPSHOT_TORN -> models.members(step, 0).forEach(models.fleet::tears);
-            case LIST_BACK -> models.roster.back(step.number(0));
-            case EARLIER -> {
-                long before = models.counts.served;
-                models.agenda.until(models.agenda.now() + step.millis(0) * Agenda.MILLI);
-                checks.earlier(1000.0 * (models.counts.served - before) / step.millis(0));
-            }
-            case START_OVER -> {
-                checks.powerBack();
-                RandomGenerator when = models.chance(50);
-                models.members(step, 0)
-                        .forEach(
-                                name ->
-                                        models.agenda.in(
-                                                when.nextLong(step.millis(1) * Agenda.MILLI + 1),
-                                                () -> models.start(name)));
-            }
             case LOAD -> models.load("", step.number(0));
             case ZONE_LOAD -> models.load(step.words().get(0), step.number(1));
+            case EARLIER -> measureEarlierService(step);
             case COUNT -> measurements.count();
-            case DRAIN, RESTORE -> {
-                String call = step.verb().word() + " " + String.join(" ", step.words());
-                String answer = models.planning().get(0).zones().staff(call);
-                checks.holds(step, answer.startsWith("200 "), answer);
+            case COST ->
+                    checks.holds(
+                            step, true, "not looked at on models: a proxy costs nothing there");
+            case DRAIN, RESTORE -> tellZones(step);
+            default -> takeNodeStep(step);
+        }
+    }
+
+    /** Steps that change the caches, the origin or what discovery tells of them. */
+    private void takeNodeStep(Step step) {
+        switch (step.verb()) {
+            case CACHE_SLOW -> {
+                long serviceTime = step.millis(1) * Agenda.MILLI;
+                models.caches.get(step.words().get(0)).behavior().serviceTime(serviceTime);
+            }
+            case CACHE_FAILS -> behaviors(step).forEach(each -> each.failing(isYes(step)));
+            case CACHE_GREY -> behaviors(step).forEach(each -> each.grey(isYes(step)));
+            case CACHE_KILL -> step.names(0).forEach(models::killCache);
+            case CACHE_START -> step.names(0).forEach(models::startCache);
+            case CACHE_LISTED -> {
+                State state = listedState(step.words().get(1));
+                step.names(0).forEach(uid -> models.roster.state(uid, state));
             }
+            case HOLD -> models.hold(step.words().get(0), true);
+            case FREE -> models.hold(step.words().get(0), false);
+            case ORIGIN_SLOW -> models.origin.span(step.millis(0) * Agenda.MILLI);
+            case ORIGIN_PLACES -> models.origin.places(step.number(0));
+            case DISCOVERY -> switchDiscovery(step);
+            case LIST_BACK -> models.roster.back(step.number(0));
             default -> checks.check(step);
         }
     }
 
+    private void start(Step step) {
+        models.members(step, 0).forEach(models::start);
+        models.agenda.until(models.agenda.now() + EmulatedFleet.STARTS + 1);
+    }
+
+    /** Starts proxies again after a loss of power, each at a time of its own within a span. */
+    private void startOver(Step step) {
+        checks.powerBack();
+        RandomGenerator chance = models.chance(START_OVER_CHANCE);
+        long span = step.millis(1) * Agenda.MILLI;
+        for (String name : models.members(step, 0)) {
+            models.agenda.in(chance.nextLong(span + 1), () -> models.start(name));
+        }
+    }
+
+    private void shiftSnapshots(Step step, long millis) {
+        models.members(step, 0).forEach(name -> models.fleet.shifts(name, millis));
+    }
+
+    private void cutOneWay(Step step) {
+        for (String from : step.names(0)) {
+            step.names(1).forEach(to -> models.fleet.cutOneWay(from, to));
+        }
+    }
+
+    private void switchDiscovery(Step step) {
+        boolean down = step.words().get(0).equals("down");
+        List<String> names = step.words().size() > 1 ? models.members(step, 1) : models.members();
+        names.forEach(name -> models.roster.down(name, down));
+    }
+
+    private void measureEarlierService(Step step) {
+        long before = models.counts.served;
+        models.pass(step.millis(0));
+        checks.earlier(1000.0 * (models.counts.served - before) / step.millis(0));
+    }
+
+    /** Passes a request of staff to the zone plans, as the administration endpoint does. */
+    private void tellZones(Step step) {
+        String request = step.verb().word() + " " + String.join(" ", step.words());
+        String answer = models.planning().get(0).zones().staff(request);
+        checks.holds(step, answer.startsWith("200 "), answer);
+    }
+
+    private List<CacheBehavior> behaviors(Step step) {
+        return step.names(0).stream().map(uid -> models.caches.get(uid).behavior()).toList();
+    }
+
+    private static State listedState(String word) {
+        return switch (word) {
+            case "Ready" -> State.READY;
+            case "Gone" -> State.GONE;
+            default -> State.DRAINING;
+        };
+    }
+
     private static boolean isYes(Step step) {
         return step.words().get(1).equals("yes");
     }
--- a/src/main/java/cairnbridge/lab/run/Measurements.java
+++ b/src/main/java/cairnbridge/lab/run/Measurements.java
@@ -3,17 +3,23 @@
 import cairnbridge.drill.simulated.Agenda;
 import cairnbridge.lab.model.ProxyModel;
 import cairnbridge.recovery.Phase;
+import cairnbridge.zones.plan.Plan;
 import cairnbridge.zones.plan.Zone;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.HdrHistogram.HistogramIterationValue;
 
 /** What is counted and sampled while a run goes on, and the outcome that comes of it. */
 final class Measurements {
     private static final long SAMPLE = Agenda.SECOND / 2;
+
+    /** How many samples are taken in a second. */
+    static final int SAMPLES_A_SECOND = (int) (Agenda.SECOND / SAMPLE);
+
     private static final int TICKS_A_HALVING = 4;
 
     private final EmulatedFleet models;
@@ -79,7 +85,6 @@
         models.proxies.values().stream()
                 .filter(proxy -> !proxy.crash().isEmpty())
                 .forEach(proxy -> crashes.put(proxy.name(), proxy.crash()));
-        long felled = models.felled();
         return new Outcome(
                 held && crashes.isEmpty(),
                 (models.agenda.now() - EmulatedFleet.EPOCH) / Agenda.MILLI,
@@ -92,7 +97,7 @@
                 models.origin.fetches(),
                 models.origin.turnedAway(),
                 models.origin.twice(),
-                felled,
+                models.felled(),
                 models.proxies.values().stream().mapToLong(ProxyModel::pushes).sum(),
                 models.agenda.done(),
                 models.counts.spans.getValueAtPercentile(50) / 10.0,
@@ -123,58 +128,59 @@
         return spans;
     }
 
+    /** By zone, the part of its traffic that the newest plan serves at home. */
     private Map<String, Integer> homeParts() {
         Map<String, Integer> parts = new LinkedHashMap<>();
         models.planning().stream()
-                .max(Comparator.comparingLong(proxy -> proxy.zones().plan().epoch()))
-                .ifPresent(
-                        proxy ->
-                                models.scenario
-                                        .zones()
-                                        .forEach(
-                                                name ->
-                                                        parts.put(
-                                                                name,
-                                                                proxy.zones()
-                                                                        .plan()
-                                                                        .row(new Zone(name))
-                                                                        .to(new Zone(name)))));
+                .map(proxy -> proxy.zones().plan())
+                .max(Comparator.comparingLong(Plan::epoch))
+                .ifPresent(plan -> homeParts(plan, parts));
         return parts;
     }
 
+    private void homeParts(Plan plan, Map<String, Integer> parts) {
+        for (String name : models.scenario.zones()) {
+            Zone zone = new Zone(name);
+            parts.put(name, plan.row(zone).to(zone));
+        }
+    }
+
+    /** Takes a sample now and then every half second. */
     void sample() {
         long fetched = models.origin.fetches() + models.origin.writes();
-        samples.add(
-                new Outcome.Sample(
-                        (models.agenda.now() - EmulatedFleet.EPOCH) / Agenda.MILLI,
-                        models.counts.asked,
-                        models.counts.served,
-                        models.counts.refused,
-                        models.counts.failed,
-                        models.counts.lost,
-                        models.counts.repeats,
-                        fetched,
-                        zoneCounts(),
-                        (int)
-                                models.proxies.values().stream()
-                                        .filter(ProxyModel::isRunning)
-                                        .count(),
-                        (int) models.taking.values().stream().filter(ProxyModel::isRunning).count(),
-                        models.fleet.leastHeld(),
-                        models.fleet.mostHeld(),
-                        (int)
-                                models.proxies.values().stream()
-                                        .filter(
-                                                proxy ->
-                                                        proxy.isRunning()
-                                                                && proxy.back() != null
-                                                                && proxy.back().phase()
-                                                                        != Phase.ALL)
-                                        .count(),
-                        homeParts()));
-        if (samples.size() > 2) {
-            peak = Math.max(peak, fetched - samples.get(samples.size() - 3).fetches());
+        samples.add(sample(fetched));
+        if (samples.size() > SAMPLES_A_SECOND) {
+            long aSecondAgo = samples.get(samples.size() - 1 - SAMPLES_A_SECOND).fetches();
+            peak = Math.max(peak, fetched - aSecondAgo);
         }
         models.agenda.in(SAMPLE, this::sample);
     }
+
+    private Outcome.Sample sample(long fetched) {
+        return new Outcome.Sample(
+                (models.agenda.now() - EmulatedFleet.EPOCH) / Agenda.MILLI,
+                models.counts.asked,
+                models.counts.served,
+                models.counts.refused,
+                models.counts.failed,
+                models.counts.lost,
+                models.counts.repeats,
+                fetched,
+                zoneCounts(),
+                count(models.proxies, ProxyModel::isRunning),
+                count(models.taking, ProxyModel::isRunning),
+                models.fleet.leastHeld(),
+                models.fleet.mostHeld(),
+                count(models.proxies, Measurements::isRecovering),
+                homeParts());
+    }
+
+    private static int count(Map<String, ProxyModel> proxies, Predicate<ProxyModel> which) {
+        return (int) proxies.values().stream().filter(which).count();
+    }
+
+    /** Whether a proxy still holds something back after a loss of power. */
+    private static boolean isRecovering(ProxyModel proxy) {
+        return proxy.isRunning() && proxy.back() != null && proxy.back().phase() != Phase.ALL;
+    }
 }
--- a/src/main/java/cairnbridge/lab/run/StepChecks.java
+++ b/src/main/java/cairnbridge/lab/run/StepChecks.java
@@ -17,6 +17,9 @@
 final class StepChecks {
     private static final long QUIET = 4 * Agenda.SECOND;
 
+    /** How long to wait until a condition is looked at again. */
+    private static final long LOOK = Agenda.SECOND / 10;
+
     private final EmulatedFleet models;
     private final Measurements measurements;
     private final List<Outcome.Check> checks = new ArrayList<>();
@@ -49,192 +52,168 @@
         earlier = perSecond;
     }
 
-    /** One epoch, and no step for some seconds. */
+    /** Checks what a step says, at once or until its time is up. */
+    void check(Step step) {
+        switch (step.verb()) {
+            case AGREE ->
+                    within(step, 1, () -> fleet().net().disagreement().isEmpty(), "all agree");
+            case NOBODY_FALSELY_DEAD ->
+                    none(
+                            step,
+                            fleet().falseDeaths(),
+                            " times one that could be heard was held dead");
+            case SERVING -> within(step, 2, () -> all(step, this::isServing), "all serve");
+            case CONFIRMED -> {
+                BooleanSupplier confirmed = () -> all(step, StepChecks::isConfirmed);
+                within(step, 2, confirmed, "each has a confirmed list");
+            }
+            case RECOVERED -> {
+                BooleanSupplier recovered = () -> all(step, StepChecks::isRecovered);
+                within(step, 2, recovered, "each holds nothing back");
+            }
+            case SERVICE_BACK -> serviceBack(step);
+            case NOTHING_BACK -> within(step, 1, models::holdsNoOlderList, "no list is lower");
+            case UNTOUCHED -> {
+                String uid = step.words().get(0);
+                none(step, models.askedSinceHeld(uid), " sent to " + uid);
+            }
+            case TOUCHED -> {
+                String uid = step.words().get(0);
+                within(step, 2, () -> models.caches.get(uid).asked() > 0, uid + " is in use");
+            }
+            case SERVED -> {
+                long ended = measurements.endedSinceCount();
+                atLeast(step, measurements.partServed(), ended, "were served");
+            }
+            case ANSWERED_IN_TIME -> {
+                long ended = models.counts.ended();
+                atLeast(step, measurements.partAnswered(), ended, "were answered");
+            }
+            case NO_EFFECT_TWICE -> none(step, models.origin.twice(), " effects twice");
+            case NONE_FELLED -> none(step, models.felled(), " times a cold cache was pushed over");
+            case ORIGIN_PEAK -> atMost(step, measurements.peak(), " fetches in the worst second");
+            case ORIGIN_TURNED_AWAY ->
+                    atMost(step, models.origin.turnedAway(), " turned away by the origin");
+            default -> checkZones(step);
+        }
+    }
+
+    private void checkZones(Step step) {
+        switch (step.verb()) {
+            case ZONE_OUT -> {
+                String zone = step.words().get(0);
+                BooleanSupplier out = () -> models.servesAtHome(zone, 0);
+                within(step, 2, out, "zone " + zone + " is out of use");
+            }
+            case ZONE_HOME -> {
+                String zone = step.words().get(0);
+                BooleanSupplier home = () -> models.servesAtHome(zone, Row.ALL);
+                within(step, 2, home, "zone " + zone + " serves its own");
+            }
+            case ZONES_SETTLED -> settled(step);
+            case REVERSALS -> atMost(step, fleet().reversals(), " reversals of a zone");
+            case NEAR -> {
+                long placed = measurements.placedSinceCount();
+                atLeast(step, measurements.partNear(), placed, "placed near");
+            }
+            default -> throw new IllegalArgumentException("no check for " + step.verb().word());
+        }
+    }
+
+    private FleetSide fleet() {
+        return models.fleet;
+    }
+
+    private boolean isServing(ProxyModel proxy) {
+        return models.taking.containsValue(proxy);
+    }
+
+    private static boolean isConfirmed(ProxyModel proxy) {
+        return proxy.back() != null && proxy.back().isConfirmed();
+    }
+
+    private static boolean isRecovered(ProxyModel proxy) {
+        return proxy.back() != null && proxy.back().phase() == Phase.ALL;
+    }
+
+    private boolean all(Step step, Predicate<ProxyModel> condition) {
+        return models.members(step, 0).stream()
+                .map(models.proxies::get)
+                .allMatch(proxy -> proxy != null && condition.test(proxy));
+    }
+
+    /** Checks that the proxies hold one epoch of the zone plan and keep it for some seconds. */
     private void settled(Step step) {
         Set<Long> last = new LinkedHashSet<>();
         long[] since = {models.agenda.now()};
-        within(
-                step,
-                1,
+        BooleanSupplier settled =
                 () -> {
-                    Set<Long> epochs = new LinkedHashSet<>();
-                    models.planning().forEach(proxy -> epochs.add(proxy.zones().plan().epoch()));
+                    Set<Long> epochs = epochs();
                     if (!epochs.equals(last)) {
                         last.clear();
                         last.addAll(epochs);
                         since[0] = models.agenda.now();
                     }
                     return epochs.size() == 1 && models.agenda.now() - since[0] >= QUIET;
-                },
-                "one epoch, no step for " + QUIET / Agenda.SECOND + " s");
+                };
+        within(step, 1, settled, "one epoch, no step for " + QUIET / Agenda.SECOND + " s");
+    }
+
+    private Set<Long> epochs() {
+        Set<Long> epochs = new LinkedHashSet<>();
+        models.planning().forEach(proxy -> epochs.add(proxy.zones().plan().epoch()));
+        return epochs;
+    }
+
+    /** Checks when the service was back to a part of what it was, from the power's return on. */
+    private void serviceBack(Step step) {
+        double wanted = step.part(0) * earlier;
+        String good = step.words().get(0) + " of the service is back";
+        within(step, 2, () -> millisUntilServed(wanted) >= 0, good);
+        long back = millisUntilServed(wanted);
+        String figures = "back " + back + " ms after the power";
+        checks.add(new Outcome.Check(step.line(), step.verb().word(), back >= 0, figures));
+    }
+
+    /**
+     * When the first second with enough ops served began, in milliseconds after the power's return;
+     * -1 if there was none yet.
+     */
+    private long millisUntilServed(double wanted) {
+        long powerMillis = (powerAt - EmulatedFleet.EPOCH) / Agenda.MILLI;
+        List<Outcome.Sample> samples = measurements.samples();
+        for (int i = Measurements.SAMPLES_A_SECOND; i < samples.size(); i++) {
+            Outcome.Sample before = samples.get(i - Measurements.SAMPLES_A_SECOND);
+            boolean enough = samples.get(i).served() - before.served() >= wanted;
+            if (enough && before.millis() >= powerMillis) {
+                return before.millis() - powerMillis;
+            }
+        }
+        return -1;
     }
 
-    /** Lets time pass until it holds, or no longer; says how long that took. */
-    private void within(Step step, int word, BooleanSupplier what, String good) {
+    /** Lets time pass until a condition holds or the step's time is up, and notes which. */
+    private void within(Step step, int word, BooleanSupplier condition, String good) {
         long from = models.agenda.now();
         long most = step.millis(word) * Agenda.MILLI;
-        while (!what.getAsBoolean() && models.agenda.now() - from < most) {
-            models.agenda.until(models.agenda.now() + Agenda.SECOND / 10);
+        while (!condition.getAsBoolean() && models.agenda.now() - from < most) {
+            models.agenda.until(models.agenda.now() + LOOK);
         }
-        holds(
-                step,
-                what.getAsBoolean(),
-                good + " after " + (models.agenda.now() - from) / Agenda.MILLI + " ms");
+        long millis = (models.agenda.now() - from) / Agenda.MILLI;
+        holds(step, condition.getAsBoolean(), good + " after " + millis + " ms");
     }
 
-    private boolean all(Step step, Predicate<ProxyModel> what) {
-        return models.members(step, 0).stream()
-                .map(models.proxies::get)
-                .allMatch(proxy -> proxy != null && what.test(proxy));
+    private void none(Step step, long count, String what) {
+        holds(step, count == 0, count + what);
     }
 
-    /** From when power is back, as the drill counts it. */
-    private void serviceBack(Step step) {
-        double wanted = step.part(0) * earlier;
-        long[] back = {-1};
-        within(
-                step,
-                2,
-                () -> {
-                    for (int i = 2; i < measurements.samples().size() && back[0] < 0; i++) {
-                        long began = measurements.samples().get(i - 2).millis();
-                        boolean enough =
-                                measurements.samples().get(i).served()
-                                                - measurements.samples().get(i - 2).served()
-                                        >= wanted;
-                        if (began >= (powerAt - EmulatedFleet.EPOCH) / Agenda.MILLI && enough) {
-                            back[0] = began - (powerAt - EmulatedFleet.EPOCH) / Agenda.MILLI;
-                        }
-                    }
-                    return back[0] >= 0;
-                },
-                step.words().get(0) + " of the service is back");
-        checks.add(
-                new Outcome.Check(
-                        step.line(),
-                        step.verb().word(),
-                        back[0] >= 0,
-                        "back " + back[0] + " ms after the power"));
+    private void atMost(Step step, long count, String what) {
+        holds(step, count <= step.number(1), count + what);
     }
 
-    /** Checks what a step says, at once or until its time is up. */
-    void check(Step step) {
-        switch (step.verb()) {
-            case AGREE ->
-                    within(step, 1, () -> models.fleet.net().disagreement().isEmpty(), "all agree");
-            case NOBODY_FALSELY_DEAD ->
-                    holds(
-                            step,
-                            models.fleet.falseDeaths() == 0,
-                            models.fleet.falseDeaths()
-                                    + " times one that could be heard was held dead");
-            case SERVING ->
-                    within(
-                            step,
-                            2,
-                            () -> all(step, proxy -> models.taking.containsValue(proxy)),
-                            "all serve");
-            case CONFIRMED ->
-                    within(
-                            step,
-                            2,
-                            () ->
-                                    all(
-                                            step,
-                                            proxy ->
-                                                    proxy.back() != null
-                                                            && proxy.back().isConfirmed()),
-                            "each has a confirmed list");
-            case RECOVERED ->
-                    within(
-                            step,
-                            2,
-                            () ->
-                                    all(
-                                            step,
-                                            proxy ->
-                                                    proxy.back() != null
-                                                            && proxy.back().phase() == Phase.ALL),
-                            "each holds nothing back");
-            case SERVICE_BACK -> serviceBack(step);
-            case NOTHING_BACK -> within(step, 1, models::holdsNoOlderList, "no list is lower");
-            case ZONE_OUT ->
-                    within(
-                            step,
-                            2,
-                            () -> models.servesAtHome(step.words().get(0), 0),
-                            "zone " + step.words().get(0) + " is out of use");
-            case ZONE_HOME ->
-                    within(
-                            step,
-                            2,
-                            () -> models.servesAtHome(step.words().get(0), Row.ALL),
-                            "zone " + step.words().get(0) + " serves its own");
-            case ZONES_SETTLED -> settled(step);
-            case REVERSALS ->
-                    holds(
-                            step,
-                            models.fleet.reversals() <= step.number(1),
-                            models.fleet.reversals() + " reversals of a zone");
-            case NEAR -> {
-                long all = measurements.placedSinceCount();
-                double part = measurements.partNear();
-                holds(
-                        step,
-                        part >= step.part(1),
-                        String.format(Locale.ROOT, "%.4f of %d ops placed near", part, all));
-            }
-            case UNTOUCHED -> {
-                String uid = step.words().get(0);
-                long sent = models.askedSinceHeld(uid);
-                holds(step, sent == 0, sent + " sent to " + uid);
-            }
-            case TOUCHED ->
-                    within(
-                            step,
-                            2,
-                            () -> models.caches.get(step.words().get(0)).asked() > 0,
-                            step.words().get(0) + " is in use");
-            case SERVED -> {
-                long all = measurements.endedSinceCount();
-                double part = measurements.partServed();
-                holds(
-                        step,
-                        part >= step.part(1),
-                        String.format(Locale.ROOT, "%.4f of %d ops were served", part, all));
-            }
-            case ANSWERED_IN_TIME -> {
-                double part = measurements.partAnswered();
-                holds(
-                        step,
-                        part >= step.part(1),
-                        String.format(
-                                Locale.ROOT,
-                                "%.4f of %d ops were answered",
-                                part,
-                                models.counts.ended()));
-            }
-            case NO_EFFECT_TWICE ->
-                    holds(
-                            step,
-                            models.origin.twice() == 0,
-                            models.origin.twice() + " effects twice");
-            case NONE_FELLED ->
-                    holds(
-                            step,
-                            models.felled() == 0,
-                            models.felled() + " times a cold cache was pushed over");
-            case ORIGIN_PEAK ->
-                    holds(
-                            step,
-                            measurements.peak() <= step.number(1),
-                            measurements.peak() + " fetches in the worst second");
-            default ->
-                    holds(
-                            step,
-                            models.origin.turnedAway() <= step.number(1),
-                            models.origin.turnedAway() + " turned away by the origin");
-        }
+    private void atLeast(Step step, double part, long of, String what) {
+        String figures = String.format(Locale.ROOT, "%.4f of %d ops %s", part, of, what);
+        holds(step, part >= step.part(1), figures);
     }
 
     /** Notes whether a step held, with its figures. */
