Rename Door to AdminServer and DoorClient to AdminClient

Cause: "door" was a name of our own for the administration endpoint. Serve, Sockets and OperatorsTest name the new classes.

--- a/src/main/java/cairnbridge/admin/Door.java
+++ b/src/main/java/cairnbridge/admin/AdminServer.java
@@ -19,12 +19,15 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Staff's way in: one line to a connection and its answer, on a thread that waits for no other. */
-public final class Door implements Runnable {
-    /** Descriptors that it may hold, its listener and its selector among them. */
+/**
+ * The administration endpoint of a proxy: answers one request line on each connection. It runs on a
+ * thread of its own, which waits for no other thread of the proxy.
+ */
+public final class AdminServer implements Runnable {
+    /** The most file descriptors it holds, those of its listener and its selector among them. */
     public static final int MOST_SOCKETS = 36;
 
-    private static final Logger LOG = Logger.getLogger(Door.class.getName());
+    private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
     private static final int MOST_CALLERS = 32, MOST_LINE = 512, LOOK_MILLIS = 200;
     private static final long MOST_NANOS = 5_000_000_000L, MOST_WAIT_MILLIS = 800;
     private static final String YES = "200 ", NO = "400 ";
@@ -40,7 +43,7 @@
 
     private volatile boolean stopped;
 
-    public Door(InetSocketAddress address, Staff staff, Figures figures) throws IOException {
+    public AdminServer(InetSocketAddress address, Staff staff, Figures figures) throws IOException {
         this.staff = staff;
         this.figures = figures;
         selector = Selector.open();
--- a/src/main/java/cairnbridge/admin/Staff.java
+++ b/src/main/java/cairnbridge/admin/Staff.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-/** What the door asks of the proxy; every call returns at once. */
+/** What the administration endpoint asks of the proxy; every call returns at once. */
 public interface Staff {
     boolean isReady();
 
--- a/src/main/java/cairnbridge/cli/AdminCall.java
+++ b/src/main/java/cairnbridge/cli/AdminCall.java
@@ -1,6 +1,6 @@
 package cairnbridge.cli;
 
-import cairnbridge.admin.DoorClient;
+import cairnbridge.admin.AdminClient;
 import cairnbridge.config.ConfigFault;
 import cairnbridge.config.ProxyConfig;
 import java.io.IOException;
@@ -39,7 +39,7 @@
             throw new ConfigFault("--door", "is not an address and a port: " + address);
         }
         try {
-            return print(DoorClient.ask(endpoint, request, TIMEOUT_MILLIS));
+            return print(AdminClient.ask(endpoint, request, TIMEOUT_MILLIS));
         } catch (IOException e) {
             command.commandLine()
                     .getErr()
--- a/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
+++ b/src/main/java/cairnbridge/drill/rig/ProxyProcess.java
@@ -1,6 +1,6 @@
 package cairnbridge.drill.rig;
 
-import cairnbridge.admin.DoorClient;
+import cairnbridge.admin.AdminClient;
 import cairnbridge.store.FolderDisk;
 import cairnbridge.store.Kept;
 import cairnbridge.store.Ledger;
@@ -285,7 +285,7 @@
 
     /** What its door answers to one call; an IOException where it says nothing in time. */
     String ask(String call) throws IOException {
-        return DoorClient.ask(door, call, DOOR_MILLIS);
+        return AdminClient.ask(door, call, DOOR_MILLIS);
     }
 
     /** Its view of the fleet. */
--- a/src/main/java/cairnbridge/proxy/Serve.java
+++ b/src/main/java/cairnbridge/proxy/Serve.java
@@ -1,6 +1,6 @@
 package cairnbridge.proxy;
 
-import cairnbridge.admin.Door;
+import cairnbridge.admin.AdminServer;
 import cairnbridge.admin.Figures;
 import cairnbridge.admin.Staff;
 import cairnbridge.config.ConfigFault;
@@ -58,7 +58,7 @@
     private final Thread owner;
     private final Runnable whenBroken;
     private volatile boolean stopping;
-    private volatile Door door;
+    private volatile AdminServer door;
 
     /** Null where this proxy is alone, as on the platform. */
     private volatile Fleet fleet;
@@ -211,7 +211,7 @@
         maintenance.look();
         owner.start();
         if (config.door().isPresent()) {
-            door = new Door(config.door().get(), this, figures);
+            door = new AdminServer(config.door().get(), this, figures);
             vital(door).start();
         }
         // Guards against clients that find nobody while a proxy warms up after a restart: it serves
--- a/src/main/java/cairnbridge/proxy/Sockets.java
+++ b/src/main/java/cairnbridge/proxy/Sockets.java
@@ -1,6 +1,6 @@
 package cairnbridge.proxy;
 
-import cairnbridge.admin.Door;
+import cairnbridge.admin.AdminServer;
 import cairnbridge.config.ProxyConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -129,7 +129,8 @@
         this.listen = listen;
         this.threads = threads;
         backlog = config.sockets();
-        int left = config.sockets() - OWN - (config.door().isPresent() ? Door.MOST_SOCKETS : 0);
+        int left =
+                config.sockets() - OWN - (config.door().isPresent() ? AdminServer.MOST_SOCKETS : 0);
         crowded = (int) (CROWDED * left);
         most = (int) (FULL * left);
         last = (int) (LAST * left);
--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cairnbridge.admin.Door;
+import cairnbridge.admin.AdminServer;
 import cairnbridge.config.Names;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -95,7 +95,7 @@
         assertEquals(200, code(ask("GET /view/1", ttl(800), "")));
         assertTrue(says("hosts_down:0|g"));
         IOException taken =
-                assertThrows(IOException.class, () -> new Door(proxy.door(), proxy, null));
+                assertThrows(IOException.class, () -> new AdminServer(proxy.door(), proxy, null));
         assertTrue(taken.getMessage().startsWith("cannot listen on "), taken.getMessage());
     }
 
