AdminServer says its answers in short methods in place of nested conditionals

Cause: the formatter had set two conditional expressions 80 columns in. Change: members and member are cases of their own; recovery, zones and the text of a failure are methods; doc comments on the public methods.

--- a/src/main/java/cairnbridge/admin/AdminServer.java
+++ b/src/main/java/cairnbridge/admin/AdminServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -43,6 +44,11 @@
 
     private volatile boolean stopped;
 
+    /**
+     * Opens the endpoint; requests are answered once {@link #run} is called.
+     *
+     * @throws IOException if the address cannot be listened on
+     */
     public AdminServer(InetSocketAddress address, Staff staff, Figures figures) throws IOException {
         this.staff = staff;
         this.figures = figures;
@@ -51,10 +57,12 @@
         listener = Listener.open(address, 0, false, selector);
     }
 
+    /** The address it listens on. */
     public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
+    /** Makes {@link #run} close all connections and return. */
     public void stop() {
         stopped = true;
         selector.wakeup();
@@ -109,7 +117,7 @@
         }
     }
 
-    /** Guards against a door that shuts for good while the process is out of descriptors. */
+    /** Guards against an endpoint that closes for good while the process is out of descriptors. */
     private SocketChannel next() {
         try {
             return listener.accept();
@@ -153,8 +161,8 @@
                 called = true;
                 key.interestOps(0);
                 if (end >= 0 && !text.substring(end).isBlank()) {
-                    say(NO + "one line to a connection"); // Guards against half of what a
-                    // caller wants done.
+                    // Guards against half of what a caller wants done.
+                    say(NO + "one line to a connection");
                 } else {
                     call((end < 0 ? text : text.substring(0, end)).strip());
                 }
@@ -178,59 +186,53 @@
                 }
                 case "maint-on" -> later(staff.hold(id, true), YES + "out", NO + "no such node");
                 case "maint-off" -> later(staff.hold(id, false), YES + "back", NO + "no such node");
-                case "members", "members-json", "member" ->
-                        say(
-                                staff.fleet(word[0], id)
-                                        .orElse(
-                                                NO
-                                                        + (word[0].equals("member")
-                                                                ? "no such member"
-                                                                : "no fleet")));
-                case "recovery" ->
-                        say(
-                                staff.recovery()
-                                        .map(told -> told + "EOF")
-                                        .orElse(NO + "nothing is kept over a loss of power"));
-                case "zones", "zone-drain", "zone-restore" ->
-                        staff.zones(text)
-                                .ifPresentOrElse(
-                                        this::laterText, () -> say(NO + "no plans over zones"));
+                case "members", "members-json" ->
+                        say(staff.fleet(word[0], id).orElse(NO + "no fleet"));
+                case "member" -> say(staff.fleet(word[0], id).orElse(NO + "no such member"));
+                case "recovery" -> say(recovery());
+                case "zones", "zone-drain", "zone-restore" -> zones(text);
                 default -> say(NO + "no such call");
             }
         }
 
+        private String recovery() {
+            return staff.recovery()
+                    .map(text -> text + "EOF")
+                    .orElse(NO + "nothing is kept over a loss of power");
+        }
+
+        private void zones(String request) {
+            Optional<CompletableFuture<String>> answer = staff.zones(request);
+            answer.ifPresentOrElse(this::laterText, () -> say(NO + "no plans over zones"));
+        }
+
         /**
          * Guards against a caller left without a word while the owner of the decisions is behind.
          */
         private void later(CompletableFuture<Boolean> done, String yes, String no) {
             done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS)
                     .whenComplete(
-                            (taken, late) -> {
-                                boolean notKept =
-                                        late instanceof CompletionException
-                                                && late.getCause() instanceof NotKept;
-                                say(
-                                        notKept
-                                                ? YES
-                                                        + "in force, but a loss of power would undo"
-                                                        + " it"
-                                                : late instanceof TimeoutException
-                                                        ? NO + "not in force yet, call again"
-                                                        : late != null
-                                                                ? NO
-                                                                        + "cannot be kept, nothing"
-                                                                        + " has changed"
-                                                                : taken ? yes : no);
+                            (taken, failure) -> {
+                                say(failure != null ? text(failure) : taken ? yes : no);
                                 answered.add(this);
                                 selector.wakeup();
                             });
         }
 
+        private static String text(Throwable failure) {
+            if (failure instanceof CompletionException && failure.getCause() instanceof NotKept) {
+                return YES + "in force, but a loss of power would undo it";
+            }
+            return failure instanceof TimeoutException
+                    ? NO + "not in force yet, call again"
+                    : NO + "cannot be kept, nothing has changed";
+        }
+
         private void laterText(CompletableFuture<String> done) {
             done.orTimeout(MOST_WAIT_MILLIS, TimeUnit.MILLISECONDS)
                     .whenComplete(
-                            (text, late) -> {
-                                say(late != null ? NO + "no answer yet, call again" : text);
+                            (text, failure) -> {
+                                say(failure != null ? NO + "no answer yet, call again" : text);
                                 answered.add(this);
                                 selector.wakeup();
                             });
