--- /dev/null
+++ b/src/main/java/cairnbridge/cli/LabRunCommand.java
@@ -0,0 +1,109 @@
+package cairnbridge.cli;
+
+import cairnbridge.config.ConfigFault;
+import cairnbridge.drill.scenario.Scenario;
+import cairnbridge.drill.scenario.ScenarioFault;
+import cairnbridge.lab.policy.Policy;
+import cairnbridge.lab.run.Emulation;
+import cairnbridge.lab.run.Outcome;
+import cairnbridge.lab.run.RunRecord;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Plays one scenario on models and prints its checks and its sums. */
+@Command(
+        name = "run",
+        mixinStandardHelpOptions = true,
+        description = "Plays one scenario.",
+        footer = "Example: lab run drills/compare-ring.drill --policy two --seed 3")
+final class LabRunCommand implements Callable<Integer> {
+    @Spec private CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "A scenario, as in drills/.")
+    private String file;
+
+    @Option(
+            names = "--policy",
+            defaultValue = "router",
+            description = "router, random, two, ring or bounded: ${DEFAULT-VALUE}.")
+    private String policy;
+
+    @Mixin private SeedOption seed;
+
+    @Option(
+            names = "--size",
+            defaultValue = "1",
+            description = "Members, caches and load so many times: ${DEFAULT-VALUE}.")
+    private int size;
+
+    @Option(
+            names = "--out",
+            paramLabel = "FILE",
+            description = "Where the record goes, lines of JSON.")
+    private String out;
+
+    @Override
+    public Integer call() throws IOException {
+        Policy.Kind kind = kind();
+        OptionChecks.atLeastOne(size, "--size");
+        long began = System.nanoTime();
+        Outcome outcome = play(kind);
+        double seconds = (System.nanoTime() - began) / 1e9;
+        outcome.checks().forEach(check -> say(text(check)));
+        outcome.crashes().forEach((name, why) -> say(name + " has crashed: " + why));
+        say(sums(outcome, seconds));
+        if (out != null) {
+            Files.writeString(OptionChecks.path(out), RunRecord.lines(outcome));
+        }
+        return outcome.held() ? 0 : 1;
+    }
+
+    private Policy.Kind kind() {
+        return Arrays.stream(Policy.Kind.values())
+                .filter(each -> each.word().equals(policy))
+                .findFirst()
+                .orElseThrow(() -> new ConfigFault("--policy", "there is no policy " + policy));
+    }
+
+    private Outcome play(Policy.Kind kind) {
+        Scenario scenario = DrillCommand.read(file);
+        try {
+            return new Emulation(scenario.times(size), kind, seed.value()).run();
+        } catch (ScenarioFault e) {
+            throw new ConfigFault(file, e.getMessage());
+        }
+    }
+
+    private static String text(Outcome.Check check) {
+        String verdict = check.held() ? "" : "DOES NOT HOLD, ";
+        return "line " + check.line() + " " + check.step() + ": " + verdict + check.figures();
+    }
+
+    private static String sums(Outcome outcome, double seconds) {
+        return String.format(
+                Locale.ROOT,
+                "%.4f of %d ops served, median %.1f ms, 99%% within %.1f ms; origin "
+                        + "fetches %d; %.1f s simulated in %.1f s, %d events",
+                outcome.service(),
+                outcome.asked(),
+                outcome.medianSpan(),
+                outcome.span99(),
+                outcome.fetches(),
+                outcome.simulatedMillis() / 1e3,
+                seconds,
+                outcome.events());
+    }
+
+    private void say(String line) {
+        spec.commandLine().getOut().println(line);
+    }
+}
