Propagation: versioned changes over a relay tree, as state machines without I/O

Cause: nothing here carries an ordered change to all members. Gossip holds one latest word a member, of at most 800 bytes; a plan over zones is one register; a reload is a signal to one process.

Change: package cairnbridge.propagation. A source publishes changes by (epoch, version); followers pass them on over a tree of one relay a region and one a site, which is computed by rendezvous hashing. Each parent keeps a cursor into a bounded log for each child, paced by a byte budget. Reports come back as bits of members by site, so that a member that is reported by two parents counts once. Refusals, fencing by epoch, repair of gaps, pieces of large changes, change of parent by silence or by heartbeats that stand still. A simulated net for it, with tests on the cases that are hard.

Checked: the tests of the package, all on simulated time.

Now reports are numbered, later changes are kept until the gap is closed, and only the gap is sent again.

--- /dev/null
+++ b/src/main/java/cairnbridge/propagation/ParentChoice.java
@@ -0,0 +1,160 @@
+package cairnbridge.propagation;
+
+import cairnbridge.fleet.member.MemberId;
+import java.util.List;
+
+/**
+ * Which of the candidates is the parent now. One is given up when it is silent, when it is cut off
+ * from the source for long, or when it rejects the child; the next one in the list follows, after
+ * the last the first.
+ */
+final class ParentChoice {
+    private static final int UNKNOWN_HOPS = Integer.MAX_VALUE;
+
+    private final PropagationSettings settings;
+    private List<MemberId> candidates;
+    private int index;
+    private long chosenAt;
+    private long heardAt;
+    private long subscribedAt;
+    private long preferredAt;
+    private boolean answered;
+    private int parentHops = UNKNOWN_HOPS;
+    private long beatEpoch;
+    private long beat = -1;
+    private long beatAt;
+
+    ParentChoice(PropagationSettings settings, List<MemberId> candidates, long now) {
+        this.settings = settings;
+        this.candidates = List.copyOf(candidates);
+        beatAt = now;
+        choose(0, now);
+    }
+
+    private void choose(int next, long now) {
+        index = next;
+        chosenAt = now;
+        heardAt = now;
+        subscribedAt = now;
+        preferredAt = now;
+        answered = false;
+        parentHops = UNKNOWN_HOPS;
+    }
+
+    boolean isNobody() {
+        return candidates.isEmpty();
+    }
+
+    MemberId parent() {
+        return candidates.get(index);
+    }
+
+    MemberId first() {
+        return candidates.get(0);
+    }
+
+    boolean isCandidate(MemberId id) {
+        return candidates.contains(id);
+    }
+
+    /** A new list; the parent is kept where it is in it. */
+    void replace(List<MemberId> fresh, long now) {
+        MemberId parent = isNobody() ? null : parent();
+        candidates = List.copyOf(fresh);
+        int kept = candidates.indexOf(parent);
+        if (kept >= 0) {
+            index = kept;
+        } else {
+            choose(0, now);
+        }
+    }
+
+    /** A candidate has spoken; whether it takes the place of the parent by that. */
+    boolean hear(MemberId from, Message.Heartbeat heartbeat, long now) {
+        boolean isCurrent = isCurrent(heartbeat);
+        if (isFurther(heartbeat)) {
+            beatEpoch = heartbeat.epoch();
+            beat = heartbeat.beat();
+            beatAt = now;
+        }
+        if (from.equals(parent())) {
+            heardAt = now;
+            answered = true;
+            parentHops = heartbeat.hops();
+            return false;
+        }
+        boolean isBetter = candidates.indexOf(from) < index || heartbeat.hops() == 0;
+        if (!isCurrent || !isBetter || parentHops == 0) {
+            return false;
+        }
+        choose(candidates.indexOf(from), now);
+        answered = true;
+        parentHops = heartbeat.hops();
+        return true;
+    }
+
+    /** Guards against going back to one that was frozen, or is cut off, and does not know it. */
+    private boolean isCurrent(Message.Heartbeat heartbeat) {
+        return heartbeat.epoch() > beatEpoch
+                || heartbeat.epoch() == beatEpoch && heartbeat.beat() >= beat - 1;
+    }
+
+    private boolean isFurther(Message.Heartbeat heartbeat) {
+        return heartbeat.epoch() > beatEpoch
+                || heartbeat.epoch() == beatEpoch && heartbeat.beat() > beat;
+    }
+
+    /** The newest heartbeat of the source. */
+    long beat() {
+        return Math.max(0, beat);
+    }
+
+    /** Whether the parent has to be given up. */
+    boolean isLost(long now) {
+        return now >= lostDue();
+    }
+
+    private long lostDue() {
+        long detachedSince = Math.max(beatAt, chosenAt);
+        return Math.min(
+                heardAt + settings.parentTimeout(), detachedSince + settings.detachedAfter());
+    }
+
+    /** The parent does not serve this child; the next one is asked a little later. */
+    void rejected(long now) {
+        answered = true;
+        heardAt = now + settings.subscribeRetry() - settings.parentTimeout();
+    }
+
+    void next(long now) {
+        choose((index + 1) % candidates.size(), now);
+    }
+
+    /** Whether a subscription has stayed without an answer; asked once for each. */
+    boolean subscribesAgain(long now) {
+        if (answered || now < subscribedAt + settings.subscribeRetry()) {
+            return false;
+        }
+        subscribedAt = now;
+        return true;
+    }
+
+    /** Whether the first candidate is to be asked now, as the parent is another. */
+    boolean asksFirst(long now) {
+        if (index == 0 || parentHops == 0 || now < preferredAt + settings.preferEvery()) {
+            return false;
+        }
+        preferredAt = now;
+        return true;
+    }
+
+    long due() {
+        long due = lostDue();
+        if (!answered) {
+            due = Math.min(due, subscribedAt + settings.subscribeRetry());
+        }
+        return index == 0 || parentHops == 0
+                ? due
+                : Math.min(due, preferredAt + settings.preferEvery());
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/propagation/Source.java
@@ -0,0 +1,196 @@
+package cairnbridge.propagation;
+
+import cairnbridge.fleet.member.MemberId;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Publishes changes in order and knows at whom they are in force. Whoever starts one has to see to
+ * it that its epoch is higher than that of any source started before; nothing here agrees on that.
+ *
+ * <p>It stops for good as soon as it hears of a higher epoch, or of changes of its own epoch that
+ * it does not know of.
+ */
+public final class Source {
+    /** Whether it may publish. */
+    public enum State {
+        ACTIVE,
+        /** There is a source of a higher epoch. */
+        FENCED,
+        /** Somebody holds changes of this epoch that are not in this source's log. */
+        BEHIND
+    }
+
+    private final long epoch;
+    private final List<MemberId> peers;
+    private final List<Placement> members;
+    private final PropagationSettings settings;
+    private final RetainedLog log;
+    private final PropagationHost host;
+    private final Children children;
+    private State state = State.ACTIVE;
+    private final ElapsedTime clock;
+    private long now;
+    private long beat;
+    private long beatAt;
+    private long gatherUntil;
+
+    /**
+     * One that goes on from a log.
+     *
+     * @param epoch higher than that of any source before
+     * @param log of the follower that becomes the source, or an empty one
+     * @param peers the other control machines, who are told of it
+     * @param members those at whom a change is to come into force
+     */
+    public Source(
+            long epoch,
+            RetainedLog log,
+            List<MemberId> peers,
+            List<Placement> members,
+            PropagationSettings settings,
+            PropagationHost host,
+            long time) {
+        if (log.last().epoch() >= epoch) {
+            throw new IllegalArgumentException("the log is of an epoch that is not lower");
+        }
+        this.epoch = epoch;
+        this.log = log;
+        this.peers = List.copyOf(peers);
+        this.members = List.copyOf(members);
+        this.settings = settings;
+        this.host = host;
+        clock = new ElapsedTime(time);
+        children = new Children(settings, log, host);
+        beatAt = now;
+        gatherUntil = now;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** The newest change. */
+    public Position last() {
+        return log.last();
+    }
+
+    public int children() {
+        return children.size();
+    }
+
+    /** The most that is on its way to any child, in bytes. */
+    public int mostOutstandingBytes() {
+        return children.mostOutstandingBytes();
+    }
+
+    /**
+     * How often somebody lacked changes that are no longer kept. Only a superseding change helps
+     * them.
+     */
+    public long logTooShort() {
+        return children.rejectedAsTooShort();
+    }
+
+    /**
+     * Publishes a change.
+     *
+     * @param superseding whether it replaces all before it
+     * @throws NotActiveException where this source was fenced off or is behind
+     * @throws IllegalArgumentException where the body is larger than the settings allow
+     */
+    public Position publish(byte[] body, boolean superseding, long time) {
+        advance(time);
+        if (state != State.ACTIVE) {
+            throw new NotActiveException("the source of epoch " + epoch + " is " + state);
+        }
+        if (body.length > settings.changeBytes()) {
+            throw new IllegalArgumentException(
+                    "a change has at most " + settings.changeBytes() + " bytes");
+        }
+        Position previous = log.last();
+        Position position = new Position(epoch, previous.version() + 1);
+        log.append(new Change(position, previous, superseding, body.clone()));
+        if (now >= gatherUntil) {
+            gatherUntil = now + settings.batchDelay();
+        }
+        turn(time);
+        return position;
+    }
+
+    /** Takes in a message. */
+    public void handle(MemberId from, Message message, long time) {
+        advance(time);
+        if (message.epoch() > epoch) {
+            state = State.FENCED;
+        }
+        if (message instanceof Message.Leave) {
+            children.remove(from);
+        }
+        if (message instanceof Message.Report report && state == State.ACTIVE) {
+            if (report.held().isAfter(log.last()) && report.held().epoch() == epoch) {
+                state = State.BEHIND;
+            } else {
+                children.hear(from, report, heartbeat(), now);
+            }
+        }
+        turn(time);
+    }
+
+    private void advance(long time) {
+        now = clock.advance(time);
+    }
+
+    private Message.Heartbeat heartbeat() {
+        return new Message.Heartbeat(epoch, beat, 0);
+    }
+
+    /** Does what is due. */
+    public void turn(long time) {
+        advance(time);
+        if (state != State.ACTIVE) {
+            return;
+        }
+        children.dropSilent(now);
+        if (now >= beatAt) {
+            beat++;
+            beatAt = now + settings.beatEvery();
+            peers.forEach(peer -> host.send(peer, new Message.Beat(heartbeat())));
+        }
+        children.serve(heartbeat(), now >= gatherUntil, now);
+    }
+
+    /** When {@link #turn} is to be called next at the latest, by the caller's clock. */
+    public long due() {
+        return clock.shownAt(elapsedDue());
+    }
+
+    private long elapsedDue() {
+        if (state != State.ACTIVE) {
+            return Long.MAX_VALUE;
+        }
+        long due = Math.min(beatAt, children.due(now >= gatherUntil));
+        return now < gatherUntil ? Math.min(due, gatherUntil) : due;
+    }
+
+    /** At whom a change is in force now, as far as is known here. */
+    public Coverage coverage(Position position) {
+        ProgressTable table = new ProgressTable();
+        children.addProgress(table, now);
+        List<MemberId> missing = new ArrayList<>();
+        int inForce = 0;
+        for (Placement member : members) {
+            if ((table.membersAt(member.site(), position) & member.bit()) != 0) {
+                inForce++;
+            } else if (missing.size() < Coverage.MAXIMUM_NAMES) {
+                missing.add(member.member());
+            }
+        }
+        List<Refusal> refusals =
+                children.refusals().stream()
+                        .filter(refusal -> refusal.position().equals(position))
+                        .distinct()
+                        .toList();
+        return new Coverage(position, inForce, members.size(), missing, refusals);
+    }
+}
--- /dev/null
+++ b/src/main/java/cairnbridge/propagation/simulated/FleetLayout.java
@@ -0,0 +1,51 @@
+package cairnbridge.propagation.simulated;
+
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.propagation.Placement;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * How many there are of what; members are dealt out over sites, and sites over regions, in turn.
+ */
+public record FleetLayout(int members, int sites, int regions, int controls) {
+    /** The share of sites and regions that 1,800 members at 140 sites in 11 regions have. */
+    private static final double MEMBERS_PER_SITE = 1_800 / 140.0;
+
+    private static final int MOST_REGIONS = 11;
+    private static final int CONTROLS = 7;
+
+    public FleetLayout {
+        if (members < sites || sites < regions || regions < 1 || controls < 1) {
+            throw new IllegalArgumentException("a site has a member, a region has a site");
+        }
+        if ((members + sites - 1) / sites > Placement.SLOTS) {
+            throw new IllegalArgumentException("a site has at most " + Placement.SLOTS);
+        }
+    }
+
+    /** With as many sites and regions as a fleet of that size has, and seven control machines. */
+    public static FleetLayout of(int members) {
+        int sites = Math.max(1, (int) Math.round(members / MEMBERS_PER_SITE));
+        return new FleetLayout(members, sites, Math.min(MOST_REGIONS, sites), CONTROLS);
+    }
+
+    List<Placement> placements() {
+        List<Placement> placements = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            int site = i % sites;
+            placements.add(
+                    new Placement(
+                            new MemberId("m" + i), "r" + site % regions, "s" + site, i / sites));
+        }
+        return placements;
+    }
+
+    List<MemberId> controlIds() {
+        List<MemberId> ids = new ArrayList<>();
+        for (int i = 0; i < controls; i++) {
+            ids.add(new MemberId("control" + i));
+        }
+        return ids;
+    }
+}
--- /dev/null
+++ b/src/test/java/cairnbridge/propagation/PropagationTest.java
@@ -0,0 +1,529 @@
+package cairnbridge.propagation;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.fleet.member.MemberId;
+import cairnbridge.propagation.simulated.FleetLayout;
+import cairnbridge.propagation.simulated.PropagationNet;
+import cairnbridge.propagation.simulated.PropagationNet.Node;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What must hold of a fleet on a simulated net, whatever breaks; simulated time only. */
+class PropagationTest {
+    private static final long SECOND = PropagationSettings.SECOND;
+    private static final long IN_TIME = 3 * SECOND;
+    private static final FleetLayout SMALL = new FleetLayout(120, 12, 3, 3);
+    private static final FleetLayout TINY = new FleetLayout(24, 6, 3, 3);
+    private static final FleetLayout WHOLE = FleetLayout.of(1_800);
+    private static final int DATAGRAM = 1_250;
+
+    private PropagationNet net;
+
+    private void begin(FleetLayout layout, PropagationSettings settings, long seed) {
+        net = new PropagationNet(layout, settings, false, seed);
+        net.startAll();
+        net.pass(5 * SECOND);
+    }
+
+    @AfterEach
+    void nothingForbiddenHappened() {
+        assertEquals(List.of(), net.violations);
+        assertTrue(net.largestMessage() <= DATAGRAM, "a message has " + net.largestMessage());
+    }
+
+    private Node source() {
+        return net.controls().get(0);
+    }
+
+    private Position publish(String text) {
+        return net.publish(source(), text.getBytes(), true);
+    }
+
+    private Position purge() {
+        return net.publish(source(), new byte[60], false);
+    }
+
+    private Coverage coverage(Position position) {
+        return source().source().coverage(position);
+    }
+
+    private void assertInForceWithin(long span, Position position) {
+        assertTrue(net.untilInForce(position, span) >= 0, () -> "lacking: " + lacking(position));
+    }
+
+    private List<MemberId> lacking(Position position) {
+        return net.lacking(position).stream().map(node -> node.id).toList();
+    }
+
+    /** The member with the most children of those that qualify. */
+    private Node busiest(List<Node> among) {
+        return among.stream().max(Comparator.comparingInt(Node::children)).orElseThrow();
+    }
+
+    private List<Node> ofRegion(String region) {
+        return net.members().stream()
+                .filter(node -> node.placement.get().region().equals(region))
+                .toList();
+    }
+
+    private Node regionRelay(String region) {
+        return net.node(net.tree().relaysOf(region).get(0));
+    }
+
+    private Node siteRelay(String site) {
+        return net.node(net.tree().relaysOfSite(site).get(0));
+    }
+
+    @Test
+    void aChangeIsInForceAtAllOf1800AndTheSourceKnows() {
+        begin(WHOLE, PropagationSettings.CONFIGURATIONS, 1);
+        Position first = publish("first");
+        assertInForceWithin(IN_TIME, first);
+        net.pass(IN_TIME);
+        assertEquals(new Coverage(first, 1_800, 1_800, List.of(), List.of()), coverage(first));
+        assertTrue(source().children() <= 6 + 11 * RelayTree.CANDIDATES);
+    }
+
+    @Test
+    void lostDoubledAndOvertakenMessagesOnlyDelay() {
+        for (long seed = 1; seed <= 3; seed++) {
+            begin(SMALL, PropagationSettings.CONFIGURATIONS, seed);
+            net.loss = 0.2;
+            net.doubled = 0.2;
+            Position last = Position.NONE;
+            for (int i = 0; i < 30; i++) {
+                last = publish("version " + i);
+                net.pass(SECOND / 4);
+            }
+            assertInForceWithin(30 * SECOND, last);
+            nothingForbiddenHappened();
+        }
+    }
+
+    @Test
+    void purgesComeOnceEachAndInOrderDespiteLoss() {
+        begin(SMALL, PropagationSettings.PURGES, 4);
+        net.loss = 0.1;
+        net.doubled = 0.1;
+        List<String> gaps = watchForGaps();
+        Position last = Position.NONE;
+        for (int i = 0; i < 320; i++) {
+            last = purge();
+            net.pass(SECOND / 16);
+        }
+        assertInForceWithin(30 * SECOND, last);
+        assertEquals(List.of(), gaps);
+    }
+
+    private List<String> watchForGaps() {
+        List<String> gaps = new ArrayList<>();
+        net.observer =
+                new PropagationNet.Observer() {
+                    @Override
+                    public void applied(Node node, Position before, Position after) {
+                        if (after.version() != before.version() + 1) {
+                            gaps.add(node.id + " went from " + before + " to " + after);
+                        }
+                    }
+
+                    @Override
+                    public void reported(Node node) {}
+                };
+        return gaps;
+    }
+
+    @Test
+    void relaysKilledWithAChangeUnderWayAreReplaced() {
+        begin(WHOLE, PropagationSettings.CONFIGURATIONS, 5);
+        Position position = publish("under way");
+        net.pass(30 * PropagationSettings.MILLISECOND);
+        Node ofRegion = regionRelay("r3");
+        Node ofSite = siteRelay("s7");
+        assertTrue(ofRegion.children() > 10 && ofSite.children() > 5);
+        net.crash(ofRegion);
+        net.crash(ofSite);
+        assertInForceWithin(IN_TIME, position);
+        net.pass(10 * SECOND);
+        Coverage coverage = coverage(position);
+        assertEquals(1_798, coverage.inForce());
+        assertEquals(
+                List.of(ofRegion.id, ofSite.id).stream().sorted().toList(),
+                coverage.missing().stream().sorted().toList());
+    }
+
+    @Test
+    void membersComeBackToTheFirstRelayOnceItRunsAgain() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 6);
+        Node relay = siteRelay("s5");
+        int children = relay.children();
+        net.crash(relay);
+        net.pass(20 * SECOND);
+        net.start(relay);
+        net.pass(45 * SECOND);
+        assertEquals(children, relay.children());
+        assertInForceWithin(IN_TIME, publish("after"));
+    }
+
+    @Test
+    void aRelayFrozenFor20SecondsHoldsUpNobodyElse() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 7);
+        Node relay = regionRelay("r1");
+        net.freeze(relay);
+        Position last = Position.NONE;
+        for (int i = 0; i < 20; i++) {
+            last = publish("version " + i);
+            net.pass(SECOND);
+            if (i >= 3) {
+                assertInForceWithin(IN_TIME, last);
+            }
+        }
+        net.thaw(relay);
+        assertInForceWithin(IN_TIME, last);
+        assertInForceWithin(IN_TIME, publish("after"));
+    }
+
+    @Test
+    void noMemberCountsTwiceWhileItChangesItsParent() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 8);
+        Node dead = net.members().get(119);
+        net.crash(dead);
+        net.pass(10 * SECOND);
+        Position position = publish("at all but one");
+        net.pass(IN_TIME);
+        net.freeze(siteRelay("s5"));
+        net.freeze(regionRelay("r0"));
+        for (int i = 0; i < 100; i++) {
+            net.pass(SECOND / 10);
+            assertFalse(coverage(position).isComplete());
+            assertTrue(coverage(position).missing().contains(dead.id));
+        }
+    }
+
+    @Test
+    void aReceiverThatTakesNothingDelaysNoOther() {
+        begin(SMALL, PropagationSettings.PURGES, 9);
+        Node slow = net.members().get(100);
+        net.freeze(slow);
+        for (int i = 0; i < 100; i++) {
+            Position position = purge();
+            net.pass(SECOND / 16);
+            if (i % 16 == 0) {
+                assertInForceWithin(IN_TIME, position);
+            }
+        }
+        net.thaw(slow);
+        assertInForceWithin(20 * SECOND, purge());
+    }
+
+    @Test
+    void aRelayThatIsFullTurnsChildrenAwayAndTheyFindAnother() {
+        PropagationSettings few = withChildren(PropagationSettings.CONFIGURATIONS, 45);
+        begin(SMALL, few, 10);
+        Node control = net.controls().get(1);
+        List<MemberId> onlyControl = List.of(control.id, net.controls().get(2).id);
+        for (Node member : net.members().subList(0, 60)) {
+            member.follower().candidates(onlyControl, net.now());
+        }
+        net.pass(20 * SECOND);
+        assertTrue(control.children() <= 45);
+        assertInForceWithin(IN_TIME, publish("to all"));
+    }
+
+    private static PropagationSettings withChildren(PropagationSettings like, int children) {
+        return new PropagationSettings(
+                like.beatEvery(),
+                like.parentTimeout(),
+                like.detachedAfter(),
+                like.preferEvery(),
+                like.subscribeRetry(),
+                like.reportEvery(),
+                like.reportDelay(),
+                like.batchDelay(),
+                like.childTimeout(),
+                like.retransmitAfter(),
+                like.retransmitMost(),
+                like.bytesPerSecond(),
+                like.burstBytes(),
+                like.windowBytes(),
+                like.messageBytes(),
+                like.changeBytes(),
+                like.logChanges(),
+                like.logBytes(),
+                children);
+    }
+
+    private static PropagationSettings withLog(PropagationSettings like, int changes) {
+        return new PropagationSettings(
+                like.beatEvery(),
+                like.parentTimeout(),
+                like.detachedAfter(),
+                like.preferEvery(),
+                like.subscribeRetry(),
+                like.reportEvery(),
+                like.reportDelay(),
+                like.batchDelay(),
+                like.childTimeout(),
+                like.retransmitAfter(),
+                like.retransmitMost(),
+                like.bytesPerSecond(),
+                like.burstBytes(),
+                like.windowBytes(),
+                like.messageBytes(),
+                like.changeBytes(),
+                changes,
+                like.logBytes(),
+                like.children());
+    }
+
+    @Test
+    void aRegionCutOffForAnHourCatchesUpInOrderWithinItsBudgetAsFreshPurgesGoOn() {
+        begin(TINY, PropagationSettings.PURGES, 11);
+        List<String> gaps = watchForGaps();
+        ofRegion("r2").forEach(node -> net.side(node, 1));
+        int missed = 3_600;
+        for (int i = 0; i < missed; i++) {
+            purge();
+            net.pass(SECOND);
+        }
+        ofRegion("r2").forEach(node -> net.side(node, 0));
+        Node behind = net.members().get(2);
+        long receivedBefore = behind.bytesReceived();
+        Position mended = source().source().last();
+        long from = net.now();
+        Position last = mended;
+        while (!net.lacking(mended).isEmpty() && net.now() - from < 600 * SECOND) {
+            Position fresh = purge();
+            net.pass(SECOND);
+            assertTrue(net.lacking(last).size() <= ofRegion("r2").size(), "others are held up");
+            last = fresh;
+        }
+        assertEquals(List.of(), net.lacking(mended));
+        double seconds = (net.now() - from) / (double) SECOND;
+        long received = behind.bytesReceived() - receivedBefore;
+        PropagationSettings budget = PropagationSettings.PURGES;
+        double allowed = budget.bytesPerSecond() * seconds + budget.burstBytes();
+        assertTrue(received <= allowed + DATAGRAM, received + " bytes in " + seconds + " s");
+        assertInForceWithin(60 * SECOND, last);
+        assertEquals(List.of(), gaps);
+    }
+
+    @Test
+    void aRegionCutOffForAnHourNeedsOnlyTheNewestConfiguration() {
+        begin(TINY, PropagationSettings.CONFIGURATIONS, 12);
+        ofRegion("r2").forEach(node -> net.side(node, 1));
+        Position last = Position.NONE;
+        for (int i = 0; i < 133; i++) {
+            last = publish("version " + i);
+            net.pass(27 * SECOND);
+        }
+        int[] applied = countApplied();
+        ofRegion("r2").forEach(node -> net.side(node, 0));
+        assertInForceWithin(15 * SECOND, last);
+        assertEquals(ofRegion("r2").size(), applied[0]);
+        assertInForceWithin(IN_TIME, publish("after"));
+    }
+
+    private int[] countApplied() {
+        int[] applied = new int[1];
+        net.observer =
+                new PropagationNet.Observer() {
+                    @Override
+                    public void applied(Node node, Position before, Position after) {
+                        applied[0]++;
+                    }
+
+                    @Override
+                    public void reported(Node node) {}
+                };
+        return applied;
+    }
+
+    @Test
+    void whoLacksMoreThanAnyLogKeepsIsHelpedByASupersedingChange() {
+        begin(SMALL, withLog(PropagationSettings.PURGES, 50), 13);
+        ofRegion("r2").forEach(node -> net.side(node, 1));
+        Position last = Position.NONE;
+        for (int i = 0; i < 200; i++) {
+            last = purge();
+            net.pass(SECOND / 4);
+        }
+        ofRegion("r2").forEach(node -> net.side(node, 0));
+        net.pass(30 * SECOND);
+        assertTrue(source().source().logTooShort() > 0);
+        assertEquals(ofRegion("r2").size(), net.lacking(last).size());
+        Position whole = net.publish(source(), new byte[100], true);
+        assertInForceWithin(60 * SECOND, whole);
+        assertInForceWithin(10 * SECOND, purge());
+    }
+
+    @Test
+    void restartsOf280AndThenOfAllAtOnce() {
+        begin(WHOLE, PropagationSettings.CONFIGURATIONS, 14);
+        Position before = publish("before");
+        assertInForceWithin(IN_TIME, before);
+        Position during = publish("during");
+        List<Node> some = net.members().subList(500, 780);
+        some.forEach(net::crash);
+        net.pass(SECOND / 2);
+        some.forEach(net::startEmpty);
+        assertInForceWithin(10 * SECOND, during);
+        net.members().forEach(net::crash);
+        net.pass(SECOND / 2);
+        net.members().forEach(net::startEmpty);
+        assertInForceWithin(10 * SECOND, during);
+        assertInForceWithin(IN_TIME, publish("after"));
+    }
+
+    @Test
+    void aSourceThatComesBackWithAnOlderVersionStopsAndNobodyGoesBack() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 15);
+        for (int i = 0; i < 5; i++) {
+            publish("version " + i);
+            net.pass(SECOND);
+        }
+        Position newest = source().source().last();
+        net.crash(source());
+        net.start(source());
+        RetainedLog forgotten = new RetainedLog(PropagationSettings.CONFIGURATIONS);
+        net.startSource(source(), 1, forgotten);
+        net.publish(source(), "an older one".getBytes(), true);
+        net.pass(10 * SECOND);
+        assertEquals(List.of(), net.lacking(newest));
+        assertTrue(source().source() == null, "it has stopped");
+        Node second = net.controls().get(1);
+        net.startSource(second, 2);
+        Position fresh = net.publish(second, "of a new epoch".getBytes(), true);
+        assertEquals(new Position(2, 6), fresh);
+        assertInForceWithin(15 * SECOND, fresh);
+    }
+
+    @Test
+    void aSourceThatIsBehindRefusesToPublish() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 16);
+        List<Message> sent = new ArrayList<>();
+        Source lone =
+                new Source(
+                        3,
+                        new RetainedLog(PropagationSettings.CONFIGURATIONS),
+                        List.of(),
+                        List.of(),
+                        PropagationSettings.CONFIGURATIONS,
+                        (to, message) -> sent.add(message),
+                        0);
+        MemberId member = new MemberId("m");
+        lone.handle(
+                member,
+                new Message.Report(
+                        3, 1, 1, new Position(3, 9), Position.NONE, List.of(), List.of()),
+                1);
+        assertEquals(Source.State.BEHIND, lone.state());
+        assertThrows(NotActiveException.class, () -> lone.publish(new byte[1], true, 2));
+    }
+
+    @Test
+    void ofTwoSourcesTheOneOfTheHigherEpochWinsEverywhere() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 17);
+        Position old = publish("by the first");
+        assertInForceWithin(IN_TIME, old);
+        Node first = source();
+        Node second = net.controls().get(1);
+        net.side(second, 1);
+        ofRegion("r1").forEach(node -> net.side(node, 1));
+        net.pass(SECOND);
+        net.startSource(second, 2);
+        for (int i = 0; i < 3; i++) {
+            net.publish(first, ("first, " + i).getBytes(), true);
+            net.publish(second, ("second, " + i).getBytes(), true);
+            net.pass(SECOND);
+        }
+        Position newest = second.source().last();
+        assertTrue(newest.epoch() == 2 && net.lacking(newest).size() == 80);
+        net.side(second, 0);
+        ofRegion("r1").forEach(node -> net.side(node, 0));
+        assertInForceWithin(20 * SECOND, newest);
+        assertTrue(first.source() == null, "the first has stepped down");
+        Position after = net.publish(second, "after".getBytes(), true);
+        assertInForceWithin(IN_TIME, after);
+        for (Node member : net.members()) {
+            assertArrayEquals("after".getBytes(), member.body().orElseThrow());
+        }
+    }
+
+    @Test
+    void aMemberThatTurnsAVersionDownStaysOnItsLastGoodOneAndTheSourceSeesWhy() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 18);
+        net.loss = 0.05;
+        Position good = publish("good");
+        assertInForceWithin(IN_TIME, good);
+        Node member = net.members().get(50);
+        Node relay = siteRelay("s3");
+        for (Node each : List.of(member, relay)) {
+            each.refusing =
+                    change ->
+                            Arrays.equals(change.body(), "bad".getBytes())
+                                    ? Optional.of("an unknown key")
+                                    : Optional.empty();
+        }
+        Position bad = publish("bad");
+        net.pass(5 * SECOND);
+        assertEquals(good, member.inForce());
+        assertEquals(good, relay.inForce());
+        Coverage coverage = coverage(bad);
+        assertEquals(118, coverage.inForce());
+        assertEquals(
+                List.of(member.id, relay.id).stream().sorted().toList(),
+                coverage.refusals().stream().map(Refusal::member).sorted().toList());
+        assertEquals("an unknown key", coverage.refusals().get(0).reason());
+        assertInForceWithin(IN_TIME, publish("better"));
+    }
+
+    @Test
+    void aChangeOfTwiceADatagramAndOneOf40KilobytesArriveWhole() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 19);
+        net.loss = 0.05;
+        for (int size : List.of(2_400, 40_000)) {
+            byte[] body = new byte[size];
+            for (int i = 0; i < size; i++) {
+                body[i] = (byte) (i * 31 + size);
+            }
+            Position position = net.publish(source(), body, true);
+            assertInForceWithin(120 * SECOND, position);
+            for (Node member : net.members()) {
+                assertArrayEquals(body, member.body().orElseThrow());
+            }
+        }
+    }
+
+    @Test
+    void clocksThatAreSetDoNotMatter() {
+        begin(SMALL, PropagationSettings.CONFIGURATIONS, 20);
+        long hour = 3_600 * SECOND;
+        net.setClock(regionRelay("r0"), hour);
+        net.setClock(regionRelay("r1"), -hour);
+        net.setClock(siteRelay("s4"), -hour);
+        net.setClock(net.members().get(77), hour);
+        net.setClock(source(), -hour);
+        net.setClock(net.controls().get(1), hour);
+        Position position = publish("with wrong clocks");
+        assertInForceWithin(IN_TIME, position);
+        net.pass(20 * SECOND);
+        assertTrue(coverage(position).isComplete());
+        assertInForceWithin(IN_TIME, publish("after"));
+    }
+
+    @Test
+    void theBusiestRelayOfASiteServesItsSiteOnly() {
+        begin(WHOLE, PropagationSettings.CONFIGURATIONS, 21);
+        assertTrue(busiest(net.members()).children() <= 13 + 13 + RelayTree.CANDIDATES);
+    }
+}
