Scale propagation: measures in-force times and bytes of relays on a simulated net

Cause: the propagation package had tests but no figures; "within 3 s" and "3 KB/s" are to be shown by a command that anybody can run again.

A parent now serves only the child that reported, or those whose time has come; before, each message made it look at all children. Two tests more: a follower that knows of a higher epoch heeds no lower one, and nothing is applied twice by any way.

Checked: tests of the package.

--- a/src/main/java/cairnbridge/cli/ScaleCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -10,7 +10,7 @@
 @Command(
         name = "scale",
         description = "Measures what the program costs at several sizes, as JSON lines.",
-        subcommands = {})
+        subcommands = {ScalePropagationCommand.class})
 final class ScaleCommand implements Callable<Integer> {
     @Spec private CommandSpec spec;
 
--- a/src/main/java/cairnbridge/propagation/Children.java
+++ b/src/main/java/cairnbridge/propagation/Children.java
@@ -3,9 +3,11 @@
 import cairnbridge.fleet.member.MemberId;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Passes a log on to those who subscribed. For each child there is a cursor into the log rather
@@ -18,6 +20,15 @@
     private final Map<MemberId, Child> children = new LinkedHashMap<>();
     private long rejectedAsTooShort;
 
+    /** Children to be served at once, beside those whose time has come. */
+    private final Set<Child> awaited = new LinkedHashSet<>();
+
+    /** No child has to be served before, unless something new is to be passed on. */
+    private long due = Long.MAX_VALUE;
+
+    private Position servedUpTo = Position.NONE;
+    private boolean servedPassOn;
+
     Children(PropagationSettings settings, RetainedLog log, PropagationHost host) {
         this.settings = settings;
         this.log = log;
@@ -50,9 +61,10 @@
             children.put(from, child);
         }
         boolean news = child.hear(report, now);
+        awaited.add(child);
         if (log.isTooShortFor(child.held())) {
             rejectedAsTooShort++;
-            children.remove(from);
+            remove(from);
             reject(from, Message.Rejected.Reason.LOG_TOO_SHORT, heartbeat);
             return true;
         }
@@ -65,30 +77,49 @@
 
     /** Whether it was one. */
     boolean remove(MemberId id) {
-        return children.remove(id) != null;
+        Child removed = children.remove(id);
+        awaited.remove(removed);
+        return removed != null;
     }
 
     /** Drops those silent for too long; whether there were any. */
     boolean dropSilent(long now) {
+        if (now < due) {
+            return false;
+        }
+        awaited.removeIf(child -> now >= child.dropDue());
         return children.values().removeIf(child -> now >= child.dropDue());
     }
 
-    /** Sends each child what it lacks and may get now, or else a heartbeat where one is due. */
+    /** Sends those children whose time has come what they may get now, or a heartbeat. */
     void serve(Message.Heartbeat heartbeat, boolean passOn, long now) {
-        for (Child child : children.values()) {
-            child.checkAcknowledged(now);
-            PieceBatch batch =
-                    new PieceBatch(
-                            settings.messageBytes(),
-                            pieces -> send(child, new Message.Changes(heartbeat, pieces), now));
-            repair(child, batch, now);
-            if (passOn) {
-                passOn(child, batch, now);
-            }
-            batch.flush();
-            if (now >= child.beatDue()) {
-                send(child, new Message.Beat(heartbeat), now);
-            }
+        boolean isAllServed = passOn == servedPassOn && servedUpTo.equals(log.last());
+        if (now >= due || !isAllServed) {
+            awaited.addAll(children.values());
+            due = Long.MAX_VALUE;
+            servedUpTo = log.last();
+            servedPassOn = passOn;
+        }
+        for (Child child : awaited) {
+            serve(child, heartbeat, passOn, now);
+            due = Math.min(due, dueOf(child, passOn));
+        }
+        awaited.clear();
+    }
+
+    private void serve(Child child, Message.Heartbeat heartbeat, boolean passOn, long now) {
+        child.checkAcknowledged(now);
+        PieceBatch batch =
+                new PieceBatch(
+                        settings.messageBytes(),
+                        pieces -> send(child, new Message.Changes(heartbeat, pieces), now));
+        repair(child, batch, now);
+        if (passOn) {
+            passOn(child, batch, now);
+        }
+        batch.flush();
+        if (now >= child.beatDue()) {
+            send(child, new Message.Beat(heartbeat), now);
         }
     }
 
@@ -144,22 +175,18 @@
                 part);
     }
 
-    /**
-     * When {@link #serve} is to be called again; changes not passed on yet count where they may.
-     */
-    long due(boolean passOn) {
-        long due = Long.MAX_VALUE;
-        for (Child child : children.values()) {
-            due = Math.min(due, Math.min(child.beatDue(), child.dropDue()));
-            due = Math.min(due, child.resendDue());
-            due = Math.min(due, repairDue(child));
-            if (passOn) {
-                due = Math.min(due, passOnDue(child));
-            }
-        }
+    /** When {@link #serve} is to be called again at the latest. */
+    long due() {
         return due;
     }
 
+    private long dueOf(Child child, boolean passOn) {
+        long first = Math.min(child.beatDue(), child.dropDue());
+        first = Math.min(first, child.resendDue());
+        first = Math.min(first, repairDue(child));
+        return passOn ? Math.min(first, passOnDue(child)) : first;
+    }
+
     private long repairDue(Child child) {
         return nextRepair(child).map(piece -> child.creditDue(piece.size())).orElse(Long.MAX_VALUE);
     }
--- a/src/main/java/cairnbridge/propagation/Follower.java
+++ b/src/main/java/cairnbridge/propagation/Follower.java
@@ -263,7 +263,7 @@
     }
 
     private long elapsedDue() {
-        long due = children.due(now >= gatherUntil);
+        long due = children.due();
         if (now < gatherUntil) {
             due = Math.min(due, gatherUntil);
         }
--- a/src/main/java/cairnbridge/propagation/Source.java
+++ b/src/main/java/cairnbridge/propagation/Source.java
@@ -169,7 +169,7 @@
         if (state != State.ACTIVE) {
             return Long.MAX_VALUE;
         }
-        long due = Math.min(beatAt, children.due(now >= gatherUntil));
+        long due = Math.min(beatAt, children.due());
         return now < gatherUntil ? Math.min(due, gatherUntil) : due;
     }
 
--- /dev/null
+++ b/src/main/java/cairnbridge/propagation/simulated/PropagationRuns.java
@@ -0,0 +1,262 @@
+package cairnbridge.propagation.simulated;
+
+import cairnbridge.propagation.Position;
+import cairnbridge.propagation.PropagationSettings;
+import cairnbridge.propagation.simulated.PropagationNet.Node;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.ToLongFunction;
+
+/** Measures how fast changes come into force at all members, and at what cost. */
+public final class PropagationRuns implements PropagationNet.Observer {
+    private static final long SECOND = PropagationNet.SECOND;
+    private static final long SETTLE = 10 * SECOND;
+    private static final long KILL_AFTER = 50 * PropagationSettings.MILLISECOND;
+    private static final long RESTART_AFTER = 15 * SECOND;
+    private static final long LAST_WAIT = 30 * SECOND;
+
+    /**
+     * What is to be measured.
+     *
+     * @param direct without relays
+     * @param loss part of messages lost
+     * @param killRelay whether a relay is killed with each change under way
+     * @param bodyBytes of each change
+     * @param superseding whether each change replaces those before it
+     * @param every a change is published so often
+     */
+    public record Plan(
+            FleetLayout layout,
+            PropagationSettings settings,
+            boolean direct,
+            double loss,
+            boolean killRelay,
+            int changes,
+            int bodyBytes,
+            boolean superseding,
+            long every,
+            long seed) {}
+
+    /** Spans in seconds; of those that came to an end. */
+    public record Spans(double median, double ninetyNine, double worst, int never) {
+        static Spans of(List<Long> spans, int expected) {
+            List<Long> sorted = spans.stream().sorted().toList();
+            return new Spans(
+                    part(sorted, 0.5),
+                    part(sorted, 0.99),
+                    part(sorted, 1),
+                    expected - spans.size());
+        }
+
+        private static double part(List<Long> sorted, double part) {
+            if (sorted.isEmpty()) {
+                return Double.NaN;
+            }
+            int index = (int) Math.ceil(part * sorted.size()) - 1;
+            return sorted.get(Math.max(0, index)) / (double) SECOND;
+        }
+    }
+
+    /** Bytes and messages a second: the mean of some processes, and the most that one has. */
+    public record Traffic(
+            double sent, double mostSent, double received, double mostReceived, double messages) {}
+
+    /**
+     * What was measured.
+     *
+     * @param inForce from publishing until all living members have it in force
+     * @param known until the source knows that
+     * @param quietMembers while nothing changes
+     * @param members while changes are published
+     * @param controls while changes are published
+     * @param mostChildren of any process at the end
+     * @param violations what must not happen but did
+     */
+    public record Result(
+            Spans inForce,
+            Spans known,
+            Traffic quietMembers,
+            Traffic members,
+            Traffic controls,
+            int mostChildren,
+            int violations) {}
+
+    private record Open(Position position, long publishedAt) {}
+
+    private record Counted(long sent, long received, long messages) {}
+
+    private final Plan plan;
+    private final PropagationNet net;
+    private final Node source;
+    private final Deque<Open> notInForce = new ArrayDeque<>();
+    private final Deque<Open> notKnown = new ArrayDeque<>();
+    private final List<Long> inForceAfter = new ArrayList<>();
+    private final List<Long> knownAfter = new ArrayList<>();
+    private int applied;
+
+    private PropagationRuns(Plan plan) {
+        this.plan = plan;
+        net = new PropagationNet(plan.layout, plan.settings, plan.direct, plan.seed);
+        source = net.controls().get(0);
+        net.observer = this;
+    }
+
+    /** Runs a plan. */
+    public static Result run(Plan plan) {
+        return new PropagationRuns(plan).run();
+    }
+
+    private Result run() {
+        net.startAll();
+        net.pass(SETTLE);
+        net.loss = plan.loss;
+        net.pass(SETTLE);
+        List<Counted> before = count(net.members());
+        net.pass(SETTLE);
+        Traffic quiet = traffic(net.members(), before, SETTLE);
+        before = count(net.members());
+        List<Counted> controlsBefore = count(net.controls());
+        long from = net.now();
+        for (int i = 0; i < plan.changes; i++) {
+            publish();
+            if (plan.killRelay) {
+                int number = i;
+                net.in(KILL_AFTER, () -> killRelay(number));
+            }
+            net.pass(plan.every);
+        }
+        long span = net.now() - from;
+        Traffic members = traffic(net.members(), before, span);
+        Traffic controls = traffic(net.controls(), controlsBefore, span);
+        net.pass(LAST_WAIT);
+        int children = net.living().stream().mapToInt(Node::children).max().orElse(0);
+        int controlChildren = net.controls().stream().mapToInt(Node::children).max().orElse(0);
+        return new Result(
+                Spans.of(inForceAfter, plan.changes),
+                Spans.of(knownAfter, plan.changes),
+                quiet,
+                members,
+                controls,
+                Math.max(children, controlChildren),
+                net.violations.size());
+    }
+
+    private void publish() {
+        Position position = net.publish(source, new byte[plan.bodyBytes], plan.superseding);
+        Open open = new Open(position, net.now());
+        notInForce.add(open);
+        notKnown.add(open);
+        applied = 0;
+    }
+
+    /** In turn a relay of a region and one of a site: the member there that has most children. */
+    private void killRelay(int number) {
+        int regions = plan.layout.regions();
+        int sites = plan.layout.sites();
+        boolean isRegion = number % 2 == 0;
+        String place = isRegion ? "r" + number / 2 % regions : "s" + number / 2 % sites;
+        Node victim =
+                net.living().stream()
+                        .filter(node -> isAt(node, place))
+                        .max(Comparator.comparingInt(Node::children))
+                        .orElseThrow();
+        net.crash(victim);
+        checkInForce();
+        net.in(RESTART_AFTER, () -> net.start(victim));
+    }
+
+    private static boolean isAt(Node node, String place) {
+        return node.placement.get().region().equals(place)
+                || node.placement.get().site().equals(place);
+    }
+
+    @Override
+    public void applied(Node node, Position before, Position after) {
+        applied++;
+        // Looking at all members is dear, and in vain until most have applied something.
+        if (plan.killRelay || applied >= plan.layout.members() || notInForce.size() > 1) {
+            checkInForceOf(node);
+        }
+    }
+
+    private void checkInForceOf(Node node) {
+        Open oldest = notInForce.peek();
+        if (oldest != null && !oldest.position.isAfter(node.inForce())) {
+            checkInForce();
+        }
+    }
+
+    private void checkInForce() {
+        while (!notInForce.isEmpty() && isInForce(notInForce.peek().position)) {
+            inForceAfter.add(net.now() - notInForce.poll().publishedAt);
+        }
+    }
+
+    private boolean isInForce(Position position) {
+        for (Node node : net.members()) {
+            if (node.isRunning() && position.isAfter(node.inForce())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void reported(Node node) {
+        while (!notKnown.isEmpty() && isKnown(notKnown.peek().position)) {
+            knownAfter.add(net.now() - notKnown.poll().publishedAt);
+        }
+    }
+
+    /** Those that do not run are excepted, as whoever assigns relays would except them. */
+    private boolean isKnown(Position position) {
+        if (source.source() == null) {
+            return false;
+        }
+        int living = net.living().size();
+        return source.source().coverage(position).inForce() >= living;
+    }
+
+    private static List<Counted> count(List<Node> nodes) {
+        return nodes.stream()
+                .map(
+                        node ->
+                                new Counted(
+                                        node.bytesSent(),
+                                        node.bytesReceived(),
+                                        node.messagesSent()))
+                .toList();
+    }
+
+    private static Traffic traffic(List<Node> nodes, List<Counted> before, long span) {
+        List<Counted> spent = new ArrayList<>();
+        List<Counted> after = count(nodes);
+        for (int i = 0; i < nodes.size(); i++) {
+            Counted now = after.get(i);
+            Counted then = before.get(i);
+            spent.add(
+                    new Counted(
+                            now.sent - then.sent,
+                            now.received - then.received,
+                            now.messages - then.messages));
+        }
+        double seconds = span / (double) SECOND;
+        return new Traffic(
+                mean(spent, Counted::sent) / seconds,
+                most(spent, Counted::sent) / seconds,
+                mean(spent, Counted::received) / seconds,
+                most(spent, Counted::received) / seconds,
+                mean(spent, Counted::messages) / seconds);
+    }
+
+    private static double mean(List<Counted> counted, ToLongFunction<Counted> of) {
+        return counted.stream().mapToLong(of).average().orElse(0);
+    }
+
+    private static double most(List<Counted> counted, ToLongFunction<Counted> of) {
+        return counted.stream().mapToLong(of).max().orElse(0);
+    }
+}
--- a/src/test/java/cairnbridge/propagation/PropagationPartsTest.java
+++ b/src/test/java/cairnbridge/propagation/PropagationPartsTest.java
@@ -147,6 +147,74 @@
         return new Message.Report(1, life, number, at(held), Position.NONE, List.of(), List.of());
     }
 
+    @Test
+    void aFollowerThatKnowsOfAHigherEpochHeedsNoLowerOneAndSaysSo() {
+        MemberId old = new MemberId("old");
+        MemberId fresh = new MemberId("fresh");
+        Change latest = new Change(new Position(1, 60), new Position(1, 59), true, new byte[1]);
+        Recorder host = new Recorder();
+        Follower follower =
+                new Follower(
+                        new MemberId("m"),
+                        1,
+                        Optional.empty(),
+                        List.of(old, fresh),
+                        Optional.of(latest),
+                        PropagationSettings.CONFIGURATIONS,
+                        host,
+                        0);
+        follower.handle(fresh, new Message.Beat(new Message.Heartbeat(2, 1, 1)), 1);
+        host.sent.clear();
+        Piece late = new Piece(new Position(1, 61), new Position(1, 60), true, 0, 1, new byte[1]);
+        follower.handle(
+                old, new Message.Changes(new Message.Heartbeat(1, 99, 0), List.of(late)), 2);
+        assertEquals(List.of(), host.applied);
+        assertEquals(2, follower.epoch());
+        assertTrue(
+                host.sent.stream()
+                        .anyMatch(each -> each instanceof Message.Report && each.epoch() == 2));
+    }
+
+    @Test
+    void aChangeThatCameBeforeIsNotAppliedAgainByAnyWay() {
+        MemberId parent = new MemberId("parent");
+        Recorder host = new Recorder();
+        Follower follower =
+                new Follower(
+                        new MemberId("m"),
+                        1,
+                        Optional.empty(),
+                        List.of(parent),
+                        Optional.empty(),
+                        PropagationSettings.PURGES,
+                        host,
+                        0);
+        Message.Heartbeat heartbeat = new Message.Heartbeat(1, 1, 0);
+        for (long version : List.of(1, 3, 2, 1, 2, 3, 4, 4)) {
+            Position previous = version == 1 ? Position.NONE : at(version - 1);
+            Piece piece = new Piece(at(version), previous, false, 0, 1, new byte[1]);
+            follower.handle(parent, new Message.Changes(heartbeat, List.of(piece)), version);
+        }
+        assertEquals(List.of(at(1), at(2), at(3), at(4)), host.applied);
+    }
+
+    /** A host that notes what it is asked. */
+    private static final class Recorder implements FollowerHost {
+        final List<Message> sent = new ArrayList<>();
+        final List<Position> applied = new ArrayList<>();
+
+        @Override
+        public void send(MemberId to, Message message) {
+            sent.add(message);
+        }
+
+        @Override
+        public Optional<String> apply(Change change) {
+            applied.add(change.position());
+            return Optional.empty();
+        }
+    }
+
     @Test
     void reportsAndTheirRefusalsFitADatagram() {
         List<SiteProgress> sites = new ArrayList<>();
