--- a/src/main/java/cairnbridge/cli/ScaleCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -13,6 +13,7 @@
         subcommands = {
             ScaleControlCommand.class,
             ScaleDataPathCommand.class,
+            ScalePropagationCommand.class,
             ScaleRouterCommand.class,
             ScaleTurnsCommand.class
         })
