--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The JDK's class archive is made by the build, so that a proxy is ready soon after its start.
-.PHONY: build test lint run demo drill lab fuzz clean
+.PHONY: build test lint run demo drill lab scale fuzz clean
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -34,6 +34,17 @@
 	java -Xmx8g -Xmn600m -XX:+UseParallelGC -jar target/cairnbridge.jar simulate --members 10000 --settled --quiet 200 \
 		--changes 30
 
+# What the program costs at a few sizes, as JSON lines; some minutes. docs/CAPACITY.md has the larger ones.
+scale:
+	mvn -B -ntp -q -DskipTests package
+	java -jar target/cairnbridge.jar scale router --nodes 28,100,310 --plays 3 --requests 50000 --seed 1
+	java -jar target/cairnbridge.jar scale turns --members 100,450 --nodes 18,78 --plays 3 --seed 1
+	java -jar target/cairnbridge.jar scale control --processes 2 --settle-seconds 1 --quiet-seconds 5 --changes 1 \
+		--members 12,24 --plays 1 --seed 1 --steady-figures
+	java -jar target/cairnbridge.jar scale data-path --requests 1000 --body 512 --connections 0,200 --nodes 28 \
+		--repeats 1 --seed 1
+	java -jar target/cairnbridge.jar scale propagation --members 120 --changes 10 --seed 1
+
 # Ten minutes of losses of power, faults and rot on a simulated disk.
 fuzz:
 	mvn -B -ntp -q -DskipTests package
