Propagation: steady retransmission, and less patience with silent candidates

Cause: the span of retransmission doubled (0.4, 1.2, 2.8 s), so a message lost three times came too late; and a candidate that had never answered was given the 1.5 s of a parent that falls silent.

Change: configurations are sent again each 0.4 s, bounded by the budget of bytes as before; a candidate has three subscriptions, 0.9 s, to answer.

Two tests state both bounds; the package's tests pass.

--- a/src/main/java/cairnbridge/propagation/ParentChoice.java
+++ b/src/main/java/cairnbridge/propagation/ParentChoice.java
@@ -11,6 +11,9 @@
 final class ParentChoice {
     private static final int UNKNOWN_HOPS = Integer.MAX_VALUE;
 
+    /** Subscriptions that one candidate is sent without an answer. */
+    private static final int SUBSCRIPTION_ATTEMPTS = 3;
+
     private final PropagationSettings settings;
     private List<MemberId> candidates;
     private int index;
@@ -116,8 +119,16 @@
 
     private long lostDue() {
         long detachedSince = Math.max(beatAt, chosenAt);
-        return Math.min(
-                heardAt + settings.parentTimeout(), detachedSince + settings.detachedAfter());
+        return Math.min(heardAt + toleratedSilence(), detachedSince + settings.detachedAfter());
+    }
+
+    /** A candidate that has never answered is given up sooner than a parent that falls silent. */
+    private long toleratedSilence() {
+        return answered
+                ? settings.parentTimeout()
+                : Math.min(
+                        settings.parentTimeout(),
+                        SUBSCRIPTION_ATTEMPTS * settings.subscribeRetry());
     }
 
     /** The parent does not serve this child; the next one is asked a little later. */
--- a/src/main/java/cairnbridge/propagation/PropagationSettings.java
+++ b/src/main/java/cairnbridge/propagation/PropagationSettings.java
@@ -48,7 +48,11 @@
     public static final long SECOND = 10_000;
     public static final long MILLISECOND = 10;
 
-    /** A few large changes, each passed on at once. */
+    /**
+     * A few large changes, each passed on at once. The span of a retransmission does not grow: four
+     * of them, at any of four hops, have to fit into the 3 s in which a change is to be in force.
+     * What they may cost is bounded by the bytes a second.
+     */
     public static final PropagationSettings CONFIGURATIONS =
             new PropagationSettings(
                     500 * MILLISECOND,
@@ -61,7 +65,7 @@
                     0,
                     5 * SECOND,
                     400 * MILLISECOND,
-                    4 * SECOND,
+                    400 * MILLISECOND,
                     3_000,
                     32_768,
                     131_072,
--- a/src/test/java/cairnbridge/propagation/PropagationPartsTest.java
+++ b/src/test/java/cairnbridge/propagation/PropagationPartsTest.java
@@ -242,4 +242,30 @@
         assertEquals(15, time.advance(505));
         assertEquals(510, time.shownAt(20));
     }
+
+    /** Guards against 1.5 s of silence spent on each candidate that is down. */
+    @Test
+    void aCandidateThatNeverAnswersIsGivenUpBeforeAParentThatFallsSilent() {
+        PropagationSettings settings = PropagationSettings.CONFIGURATIONS;
+        ParentChoice choice = new ParentChoice(settings, List.of(new MemberId("a")), 0);
+        long attempts = 3 * settings.subscribeRetry();
+        assertFalse(choice.isLost(attempts - 1));
+        assertTrue(choice.isLost(attempts));
+        choice.hear(new MemberId("a"), new Message.Heartbeat(1, 1, 1), attempts);
+        assertFalse(choice.isLost(attempts + settings.parentTimeout() - 1));
+        assertTrue(choice.isLost(attempts + settings.parentTimeout()));
+    }
+
+    /** A change is to be in force within 3 s, whichever of four messages to a member are lost. */
+    @Test
+    void fourRetransmissionsOfAConfigurationFitIntoTwoSeconds() {
+        PropagationSettings settings = PropagationSettings.CONFIGURATIONS;
+        long span = settings.retransmitAfter();
+        long total = 0;
+        for (int i = 0; i < 4; i++) {
+            total += span;
+            span = Math.min(2 * span, settings.retransmitMost());
+        }
+        assertTrue(total <= 2 * PropagationSettings.SECOND, "after " + total);
+    }
 }
