--- a/src/main/java/cairnbridge/cli/LabListCommand.java
+++ b/src/main/java/cairnbridge/cli/LabListCommand.java
@@ -6,9 +6,9 @@
 import cairnbridge.lab.policy.Policy;
 import cairnbridge.lab.run.Emulation;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
@@ -26,29 +26,38 @@
                         + " cannot.",
         footer = "Example: lab list drills")
 final class LabListCommand implements Callable<Integer> {
+    private static final String SUFFIX = ".drill";
+
     @Spec private CommandSpec spec;
 
     @Parameters(paramLabel = "FOLDER", description = "Where scenarios are.")
     private String folder;
 
     @Override
-    public Integer call() throws IOException {
-        List<Path> files = new ArrayList<>();
-        try (Stream<Path> all = Files.list(OptionChecks.path(folder))) {
-            all.filter(each -> each.toString().endsWith(".drill")).sorted().forEach(files::add);
-        }
-        for (Path file : files) {
+    public Integer call() {
+        for (Path file : scenarioFiles()) {
             Scenario scenario = DrillCommand.read(file.toString());
-            String name = file.getFileName().toString().replace(".drill", "");
-            String what;
-            try {
-                new Emulation(scenario, Policy.Kind.ROUTER, 1);
-                what = scenario.title();
-            } catch (ScenarioFault | ConfigFault e) {
-                what = "- " + e.getMessage();
-            }
-            spec.commandLine().getOut().printf("%-24s %s%n", name, what);
+            String name = file.getFileName().toString().replace(SUFFIX, "");
+            spec.commandLine().getOut().printf("%-24s %s%n", name, describe(scenario));
         }
         return 0;
     }
+
+    private List<Path> scenarioFiles() {
+        try (Stream<Path> all = Files.list(OptionChecks.path(folder))) {
+            return all.filter(each -> each.toString().endsWith(SUFFIX)).sorted().toList();
+        } catch (IOException | UncheckedIOException e) {
+            throw new ConfigFault("FOLDER", "cannot be read: " + folder);
+        }
+    }
+
+    /** The title of a scenario that can be played, or the reason why another cannot. */
+    private static String describe(Scenario scenario) {
+        try {
+            new Emulation(scenario, Policy.Kind.ROUTER, 1);
+            return scenario.title();
+        } catch (ScenarioFault | ConfigFault e) {
+            return "- " + e.getMessage();
+        }
+    }
 }
