New connections go to the successor before a listener closes: none is reset at a handover

Cause: between the last accept, which finds the queue empty, and the close of the listener the system still puts connections into its queue, and the close resets them.

Change: before the close a socket filter gives all new connections of the address to another listener; a connection of the process's own shows that it does.

--- a/src/main/java/cairnbridge/proxy/Acceptor.java
+++ b/src/main/java/cairnbridge/proxy/Acceptor.java
@@ -3,11 +3,13 @@
 import cairnbridge.admin.ListeningSocket;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -17,13 +19,23 @@
 /**
  * Accepts connections on a thread of its own. Another process may listen on the same address: the
  * one that stops first accepts all that wait in its queue, as what is left in the queue of a closed
- * socket is reset.
+ * socket is reset. {@link ConnectionDiverter} keeps new ones from coming meanwhile.
  */
 public final class Acceptor implements Runnable {
     private static final Logger LOG = Logger.getLogger(Acceptor.class.getName());
     private static final long BACKPRESSURE_PAUSE_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
     private static final long ERROR_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    private static final int PROBE_TIMEOUT_MILLIS = 500;
+    private static final int NO_PROBE = -1;
+
+    /** Takes the next connection from the queue of a listener. */
+    interface AcceptCall {
+        /** The next connection; null if there is none. */
+        SocketChannel accept(ServerSocketChannel listener) throws IOException;
+    }
+
+    private final AcceptCall acceptCall;
     private final ServerSocketChannel serverChannel;
     private final Selector selector;
     private final BooleanSupplier canAccept;
@@ -31,6 +43,14 @@
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean stopped;
 
+    /** Counts how often the queue was found empty. */
+    private final AtomicInteger emptyQueueCount = new AtomicInteger();
+
+    /** The local port of the connection that {@link #receivesNewConnections} makes. */
+    private volatile int probePort = NO_PROBE;
+
+    private volatile boolean probeAccepted;
+
     /**
      * Opens the listener; connections are accepted once {@link #run} is called.
      *
@@ -46,8 +66,19 @@
             BooleanSupplier canAccept,
             Consumer<SocketChannel> channelHandler)
             throws IOException {
+        this(address, backlog, canAccept, channelHandler, ServerSocketChannel::accept);
+    }
+
+    Acceptor(
+            InetSocketAddress address,
+            int backlog,
+            BooleanSupplier canAccept,
+            Consumer<SocketChannel> channelHandler,
+            AcceptCall acceptCall)
+            throws IOException {
         this.canAccept = canAccept;
         this.channelHandler = channelHandler;
+        this.acceptCall = acceptCall;
         selector = Selector.open();
         serverChannel = ListeningSocket.open(address, backlog, true, selector);
     }
@@ -57,6 +88,40 @@
         return (InetSocketAddress) serverChannel.getLocalAddress();
     }
 
+    /**
+     * Whether this listener, and not another one on its address, is given new connections: makes
+     * one, which it then handles like any other. Called while {@link #run} runs, on another thread.
+     *
+     * @throws IOException if no connection can be made to the address
+     */
+    boolean receivesNewConnections() throws IOException, InterruptedException {
+        probeAccepted = false;
+        try (Socket probe = new Socket()) {
+            probe.bind(null);
+            probePort = probe.getLocalPort();
+            probe.connect(address(), PROBE_TIMEOUT_MILLIS);
+            awaitEmptyQueue();
+            return probeAccepted;
+        } finally {
+            probePort = NO_PROBE;
+        }
+    }
+
+    /** Returns once the queue was empty after this call, as seen by two looks in turn. */
+    private void awaitEmptyQueue() throws IOException, InterruptedException {
+        long deadlineNanos =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PROBE_TIMEOUT_MILLIS);
+        int looksBefore = emptyQueueCount.get();
+        // The first look may have begun before this call.
+        while (emptyQueueCount.get() - looksBefore < 2) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                throw new IOException("the queue of the listener does not become empty");
+            }
+            selector.wakeup();
+            Thread.sleep(1);
+        }
+    }
+
     /**
      * Accepts what waits in the system's queue and closes the listener; returns once that is done.
      * Called on another thread than {@link #run}.
@@ -99,23 +164,31 @@
     }
 
     private void acceptAll() {
-        for (SocketChannel channel = acceptNext(); channel != null; channel = acceptNext()) {
-            channelHandler.accept(channel);
+        try {
+            for (SocketChannel next = acceptNext(); next != null; next = acceptNext()) {
+                noteProbe(next);
+                channelHandler.accept(next);
+            }
+            emptyQueueCount.incrementAndGet();
+        } catch (IOException e) {
+            // Guards against a thread that ends, or spins, while the process is out of descriptors.
+            LOG.log(Level.WARNING, "accept: {0}", e.toString());
+            LockSupport.parkNanos(ERROR_PAUSE_NANOS);
         }
     }
 
     /** Null if there is no connection to accept. */
-    private SocketChannel acceptNext() {
+    private SocketChannel acceptNext() throws IOException {
         while (!stopped && !canAccept.getAsBoolean()) {
             LockSupport.parkNanos(BACKPRESSURE_PAUSE_NANOS);
         }
-        try {
-            return serverChannel.accept();
-        } catch (IOException e) {
-            // Guards against a thread that ends, or spins, while the process is out of descriptors.
-            LOG.log(Level.WARNING, "accept: {0}", e.toString());
-            LockSupport.parkNanos(ERROR_PAUSE_NANOS);
-            return null;
+        return acceptCall.accept(serverChannel);
+    }
+
+    private void noteProbe(SocketChannel accepted) {
+        int expectedPort = probePort;
+        if (expectedPort != NO_PROBE && accepted.socket().getPort() == expectedPort) {
+            probeAccepted = true;
         }
     }
 }
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -272,6 +272,13 @@
         clients.closeAllGracefully();
     }
 
+    /** See {@link ConnectionDiverter#divert}; connections that come meanwhile are accepted. */
+    void divertNewConnections() throws InterruptedException {
+        if (acceptor.isPresent()) {
+            ConnectionDiverter.divert(acceptor.get());
+        }
+    }
+
     /** Accepts no more connections; returns once those that wait in the system are accepted. */
     public void stopListening() throws InterruptedException {
         stopping = true;
--- a/src/main/java/cairnbridge/proxy/GracefulShutdown.java
+++ b/src/main/java/cairnbridge/proxy/GracefulShutdown.java
@@ -87,6 +87,7 @@
     private void serveThenClose(long servingMillis) throws InterruptedException {
         Thread.sleep(servingMillis);
         listenerState.startDraining();
+        divertNewConnections();
         Thread.sleep(CLOSE_GRACE_MILLIS);
         criticalThreads.allowEnds();
         reactor.stopListening();
@@ -99,6 +100,7 @@
     private void drainToSuccessor(long untilNanos) throws InterruptedException {
         criticalThreads.allowEnds();
         listenerState.startDraining();
+        divertNewConnections();
         reactor.stopListening();
         LOG.log(Level.INFO, "{0} hands over to its successor", components.config().name());
         while (reactor.clientConnectionCount() > 0 && System.nanoTime() < untilNanos) {
@@ -106,6 +108,12 @@
         }
     }
 
+    private void divertNewConnections() throws InterruptedException {
+        if (components.siblings().hasSiblings()) {
+            reactor.divertNewConnections();
+        }
+    }
+
     /**
      * Guards against an answer cut short: its connection is closed once its last byte is written.
      */
