A failing accept during the stop no longer resets the rest of the listener's queue

Callers would have seen "Connection reset" on connections that waited in the queue of a process that ended while it was out of descriptors.

Cause: Acceptor answered an IOException of accept with null, which its last round took for an empty queue, and closed the listener.

Change: an accept that fails is no end of the queue; during the stop it is repeated for at most half a second, every 5 ms.

--- a/src/main/java/cairnbridge/proxy/Acceptor.java
+++ b/src/main/java/cairnbridge/proxy/Acceptor.java
@@ -26,6 +26,9 @@
     private static final long BACKPRESSURE_PAUSE_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
     private static final long ERROR_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    /** For how long a failing accept is repeated before the listener is closed. */
+    private static final long LAST_ACCEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final int PROBE_TIMEOUT_MILLIS = 500;
     private static final int NO_PROBE = -1;
 
@@ -159,21 +162,28 @@
     private void acceptLast() throws IOException {
         serverChannel.keyFor(selector).cancel();
         selector.selectNow();
-        acceptAll();
+        long deadlineNanos = System.nanoTime() + LAST_ACCEPT_NANOS;
+        boolean emptied = acceptAll();
+        while (!emptied && System.nanoTime() - deadlineNanos < 0) {
+            emptied = acceptAll();
+        }
         serverChannel.close();
     }
 
-    private void acceptAll() {
+    /** Accepts what waits in the queue; false if an accept failed, and more may wait. */
+    private boolean acceptAll() {
         try {
             for (SocketChannel next = acceptNext(); next != null; next = acceptNext()) {
                 noteProbe(next);
                 channelHandler.accept(next);
             }
             emptyQueueCount.incrementAndGet();
+            return true;
         } catch (IOException e) {
             // Guards against a thread that ends, or spins, while the process is out of descriptors.
             LOG.log(Level.WARNING, "accept: {0}", e.toString());
             LockSupport.parkNanos(ERROR_PAUSE_NANOS);
+            return false;
         }
     }
 
--- a/src/test/java/cairnbridge/proxy/AcceptorTest.java
+++ b/src/test/java/cairnbridge/proxy/AcceptorTest.java
@@ -116,6 +116,28 @@
         assertEquals(allFrom(2), answers());
     }
 
+    /** Guards against the whole rest of the queue reset because one accept failed. */
+    @Test
+    void anAcceptThatFailsDuringTheStopLosesNothingOfTheQueue() throws Exception {
+        AtomicInteger failures = new AtomicInteger(2);
+        AtomicBoolean open = new AtomicBoolean();
+        Listener listener =
+                new Listener(
+                        1,
+                        open::get,
+                        channel -> {
+                            if (failures.getAndDecrement() > 0) {
+                                throw new IOException("Too many open files");
+                            }
+                            return channel.accept();
+                        });
+        connectAll();
+
+        listener.acceptor.stop();
+
+        assertEquals(allFrom(1), answers());
+    }
+
     @Test
     void aListenerThatIsAloneKeepsItsConnections() throws Exception {
         Listener alone = new Listener(1);
