Clients that are rejected no longer take up the descriptors kept for servers

Cause: a connection that is one too many is closed, but its descriptor is in use, and counted, until the reactor's turn ends; its place among the eight accepted ahead was given up at once. Within a turn any number could be accepted and closed, and the budget was exhausted for connections to servers.

Change: a rejected connection keeps its place among the eight until it is closed; clients may have eight fewer, so that these come out of their share.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -41,6 +41,9 @@
     /** How many requests had begun when the connection was found overdue. */
     private volatile int createdCountAtCheck = NOT_OVERDUE;
 
+    /** Set on the reactor's thread. */
+    private volatile boolean rejected;
+
     ClientConnection(
             LingeringSession session,
             ServerHttp1StreamDuplexer duplexer,
@@ -133,6 +136,17 @@
         session.close(CloseMode.IMMEDIATE);
     }
 
+    /** Closes it at once, as there is no descriptor for it. */
+    void reject() {
+        rejected = true;
+        closeNow();
+    }
+
+    /** Whether it was closed because there was no descriptor for it. */
+    boolean isRejected() {
+        return rejected;
+    }
+
     /** Closes what only waits for its client to close. */
     void releaseLingering() {
         if (session.isClosing()) {
@@ -157,8 +171,11 @@
     @Override
     public void connected(IOSession ioSession) throws IOException {
         connections.add(this);
-        super.connected(ioSession);
-        connections.enforceBudget(this);
+        try {
+            super.connected(ioSession);
+        } finally {
+            connections.enforceBudget(this);
+        }
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -66,17 +66,15 @@
         return new ClientConnection(client, duplexer, requestHandlers, this);
     }
 
-    /** The connections that are open, or accepted and not yet seen by the reactor. */
+    /** The connections that are open, or accepted and not yet admitted. */
     public int count() {
         return connections.size() + budget.pendingAccepted();
     }
 
-    /** Counts a connection that the reactor has just seen. */
+    /** Counts a connection that the reactor has just seen; {@link #enforceBudget} follows. */
     void add(ClientConnection client) {
         budget.opened();
         connections.add(client);
-        // Last: guards against a shutdown that sees no client in between.
-        budget.removePendingAccepted();
     }
 
     /** Forgets a connection that is closed. */
@@ -85,10 +83,16 @@
         if (connections.remove(client)) {
             int openDescriptors = budget.closed();
             listenerState.crowded = openDescriptors >= budget.crowdedLimit();
+            if (client.isRejected()) {
+                budget.removePendingAccepted();
+            }
         }
     }
 
-    /** Guards against running out of descriptors; the dearest step comes last. */
+    /**
+     * Admits a connection that has just been counted, or rejects it. Guards against running out of
+     * descriptors; the dearest step comes last.
+     */
     void enforceBudget(ClientConnection latest) {
         int openDescriptors = budget.openDescriptors();
         listenerState.crowded = openDescriptors >= budget.crowdedLimit();
@@ -96,7 +100,11 @@
             makeRoom();
         }
         if (budget.isExhausted() || connections.size() > budget.maxClients()) {
-            latest.closeNow();
+            // Its descriptor is in use until the reactor's turn ends: it stays counted as pending.
+            latest.reject();
+        } else {
+            // Last: guards against a shutdown that sees no client in between.
+            budget.removePendingAccepted();
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/DescriptorBudget.java
+++ b/src/main/java/cairnbridge/proxy/DescriptorBudget.java
@@ -30,8 +30,10 @@
     /** What connections may take up that only wait for their client to close. */
     private static final double LINGERING_SHARE = 0.0625;
 
-    /** The most connections that are accepted and not yet seen by the reactor. */
-    private static final int MAX_PENDING_ACCEPTED = 8;
+    /**
+     * The most connections that are accepted and not yet admitted, or rejected and not yet closed.
+     */
+    static final int MAX_PENDING_ACCEPTED = 8;
 
     private final int crowdedLimit;
     private final int fullLimit;
@@ -48,7 +50,8 @@
         exhaustedLimit = network.maxSockets() - PROCESS_DESCRIPTORS - adminDescriptors;
         crowdedLimit = (int) (CROWDED_SHARE * exhaustedLimit);
         fullLimit = (int) (FULL_SHARE * exhaustedLimit);
-        maxClients = (int) ((1 - UPSTREAM_RESERVED_SHARE) * exhaustedLimit);
+        int clientShare = (int) ((1 - UPSTREAM_RESERVED_SHARE) * exhaustedLimit);
+        maxClients = clientShare - MAX_PENDING_ACCEPTED;
         maxLingering = (int) (LINGERING_SHARE * exhaustedLimit);
     }
 
@@ -99,7 +102,10 @@
         return fullLimit;
     }
 
-    /** The most connections that clients may have. */
+    /**
+     * The most connections that clients may have; with those that are not yet admitted, or rejected
+     * and not yet closed, they leave what is reserved for servers.
+     */
     int maxClients() {
         return maxClients;
     }
@@ -118,17 +124,17 @@
         return pendingAccepted.get() < MAX_PENDING_ACCEPTED;
     }
 
-    /** Counts a connection that is accepted, until the reactor has seen it. */
+    /** Counts a connection that is accepted, until it is admitted, or rejected and closed. */
     void addPendingAccepted() {
         pendingAccepted.incrementAndGet();
     }
 
-    /** The reactor has seen an accepted connection, which is counted as open by now. */
+    /** An accepted connection is admitted, and counted as open by now, or is closed. */
     void removePendingAccepted() {
         pendingAccepted.decrementAndGet();
     }
 
-    /** Connections that are accepted and not yet seen by the reactor. */
+    /** Connections that are accepted and not yet admitted, or rejected and not yet closed. */
     int pendingAccepted() {
         return pendingAccepted.get();
     }
