A seeded soak: restarts and upgrades under clients that use open connections until the kill

RestartSoakTest plays real processes of serve with the stand-ins of the proxy tests. A seed chooses two steps (restart, reload then restart, SIGTERM twice, SIGTERM during the start, standby and back, upgrade, upgrade under reload) and disturbances (a cache that hangs or resets, discovery away, a silent crowd); SIGKILL comes at the longest TTL and 0.7 s after SIGTERM. Judged for every request: one final answer in time, no effect twice, nothing to a draining node, no attempt 0.1 s after its client left, deadline passed on within 0.15 s.

Not judged: a second answer on a connection.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The JDK's class archive is made by the build, so that a proxy is ready soon after its start.
-.PHONY: build test lint run demo drill lab scale fuzz clean
+.PHONY: build test lint run demo drill lab scale fuzz soak clean
 
 # All that runs the program depends on it: a jar that is packaged without its class archive makes the next start slow.
 build:
@@ -46,5 +46,12 @@
 fuzz: build
 	java -jar target/cairnbridge.jar fuzz --minutes 10
 
+# Restarts and upgrades under clients, a line for each seed; about ten seconds a seed. A seed that fails is played again with
+# make soak SEED=N SEEDS=1.
+SEED = 1
+SEEDS = 50
+soak:
+	mvn -B -ntp test -Dtest=RestartSoakTest -Dsoak.first=$(SEED) -Dsoak.seeds=$(SEEDS)
+
 clean:
 	mvn -B -ntp -q clean
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/RestartSoakTest.java
@@ -0,0 +1,296 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Restarts and upgrades of real processes under clients that use their connections for as long as
+ * they stay open. A seed chooses signals and disturbances. System properties choose the seeds: the
+ * first one in {@code soak.first}, their number in {@code soak.seeds}.
+ */
+@Timeout(90)
+class RestartSoakTest extends ProxyTestSupport {
+    private static final long DEFAULT_FIRST_SEED = 1;
+    private static final long DEFAULT_SEEDS = 6;
+    private static final int CLIENTS = 6;
+    private static final int SILENT_CLIENTS = 30;
+    private static final int STEPS = 2;
+
+    /** The longest TTL of the settings, and what the platform adds before it kills. */
+    private static final long KILL_AFTER_MILLIS = 1000 + 700;
+
+    /** For so long after SIGTERM new connections come to a process that has no successor. */
+    private static final long CONNECTING_MILLIS = 300;
+
+    private static final long NOTIFIED_MILLIS = 6000;
+    private static final Path LOG_FOLDER = Path.of("target", "soak");
+    private static final int RESET_INTERVAL = 8;
+    private static final Pattern TRACE_ID = Pattern.compile("(?i)x-trace-id: (\\S+)");
+    private static final Pattern TOLD_MICROS = Pattern.compile("(?i)x-expires-in: (\\d+)u");
+
+    /** What happens to the process that serves. */
+    private enum Step {
+        RESTART,
+        RELOAD_THEN_RESTART,
+        TERMINATE_TWICE,
+        TERMINATE_DURING_START,
+        STANDBY_AND_BACK,
+        UPGRADE,
+        UPGRADE_UNDER_RELOAD
+    }
+
+    private final SoakJudge judge = new SoakJudge();
+    private final List<String> history = new ArrayList<>();
+    private RandomGenerator random;
+    private Process serving;
+    private volatile boolean mayConnect;
+    private volatile boolean draining;
+    private boolean discoveryIsAway;
+    private int adminPort;
+    private String knownList;
+    private Path logFile;
+
+    static LongStream seeds() {
+        long first = Long.getLong("soak.first", DEFAULT_FIRST_SEED);
+        return LongStream.range(first, first + Long.getLong("soak.seeds", DEFAULT_SEEDS));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void everyRequestKeepsItsRulesOverRestartsAndUpgrades(long seed) throws Exception {
+        random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        logFile = Files.createDirectories(LOG_FOLDER).resolve("seed-" + seed + ".log");
+        Files.deleteIfExists(logFile);
+        startStandIns();
+        serving = startServing();
+        List<SoakClient> clients = startClients();
+        for (int i = 0; i < STEPS; i++) {
+            Thread.sleep(random.nextInt(300, 900));
+            play(Step.values()[random.nextInt(Step.values().length)]);
+        }
+        Thread.sleep(300);
+        mayConnect = false;
+        clients.forEach(SoakClient::stop);
+        Thread.sleep(1200);
+        System.out.printf(
+                "soak: seed %d, %s: %d requests, %d answered, %d crossed a close, broken: %s%n",
+                seed,
+                history,
+                judge.requestCount(),
+                judge.answeredCount(),
+                judge.crossedCount(),
+                judge.violations());
+
+        assertEquals(
+                List.of(),
+                judge.violations(),
+                () ->
+                        "make soak SEED=%d SEEDS=1; %s; logs in %s"
+                                .formatted(seed, history, logFile));
+        assertTrue(judge.answeredCount() > 0);
+    }
+
+    private void startStandIns() throws IOException {
+        boolean hangs = random.nextInt(3) == 0;
+        boolean resets = random.nextInt(3) == 0;
+        discoveryIsAway = random.nextInt(4) == 0;
+        cache = new StandInServer(request -> serve(request, "c", false, resets));
+        StandInServer second = new StandInServer(request -> serve(request, "d", hangs, false));
+        origin = new StandInServer(request -> serve(request, "o", false, false));
+        String[] targets = {
+            endpointJson("c", cache.address(), "cache", "Ready"),
+            endpointJson("d", second.address(), "cache", "Ready"),
+            endpointJson("o", origin.address(), "origin", "Ready")
+        };
+        String drained = endpointJson("d", second.address(), "cache", "Terminating");
+        discovery =
+                new StandInServer(
+                        request ->
+                                discoveryIsAway
+                                        ? RESET_CONNECTION
+                                        : draining
+                                                ? "200 OK||" + endpointListJson(2, false, drained)
+                                                : "200 OK||" + endpointListJson(1, true, targets));
+        knownList = endpointListJson(1, true, targets);
+        port = freePort();
+        history.add(
+                (hangs ? "a cache hangs, " : "")
+                        + (resets ? "a cache resets, " : "")
+                        + (discoveryIsAway ? "discovery is away" : "discovery is there"));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    private String serve(String request, String node, boolean hangs, boolean resets) {
+        long nowNanos = System.nanoTime();
+        Matcher trace = TRACE_ID.matcher(request);
+        Matcher told = TOLD_MICROS.matcher(request);
+        if (trace.find() && told.find()) {
+            long toldMillis = TimeUnit.MICROSECONDS.toMillis(Long.parseLong(told.group(1)));
+            judge.attempted(trace.group(1), node, toldMillis, nowNanos);
+            if (resets && Math.floorMod(trace.group(1).hashCode(), RESET_INTERVAL) == 0) {
+                return RESET_CONNECTION;
+            }
+        }
+        return hangs ? SILENT : HIT;
+    }
+
+    private List<SoakClient> startClients() throws IOException {
+        List<SoakClient> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            RandomGenerator own =
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(random.nextLong());
+            SoakClient client =
+                    new SoakClient("soak-" + i, judge, port, i == 0, () -> mayConnect, own);
+            clients.add(client);
+            daemon(
+                    () -> {
+                        client.run();
+                        return null;
+                    });
+        }
+        if (random.nextInt(3) == 0) {
+            history.add("a silent crowd");
+            for (int i = 0; i < SILENT_CLIENTS; i++) {
+                opened.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+        }
+        return clients;
+    }
+
+    private Process startServing() throws IOException {
+        Process process = startNext();
+        BufferedReader log = logOf(process);
+        portFromLog(log);
+        keepLog(process, log);
+        mayConnect = true;
+        return process;
+    }
+
+    /** A process with an admin endpoint of its own. */
+    private Process startNext() throws IOException {
+        adminPort = freePort();
+        extraConfig = "\"admin_addr\":\"127.0.0.1:%d\",".formatted(adminPort);
+        config(knownList, discovery.address());
+        return startProcess();
+    }
+
+    /** Takes the log of a process, so that it never waits for that, and keeps it. */
+    private void keepLog(Process process, BufferedReader log) {
+        daemon(
+                () -> {
+                    for (String line = log.readLine(); line != null; line = log.readLine()) {
+                        String entry = process.pid() + " " + line + System.lineSeparator();
+                        Files.writeString(
+                                logFile,
+                                entry,
+                                StandardOpenOption.CREATE,
+                                StandardOpenOption.APPEND);
+                    }
+                    return null;
+                });
+    }
+
+    private void play(Step step) throws Exception {
+        history.add(step.toString());
+        if (step == Step.UPGRADE || step == Step.UPGRADE_UNDER_RELOAD) {
+            upgrade(step == Step.UPGRADE_UNDER_RELOAD);
+            return;
+        }
+        if (step == Step.STANDBY_AND_BACK) {
+            callAdmin("standby");
+            Thread.sleep(random.nextInt(200, 1200));
+            callAdmin("active");
+            return;
+        }
+        if (step == Step.RELOAD_THEN_RESTART) {
+            sendSignal(serving, "HUP");
+        }
+        long toldNanos = System.nanoTime();
+        sendSignal(serving, "TERM");
+        if (step == Step.TERMINATE_TWICE) {
+            Thread.sleep(random.nextInt(400));
+            sendSignal(serving, "TERM");
+        }
+        sleepUntil(toldNanos, CONNECTING_MILLIS);
+        mayConnect = false;
+        killWhenDue(serving, toldNanos);
+        if (step == Step.TERMINATE_DURING_START) {
+            terminateDuringStart();
+        }
+        serving = startServing();
+    }
+
+    private void callAdmin(String command) throws IOException {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), adminPort)) {
+            caller.getOutputStream().write((command + "\n").getBytes(StandardCharsets.US_ASCII));
+            String answer =
+                    new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("200"), answer);
+        }
+    }
+
+    private void terminateDuringStart() throws Exception {
+        Process starting = startNext();
+        keepLog(starting, logOf(starting));
+        mayConnect = true;
+        Thread.sleep(random.nextInt(200, 1500));
+        long toldNanos = System.nanoTime();
+        sendSignal(starting, "TERM");
+        sleepUntil(toldNanos, CONNECTING_MILLIS);
+        mayConnect = false;
+        killWhenDue(starting, toldNanos);
+    }
+
+    private void upgrade(boolean underReload) throws Exception {
+        Process younger = startServing();
+        if (!draining && !discoveryIsAway) {
+            draining = true;
+            judge.drained("d", System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(NOTIFIED_MILLIS));
+        }
+        if (underReload) {
+            sendSignal(serving, "HUP");
+            sendSignal(younger, "HUP");
+        }
+        long toldNanos = System.nanoTime();
+        sendSignal(serving, "TERM");
+        killWhenDue(serving, toldNanos);
+        serving = younger;
+    }
+
+    /** SIGKILL at the earliest time that the platform's page allows. */
+    private static void killWhenDue(Process process, long toldNanos) throws Exception {
+        sleepUntil(toldNanos, KILL_AFTER_MILLIS);
+        process.destroyForcibly().waitFor();
+    }
+
+    private static void sleepUntil(long sinceNanos, long millis) throws InterruptedException {
+        long passedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+        Thread.sleep(Math.max(0, millis - passedMillis));
+    }
+}
