--- a/src/main/java/cairnbridge/proxy/ConnectionDiverter.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionDiverter.java
@@ -18,6 +18,20 @@
 
     private ConnectionDiverter() {}
 
+    /**
+     * Loads all that {@link #divert} needs. Guards against a handover that begins late, as the
+     * first call of a library takes its time.
+     */
+    static void prepare(Acceptor acceptor) {
+        ListenerFilter.prepare();
+        try {
+            Optional<ListenerGroup> group = ListenerGroup.find(acceptor.address());
+            LOG.log(Level.FINE, "the listeners of the address: {0}", group);
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "the listeners are not known: {0}", e.toString());
+        }
+    }
+
     /**
      * Diverts new connections from an acceptor that goes on accepting meanwhile; returns once none
      * comes any more. Where no other process listens, or the system cannot do it, nothing changes.
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -272,6 +272,11 @@
         clients.closeAllGracefully();
     }
 
+    /** See {@link ConnectionDiverter#prepare}. */
+    void prepareDiversion() {
+        acceptor.ifPresent(ConnectionDiverter::prepare);
+    }
+
     /** See {@link ConnectionDiverter#divert}; connections that come meanwhile are accepted. */
     void divertNewConnections() throws InterruptedException {
         if (acceptor.isPresent()) {
--- a/src/main/java/cairnbridge/proxy/GracefulShutdown.java
+++ b/src/main/java/cairnbridge/proxy/GracefulShutdown.java
@@ -100,9 +100,9 @@
     private void drainToSuccessor(long untilNanos) throws InterruptedException {
         criticalThreads.allowEnds();
         listenerState.startDraining();
+        LOG.log(Level.INFO, "{0} hands over to its successor", components.config().name());
         divertNewConnections();
         reactor.stopListening();
-        LOG.log(Level.INFO, "{0} hands over to its successor", components.config().name());
         while (reactor.clientConnectionCount() > 0 && System.nanoTime() < untilNanos) {
             Thread.sleep(DRAIN_POLL_MILLIS);
         }
--- a/src/main/java/cairnbridge/proxy/ListenerFilter.java
+++ b/src/main/java/cairnbridge/proxy/ListenerFilter.java
@@ -6,12 +6,16 @@
 import com.sun.jna.Native;
 import com.sun.jna.Pointer;
 import java.io.IOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * Has the system give all new connections of a group of listening sockets to one of them. Java has
  * no call for that, so that the C library is called.
  */
 final class ListenerFilter {
+    private static final Logger LOG = Logger.getLogger(ListenerFilter.class.getName());
+
     /** {@code SOL_SOCKET} of Linux. */
     private static final int SOCKET_LEVEL = 1;
 
@@ -32,8 +36,27 @@
                 throws LastErrorException;
     }
 
+    /** Loads the C library with its first use. */
+    private static final class LoadedLibrary {
+        private static final SystemLibrary SYSTEM = Native.load("c", SystemLibrary.class);
+
+        private LoadedLibrary() {}
+    }
+
     private ListenerFilter() {}
 
+    /**
+     * Loads what {@link #selectMember} needs, which takes some hundred milliseconds on a busy
+     * machine. Where that fails {@link #selectMember} says so.
+     */
+    static void prepare() {
+        try {
+            LOG.log(Level.FINE, "loaded: {0}", LoadedLibrary.SYSTEM);
+        } catch (LinkageError e) {
+            LOG.log(Level.FINE, "cannot be loaded: {0}", e.toString());
+        }
+    }
+
     /**
      * Gives all new connections to one socket of a group. Where the group has no such socket, as
      * when that has been closed, the system chooses again.
@@ -51,9 +74,8 @@
             program.clear();
             program.setShort(0, (short) 1);
             program.setPointer(Native.POINTER_SIZE, instruction);
-            SystemLibrary system = Native.load("c", SystemLibrary.class);
             int ignored =
-                    system.setsockopt(
+                    LoadedLibrary.SYSTEM.setsockopt(
                             descriptor,
                             SOCKET_LEVEL,
                             ATTACH_REUSEPORT_FILTER,
--- a/src/main/java/cairnbridge/proxy/ListenerGroup.java
+++ b/src/main/java/cairnbridge/proxy/ListenerGroup.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -57,20 +58,36 @@
     private static List<String> listeningInodes(InetSocketAddress address) throws IOException {
         List<String> inodes = new ArrayList<>();
         for (Path table : SOCKET_TABLES) {
-            if (!Files.exists(table)) {
-                continue;
-            }
-            for (String row : Files.readAllLines(table)) {
-                String[] columns = row.strip().split("\\s+");
-                if (columns[STATE_COLUMN].equals(LISTENING)
-                        && parseAddress(columns[LOCAL_ADDRESS_COLUMN]).equals(address)) {
-                    inodes.add(columns[INODE_COLUMN]);
+            if (Files.exists(table)) {
+                try (BufferedReader rows = Files.newBufferedReader(table)) {
+                    addListeningInodes(rows, address, inodes);
                 }
             }
         }
         return inodes;
     }
 
+    /**
+     * Reads a table up to its last listening socket: those come first. Guards against the time and
+     * the memory that tens of thousands of connections would take.
+     */
+    private static void addListeningInodes(
+            BufferedReader rows, InetSocketAddress address, List<String> inodes)
+            throws IOException {
+        String header = rows.readLine();
+        String row = header == null ? null : rows.readLine();
+        while (row != null) {
+            String[] columns = row.strip().split("\\s+");
+            if (!columns[STATE_COLUMN].equals(LISTENING)) {
+                return;
+            }
+            if (parseAddress(columns[LOCAL_ADDRESS_COLUMN]).equals(address)) {
+                inodes.add(columns[INODE_COLUMN]);
+            }
+            row = rows.readLine();
+        }
+    }
+
     /** Reads an address such as {@code 0100007F:1F90}. */
     private static InetSocketAddress parseAddress(String text) throws UnknownHostException {
         int colon = text.indexOf(':');
--- a/src/main/java/cairnbridge/proxy/SiblingProcesses.java
+++ b/src/main/java/cairnbridge/proxy/SiblingProcesses.java
@@ -93,6 +93,11 @@
         return !readMarks().isEmpty();
     }
 
+    /** Whether a process that started later runs, ready or not. */
+    boolean hasSuccessor() {
+        return readMarks().stream().anyMatch(mark -> mark.startedAtMillis > startedAtMillis);
+    }
+
     /** Whether a process that started later is ready for all clients of the shared address. */
     boolean hasReadySuccessor() {
         return readMarks().stream()
--- a/src/test/java/cairnbridge/proxy/RestartSoakTest.java
+++ b/src/test/java/cairnbridge/proxy/RestartSoakTest.java
@@ -33,7 +33,15 @@
 class RestartSoakTest extends ProxyTestSupport {
     private static final long DEFAULT_FIRST_SEED = 1;
     private static final long DEFAULT_SEEDS = 6;
-    private static final int CLIENTS = 6;
+    private static final List<SoakClient.Kind> CLIENTS =
+            List.of(
+                    SoakClient.Kind.LEAVES,
+                    SoakClient.Kind.RECONNECTS,
+                    SoakClient.Kind.RECONNECTS,
+                    SoakClient.Kind.RECONNECTS,
+                    SoakClient.Kind.KEEPS,
+                    SoakClient.Kind.KEEPS,
+                    SoakClient.Kind.KEEPS);
     private static final int SILENT_CLIENTS = 30;
     private static final int STEPS = 2;
 
@@ -162,11 +170,11 @@
 
     private List<SoakClient> startClients() throws IOException {
         List<SoakClient> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < CLIENTS.size(); i++) {
             RandomGenerator own =
                     RandomGeneratorFactory.of("L64X128MixRandom").create(random.nextLong());
             SoakClient client =
-                    new SoakClient("soak-" + i, judge, port, i == 0, () -> mayConnect, own);
+                    new SoakClient("soak-" + i, judge, port, CLIENTS.get(i), () -> mayConnect, own);
             clients.add(client);
             daemon(
                     () -> {
--- a/src/test/java/cairnbridge/proxy/SoakClient.java
+++ b/src/test/java/cairnbridge/proxy/SoakClient.java
@@ -8,13 +8,26 @@
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
-/** A client of the soak: uses its connection for as long as that stays open, then opens another. */
+/**
+ * A client of the soak: uses its connection for as long as that stays open, then opens another. Of
+ * some kinds it ends its connections itself.
+ */
 final class SoakClient implements Runnable {
     private static final int TTL_MILLIS = 1000;
     private static final int READ_TIMEOUT_MILLIS = 4000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     private static final int RECONNECT_PAUSE_MILLIS = 5;
 
+    /** How a client ends its connections itself. */
+    enum Kind {
+        /** Not at all. */
+        KEEPS,
+        /** After each answer. */
+        RECONNECTS,
+        /** At times without waiting for the answer. */
+        LEAVES
+    }
+
     /** Of so many requests one is a write, and one is left by a client that leaves at all. */
     private static final int WRITE_INTERVAL = 4;
 
@@ -26,7 +39,7 @@
     private final String name;
     private final SoakJudge judge;
     private final int port;
-    private final boolean leaves;
+    private final Kind kind;
     private final BooleanSupplier mayConnect;
     private final RandomGenerator random;
     private volatile boolean stopped;
@@ -35,20 +48,19 @@
     /**
      * A client that has sent nothing.
      *
-     * @param leaves whether it closes some connections without waiting for the answer
      * @param mayConnect whether new connections may be made at present
      */
     SoakClient(
             String name,
             SoakJudge judge,
             int port,
-            boolean leaves,
+            Kind kind,
             BooleanSupplier mayConnect,
             RandomGenerator random) {
         this.name = name;
         this.judge = judge;
         this.port = port;
-        this.leaves = leaves;
+        this.kind = kind;
         this.mayConnect = mayConnect;
         this.random = random;
     }
@@ -65,7 +77,7 @@
                 if (mayConnect.getAsBoolean()) {
                     useConnection();
                 }
-                Thread.sleep(RECONNECT_PAUSE_MILLIS);
+                Thread.sleep(kind == Kind.RECONNECTS ? 0 : RECONNECT_PAUSE_MILLIS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -82,8 +94,8 @@
             long restedMillis = 0;
             boolean open = true;
             while (open && !stopped) {
-                open = exchange(socket, restedMillis);
-                restedMillis = rest();
+                open = exchange(socket, restedMillis) && kind != Kind.RECONNECTS;
+                restedMillis = open ? rest() : 0;
             }
         } catch (IOException e) {
             // Refused, as between two processes.
@@ -106,7 +118,7 @@
         judge.sent(traceId, !isWrite, TTL_MILLIS, restedMillis, System.nanoTime());
         try {
             ProxyTestSupport.send(socket, line, headers, isWrite ? "v" : "");
-            if (leaves && random.nextInt(LEAVE_INTERVAL) == 0) {
+            if (kind == Kind.LEAVES && random.nextInt(LEAVE_INTERVAL) == 0) {
                 TimeUnit.MICROSECONDS.sleep(random.nextInt(3000));
                 socket.close();
                 judge.clientLeft(traceId, System.nanoTime());
--- a/src/test/java/cairnbridge/proxy/SoakJudgeTest.java
+++ b/src/test/java/cairnbridge/proxy/SoakJudgeTest.java
@@ -140,7 +140,7 @@
                             "r",
                             judge,
                             listener.getLocalPort(),
-                            false,
+                            SoakClient.Kind.KEEPS,
                             () -> true,
                             RandomGeneratorFactory.of("L64X128MixRandom").create(1));
             Thread running = new Thread(client);
@@ -163,7 +163,7 @@
                             "r",
                             judge,
                             listener.getLocalPort(),
-                            false,
+                            SoakClient.Kind.KEEPS,
                             () -> judge.requestCount() == 0,
                             RandomGeneratorFactory.of("L64X128MixRandom").create(1));
             Thread running = new Thread(client);
