The smallest descriptor limits admit clients again: 64 beside an admin endpoint

Change: as many as may be pending are admitted at least, up to the share. With 64 descriptors and no admin endpoint, or more, nothing changes.

--- a/src/main/java/cairnbridge/proxy/DescriptorBudget.java
+++ b/src/main/java/cairnbridge/proxy/DescriptorBudget.java
@@ -51,7 +51,11 @@
         crowdedLimit = (int) (CROWDED_SHARE * exhaustedLimit);
         fullLimit = (int) (FULL_SHARE * exhaustedLimit);
         int clientShare = (int) ((1 - UPSTREAM_RESERVED_SHARE) * exhaustedLimit);
-        maxClients = clientShare - MAX_PENDING_ACCEPTED;
+        // Guards against the smallest limits, in which all clients would be rejected.
+        maxClients =
+                Math.max(
+                        Math.min(clientShare, MAX_PENDING_ACCEPTED),
+                        clientShare - MAX_PENDING_ACCEPTED);
         maxLingering = (int) (LINGERING_SHARE * exhaustedLimit);
     }
 
--- a/src/test/java/cairnbridge/proxy/DescriptorBudgetTest.java
+++ b/src/test/java/cairnbridge/proxy/DescriptorBudgetTest.java
@@ -74,4 +74,13 @@
         assertEquals(CROWD, connected.get());
         assertFalse(mostPending.get() > DescriptorBudget.MAX_PENDING_ACCEPTED);
     }
+
+    @Test
+    void theSmallestLimitBesideAnAdminEndpointStillAdmitsClients() throws Exception {
+        maxSockets = 64;
+        extraConfig = "\"admin_addr\":\"127.0.0.1:0\",";
+        start();
+
+        assertEquals(200, statusCode(sendRequest("GET /view/1", ttlHeader(800), "")));
+    }
 }
