A proxy is ready only once the reactor has closed the warm-up's connections

Cause: the mend of the warm-up closes its connections, but the reactor counts them until its turn ends. The test took the count of descriptors as the proxy was ready, with some of them in it, and waited for two more (its stack: CrossingsTest.waiting, the wait for held + 2).

--- a/src/main/java/cairnbridge/proxy/Warmup.java
+++ b/src/main/java/cairnbridge/proxy/Warmup.java
@@ -87,6 +87,7 @@
 
     /** Returns when all requests are answered, or when time is up. */
     void run() throws IOException, InterruptedException {
+        int descriptorsBefore = reactor.openDescriptors();
         RequestCoordinator coordinator = createCoordinator();
         Thread owner = new Thread(coordinator, "warm");
         owner.start();
@@ -117,6 +118,19 @@
         postEndpointList(listedNodes(NodeState.GONE), Map.of());
         coordinator.stopWhenDrained();
         owner.join();
+        awaitClosed(descriptorsBefore);
+    }
+
+    /**
+     * Returns once the reactor has closed the warm-up's connections; where clients have come
+     * meanwhile, which count as well, after a short time.
+     */
+    private void awaitClosed(int descriptorsBefore) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FINISH_MILLIS);
+        while (reactor.openDescriptors() > descriptorsBefore
+                && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(1);
+        }
     }
 
     private RequestCoordinator createCoordinator() {
