--- a/src/test/java/cairnbridge/proxy/AcceptorTest.java
+++ b/src/test/java/cairnbridge/proxy/AcceptorTest.java
@@ -40,9 +40,8 @@
         }
     }
 
-    /** Answers each connection with its name, and counts them. */
+    /** Answers each connection with its name. */
     private final class Listener {
-        final AtomicInteger accepted = new AtomicInteger();
         final Acceptor acceptor;
 
         Listener(int name, BooleanSupplier canAccept, Acceptor.AcceptCall acceptCall)
@@ -64,7 +63,6 @@
         }
 
         private void answer(SocketChannel channel, int name) {
-            accepted.incrementAndGet();
             try {
                 channel.write(ByteBuffer.wrap(new byte[] {(byte) name}));
             } catch (IOException e) {
--- a/src/test/java/cairnbridge/proxy/SoakJudgeTest.java
+++ b/src/test/java/cairnbridge/proxy/SoakJudgeTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -135,14 +136,7 @@
     @Test
     void aListenerClosedWithItsQueueFullIsReported() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
-            SoakClient client =
-                    new SoakClient(
-                            "r",
-                            judge,
-                            listener.getLocalPort(),
-                            SoakClient.Kind.KEEPS,
-                            () -> true,
-                            RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+            SoakClient client = client(listener, () -> true);
             Thread running = new Thread(client);
             running.start();
             ProxyTestSupport.waitUntil(() -> judge.requestCount() == 1);
@@ -158,14 +152,7 @@
     @Test
     void aConnectionThatIsReadAndClosedIsReported() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
-            SoakClient client =
-                    new SoakClient(
-                            "r",
-                            judge,
-                            listener.getLocalPort(),
-                            SoakClient.Kind.KEEPS,
-                            () -> judge.requestCount() == 0,
-                            RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+            SoakClient client = client(listener, () -> judge.requestCount() == 0);
             Thread running = new Thread(client);
             running.start();
             readAndClose(listener);
@@ -176,6 +163,16 @@
         assertEquals(List.of(Rule.LOST), brokenRules());
     }
 
+    private SoakClient client(ServerSocket listener, BooleanSupplier mayConnect) {
+        return new SoakClient(
+                "r",
+                judge,
+                listener.getLocalPort(),
+                SoakClient.Kind.KEEPS,
+                mayConnect,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+    }
+
     private static void readAndClose(ServerSocket listener) throws IOException {
         try (Socket accepted = listener.accept()) {
             ProxyTestSupport.readMessage(accepted);
