Trace of requests, attempts and hold-ups in the restart soak

Four places can lose the time between a client's stamp and a server's: the client before its bytes leave, the proxy before it reads, the proxy between the header and its bytes, the server before it reads. Nothing told them apart.

At level FINE the proxy now logs when a request was read and with which time to its deadline, when an attempt was begun and written, when its response was started, and how a client connection ended. The soak runs its proxies with that level on and with a thread that notes how late it wakes up, stamps the client's write and the server's read, and prints all of it for each violation. Checks and bounds are unchanged.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -280,8 +280,18 @@
         }
     }
 
+    private String closeReason() {
+        if (rejected) {
+            return "no descriptor is free";
+        } else if (session.hasPeerClosed()) {
+            return "the client had closed";
+        }
+        return isIdle() ? "no request is open" : "a request is open";
+    }
+
     @Override
     public void disconnected(IOSession ioSession) {
+        RequestTrace.connectionClosed(ioSession, closeReason());
         super.disconnected(ioSession);
         connections.remove(this, session);
     }
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -277,7 +277,9 @@
                 countAccepted();
             }
             body.pipe().finish();
-            events.requestBodyCompleted(this, deadline());
+            long deadlineTicks = deadline();
+            traceRead(deadlineTicks);
+            events.requestBodyCompleted(this, deadlineTicks);
         } else if (body.isBuffering() && !response.isStarted()) {
             completeRequest();
         }
@@ -295,6 +297,7 @@
         // Guards against a request whose TTL has expired on arrival: a client may take a second to
         // send its body, so the TTL runs from the last byte.
         long deadlineTicks = deadline();
+        traceRead(deadlineTicks);
         if (!context.filter().intercept(this, deadlineTicks)) {
             reportArrival(deadlineTicks);
             countAccepted();
@@ -317,6 +320,10 @@
         return context.deadline(context.clock().now(), request.ttlTicks());
     }
 
+    private void traceRead(long deadlineTicks) {
+        RequestTrace.requestRead(traceId, deadlineTicks - context.clock().now());
+    }
+
     private void reportArrival(long deadlineTicks) {
         arrivalReported = true;
         events.requestArrived(this, deadlineTicks);
@@ -390,6 +397,7 @@
             return false;
         }
         sendPermit.revoke(AttemptRejection.OP_OVER);
+        RequestTrace.responseStarted(traceId, status);
         boolean bodyIncomplete = body.isStreamed() && !requestComplete;
         boolean last = close || listenerState.isClosingConnections() || bodyIncomplete;
         try {
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -160,6 +160,7 @@
         request.addHeader(
                 ClientExchange.TTL_HEADER,
                 remainingTicks * (1000 / TickClock.TICKS_PER_MILLI) + "u");
+        RequestTrace.attemptBegun(exchange.traceId, remainingTicks);
         if (exchange.idempotencyKey != null) {
             request.addHeader(ClientExchange.IDEMPOTENCY_KEY_HEADER, exchange.idempotencyKey);
         }
@@ -215,6 +216,7 @@
     void requestWritten() {
         writtenAtTicks = clock.now();
         metrics.attemptSent();
+        RequestTrace.attemptWritten(exchange.traceId);
     }
 
     /** Whether the whole request has been written; if not, its connection cannot be reused. */
--- a/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
@@ -7,6 +7,7 @@
 import java.io.BufferedInputStream;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -69,6 +70,9 @@
 
     String hedging = "false";
 
+    /** The main class of the processes that are started. */
+    String mainClass = "cairnbridge.cli.Main";
+
     /** Whether a critical thread of the proxy has ended. */
     volatile boolean criticalThreadEnded;
 
@@ -125,7 +129,8 @@
         }
 
         Void serve(Socket socket) throws IOException, InterruptedException {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
+            InputStream in =
+                    new BufferedInputStream(new StampedInputStream(socket.getInputStream()));
             for (String request = readMessage(in); request != null; request = readMessage(in)) {
                 requests.add(request);
                 String response = handler.apply(request);
@@ -195,6 +200,27 @@
         }
     }
 
+    /** Records when each read of a connection returned, for the thread that reads it. */
+    static final class StampedInputStream extends FilterInputStream {
+        private static final ThreadLocal<Long> LAST_READ_NANOS = new ThreadLocal<>();
+
+        StampedInputStream(InputStream in) {
+            super(in);
+        }
+
+        /** When the calling thread last read bytes from a connection. */
+        static long lastReadNanos() {
+            return LAST_READ_NANOS.get();
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = super.read(bytes, offset, length);
+            LAST_READ_NANOS.set(System.nanoTime());
+            return count;
+        }
+    }
+
     /** Returns the response of a stub server to a request, in the format of {@link StubServer}. */
     interface StubHandler {
         String apply(String request) throws InterruptedException;
@@ -351,7 +377,7 @@
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "cairnbridge.cli.Main",
+                        mainClass,
                         "serve");
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", folder.toString());
--- a/src/test/java/cairnbridge/proxy/RestartSoakTest.java
+++ b/src/test/java/cairnbridge/proxy/RestartSoakTest.java
@@ -20,6 +20,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -54,6 +55,7 @@
 
     private static final long LIST_CHANGE_LIMIT_MILLIS = 6000;
     private static final Path LOG_FOLDER = Path.of("target", "soak");
+    private static final HoldUpRecorder HOLD_UPS = HoldUpRecorder.start(holdUp -> {});
     private static final int RESET_INTERVAL = 8;
     private static final Pattern TRACE_ID = Pattern.compile("(?i)x-trace-id: (\\S+)");
     private static final Pattern EXPIRES_IN_MICROS = Pattern.compile("(?i)x-expires-in: (\\d+)u");
@@ -89,6 +91,7 @@
     @MethodSource("seeds")
     void noRequestBreaksAServiceRuleDuringRestartsAndUpgrades(long seed) throws Exception {
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        mainClass = TracingProxyMain.class.getName();
         logFile = Files.createDirectories(LOG_FOLDER).resolve("seed-" + seed + ".log");
         Files.deleteIfExists(logFile);
         startStubServers();
@@ -112,6 +115,10 @@
                 checker.closeRaceCount(),
                 checker.violations());
 
+        for (SoakChecker.Violation each : checker.violations()) {
+            printTrace(each.traceId());
+        }
+
         assertEquals(
                 List.of(),
                 checker.violations(),
@@ -121,6 +128,19 @@
         assertTrue(checker.answeredCount() > 0);
     }
 
+    /** Prints what client, proxies and servers recorded of a request. */
+    private void printTrace(String traceId) throws IOException {
+        long fromNanos = checker.sentNanos(traceId);
+        long toNanos = checker.outcomeNanos(traceId);
+        System.out.printf(
+                "soak: %s: %s, test held up for %d ms%n",
+                traceId, checker.timeline(traceId), HOLD_UPS.heldUpMillis(fromNanos, toNanos));
+        try (Stream<String> lines = Files.lines(logFile)) {
+            lines.filter(line -> line.contains("trace " + traceId + " "))
+                    .forEach(line -> System.out.println("soak: " + line));
+        }
+    }
+
     private void startStubServers() throws IOException {
         boolean hangs = random.nextInt(3) == 0;
         boolean resets = random.nextInt(3) == 0;
@@ -163,7 +183,12 @@
         if (trace.find() && expiresIn.find()) {
             long expiresInMillis =
                     TimeUnit.MICROSECONDS.toMillis(Long.parseLong(expiresIn.group(1)));
-            checker.attempted(trace.group(1), node, expiresInMillis, nowNanos);
+            checker.attempted(
+                    trace.group(1),
+                    node,
+                    expiresInMillis,
+                    StampedInputStream.lastReadNanos(),
+                    nowNanos);
             if (resets && Math.floorMod(trace.group(1).hashCode(), RESET_INTERVAL) == 0) {
                 return RESET_CONNECTION;
             }
--- a/src/test/java/cairnbridge/proxy/SoakChecker.java
+++ b/src/test/java/cairnbridge/proxy/SoakChecker.java
@@ -58,7 +58,7 @@
         CLIENT_DISCONNECTED
     }
 
-    private record Attempt(String node, long atNanos, long expiresInMillis) {}
+    private record Attempt(String node, long readableNanos, long atNanos, long expiresInMillis) {}
 
     /** What is recorded of one request. Its own monitor guards its fields. */
     private static final class TrackedRequest {
@@ -69,6 +69,8 @@
         private final List<Attempt> attempts = new ArrayList<>();
         private Outcome outcome;
         private long outcomeNanos;
+        private int localPort;
+        private long writtenNanos;
 
         TrackedRequest(boolean repeatable, long ttlMillis, long idleMillis, long sentNanos) {
             this.repeatable = repeatable;
@@ -90,6 +92,15 @@
         requests.put(traceId, new TrackedRequest(repeatable, ttlMillis, idleMillis, nowNanos));
     }
 
+    /** Records that the system has taken all bytes of a request from the client. */
+    void written(String traceId, int localPort, long nowNanos) {
+        TrackedRequest entry = requests.get(traceId);
+        synchronized (entry) {
+            entry.localPort = localPort;
+            entry.writtenNanos = nowNanos;
+        }
+    }
+
     /** Records that a client has read a whole response. */
     void answered(String traceId, long nowNanos) {
         recordOutcome(traceId, Outcome.ANSWERED, nowNanos);
@@ -117,12 +128,14 @@
      * Records that a server has read a whole attempt.
      *
      * @param expiresInMillis the remaining time that the attempt's header states
+     * @param readableNanos when the server's connection returned the last bytes of the attempt
      */
-    void attempted(String traceId, String node, long expiresInMillis, long nowNanos) {
+    void attempted(
+            String traceId, String node, long expiresInMillis, long readableNanos, long nowNanos) {
         TrackedRequest entry = requests.get(traceId);
         if (entry != null) { // Warm-up requests and health checks are not tracked.
             synchronized (entry) {
-                entry.attempts.add(new Attempt(node, nowNanos, expiresInMillis));
+                entry.attempts.add(new Attempt(node, readableNanos, nowNanos, expiresInMillis));
             }
         }
     }
@@ -219,6 +232,38 @@
         }
     }
 
+    /**
+     * The recorded times of a request in milliseconds after it was sent, and the local port of its
+     * client.
+     */
+    String timeline(String traceId) {
+        TrackedRequest entry = requests.get(traceId);
+        synchronized (entry) {
+            StringBuilder text = new StringBuilder();
+            text.append("sent at ").append(entry.sentNanos);
+            text.append(" from port ").append(entry.localPort);
+            text.append(", written +").append(millisBetween(entry.sentNanos, entry.writtenNanos));
+            for (Attempt attempt : entry.attempts) {
+                text.append(", at ").append(attempt.node).append(" readable +");
+                text.append(millisBetween(entry.sentNanos, attempt.readableNanos));
+                text.append(" read +").append(millisBetween(entry.sentNanos, attempt.atNanos));
+            }
+            text.append(", ").append(entry.outcome).append(" +");
+            text.append(millisBetween(entry.sentNanos, entry.outcomeNanos));
+            return text.toString();
+        }
+    }
+
+    /** When a request was sent. */
+    long sentNanos(String traceId) {
+        return requests.get(traceId).sentNanos;
+    }
+
+    /** When the outcome of a request was recorded. */
+    long outcomeNanos(String traceId) {
+        return requests.get(traceId).outcomeNanos;
+    }
+
     private static long millisBetween(long fromNanos, long toNanos) {
         return TimeUnit.NANOSECONDS.toMillis(toNanos - fromNanos);
     }
--- a/src/test/java/cairnbridge/proxy/SoakCheckerTest.java
+++ b/src/test/java/cairnbridge/proxy/SoakCheckerTest.java
@@ -41,8 +41,8 @@
     void aRequestThatBreaksNoRuleIsNotReported() {
         checker.drained("c", after(20));
         send(true, 0);
-        checker.attempted("r", "c", TTL_MILLIS, after(10));
-        checker.attempted("r", "o", TTL_MILLIS - 100, after(200));
+        checker.attempted("r", "c", TTL_MILLIS, after(10), after(10));
+        checker.attempted("r", "o", TTL_MILLIS - 100, after(200), after(200));
         checker.answered("r", after(TTL_MILLIS + SoakChecker.LATE_ANSWER_MILLIS));
 
         assertEquals(List.of(), violatedRules());
@@ -74,7 +74,7 @@
     @Test
     void aCloseAfterAnAttemptIsReportedEvenOnAnIdleConnection() {
         send(true, SoakChecker.CLOSE_RACE_IDLE_MILLIS);
-        checker.attempted("r", "c", TTL_MILLIS, after(1));
+        checker.attempted("r", "c", TTL_MILLIS, after(1), after(1));
         checker.closed("r", after(2));
 
         assertEquals(List.of(Rule.LOST), violatedRules());
@@ -100,8 +100,8 @@
     @Test
     void aRepeatedAttemptOfAWriteIsReported() {
         send(false, 0);
-        checker.attempted("r", "o", TTL_MILLIS, after(1));
-        checker.attempted("r", "o", TTL_MILLIS, after(2));
+        checker.attempted("r", "o", TTL_MILLIS, after(1), after(1));
+        checker.attempted("r", "o", TTL_MILLIS, after(2), after(2));
         checker.answered("r", after(3));
 
         assertEquals(List.of(Rule.DUPLICATE), violatedRules());
@@ -111,7 +111,7 @@
     void anAttemptAtADrainingNodeIsReported() {
         checker.drained("c", after(0));
         send(true, 0);
-        checker.attempted("r", "c", TTL_MILLIS, after(1));
+        checker.attempted("r", "c", TTL_MILLIS, after(1), after(1));
         checker.answered("r", after(2));
 
         assertEquals(List.of(Rule.DRAINING), violatedRules());
@@ -121,7 +121,12 @@
     void anAttemptAfterItsClientDisconnectedIsReported() {
         send(true, 0);
         checker.clientDisconnected("r", after(10));
-        checker.attempted("r", "c", TTL_MILLIS, after(10 + SoakChecker.LATE_ATTEMPT_MILLIS + 1));
+        checker.attempted(
+                "r",
+                "c",
+                TTL_MILLIS,
+                after(10 + SoakChecker.LATE_ATTEMPT_MILLIS + 1),
+                after(10 + SoakChecker.LATE_ATTEMPT_MILLIS + 1));
 
         assertEquals(List.of(Rule.LATE_ATTEMPT), violatedRules());
     }
@@ -129,7 +134,12 @@
     @Test
     void aDeadlineBeyondTheClientsDeadlineIsReported() {
         send(true, 0);
-        checker.attempted("r", "c", TTL_MILLIS, after(SoakChecker.DEADLINE_SLACK_MILLIS + 1));
+        checker.attempted(
+                "r",
+                "c",
+                TTL_MILLIS,
+                after(SoakChecker.DEADLINE_SLACK_MILLIS + 1),
+                after(SoakChecker.DEADLINE_SLACK_MILLIS + 1));
         checker.answered("r", after(200));
 
         assertEquals(List.of(Rule.DEADLINE), violatedRules());
--- a/src/test/java/cairnbridge/proxy/SoakClient.java
+++ b/src/test/java/cairnbridge/proxy/SoakClient.java
@@ -126,6 +126,7 @@
         checker.sent(traceId, !isWrite, TTL_MILLIS, idleMillis, System.nanoTime());
         try {
             ProxyTestSupport.send(socket, line, headers, isWrite ? "v" : "");
+            checker.written(traceId, socket.getLocalPort(), System.nanoTime());
             if (disconnects == Disconnects.BEFORE_SOME_RESPONSES
                     && random.nextInt(DISCONNECT_INTERVAL) == 0) {
                 TimeUnit.MICROSECONDS.sleep(random.nextInt(3000));
