A request that waited unread is not given its whole TTL

Callers: attempts told their server up to 180 ms more than the client had left (150 allowed), beside busy processes.

Cause: the TTL ran from the reading of the last byte, less a stall that only the coordinator thread measures. A reactor's thread that comes late by itself was not seen.

ArrivalTest holds the reactor by a latch: without this change 4 of its 5 tests fail (deadline 1,300 ms after the request was sent), with it none.

Change: the reactor notes its polls, the acceptor when its queue was empty; both bound the arrival from below, on new and open connections, for buffered and streamed bodies. What exceeds 45 ms is taken off, and not again for a stall of the whole process.

--- a/src/main/java/cairnbridge/proxy/Acceptor.java
+++ b/src/main/java/cairnbridge/proxy/Acceptor.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -39,17 +38,33 @@
         SocketChannel accept(ServerSocketChannel listener) throws IOException;
     }
 
+    /** Takes over the connections that are accepted. */
+    interface ChannelHandler {
+        /**
+         * Takes over a connection; called on the acceptor's thread.
+         *
+         * @param notQueuedTicks a time at which the client had not connected yet
+         */
+        void accept(SocketChannel channel, long notQueuedTicks);
+    }
+
     private final AcceptCall acceptCall;
     private final ServerSocketChannel serverChannel;
     private final Selector selector;
     private final BooleanSupplier canAccept;
-    private final Consumer<SocketChannel> channelHandler;
+    private final ChannelHandler channelHandler;
+    private final TickClock clock;
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean stopped;
 
     /** How often the accept queue was found empty. */
     private final AtomicInteger emptyQueueCount = new AtomicInteger();
 
+    /**
+     * A time just before the accept queue was last found empty, in ticks. Acceptor's thread only.
+     */
+    private long emptyQueueTicks;
+
     /** The local port of the connection that {@link #receivesNewConnections} opens. */
     private volatile int probePort = NO_PROBE;
 
@@ -61,28 +76,33 @@
      * @param backlog the capacity of the system's accept queue
      * @param canAccept checked before each accept; while it is false, connections stay in the queue
      *     unless the acceptor has been stopped
-     * @param channelHandler called with each connection, on the acceptor's thread
+     * @param channelHandler takes over each connection
+     * @param clock the clock of the times that the handler is given
      * @throws IOException if the address cannot be listened on
      */
     Acceptor(
             InetSocketAddress address,
             int backlog,
             BooleanSupplier canAccept,
-            Consumer<SocketChannel> channelHandler)
+            ChannelHandler channelHandler,
+            TickClock clock)
             throws IOException {
-        this(address, backlog, canAccept, channelHandler, ServerSocketChannel::accept);
+        this(address, backlog, canAccept, channelHandler, clock, ServerSocketChannel::accept);
     }
 
     Acceptor(
             InetSocketAddress address,
             int backlog,
             BooleanSupplier canAccept,
-            Consumer<SocketChannel> channelHandler,
+            ChannelHandler channelHandler,
+            TickClock clock,
             AcceptCall acceptCall)
             throws IOException {
         this.canAccept = canAccept;
         this.channelHandler = channelHandler;
+        this.clock = clock;
         this.acceptCall = acceptCall;
+        emptyQueueTicks = clock.now();
         selector = Selector.open();
         serverChannel = ListeningSocket.open(address, backlog, true, selector);
     }
@@ -145,9 +165,13 @@
         try (selector;
                 serverChannel) {
             while (!stopped) {
-                selector.select();
-                selector.selectedKeys().clear();
-                acceptAll();
+                long beforePollTicks = clock.now();
+                if (selector.select(ArrivalBound.POLL_INTERVAL_MILLIS) > 0) {
+                    selector.selectedKeys().clear();
+                    acceptAll();
+                } else {
+                    recordEmptyQueue(beforePollTicks);
+                }
             }
             acceptRemainingAndClose();
         } catch (IOException e) {
@@ -177,11 +201,13 @@
     /** Accepts all connections in the queue; false if an accept failed and some may be left. */
     private boolean acceptAll() {
         try {
+            long beforeAcceptTicks = clock.now();
             for (SocketChannel next = acceptNext(); next != null; next = acceptNext()) {
                 recordProbe(next);
-                channelHandler.accept(next);
+                channelHandler.accept(next, emptyQueueTicks);
+                beforeAcceptTicks = clock.now();
             }
-            emptyQueueCount.incrementAndGet();
+            recordEmptyQueue(beforeAcceptTicks);
             return true;
         } catch (IOException e) {
             // Guards against a thread that ends, or busy-loops, while no descriptor is free.
@@ -191,6 +217,11 @@
         }
     }
 
+    private void recordEmptyQueue(long beforeCheckTicks) {
+        emptyQueueTicks = beforeCheckTicks;
+        emptyQueueCount.incrementAndGet();
+    }
+
     /** Waits until accepting is allowed; returns the next connection, null if there is none. */
     private SocketChannel acceptNext() throws IOException {
         while (!stopped && !canAccept.getAsBoolean()) {
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/ArrivalBound.java
@@ -0,0 +1,47 @@
+package cairnbridge.proxy;
+
+import cairnbridge.time.Ticks;
+
+/**
+ * Bounds the time for which the bytes that are read from one client connection have waited. Guards
+ * against a request that waits in its socket while the reactor or the acceptor is held up, and is
+ * then given its whole TTL. Used by the reactor's thread only; all times are ticks.
+ */
+public final class ArrivalBound {
+    /** How often a reactor or an acceptor without events polls. */
+    static final long POLL_INTERVAL_MILLIS = 20;
+
+    /**
+     * The longest time between the poll before the last and the reading of a byte, if nothing is
+     * held up: two polls that wait, and the handling of other events.
+     */
+    private static final long UNDELAYED_TICKS =
+            Ticks.fromMillis(2 * POLL_INTERVAL_MILLIS) + 5 * Ticks.MILLISECOND;
+
+    private final TickClock clock;
+    private final PollTimes pollTimes;
+    private final long notQueuedTicks;
+    private final long registeredTicks;
+
+    /**
+     * Creates the bound of a connection that the reactor registers now.
+     *
+     * @param notQueuedTicks a time at which the client had not connected yet
+     */
+    ArrivalBound(TickClock clock, PollTimes pollTimes, long notQueuedTicks) {
+        this.clock = clock;
+        this.pollTimes = pollTimes;
+        this.notQueuedTicks = notQueuedTicks;
+        registeredTicks = clock.now();
+    }
+
+    /**
+     * How long a byte that is read now may have waited beyond the time that reading takes if
+     * nothing is held up; 0 if not at all.
+     */
+    long delayTicks() {
+        long polledTicks = pollTimes.beforePreviousPoll();
+        long arrivedAfterTicks = polledTicks > registeredTicks ? polledTicks : notQueuedTicks;
+        return Math.max(0, clock.now() - arrivedAfterTicks - UNDELAYED_TICKS);
+    }
+}
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -46,8 +46,9 @@
     }
 
     /** Creates the event handler of an accepted connection. */
-    IOEventHandler createHandler(ProtocolIOSession session) {
-        RequestHandlers requestHandlers = new RequestHandlers(session, handlerFactory);
+    IOEventHandler createHandler(ProtocolIOSession session, ArrivalBound arrivalBound) {
+        RequestHandlers requestHandlers =
+                new RequestHandlers(session, handlerFactory, arrivalBound);
         ServerHttp1StreamDuplexerFactory factory =
                 new ServerHttp1StreamDuplexerFactory(
                         HttpSettings.RESPONSE_PROCESSOR,
--- a/src/main/java/cairnbridge/proxy/ClientEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/ClientEventHandler.java
@@ -60,7 +60,10 @@
             exchange.rejectConflict();
             return;
         }
-        long deadlineTicks = announcedDeadlineTicks - stallDetector.stallTicks();
+        // The reactor may have measured a part of the stall already.
+        long unmeasuredStallTicks =
+                Math.max(0, stallDetector.stallTicks() - exchange.readDelayTicks());
+        long deadlineTicks = announcedDeadlineTicks - unmeasuredStallTicks;
         ActiveRequest request = activeRequests.add(exchange, deadlineTicks);
         timers.scheduleRequestDeadline(deadlineTicks, request.id());
         listeners.load().requestAccepted(exchange.category.value());
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -48,6 +48,7 @@
     private final ClientEvents events;
     private final Consumer<? super ClientExchange> onReleased;
     private final Runnable abortConnection;
+    private final ArrivalBound arrivalBound;
     final SendPermit sendPermit = new SendPermit();
     private final RequestBody body = new RequestBody();
     private final ResponseSender response = new ResponseSender();
@@ -73,6 +74,9 @@
     byte[] requestBody;
     volatile BodyPipe requestPipe;
 
+    /** Set by the reactor's thread before the coordinator is notified of the deadline. */
+    private long readDelayTicks;
+
     private volatile boolean requestComplete;
     private volatile boolean arrivalReported;
     private volatile boolean countedAsAccepted;
@@ -87,18 +91,21 @@
      * @param events notified of the request once it is complete, or too long to be buffered
      * @param onReleased called once the HTTP library no longer uses this exchange
      * @param abortConnection closes the connection at once
+     * @param arrivalBound bounds the time for which the request has waited to be read
      */
     public ClientExchange(
             RequestContext context,
             ListenerState listenerState,
             ClientEvents events,
             Consumer<? super ClientExchange> onReleased,
-            Runnable abortConnection) {
+            Runnable abortConnection,
+            ArrivalBound arrivalBound) {
         this.context = context;
         this.listenerState = listenerState;
         this.events = events;
         this.onReleased = onReleased;
         this.abortConnection = abortConnection;
+        this.arrivalBound = arrivalBound;
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -106,8 +113,15 @@
             ListenerState listenerState,
             ClientEvents events,
             Consumer<? super ClientExchange> onReleased,
-            Runnable abortConnection) {
-        this(listenerState.requestContext(), listenerState, events, onReleased, abortConnection);
+            Runnable abortConnection,
+            ArrivalBound arrivalBound) {
+        this(
+                listenerState.requestContext(),
+                listenerState,
+                events,
+                onReleased,
+                abortConnection,
+                arrivalBound);
     }
 
     /** The parsed head of the request; null until it has been parsed. */
@@ -135,6 +149,11 @@
         return new BodyPipe(context.pipedBytes(), lengthBytes);
     }
 
+    /** The time that its deadline does not grant the request because it waited to be read. */
+    public long readDelayTicks() {
+        return readDelayTicks;
+    }
+
     /** The coordinator's id of the request; null until it has been assigned. */
     public RequestId requestId() {
         return requestId;
@@ -316,8 +335,11 @@
                         context.clock().now(), request.ttlTicks(), body.remainingBytes()));
     }
 
+    /** The deadline of a request whose last byte has just been read. */
     private long deadline() {
-        return context.deadline(context.clock().now(), request.ttlTicks());
+        readDelayTicks = arrivalBound.delayTicks();
+        long arrivedTicks = context.clock().now() - readDelayTicks;
+        return context.deadline(arrivedTicks, request.ttlTicks());
     }
 
     private void traceRead(long deadlineTicks) {
--- a/src/main/java/cairnbridge/proxy/ClientExchangeFactory.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchangeFactory.java
@@ -14,7 +14,11 @@
     }
 
     @Override
-    public ClientExchange create(Consumer<ClientExchange> onReleased, Runnable abortConnection) {
-        return new ClientExchange(listenerState, eventQueue, onReleased, abortConnection);
+    public ClientExchange create(
+            Consumer<ClientExchange> onReleased,
+            Runnable abortConnection,
+            ArrivalBound arrivalBound) {
+        return new ClientExchange(
+                listenerState, eventQueue, onReleased, abortConnection, arrivalBound);
     }
 }
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -32,12 +32,16 @@
  */
 public final class ConnectionReactor {
     private static final Logger LOG = Logger.getLogger(ConnectionReactor.class.getName());
-    private static final long SELECT_INTERVAL_MILLIS = 20;
+
+    /** The attachment of an accepted connection: when its client had not connected yet. */
+    private record AcceptedClient(long notQueuedTicks) {}
 
     private final DescriptorBudget budget;
     private final ClientConnections clients;
     private final ConnectionListener connectionListener;
     private final ThreadFactory threadFactory;
+    private final TickClock clock;
+    private final PollTimes pollTimes;
     private final int backlog;
     private final DefaultConnectingIOReactor reactor;
 
@@ -78,6 +82,8 @@
             ThreadFactory threadFactory) {
         this.connectionListener = connectionListener;
         this.threadFactory = threadFactory;
+        clock = listenerState.clock;
+        pollTimes = new PollTimes(clock);
         backlog = config.network().maxSockets();
         budget = new DescriptorBudget(config.network());
         clients =
@@ -88,19 +94,27 @@
                         .setIoThreadCount(1)
                         .setTcpNoDelay(true)
                         .setSoTimeout(Timeout.DISABLED)
-                        .setSelectInterval(TimeValue.ofMilliseconds(SELECT_INTERVAL_MILLIS))
+                        .setSelectInterval(
+                                TimeValue.ofMilliseconds(ArrivalBound.POLL_INTERVAL_MILLIS))
                         .build();
         reactor =
                 new DefaultConnectingIOReactor(
                         this::createHandler,
                         ioConfig,
-                        threadFactory,
+                        this::createReactorThread,
                         null,
                         this::handleReactorError,
                         null,
                         null);
     }
 
+    private Thread createReactorThread(Runnable loop) {
+        Thread created = threadFactory.newThread(loop);
+        Thread reactorThread = new ReactorThread(created, pollTimes);
+        reactorThread.setDaemon(created.isDaemon());
+        return reactorThread;
+    }
+
     /** Starts the reactor's thread. */
     public void start() {
         reactor.start();
@@ -123,7 +137,7 @@
      * @throws IOException if the address cannot be listened on
      */
     public Acceptor createAcceptor(InetSocketAddress address) throws IOException {
-        return new Acceptor(address, backlog, this::canAccept, this::handleAccepted);
+        return new Acceptor(address, backlog, this::canAccept, this::handleAccepted, clock);
     }
 
     /** The address on which clients are accepted, once {@link #listen} has returned. */
@@ -135,10 +149,10 @@
         return stopping || budget.canAccept();
     }
 
-    private void handleAccepted(SocketChannel channel) {
+    private void handleAccepted(SocketChannel channel, long notQueuedTicks) {
         budget.addPendingAccepted();
         try {
-            AcceptedChannelRegistrar.register(reactor, channel);
+            AcceptedChannelRegistrar.register(reactor, channel, new AcceptedClient(notQueuedTicks));
         } catch (IOReactorShutdownException e) {
             // The reactor has closed the channel.
             LOG.log(Level.FINE, "reactor: {0}", e.toString());
@@ -156,7 +170,9 @@
         if (attachment instanceof ConnectionAttachment upstream) {
             return upstream.createHandler(session);
         }
-        return clients.createHandler(session);
+        AcceptedClient client = (AcceptedClient) attachment;
+        return clients.createHandler(
+                session, new ArrivalBound(clock, pollTimes, client.notQueuedTicks()));
     }
 
     /**
--- a/src/main/java/cairnbridge/proxy/RequestHandlerFactory.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlerFactory.java
@@ -9,6 +9,10 @@
      *
      * @param onReleased called once the HTTP library no longer uses the handler
      * @param abortConnection closes the client's connection at once; callable on any thread
+     * @param arrivalBound bounds the time for which the request has waited to be read
      */
-    ClientExchange create(Consumer<ClientExchange> onReleased, Runnable abortConnection);
+    ClientExchange create(
+            Consumer<ClientExchange> onReleased,
+            Runnable abortConnection,
+            ArrivalBound arrivalBound);
 }
--- a/src/main/java/cairnbridge/proxy/RequestHandlers.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlers.java
@@ -14,6 +14,7 @@
 final class RequestHandlers implements HandlerFactory<AsyncServerExchangeHandler> {
     private final IOSession session;
     private final RequestHandlerFactory factory;
+    private final ArrivalBound arrivalBound;
     private volatile ClientExchange latest;
     private volatile int requestCount;
 
@@ -21,16 +22,21 @@
     private boolean pipelined;
 
     /** Creates an instance for a new connection; a request may abort its session. */
-    RequestHandlers(IOSession session, RequestHandlerFactory factory) {
+    RequestHandlers(IOSession session, RequestHandlerFactory factory, ArrivalBound arrivalBound) {
         this.session = session;
         this.factory = factory;
+        this.arrivalBound = arrivalBound;
     }
 
     @Override
     public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
         int countBefore = requestCount;
         requestCount = countBefore + 1;
-        latest = factory.create(this::handleReleased, () -> session.close(CloseMode.IMMEDIATE));
+        latest =
+                factory.create(
+                        this::handleReleased,
+                        () -> session.close(CloseMode.IMMEDIATE),
+                        arrivalBound);
         return latest;
     }
 
--- a/src/main/java/org/apache/hc/core5/reactor/AcceptedChannelRegistrar.java
+++ b/src/main/java/org/apache/hc/core5/reactor/AcceptedChannelRegistrar.java
@@ -10,8 +10,13 @@
 public final class AcceptedChannelRegistrar {
     private AcceptedChannelRegistrar() {}
 
-    /** Registers an accepted connection with one of the reactor's workers. */
-    public static void register(DefaultConnectingIOReactor reactor, SocketChannel accepted) {
-        reactor.selectWorker().enqueueChannel(new ChannelEntry(accepted, null));
+    /**
+     * Registers an accepted connection with one of the reactor's workers.
+     *
+     * @param attachment passed to the reactor's event handler factory
+     */
+    public static void register(
+            DefaultConnectingIOReactor reactor, SocketChannel accepted, Object attachment) {
+        reactor.selectWorker().enqueueChannel(new ChannelEntry(accepted, attachment));
     }
 }
--- a/src/test/java/cairnbridge/proxy/AcceptorTest.java
+++ b/src/test/java/cairnbridge/proxy/AcceptorTest.java
@@ -51,7 +51,8 @@
                             address,
                             BACKLOG,
                             canAccept,
-                            each -> sendNumber(each, number),
+                            (each, notQueuedTicks) -> sendNumber(each, number),
+                            new TickClock(),
                             acceptCall);
             address = acceptor.address();
             acceptors.add(acceptor);
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -0,0 +1,212 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.admin.ProxyMetrics;
+import cairnbridge.config.ProxyConfig;
+import cairnbridge.time.Ticks;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A request that waits in its socket while the reactor is held up is not given its whole TTL
+ * afterwards. The clock is advanced by the test, so the hold-up takes no time.
+ */
+class ArrivalTest extends ProxyTestSupport {
+    private static final long TTL_TICKS = Ticks.SECOND;
+    private static final long HELD_TICKS = 300 * Ticks.MILLISECOND;
+
+    /** How much longer than its TTL a deadline may be: the slack of the platform's rule. */
+    private static final long SLACK_TICKS = 150 * Ticks.MILLISECOND;
+
+    private static final String HEADERS = "X-Expires-In: 1000m\r\nX-Trace-Id: ";
+    private static final int WAIT_SECONDS = 9;
+
+    /** A request whose TTL the reactor has fixed. */
+    private record Arrival(String traceId, long deadlineTicks) {}
+
+    private final AtomicLong nowTicks = new AtomicLong(Ticks.SECOND);
+    private final BlockingQueue<Arrival> arrivals = new LinkedBlockingQueue<>();
+    private final CountDownLatch held = new CountDownLatch(1);
+    private final CountDownLatch release = new CountDownLatch(1);
+    private ConnectionReactor reactor;
+
+    @BeforeEach
+    void startReactor() throws Exception {
+        clock =
+                new TickClock() {
+                    @Override
+                    long now() {
+                        return nowTicks.get();
+                    }
+                };
+        ProxyConfig config = config(endpointListJson(1, true), "127.0.0.1:9");
+        ListenerState listenerState =
+                new ListenerState(clock, List.of("view"), new ProxyMetrics(List.of("view")));
+        reactor =
+                new ConnectionReactor(
+                        config,
+                        (onReleased, abort, bound) ->
+                                new ClientExchange(
+                                        listenerState, new Arrivals(), onReleased, abort, bound),
+                        () -> {},
+                        closed -> {},
+                        listenerState,
+                        Thread::new);
+        closeables.add(reactor::stop);
+        closeables.add(release::countDown);
+        reactor.start();
+        reactor.listen(new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    /** Records deadlines; the request "hold" holds the reactor's thread until the release. */
+    private final class Arrivals implements ClientEvents {
+        @Override
+        public void requestArrived(ClientExchange exchange, long deadlineTicks) {
+            arrivals.add(new Arrival(exchange.traceId(), deadlineTicks));
+            if (exchange.requestPipe() != null) {
+                exchange.requestPipe().discard();
+            }
+            if (exchange.traceId().equals("hold")) {
+                held.countDown();
+                awaitRelease();
+            }
+        }
+
+        private void awaitRelease() {
+            try {
+                assertTrue(release.await(WAIT_SECONDS, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void clientDisconnected(ClientExchange exchange) {
+            // Of no interest here.
+        }
+
+        @Override
+        public void requestBodyCompleted(ClientExchange exchange, long deadlineTicks) {
+            arrivals.add(new Arrival(exchange.traceId(), deadlineTicks));
+        }
+    }
+
+    private Socket connect() throws IOException {
+        InetSocketAddress address = reactor.address();
+        Socket client = new Socket(address.getAddress(), address.getPort());
+        closeables.add(client);
+        return client;
+    }
+
+    private long deadlineOf(String traceId) throws InterruptedException {
+        Arrival arrival = arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        while (arrival != null && !arrival.traceId.equals(traceId)) {
+            arrival = arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+        assertFalse(arrival == null, "no request " + traceId);
+        return arrival.deadlineTicks;
+    }
+
+    private void holdReactor() throws Exception {
+        send(connect(), "GET /view/1", HEADERS + "hold\r\n", "");
+        assertTrue(held.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Makes reactor and acceptor poll several times. */
+    private void pollWithoutDelay() throws IOException {
+        for (int i = 0; i < 4; i++) {
+            Socket client = connect();
+            send(client, "GET /-/ready", "", "");
+            assertEquals(503, statusCode(readMessage(client)));
+        }
+    }
+
+    private void assertDeadlineWithinSlack(String traceId, long sentTicks) throws Exception {
+        nowTicks.addAndGet(HELD_TICKS);
+        release.countDown();
+
+        long deadlineTicks = deadlineOf(traceId);
+
+        assertTrue(
+                deadlineTicks <= sentTicks + TTL_TICKS + SLACK_TICKS,
+                "deadline after ticks: " + (deadlineTicks - sentTicks));
+        assertTrue(
+                deadlineTicks >= sentTicks + TTL_TICKS - SLACK_TICKS,
+                "deadline after ticks: " + (deadlineTicks - sentTicks));
+    }
+
+    @Test
+    void aRequestOnANewConnectionLosesTheTimeForWhichTheReactorIsHeld() throws Exception {
+        holdReactor();
+        long sentTicks = nowTicks.get();
+        send(connect(), "GET /view/2", HEADERS + "late\r\n", "");
+
+        assertDeadlineWithinSlack("late", sentTicks);
+    }
+
+    @Test
+    void aRequestOnAnOpenConnectionLosesTheTimeForWhichTheReactorIsHeld() throws Exception {
+        Socket client = connect();
+        waitUntil(() -> reactor.clients().count() == 1);
+        holdReactor();
+        long sentTicks = nowTicks.get();
+        send(client, "GET /view/2", HEADERS + "late\r\n", "");
+
+        assertDeadlineWithinSlack("late", sentTicks);
+    }
+
+    @Test
+    void aBodyWhoseLastBytesWaitLosesTheTimeForWhichTheReactorIsHeld() throws Exception {
+        Socket client = connect();
+        send(client, "PUT /view/2", HEADERS + "late\r\nContent-Length: 4\r\n", "");
+        client.getOutputStream().write("ab".getBytes());
+        waitUntil(() -> reactor.clients().count() == 1);
+        holdReactor();
+        long sentTicks = nowTicks.get();
+        client.getOutputStream().write("cd".getBytes());
+
+        assertDeadlineWithinSlack("late", sentTicks);
+    }
+
+    @Test
+    void aStreamedBodyWhoseLastBytesWaitLosesTheTimeForWhichTheReactorIsHeld() throws Exception {
+        int length = BufferedBody.MAX_BYTES + 100;
+        Socket client = connect();
+        send(client, "PUT /view/2", HEADERS + "late\r\nContent-Length: " + length + "\r\n", "");
+        client.getOutputStream().write(new byte[BufferedBody.MAX_BYTES + 1]);
+        deadlineOf("late");
+        holdReactor();
+        long sentTicks = nowTicks.get();
+        client.getOutputStream().write(new byte[99]);
+
+        assertDeadlineWithinSlack("late", sentTicks);
+    }
+
+    @Test
+    void aRequestThatDoesNotWaitHasItsWholeTtl() throws Exception {
+        holdReactor();
+        nowTicks.addAndGet(HELD_TICKS);
+        release.countDown();
+        pollWithoutDelay();
+        Socket client = connect();
+        nowTicks.incrementAndGet();
+        pollWithoutDelay();
+        send(client, "GET /view/2", HEADERS + "prompt\r\n", "");
+        assertEquals(nowTicks.get() + TTL_TICKS, deadlineOf("prompt"));
+
+        send(connect(), "GET /view/3", HEADERS + "new\r\n", "");
+        assertEquals(nowTicks.get() + TTL_TICKS, deadlineOf("new"));
+    }
+}
--- a/src/test/java/cairnbridge/proxy/AttemptTest.java
+++ b/src/test/java/cairnbridge/proxy/AttemptTest.java
@@ -58,7 +58,8 @@
                         new ListenerState(clock, List.of("view"), metrics),
                         eventQueue,
                         exchange -> {},
-                        () -> {});
+                        () -> {},
+                        new ArrivalBound(clock, new PollTimes(clock), clock.now()));
         client.method = "PUT";
         client.target = "/view/1";
         client.requestBody = new byte[100];
--- a/src/test/java/cairnbridge/proxy/WaitingTest.java
+++ b/src/test/java/cairnbridge/proxy/WaitingTest.java
@@ -78,7 +78,8 @@
                             checkCount.incrementAndGet();
                             return canAccept.get();
                         },
-                        channel -> accepted.countDown());
+                        (channel, notQueuedTicks) -> accepted.countDown(),
+                        new TickClock());
         Thread thread =
                 ProxyTestSupport.daemon(
                         () -> {
