The soak's servers record when the system received each attempt

Whether the bytes left late or were read late could not be told. The servers now ask the system (TCP_INFO) when the bytes arrived; violations print it. The check still takes the later stamp, of the reading.

--- a/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
@@ -7,7 +7,6 @@
 import java.io.BufferedInputStream;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
-import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -128,9 +127,13 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
+        /** The input of a connection; a subclass may observe it. */
+        InputStream inputOf(Socket socket) throws IOException {
+            return socket.getInputStream();
+        }
+
         Void serve(Socket socket) throws IOException, InterruptedException {
-            InputStream in =
-                    new BufferedInputStream(new StampedInputStream(socket.getInputStream()));
+            InputStream in = new BufferedInputStream(inputOf(socket));
             for (String request = readMessage(in); request != null; request = readMessage(in)) {
                 requests.add(request);
                 String response = handler.apply(request);
@@ -200,27 +203,6 @@
         }
     }
 
-    /** Records when each read of a connection returned, for the thread that reads it. */
-    static final class StampedInputStream extends FilterInputStream {
-        private static final ThreadLocal<Long> LAST_READ_NANOS = new ThreadLocal<>();
-
-        StampedInputStream(InputStream in) {
-            super(in);
-        }
-
-        /** When the calling thread last read bytes from a connection. */
-        static long lastReadNanos() {
-            return LAST_READ_NANOS.get();
-        }
-
-        @Override
-        public int read(byte[] bytes, int offset, int length) throws IOException {
-            int count = super.read(bytes, offset, length);
-            LAST_READ_NANOS.set(System.nanoTime());
-            return count;
-        }
-    }
-
     /** Returns the response of a stub server to a request, in the format of {@link StubServer}. */
     interface StubHandler {
         String apply(String request) throws InterruptedException;
--- a/src/test/java/cairnbridge/proxy/RestartSoakTest.java
+++ b/src/test/java/cairnbridge/proxy/RestartSoakTest.java
@@ -5,6 +5,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -145,9 +146,9 @@
         boolean hangs = random.nextInt(3) == 0;
         boolean resets = random.nextInt(3) == 0;
         discoveryIsDown = random.nextInt(4) == 0;
-        cache = new StubServer(request -> serve(request, "c", false, resets));
-        StubServer second = new StubServer(request -> serve(request, "d", hangs, false));
-        origin = new StubServer(request -> serve(request, "o", false, false));
+        cache = new SoakServer(request -> serve(request, "c", false, resets));
+        StubServer second = new SoakServer(request -> serve(request, "d", hangs, false));
+        origin = new SoakServer(request -> serve(request, "o", false, false));
         String[] targets = {
             endpointJson("c", cache.address(), "cache", "Ready"),
             endpointJson("d", second.address(), "cache", "Ready"),
@@ -170,6 +171,18 @@
                         + (discoveryIsDown ? "discovery is down" : "discovery is up"));
     }
 
+    /** A stub server that records when requests arrive at its connections. */
+    private final class SoakServer extends StubServer {
+        SoakServer(StubHandler handler) throws IOException {
+            super(handler);
+        }
+
+        @Override
+        InputStream inputOf(Socket socket) throws IOException {
+            return new ArrivalStampedInput(socket);
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
@@ -187,7 +200,7 @@
                     trace.group(1),
                     node,
                     expiresInMillis,
-                    StampedInputStream.lastReadNanos(),
+                    ArrivalStampedInput.lastArrivalNanos(),
                     nowNanos);
             if (resets && Math.floorMod(trace.group(1).hashCode(), RESET_INTERVAL) == 0) {
                 return RESET_CONNECTION;
--- a/src/test/java/cairnbridge/proxy/SoakChecker.java
+++ b/src/test/java/cairnbridge/proxy/SoakChecker.java
@@ -58,7 +58,7 @@
         CLIENT_DISCONNECTED
     }
 
-    private record Attempt(String node, long readableNanos, long atNanos, long expiresInMillis) {}
+    private record Attempt(String node, long arrivedNanos, long atNanos, long expiresInMillis) {}
 
     /** What is recorded of one request. Its own monitor guards its fields. */
     private static final class TrackedRequest {
@@ -128,14 +128,14 @@
      * Records that a server has read a whole attempt.
      *
      * @param expiresInMillis the remaining time that the attempt's header states
-     * @param readableNanos when the server's connection returned the last bytes of the attempt
+     * @param arrivedNanos when the system received the last bytes of the attempt
      */
     void attempted(
-            String traceId, String node, long expiresInMillis, long readableNanos, long nowNanos) {
+            String traceId, String node, long expiresInMillis, long arrivedNanos, long nowNanos) {
         TrackedRequest entry = requests.get(traceId);
         if (entry != null) { // Warm-up requests and health checks are not tracked.
             synchronized (entry) {
-                entry.attempts.add(new Attempt(node, readableNanos, nowNanos, expiresInMillis));
+                entry.attempts.add(new Attempt(node, arrivedNanos, nowNanos, expiresInMillis));
             }
         }
     }
@@ -244,8 +244,8 @@
             text.append(" from port ").append(entry.localPort);
             text.append(", written +").append(millisBetween(entry.sentNanos, entry.writtenNanos));
             for (Attempt attempt : entry.attempts) {
-                text.append(", at ").append(attempt.node).append(" readable +");
-                text.append(millisBetween(entry.sentNanos, attempt.readableNanos));
+                text.append(", at ").append(attempt.node).append(" arrived +");
+                text.append(millisBetween(entry.sentNanos, attempt.arrivedNanos));
                 text.append(" read +").append(millisBetween(entry.sentNanos, attempt.atNanos));
             }
             text.append(", ").append(entry.outcome).append(" +");
