The diversion of new connections ends with its handover

Callers: after a handover from A to B, a third process C that listened at the address was given every new connection, and B none; with C held by SIGSTOP 0 of 40 connections were answered.

Cause: the socket filter that A attaches belongs to the group of listeners and names a position in it. It stayed when A closed, and C took the position.

Change: the process that stays detaches the filter once no process that started earlier runs, however that ended, unless it diverts itself.

--- a/src/main/java/cairnbridge/proxy/ConnectionDiverter.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionDiverter.java
@@ -48,6 +48,22 @@
         }
     }
 
+    /**
+     * Ends a diversion that another process has begun, once that process listens no more. Guards
+     * against a filter that stays attached, and gives every new connection to a listener that is
+     * opened later.
+     */
+    static void endDiversion(Acceptor acceptor) {
+        try {
+            Optional<ListenerGroup> group = ListenerGroup.find(acceptor.address());
+            if (group.isPresent() && ListenerFilter.detach(group.get().ownDescriptor())) {
+                LOG.info("new connections are shared by all processes again");
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "new connections may stay diverted: {0}", e.toString());
+        }
+    }
+
     /**
      * Selects one listener after the other, from the latest, until this process receives no new
      * connections: the system does not show which listener belongs to which process.
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -2,6 +2,7 @@
 
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.time.Ticks;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
@@ -46,7 +47,11 @@
     private final DefaultConnectingIOReactor reactor;
 
     /** Present once {@link #listen} has opened the listener. */
-    private Optional<Acceptor> acceptor = Optional.empty();
+    private volatile Optional<Acceptor> acceptor = Optional.empty();
+
+    /** Whether this process has begun to divert new connections to another one. */
+    @GuardedBy("this")
+    private boolean diverting;
 
     private volatile boolean stopping;
 
@@ -299,11 +304,24 @@
 
     /** See {@link ConnectionDiverter#divert}; connections that arrive meanwhile are accepted. */
     void divertNewConnections() throws InterruptedException {
+        synchronized (this) {
+            diverting = true;
+        }
         if (acceptor.isPresent()) {
             ConnectionDiverter.divert(acceptor.get());
         }
     }
 
+    /**
+     * See {@link ConnectionDiverter#endDiversion}; does nothing once this process diverts
+     * connections itself.
+     */
+    synchronized void endDiversion() {
+        if (!diverting) {
+            acceptor.ifPresent(ConnectionDiverter::endDiversion);
+        }
+    }
+
     /** Closes the listener; returns once all connections in its accept queue are accepted. */
     public void stopListening() throws InterruptedException {
         stopping = true;
--- a/src/main/java/cairnbridge/proxy/ListenerFilter.java
+++ b/src/main/java/cairnbridge/proxy/ListenerFilter.java
@@ -22,6 +22,12 @@
     /** {@code SO_ATTACH_REUSEPORT_CBPF} of Linux. */
     private static final int ATTACH_REUSEPORT_FILTER = 51;
 
+    /** {@code SO_DETACH_REUSEPORT_BPF} of Linux. */
+    private static final int DETACH_REUSEPORT_FILTER = 68;
+
+    /** {@code ENOENT} of Linux: no filter is attached. */
+    private static final int NO_SUCH_ENTRY = 2;
+
     /** The BPF instruction {@code BPF_RET | BPF_K}: returns its operand. */
     private static final short RETURN_CONSTANT = 0x06;
 
@@ -85,4 +91,32 @@
             throw new IOException("cannot select a listening socket: " + e.getMessage(), e);
         }
     }
+
+    /**
+     * Shares new connections out to all sockets of a group again, as before {@link #selectMember}.
+     *
+     * @param descriptor the file descriptor of any socket of the group
+     * @return false if the group had no filter
+     * @throws IOException if the system rejects the call, or the C library cannot be called
+     */
+    static boolean detach(int descriptor) throws IOException {
+        try (Memory unused = new Memory(Integer.BYTES)) {
+            unused.clear();
+            int ignored =
+                    LoadedLibrary.SYSTEM.setsockopt(
+                            descriptor,
+                            SOCKET_LEVEL,
+                            DETACH_REUSEPORT_FILTER,
+                            unused,
+                            (int) unused.size());
+            return true;
+        } catch (LastErrorException e) {
+            if (e.getErrorCode() == NO_SUCH_ENTRY) {
+                return false;
+            }
+            throw new IOException("cannot detach the filter: " + e.getMessage(), e);
+        } catch (LinkageError e) {
+            throw new IOException("cannot detach the filter: " + e.getMessage(), e);
+        }
+    }
 }
--- a/src/main/java/cairnbridge/proxy/PeriodicTasks.java
+++ b/src/main/java/cairnbridge/proxy/PeriodicTasks.java
@@ -7,13 +7,15 @@
 /**
  * The periodic tasks of a running proxy, on the scheduler's thread. They apply the maintenance
  * markers of other processes, exchange descriptor counts with them to keep to the shared budget,
- * close overdue connections, write the warm start file, and prepare the handover to a successor.
+ * close overdue connections, write the warm start file, prepare the handover to a successor, and
+ * complete the one from a predecessor.
  */
 final class PeriodicTasks {
     private static final Logger LOG = Logger.getLogger(PeriodicTasks.class.getName());
     private static final long CONNECTION_CHECK_MILLIS = 200;
     private static final long WARM_START_SAVE_MILLIS = 1000;
     private static final long SUCCESSOR_CHECK_MILLIS = 500;
+    private static final long PREDECESSOR_CHECK_MILLIS = 200;
 
     private final ProxyComponents components;
     private final DeduplicatedLog deduplicatedLog = new DeduplicatedLog(LOG, "warm start");
@@ -21,6 +23,9 @@
     /** Used only on the scheduler's thread. */
     private boolean handoverPrepared;
 
+    /** Whether a predecessor was running at the last look; the scheduler's thread, once started. */
+    private boolean predecessorWasRunning;
+
     /** Creates the tasks; {@link #start} schedules them. */
     PeriodicTasks(ProxyComponents components) {
         this.components = components;
@@ -28,10 +33,12 @@
 
     /** Schedules all tasks; they end with the scheduler. */
     void start() {
+        predecessorWasRunning = components.siblings().hasPredecessor();
         schedule(components.maintenanceMarkers()::refresh, MaintenanceMarkers.REFRESH_MILLIS);
         schedule(this::checkConnections, CONNECTION_CHECK_MILLIS);
         schedule(this::saveWarmStart, WARM_START_SAVE_MILLIS);
         schedule(this::prepareHandover, SUCCESSOR_CHECK_MILLIS);
+        schedule(this::completeHandover, PREDECESSOR_CHECK_MILLIS);
     }
 
     /**
@@ -41,10 +48,26 @@
     private void prepareHandover() {
         if (!handoverPrepared && components.siblings().hasSuccessor()) {
             handoverPrepared = true;
-            Thread thread = new Thread(components.reactor()::prepareDiversion, "prepare-handover");
-            thread.setDaemon(true);
-            thread.start();
+            startThread(components.reactor()::prepareDiversion, "prepare-handover");
+        }
+    }
+
+    /**
+     * Ends the diversion of new connections once the last predecessor has ended, in whatever way;
+     * on a separate thread for the same reason.
+     */
+    private void completeHandover() {
+        boolean predecessorRuns = components.siblings().hasPredecessor();
+        if (predecessorWasRunning && !predecessorRuns) {
+            startThread(components.reactor()::endDiversion, "complete-handover");
         }
+        predecessorWasRunning = predecessorRuns;
+    }
+
+    private static void startThread(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
     }
 
     private void schedule(Runnable task, long intervalMillis) {
--- a/src/main/java/cairnbridge/proxy/SiblingProcesses.java
+++ b/src/main/java/cairnbridge/proxy/SiblingProcesses.java
@@ -99,6 +99,11 @@
         return readMarkers().stream().anyMatch(marker -> marker.startedAtMillis > startedAtMillis);
     }
 
+    /** Whether a process that started earlier is running, ready or not. */
+    boolean hasPredecessor() {
+        return readMarkers().stream().anyMatch(marker -> marker.startedAtMillis < startedAtMillis);
+    }
+
     /** Whether a process that started later is ready for all clients of the shared address. */
     boolean hasReadySuccessor() {
         return readMarkers().stream()
--- a/src/test/java/cairnbridge/proxy/AcceptorTest.java
+++ b/src/test/java/cairnbridge/proxy/AcceptorTest.java
@@ -169,6 +169,33 @@
         assertEquals(allFrom(3), acceptingListeners());
     }
 
+    /** Guards against a filter that outlasts its handover and gives every connection to one. */
+    @Test
+    void aListenerOpenedAfterAHandoverSharesNewConnectionsWithTheOneThatStays() throws Exception {
+        Listener older = new Listener(1);
+        Listener staying = new Listener(2);
+        ConnectionDiverter.divert(older.acceptor);
+        older.acceptor.stop();
+
+        ConnectionDiverter.endDiversion(staying.acceptor);
+        Listener newer = new Listener(3);
+        connectAll();
+
+        List<Integer> accepting = acceptingListeners();
+        assertTrue(accepting.contains(2), accepting.toString());
+        assertTrue(accepting.contains(3), accepting.toString());
+    }
+
+    @Test
+    void endingADiversionThatNeverBeganChangesNothing() throws Exception {
+        Listener alone = new Listener(1);
+        ConnectionDiverter.endDiversion(alone.acceptor);
+
+        connectAll();
+
+        assertEquals(allFrom(1), acceptingListeners());
+    }
+
     @Test
     void aListenerDetectsWhetherItReceivesNewConnections() throws Exception {
         Listener older = new Listener(1);
