No attempt is written for a client whose close lies unread in its socket

Cause: a request and the close behind it wait in one socket while the reactor is held up. The library does not read on while a response is pending, so the close was seen one turn of the loop later, and the attempt written before.

Change: the reactor's thread reads on from the client's connection before an attempt's head and before its last byte are written, and revokes the permit if the client has closed.

--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -47,8 +47,8 @@
 
     /** Creates the event handler of an accepted connection. */
     IOEventHandler createHandler(ProtocolIOSession session, ArrivalBound arrivalBound) {
-        RequestHandlers requestHandlers =
-                new RequestHandlers(session, handlerFactory, arrivalBound);
+        LingeringSession client = new LingeringSession(session, this::trackLingering);
+        RequestHandlers requestHandlers = new RequestHandlers(client, handlerFactory, arrivalBound);
         ServerHttp1StreamDuplexerFactory factory =
                 new ServerHttp1StreamDuplexerFactory(
                         HttpSettings.RESPONSE_PROCESSOR,
@@ -62,7 +62,6 @@
                         null,
                         null,
                         null);
-        LingeringSession client = new LingeringSession(session, this::trackLingering);
         ServerHttp1StreamDuplexer duplexer = factory.create(SCHEME, client);
         return new ClientConnection(client, duplexer, requestHandlers, this);
     }
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -49,6 +50,7 @@
     private final Consumer<? super ClientExchange> onReleased;
     private final Runnable abortConnection;
     private final ArrivalBound arrivalBound;
+    private final BooleanSupplier hasClientClosed;
     final SendPermit sendPermit = new SendPermit();
     private final RequestBody body = new RequestBody();
     private final ResponseSender response = new ResponseSender();
@@ -92,6 +94,8 @@
      * @param onReleased called once the HTTP library no longer uses this exchange
      * @param abortConnection closes the connection at once
      * @param arrivalBound bounds the time for which the request has waited to be read
+     * @param hasClientClosed whether the client has closed its connection; see {@link
+     *     #revokeIfClientClosed}
      */
     public ClientExchange(
             RequestContext context,
@@ -99,13 +103,15 @@
             ClientEvents events,
             Consumer<? super ClientExchange> onReleased,
             Runnable abortConnection,
-            ArrivalBound arrivalBound) {
+            ArrivalBound arrivalBound,
+            BooleanSupplier hasClientClosed) {
         this.context = context;
         this.listenerState = listenerState;
         this.events = events;
         this.onReleased = onReleased;
         this.abortConnection = abortConnection;
         this.arrivalBound = arrivalBound;
+        this.hasClientClosed = hasClientClosed;
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -114,14 +120,16 @@
             ClientEvents events,
             Consumer<? super ClientExchange> onReleased,
             Runnable abortConnection,
-            ArrivalBound arrivalBound) {
+            ArrivalBound arrivalBound,
+            BooleanSupplier hasClientClosed) {
         this(
                 listenerState.requestContext(),
                 listenerState,
                 events,
                 onReleased,
                 abortConnection,
-                arrivalBound);
+                arrivalBound,
+                hasClientClosed);
     }
 
     /** The parsed head of the request; null until it has been parsed. */
@@ -144,6 +152,17 @@
         return sendPermit;
     }
 
+    /**
+     * Revokes the permit if the client has closed its connection. Guards against an attempt that
+     * begins long after the close, because the reactor was held up and has not read the close yet.
+     * Called on the reactor's thread before an attempt is written.
+     */
+    void revokeIfClientClosed() {
+        if (!finished && requestComplete && hasClientClosed.getAsBoolean()) {
+            sendPermit.revoke(AttemptRejection.CLIENT_GONE);
+        }
+    }
+
     /** Creates a pipe for a response; a negative length means that it is unknown. */
     public BodyPipe createPipe(long lengthBytes) {
         return new BodyPipe(context.pipedBytes(), lengthBytes);
--- a/src/main/java/cairnbridge/proxy/ClientExchangeFactory.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchangeFactory.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Creates an exchange for each request of a client; called on the reactor's thread. */
@@ -17,8 +18,14 @@
     public ClientExchange create(
             Consumer<ClientExchange> onReleased,
             Runnable abortConnection,
-            ArrivalBound arrivalBound) {
+            ArrivalBound arrivalBound,
+            BooleanSupplier hasClientClosed) {
         return new ClientExchange(
-                listenerState, eventQueue, onReleased, abortConnection, arrivalBound);
+                listenerState,
+                eventQueue,
+                onReleased,
+                abortConnection,
+                arrivalBound,
+                hasClientClosed);
     }
 }
--- a/src/main/java/cairnbridge/proxy/RequestHandlerFactory.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlerFactory.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Creates a handler for each request of a client; called on the reactor's thread. */
@@ -10,9 +11,12 @@
      * @param onReleased called once the HTTP library no longer uses the handler
      * @param abortConnection closes the client's connection at once; callable on any thread
      * @param arrivalBound bounds the time for which the request has waited to be read
+     * @param hasClientClosed whether the client has closed its connection, also if that has not
+     *     been read yet; called on the reactor's thread while the response is pending
      */
     ClientExchange create(
             Consumer<ClientExchange> onReleased,
             Runnable abortConnection,
-            ArrivalBound arrivalBound);
+            ArrivalBound arrivalBound,
+            BooleanSupplier hasClientClosed);
 }
--- a/src/main/java/cairnbridge/proxy/RequestHandlers.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlers.java
@@ -1,18 +1,18 @@
 package cairnbridge.proxy;
 
+import java.io.IOException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOSession;
 
 /**
  * Creates the request handlers of one client connection and tracks the latest of them. Changed on
  * the reactor's thread only; any thread may read the latest handler and the count.
  */
 final class RequestHandlers implements HandlerFactory<AsyncServerExchangeHandler> {
-    private final IOSession session;
+    private final LingeringSession session;
     private final RequestHandlerFactory factory;
     private final ArrivalBound arrivalBound;
     private volatile ClientExchange latest;
@@ -22,7 +22,8 @@
     private boolean pipelined;
 
     /** Creates an instance for a new connection; a request may abort its session. */
-    RequestHandlers(IOSession session, RequestHandlerFactory factory, ArrivalBound arrivalBound) {
+    RequestHandlers(
+            LingeringSession session, RequestHandlerFactory factory, ArrivalBound arrivalBound) {
         this.session = session;
         this.factory = factory;
         this.arrivalBound = arrivalBound;
@@ -36,7 +37,8 @@
                 factory.create(
                         this::handleReleased,
                         () -> session.close(CloseMode.IMMEDIATE),
-                        arrivalBound);
+                        arrivalBound,
+                        this::hasClientClosed);
         return latest;
     }
 
@@ -92,6 +94,19 @@
         return busy;
     }
 
+    /**
+     * Whether the client has closed its connection, also if that has not been read yet. Discards
+     * bytes that follow the request. Called on the reactor's thread while a response is pending.
+     */
+    private boolean hasClientClosed() {
+        try {
+            session.discardInput();
+        } catch (IOException e) {
+            return true; // The client has reset the connection.
+        }
+        return session.hasPeerClosed();
+    }
+
     /** Whether a client has pipelined a request on this connection. Reactor's thread only. */
     boolean wasPipelined() {
         return pipelined;
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -148,6 +148,7 @@
         if (!isWaiting()) {
             throw new IOException("attempt was abandoned");
         }
+        exchange.revokeIfClientClosed();
         throwIfRejected(sendPermit.rejection(clock.now()));
         startRequest();
         if (!stage.compareAndSet(Stage.WAITING, Stage.SENDING)) {
@@ -193,6 +194,7 @@
     @Override
     public void produce(DataStreamChannel out) throws IOException {
         if (!isWritten()) {
+            exchange.revokeIfClientClosed();
             throwIfRejected(sendPermit.rejectionOfLastByte(clock.now()));
         }
         super.produce(out);
--- a/src/test/java/cairnbridge/proxy/ArrivalTest.java
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -34,7 +34,7 @@
     private static final int WAIT_SECONDS = 9;
 
     /** A request whose TTL the reactor has fixed. */
-    private record Arrival(String traceId, long deadlineTicks) {}
+    private record Arrival(String traceId, long deadlineTicks, boolean permitted) {}
 
     private final AtomicLong nowTicks = new AtomicLong(Ticks.SECOND);
     private final BlockingQueue<Arrival> arrivals = new LinkedBlockingQueue<>();
@@ -57,9 +57,14 @@
         reactor =
                 new ConnectionReactor(
                         config,
-                        (onReleased, abort, bound) ->
+                        (onReleased, abort, bound, closed) ->
                                 new ClientExchange(
-                                        listenerState, new Arrivals(), onReleased, abort, bound),
+                                        listenerState,
+                                        new Arrivals(),
+                                        onReleased,
+                                        abort,
+                                        bound,
+                                        closed),
                         () -> {},
                         closed -> {},
                         listenerState,
@@ -74,7 +79,7 @@
     private final class Arrivals implements ClientEvents {
         @Override
         public void requestArrived(ClientExchange exchange, long deadlineTicks) {
-            arrivals.add(new Arrival(exchange.traceId(), deadlineTicks));
+            record(exchange, deadlineTicks);
             if (exchange.requestPipe() != null) {
                 exchange.requestPipe().discard();
             }
@@ -84,6 +89,12 @@
             }
         }
 
+        private void record(ClientExchange exchange, long deadlineTicks) {
+            exchange.revokeIfClientClosed();
+            boolean permitted = exchange.sendPermit().rejection(clock.now()) == null;
+            arrivals.add(new Arrival(exchange.traceId(), deadlineTicks, permitted));
+        }
+
         private void awaitRelease() {
             try {
                 assertTrue(release.await(WAIT_SECONDS, TimeUnit.SECONDS));
@@ -99,7 +110,7 @@
 
         @Override
         public void requestBodyCompleted(ClientExchange exchange, long deadlineTicks) {
-            arrivals.add(new Arrival(exchange.traceId(), deadlineTicks));
+            record(exchange, deadlineTicks);
         }
     }
 
@@ -111,12 +122,16 @@
     }
 
     private long deadlineOf(String traceId) throws InterruptedException {
+        return arrivalOf(traceId).deadlineTicks;
+    }
+
+    private Arrival arrivalOf(String traceId) throws InterruptedException {
         Arrival arrival = arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS);
         while (arrival != null && !arrival.traceId.equals(traceId)) {
             arrival = arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS);
         }
         assertFalse(arrival == null, "no request " + traceId);
-        return arrival.deadlineTicks;
+        return arrival;
     }
 
     private void holdReactor() throws Exception {
@@ -194,6 +209,25 @@
         assertDeadlineWithinSlack("late", sentTicks);
     }
 
+    /** Guards against an attempt that begins long after its client has closed its connection. */
+    @Test
+    void aCloseThatTheReactorHasNotReadRevokesThePermitOfTheRequest() throws Exception {
+        Socket client = connect();
+        holdReactor();
+        send(client, "GET /view/2", HEADERS + "closed\r\n", "");
+        client.close();
+        release.countDown();
+
+        assertFalse(arrivalOf("closed").permitted);
+    }
+
+    @Test
+    void aRequestWhoseClientWaitsKeepsItsPermit() throws Exception {
+        send(connect(), "GET /view/2", HEADERS + "waiting\r\n", "");
+
+        assertTrue(arrivalOf("waiting").permitted);
+    }
+
     @Test
     void aRequestThatDoesNotWaitHasItsWholeTtl() throws Exception {
         holdReactor();
--- a/src/test/java/cairnbridge/proxy/AttemptTest.java
+++ b/src/test/java/cairnbridge/proxy/AttemptTest.java
@@ -50,6 +50,7 @@
     private ClientExchange client;
     private UpstreamAttempt attempt;
     private boolean sent;
+    private boolean clientClosed;
 
     @BeforeEach
     void createAttempt() {
@@ -59,7 +60,8 @@
                         eventQueue,
                         exchange -> {},
                         () -> {},
-                        new ArrivalBound(clock, new PollTimes(clock), clock.now()));
+                        new ArrivalBound(clock, new PollTimes(clock), clock.now()),
+                        () -> clientClosed);
         client.method = "PUT";
         client.target = "/view/1";
         client.requestBody = new byte[100];
@@ -130,16 +132,8 @@
         }
     }
 
-    /**
-     * Guards against a node that continues to send a response although its client disconnected when
-     * the response head was written.
-     */
-    @Test
-    void aClientIsDisconnectedIfItsResponseHeadCannotBeWritten() throws Exception {
-        BasicHttpRequest request = new BasicHttpRequest("GET", "/view/1");
-        request.addHeader(ClientExchange.TRACE_ID_HEADER, "9b1f");
-        request.addHeader(ClientExchange.TTL_HEADER, "900m");
-        AtomicBoolean exchangeTerminated = new AtomicBoolean();
+    private void handleRequest(BasicHttpRequest request, AtomicBoolean exchangeTerminated)
+            throws Exception {
         client.handleRequest(
                 request,
                 null,
@@ -168,6 +162,38 @@
                     }
                 },
                 null);
+    }
+
+    private static BasicHttpRequest createRequest() {
+        BasicHttpRequest request = new BasicHttpRequest("GET", "/view/1");
+        request.addHeader(ClientExchange.TRACE_ID_HEADER, "9b1f");
+        request.addHeader(ClientExchange.TTL_HEADER, "900m");
+        return request;
+    }
+
+    /** Guards against an attempt for a client whose close has not been read yet. */
+    @Test
+    void anAttemptWhoseClientHasClosedUnreadIsReportedAsNotSent() throws Exception {
+        handleRequest(createRequest(), new AtomicBoolean());
+        assertTrue(eventQueue.poll() instanceof ProxyEvent.RequestArrived);
+        clientClosed = true;
+
+        assertThrows(
+                IOException.class,
+                () -> attempt.produceRequest((request, entity, context) -> sent = true, null));
+
+        assertFalse(sent);
+        assertEquals(AttemptOutcome.NOT_SENT, polledOutcome());
+    }
+
+    /**
+     * Guards against a node that continues to send a response although its client disconnected when
+     * the response head was written.
+     */
+    @Test
+    void aClientIsDisconnectedIfItsResponseHeadCannotBeWritten() throws Exception {
+        AtomicBoolean exchangeTerminated = new AtomicBoolean();
+        handleRequest(createRequest(), exchangeTerminated);
         assertFalse(client.hasClientDisconnected());
         client.streamAnswer(client.createPipe(-1));
         assertTrue(client.hasClientDisconnected() && exchangeTerminated.get());
