--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -115,6 +115,7 @@
     /** Reads batches of events from standard input and writes the routing decisions. */
     @Command(
             name = "adapter",
+            mixinStandardHelpOptions = true,
             description = "Speaks the bench's protocol on standard input and output.")
     static final class AdapterCommand implements Callable<Integer> {
         @Override
@@ -125,7 +126,10 @@
     }
 
     /** Runs one proxy. */
-    @Command(name = "serve", description = "Runs one proxy, configured by environment variables.")
+    @Command(
+            name = "serve",
+            mixinStandardHelpOptions = true,
+            description = "Runs one proxy, configured by environment variables.")
     static final class ServeCommand implements Callable<Integer> {
         @Option(
                 names = "--fleet",
--- a/src/main/java/cairnbridge/cli/ScaleCommand.java
+++ b/src/main/java/cairnbridge/cli/ScaleCommand.java
@@ -9,6 +9,7 @@
 /** Groups the commands that measure how costs grow with the size of a fleet. */
 @Command(
         name = "scale",
+        mixinStandardHelpOptions = true,
         description =
                 "Measures resource costs at several fleet sizes and prints them as JSON lines.",
         subcommands = {
