DeduplicatedLog guards its set with a lock

SiblingProcesses calls one log from the threads that start and drain the proxy, from the scheduler and from the admin endpoint; its set had no lock, so a warning could be logged twice or the set be damaged. Found by reading, not seen. No test: two threads in the unguarded set cannot be forced to collide.

--- a/src/main/java/cairnbridge/proxy/DeduplicatedLog.java
+++ b/src/main/java/cairnbridge/proxy/DeduplicatedLog.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.text.MessageFormat;
 import java.util.HashSet;
 import java.util.Set;
@@ -8,14 +9,16 @@
 
 /**
  * Logs each distinct warning once, up to a limit. Guards against a log that is filled with warnings
- * about faulty input from discovery or from shared files. It is not thread-safe: its owner calls it
- * on one thread at a time.
+ * about faulty input from discovery or from shared files. Thread-safe: the threads that start and
+ * drain the proxy, the scheduler and the admin endpoint share one.
  */
 final class DeduplicatedLog {
     private static final int MAX_MESSAGES = 20;
 
     private final Logger log;
     private final String prefix;
+
+    @GuardedBy("this")
     private final Set<String> reported = new HashSet<>();
 
     /**
@@ -36,8 +39,12 @@
      */
     void warnOnce(String message, Object... parameters) {
         String text = parameters.length == 0 ? message : MessageFormat.format(message, parameters);
-        if (reported.size() < MAX_MESSAGES && reported.add(text)) {
+        if (addReported(text)) {
             log.log(Level.WARNING, "{0}: {1}", new Object[] {prefix, text});
         }
     }
+
+    private synchronized boolean addReported(String text) {
+        return reported.size() < MAX_MESSAGES && reported.add(text);
+    }
 }
