--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -82,7 +82,7 @@
         lingeringSessions.remove(session);
         if (connections.remove(client)) {
             int openDescriptors = budget.closed();
-            listenerState.keepAliveSuspended = openDescriptors >= budget.keepAliveLimit();
+            listenerState.setKeepAliveSuspended(openDescriptors >= budget.keepAliveLimit());
             if (client.isRejected()) {
                 budget.removePendingAccepted();
             }
@@ -96,7 +96,7 @@
      */
     void enforceBudget(ClientConnection latest) {
         int openDescriptors = budget.openDescriptors();
-        listenerState.keepAliveSuspended = openDescriptors >= budget.keepAliveLimit();
+        listenerState.setKeepAliveSuspended(openDescriptors >= budget.keepAliveLimit());
         if (openDescriptors >= budget.fullLimit()) {
             freeDescriptors();
         }
--- a/src/main/java/cairnbridge/proxy/ListenerState.java
+++ b/src/main/java/cairnbridge/proxy/ListenerState.java
@@ -29,8 +29,7 @@
     @GuardedBy("this")
     private boolean standbyRequested;
 
-    /** See {@link #setKeepAliveSuspended}; ClientConnections writes the field directly. */
-    volatile boolean keepAliveSuspended;
+    private volatile boolean keepAliveSuspended;
 
     /** The clock of all deadlines; Warmup reads it from here. */
     final TickClock clock;
@@ -115,6 +114,6 @@
      * response.
      */
     public void setKeepAliveSuspended(boolean suspended) {
-        this.keepAliveSuspended = suspended;
+        keepAliveSuspended = suspended;
     }
 }
