--- a/src/test/java/cairnbridge/cli/CommandHelpTest.java
+++ b/src/test/java/cairnbridge/cli/CommandHelpTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import picocli.CommandLine;
 
+/** Every command that users see describes itself. */
 class CommandHelpTest {
     static Stream<String> commands() {
         return Main.commandLine().getSubcommands().entrySet().stream()
