A request may wait 100 ms unread before its TTL is cut

Cause: the bound on the arrival lies two polls back, and the turns of a reactor on half a core are long, so more was taken off than had been waited.

The deadline told stays within the 150 ms that the platform allows; ArrivalTest holds that bound and is unchanged.

--- a/src/main/java/cairnbridge/proxy/ArrivalBound.java
+++ b/src/main/java/cairnbridge/proxy/ArrivalBound.java
@@ -12,11 +12,11 @@
     static final long POLL_INTERVAL_MILLIS = 20;
 
     /**
-     * The longest time between the poll before the last and the reading of a byte, if nothing is
-     * held up: two polls that wait, and the handling of other events.
+     * The wait that is not taken off a TTL. A part of it is the two polls of an idle reactor and
+     * the handling of other events; the rest is left to busy processes, within the slack of 150 ms
+     * that the platform allows a deadline.
      */
-    private static final long UNDELAYED_TICKS =
-            Ticks.fromMillis(2 * POLL_INTERVAL_MILLIS) + 5 * Ticks.MILLISECOND;
+    private static final long TOLERATED_TICKS = 100 * Ticks.MILLISECOND;
 
     private final TickClock clock;
     private final PollTimes pollTimes;
@@ -36,12 +36,12 @@
     }
 
     /**
-     * How long a byte that is read now may have waited beyond the time that reading takes if
-     * nothing is held up; 0 if not at all.
+     * How long a byte that is read now may have waited beyond the time that is tolerated; 0 if not
+     * at all.
      */
     long delayTicks() {
         long polledTicks = pollTimes.beforePreviousPoll();
         long arrivedAfterTicks = polledTicks > registeredTicks ? polledTicks : notQueuedTicks;
-        return Math.max(0, clock.now() - arrivedAfterTicks - UNDELAYED_TICKS);
+        return Math.max(0, clock.now() - arrivedAfterTicks - TOLERATED_TICKS);
     }
 }
