A shutdown counts its time from SIGTERM, also after a stall of the process

Cause: GracefulShutdown counted from its own begin, with 0.2 s in reserve.

Change: the coordinator thread wakes every 20 ms; what it was late by within the last 100 ms of running time before the shutdown (StallHistory) is taken off its times, down to 0.2 s. If the signal came only after the stall, connections are closed earlier than they had to be, each with an answer.

--- a/src/main/java/cairnbridge/proxy/GracefulShutdown.java
+++ b/src/main/java/cairnbridge/proxy/GracefulShutdown.java
@@ -1,5 +1,7 @@
 package cairnbridge.proxy;
 
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
 import cairnbridge.decision.TimeBudget;
 import cairnbridge.time.Ticks;
 import java.util.logging.Level;
@@ -16,6 +18,9 @@
     /** How long connections are still accepted after the proxy has stopped being ready. */
     private static final long CLOSE_GRACE_MILLIS = 200;
 
+    /** The least time for which a shutdown answers requests, even if it begins very late. */
+    private static final long MIN_DRAIN_MILLIS = 200;
+
     private static final long DRAIN_POLL_MILLIS = 10;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -51,13 +56,18 @@
         // before it kills the process.
         long servingMillis = TimeBudget.shutdownServingMillis(longestTtlMillis);
         long totalMillis = TimeBudget.shutdownEndMillis(longestTtlMillis);
-        long deadlineNanos = System.nanoTime() + totalMillis * NANOS_PER_MILLI;
-        announceDeadline(TimeBudget.shutdownAnsweringMillis(longestTtlMillis));
+        // Guards against a shutdown that the platform kills: the time until then counts from the
+        // signal, which was sent before the stall that has delayed this shutdown.
+        long delayMillis = Math.min(millisSinceSignal(), totalMillis - MIN_DRAIN_MILLIS);
+        long signalNanos = System.nanoTime() - delayMillis * NANOS_PER_MILLI;
+        long servingEndNanos = signalNanos + servingMillis * NANOS_PER_MILLI;
+        long deadlineNanos = signalNanos + totalMillis * NANOS_PER_MILLI;
+        announceDeadline(TimeBudget.shutdownAnsweringMillis(longestTtlMillis) - delayMillis);
         try {
             if (components.siblings().hasReadySuccessor()) {
-                drainToSuccessor(deadlineNanos - (totalMillis - servingMillis) * NANOS_PER_MILLI);
+                drainToSuccessor(servingEndNanos);
             } else {
-                serveThenClose(servingMillis);
+                serveThenClose(servingEndNanos);
             }
             awaitPendingRequests(deadlineNanos);
         } catch (InterruptedException e) {
@@ -74,6 +84,20 @@
         return Ticks.toMillis(longestTtlTicks);
     }
 
+    /** How long ago this process received the signal to shut down, at most; 0 without a stall. */
+    private long millisSinceSignal() {
+        long stalledTicks =
+                coordinator.stallHistory().stalledTicksSinceSignal(components.clock().now());
+        long stalledMillis = Ticks.toMillis(stalledTicks);
+        if (stalledMillis > 0) {
+            LOG.log(
+                    Level.INFO,
+                    "{0} was stalled for {1} ms before its shutdown",
+                    new Object[] {components.config().name(), Long.toString(stalledMillis)});
+        }
+        return stalledMillis;
+    }
+
     /** Limits the deadlines of all requests, also of those in flight. */
     private void announceDeadline(long millisFromNow) {
         long deadlineTicks = components.clock().now() + Ticks.fromMillis(millisFromNow);
@@ -82,13 +106,13 @@
     }
 
     /**
-     * Serves as before for the given time, then closes each connection with its next response and
+     * Serves as before until the given time, then closes each connection with its next response and
      * stops listening. Guards against a gap in service while the proxy restarted just before, in a
      * rolling restart, is not ready yet: clients with open connections are still served here, and
      * no request is kept beyond the shutdown deadline.
      */
-    private void serveThenClose(long servingMillis) throws InterruptedException {
-        Thread.sleep(servingMillis);
+    private void serveThenClose(long servingEndNanos) throws InterruptedException {
+        NANOSECONDS.sleep(servingEndNanos - System.nanoTime());
         listenerState.startDraining();
         divertNewConnections();
         Thread.sleep(CLOSE_GRACE_MILLIS);
--- a/src/main/java/cairnbridge/proxy/RequestCoordinator.java
+++ b/src/main/java/cairnbridge/proxy/RequestCoordinator.java
@@ -70,7 +70,8 @@
     private final Invariants invariants;
     private final ActiveRequests activeRequests;
     private final TimerQueue timers;
-    private final StallDetector stallDetector = new StallDetector(IDLE_WAKEUP_TICKS);
+    private final StallHistory stallHistory;
+    private final StallDetector stallDetector;
     private final CoordinatorListeners listeners;
 
     /**
@@ -114,6 +115,8 @@
                 new UpstreamPool(
                         reactor, config.network().connectTimeout(), config.network().idleTimeout());
         sweepIntervalTicks = Math.min(MAX_SWEEP_INTERVAL_TICKS, upstreamPool.sweepIntervalTicks());
+        stallHistory = new StallHistory(IDLE_WAKEUP_TICKS, clock.now());
+        stallDetector = new StallDetector(IDLE_WAKEUP_TICKS, stallHistory);
         CoordinatorContext context = new CoordinatorContext(this, clock);
         activeRequests = context.activeRequests();
         timers = context.timers();
@@ -151,6 +154,11 @@
         return activeRequests.unansweredCount();
     }
 
+    /** The latest stalls of the process; any thread may call this. */
+    StallHistory stallHistory() {
+        return stallHistory;
+    }
+
     /** The router's state for a warm start, as of the last sweep; any thread may call this. */
     WarmStartState warmStartState() {
         return warmStartState;
--- a/src/main/java/cairnbridge/proxy/StallDetector.java
+++ b/src/main/java/cairnbridge/proxy/StallDetector.java
@@ -12,18 +12,25 @@
     private static final long STALL_THRESHOLD_TICKS = 5 * Ticks.MILLISECOND;
 
     private final long idleWakeupTicks;
+    private final StallHistory history;
     private long lastWakeupTicks;
     private long stallTicks;
     private long stallEndsAtTicks;
 
-    /** Creates a detector for a thread that waits for at most this time before it wakes up. */
-    StallDetector(long idleWakeupTicks) {
+    /**
+     * Creates a detector for a thread that waits for at most this time before it wakes up.
+     *
+     * @param history receives each stall
+     */
+    StallDetector(long idleWakeupTicks, StallHistory history) {
         this.idleWakeupTicks = idleWakeupTicks;
+        this.history = history;
     }
 
     /** Starts the measurement. Must be called when the thread starts, before its first wait. */
     void started(long nowTicks) {
         lastWakeupTicks = nowTicks;
+        history.wokeUp(nowTicks, 0);
     }
 
     /**
@@ -33,6 +40,7 @@
     void wokeUp(long nowTicks, long maxWaitTicks) {
         long delayTicks = nowTicks - lastWakeupTicks - maxWaitTicks;
         lastWakeupTicks = nowTicks;
+        history.wokeUp(nowTicks, delayTicks > STALL_THRESHOLD_TICKS ? delayTicks : 0);
         if (delayTicks > STALL_THRESHOLD_TICKS) {
             stallTicks = delayTicks + idleWakeupTicks;
             stallEndsAtTicks = nowTicks + idleWakeupTicks;
--- a/src/test/java/cairnbridge/proxy/CloseRaceTest.java
+++ b/src/test/java/cairnbridge/proxy/CloseRaceTest.java
@@ -302,6 +302,39 @@
         process.waitFor();
     }
 
+    /**
+     * Guards against counting the time of a shutdown from its begin: a process that is stalled as
+     * it is told to end has only the rest of the time until SIGKILL.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {800, 1000, 1300})
+    void aShutdownThatAStallDelaysClosesConnectionsBeforeTheKill(long stallMillis)
+            throws Exception {
+        start();
+        Process process = startProcess();
+        int port = portFromLog(logOf(process));
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
+        closeables.add(client);
+        send(client, "GET /view/1", ttlHeader(60_000), "");
+        assertEquals(200, statusCode(readMessage(client)));
+
+        sendSignal(process, "STOP");
+        long signalNanos = SignalSender.terminate(process);
+        Thread.sleep(stallMillis);
+        sendSignal(process, "CONT");
+
+        String answer;
+        do {
+            send(client, "GET /view/1", ttlHeader(60_000), "");
+            answer = readMessage(client);
+            assertNotNull(answer, "closed with no answer");
+        } while (!answer.contains("Connection: close"));
+        long millis = (System.nanoTime() - signalNanos) / 1_000_000;
+        assertTrue(millis <= 1000 + TimeBudget.KILL_MARGIN_MILLIS, "closed after " + millis);
+        client.close();
+        process.waitFor();
+    }
+
     @Test
     void aProxyTerminatedDuringItsStartExitsByItself() throws Exception {
         start();
