A stall during a shutdown no longer moves its end past SIGKILL

What callers see: a connection stays open until SIGKILL, 1.7 s after SIGTERM at a longest TTL of 1 s, though the shutdown began in time; what is sent on it at the end is closed with no answer.

Cause, found by reading beside the fault before: serveThenClose waited out the grace period of 0.2 s from when it had woken up, and looked at its deadline only after that, when idle connections are closed too.

Evidence: forced by SIGSTOP after the shutdown's first log line and SIGCONT 1.55 s after SIGTERM.

Change: the grace period ends 0.2 s after the time at which it was due to begin.

--- a/src/main/java/cairnbridge/proxy/GracefulShutdown.java
+++ b/src/main/java/cairnbridge/proxy/GracefulShutdown.java
@@ -112,14 +112,21 @@
      * no request is kept beyond the shutdown deadline.
      */
     private void serveThenClose(long servingEndNanos) throws InterruptedException {
-        NANOSECONDS.sleep(servingEndNanos - System.nanoTime());
+        sleepUntil(servingEndNanos);
         listenerState.startDraining();
         divertNewConnections();
-        Thread.sleep(CLOSE_GRACE_MILLIS);
+        // Guards against a stall during the shutdown that would shift its end: the grace period
+        // counts
+        // from the time at which it was due to begin.
+        sleepUntil(servingEndNanos + CLOSE_GRACE_MILLIS * NANOS_PER_MILLI);
         criticalThreads.markStopping();
         reactor.stopListening();
     }
 
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        NANOSECONDS.sleep(nanos - System.nanoTime());
+    }
+
     /**
      * Stops listening at once and waits until the clients' connections are closed, or until the
      * deadline. Guards against requests that are sent on a connection which this process has
