The soak's timeline shows when a late response arrived at its client

Nothing recorded told the time of the proxy from that of the test, which is busy too. For a response that is read after its TTL the soak now asks the system when it arrived, and prints that. The check is as it was: it takes the time at which the client has read the response.

--- a/src/test/java/cairnbridge/proxy/SoakChecker.java
+++ b/src/test/java/cairnbridge/proxy/SoakChecker.java
@@ -72,6 +72,9 @@
         private int localPort;
         private long writtenNanos;
 
+        /** Known for late responses only; otherwise 0. */
+        private long responseArrivedNanos;
+
         TrackedRequest(boolean repeatable, long ttlMillis, long idleMillis, long sentNanos) {
             this.repeatable = repeatable;
             this.ttlMillis = ttlMillis;
@@ -106,6 +109,22 @@
         recordOutcome(traceId, Outcome.ANSWERED, nowNanos);
     }
 
+    /** Whether the response of an answered request was read after its TTL. */
+    boolean isLate(String traceId) {
+        TrackedRequest entry = requests.get(traceId);
+        synchronized (entry) {
+            return millisBetween(entry.sentNanos, entry.outcomeNanos) > entry.ttlMillis;
+        }
+    }
+
+    /** Records when the system received the last bytes of a response; for the timeline only. */
+    void arrived(String traceId, long arrivedNanos) {
+        TrackedRequest entry = requests.get(traceId);
+        synchronized (entry) {
+            entry.responseArrivedNanos = arrivedNanos;
+        }
+    }
+
     /** Records that a client's connection was closed before it had read a whole response. */
     void closed(String traceId, long nowNanos) {
         recordOutcome(traceId, Outcome.CLOSED, nowNanos);
@@ -250,6 +269,10 @@
             }
             text.append(", ").append(entry.outcome).append(" +");
             text.append(millisBetween(entry.sentNanos, entry.outcomeNanos));
+            if (entry.responseArrivedNanos != 0) {
+                text.append(", response arrived +");
+                text.append(millisBetween(entry.sentNanos, entry.responseArrivedNanos));
+            }
             return text.toString();
         }
     }
--- a/src/test/java/cairnbridge/proxy/SoakClient.java
+++ b/src/test/java/cairnbridge/proxy/SoakClient.java
@@ -140,6 +140,9 @@
                 return false;
             }
             checker.answered(traceId, System.nanoTime());
+            if (checker.isLate(traceId)) {
+                recordArrival(traceId, socket);
+            }
             return !answer.contains("Connection: close");
         } catch (IOException e) {
             checker.closed(traceId, System.nanoTime());
@@ -150,4 +153,12 @@
             return false;
         }
     }
+
+    private void recordArrival(String traceId, Socket socket) {
+        try {
+            checker.arrived(traceId, new TcpConnectionInfo(socket).lastArrivalNanos());
+        } catch (IOException e) {
+            // The proxy has reset the connection since: the arrival stays unknown.
+        }
+    }
 }
