--- a/src/test/java/cairnbridge/proxy/StallHistoryTest.java
+++ b/src/test/java/cairnbridge/proxy/StallHistoryTest.java
@@ -5,6 +5,7 @@
 import cairnbridge.time.Ticks;
 import org.junit.jupiter.api.Test;
 
+/** What of the stalls of a process counts once a signal is handled. */
 class StallHistoryTest {
     private static final long IDLE_WAKEUP_TICKS = 20 * Ticks.MILLISECOND;
     private static final long STALL_TICKS = 700 * Ticks.MILLISECOND;
