--- a/src/main/java/cairnbridge/proxy/GracefulShutdown.java
+++ b/src/main/java/cairnbridge/proxy/GracefulShutdown.java
@@ -57,8 +57,8 @@
         long servingMillis = TimeBudget.shutdownServingMillis(longestTtlMillis);
         long totalMillis = TimeBudget.shutdownEndMillis(longestTtlMillis);
         // Guards against a shutdown that the platform kills: the time until then counts from the
-        // signal, which was sent before the stall that has delayed this shutdown.
-        long delayMillis = Math.min(millisSinceSignal(), totalMillis - MIN_DRAIN_MILLIS);
+        // signal, which may have been sent before the stall that has delayed this shutdown.
+        long delayMillis = Math.min(stalledMillisSinceSignal(), totalMillis - MIN_DRAIN_MILLIS);
         long signalNanos = System.nanoTime() - delayMillis * NANOS_PER_MILLI;
         long servingEndNanos = signalNanos + servingMillis * NANOS_PER_MILLI;
         long deadlineNanos = signalNanos + totalMillis * NANOS_PER_MILLI;
@@ -84,8 +84,8 @@
         return Ticks.toMillis(longestTtlTicks);
     }
 
-    /** How long ago this process received the signal to shut down, at most; 0 without a stall. */
-    private long millisSinceSignal() {
+    /** For how long this process may have been stalled since the signal to shut down was sent. */
+    private long stalledMillisSinceSignal() {
         long stalledTicks =
                 coordinator.stallHistory().stalledTicksSinceSignal(components.clock().now());
         long stalledMillis = Ticks.toMillis(stalledTicks);
@@ -115,9 +115,8 @@
         sleepUntil(servingEndNanos);
         listenerState.startDraining();
         divertNewConnections();
-        // Guards against a stall during the shutdown that would shift its end: the grace period
-        // counts
-        // from the time at which it was due to begin.
+        // Guards against a stall that shifts the end of the shutdown: the grace period counts from
+        // the time at which it was due to begin.
         sleepUntil(servingEndNanos + CLOSE_GRACE_MILLIS * NANOS_PER_MILLI);
         criticalThreads.markStopping();
         reactor.stopListening();
