--- a/review/src/LargeFleet.java
+++ b/review/src/LargeFleet.java
@@ -88,20 +88,21 @@
         Client client = new Client(proxy.address);
         long due = System.nanoTime() + (long) (chance.nextDouble() * interval);
         for (int count = 0; !over; count++) {
+            String id = String.format("%08x%08x", number, count);
             try {
                 TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
-                String id = String.format("%08x%08x", number, count);
                 // A few keys are far more popular than the rest.
                 long key = (long) Math.pow(KEYS, chance.nextDouble());
                 Http.Message answer =
                         client.get("/sheet-view/" + Long.toHexString(key), id, 750);
                 client.readBody((bytes, length) -> {});
                 (answer.status() == 200 ? served : other).incrementAndGet();
+                rig.log("client: " + id + " is answered " + answer.status());
             } catch (IOException e) {
                 client.close();
                 if (!over) {
                     unanswered.incrementAndGet();
-                    rig.log("client " + number + ": " + e.getMessage());
+                    rig.log("client: " + id + " has no answer: " + e.getMessage());
                 }
             } catch (InterruptedException e) {
                 return;
--- a/review/src/LongAnswers.java
+++ b/review/src/LongAnswers.java
@@ -96,10 +96,12 @@
     private void handle(CacheNode node, Http.Message request, CacheNode.Connection connection)
             throws IOException, InterruptedException {
         Thread.sleep(25);
+        String id = request.header("x-trace-id");
         if (request.secondWord().contains("/long-")) {
-            rig.log(node.uid + ": answers " + request.header("x-trace-id") + " with 8 MB");
+            rig.log(node.uid + ": answers " + id + " with 8 MB");
             connection.answerLong(block, BLOCKS);
         } else {
+            rig.log(node.uid + ": answers " + id);
             connection.answer(200, "X-Store: hit\r\n", "x".repeat(1000));
         }
     }
@@ -110,9 +112,9 @@
         Client client = new Client(proxy.address);
         long due = System.nanoTime() + (long) (chance.nextDouble() * interval);
         for (int count = 0; !over; count++) {
+            String id = String.format("%08x%08x", number, count);
             try {
                 TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
-                String id = String.format("%08x%08x", number, count);
                 if (chance.nextInt(LONG_ONE_IN) == 0) {
                     String target = "/sheet-view/long-" + chance.nextInt(1000);
                     startThread(() -> readLong(proxy, target, id));
@@ -121,11 +123,13 @@
                             client.get("/sheet-view/" + chance.nextInt(400), id, 750);
                     client.readBody((bytes, length) -> {});
                     (answer.status() == 200 ? served : refused).incrementAndGet();
+                    rig.log("client: " + id + " is answered " + answer.status());
                 }
             } catch (IOException e) {
                 client.close();
                 if (!over) {
                     unanswered.incrementAndGet();
+                    rig.log("client: " + id + " has no answer: " + e.getMessage());
                 }
             } catch (InterruptedException e) {
                 return;
