--- a/review/src/LargeFleet.java
+++ b/review/src/LargeFleet.java
@@ -4,16 +4,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One proxy in calm traffic before as many cache nodes as the pages allow. Once, discovery ends the
- * open watch, and gives the whole list to the next one.
+ * One proxy in calm traffic before as many cache nodes as the pages allow; without the disruption,
+ * before the usual number. Once, discovery ends the open watch, and gives the whole list to the
+ * next one.
  */
 final class LargeFleet {
-    private static final int CACHES = 3200;
+    private static final int USUAL_CACHES = 200;
+    private static final int MOST_CACHES = 3200;
     private static final int CLIENTS = 20;
     private static final int REQUESTS_PER_SECOND = 60;
     private static final int KEYS = 100_000;
-    private static final int SECONDS = 60;
-    private static final int WATCHES_END_AT_SECOND = 40;
+    private static final int SECONDS = 45;
+    private static final int WATCHES_END_AT_SECOND = 30;
 
     private final Rig rig;
     private final AtomicInteger served = new AtomicInteger();
@@ -30,11 +32,12 @@
     }
 
     private int play() throws Exception {
+        int caches = rig.trouble ? MOST_CACHES : USUAL_CACHES;
         DiscoveryAgent discovery = new DiscoveryAgent();
         ManyNodes nodes = new ManyNodes(rig);
-        for (int i = 0; i <= CACHES; i++) {
-            String uid = i == CACHES ? "s-origin" : String.format("s-%08x", i * 0x9e3779b9);
-            discovery.add(uid, nodes.listen(uid), i == CACHES);
+        for (int i = 0; i <= caches; i++) {
+            String uid = i == caches ? "s-origin" : String.format("s-%08x", i * 0x9e3779b9);
+            discovery.add(uid, nodes.listen(uid), i == caches);
         }
         nodes.start();
         discovery.start();
@@ -54,7 +57,7 @@
             if (second % 5 == 0) {
                 logCounts(nodes);
             }
-            if (rig.trouble && second == WATCHES_END_AT_SECOND) {
+            if (second == WATCHES_END_AT_SECOND) {
                 rig.log("discovery: ends the open watch");
                 discovery.endWatches();
             }
