--- a/review/src/LongAnswers.java
+++ b/review/src/LongAnswers.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One request in twenty is answered with 8 MB, and its client reads them at 64 kB a second. Without
+ * One request in twenty is answered with 8 MB, and its client reads them at 70 kB a second. Without
  * the disruption the clients read as fast as they can.
  */
 final class LongAnswers {
@@ -19,12 +19,12 @@
     /** One request in so many asks for a long answer. */
     private static final int LONG_ONE_IN = 20;
 
-    private static final int SECONDS = 90;
+    private static final int SECONDS = 75;
     private static final int BLOCK_BYTES = 1 << 20;
     private static final int BLOCKS = 8;
 
-    /** The rate at which a client may take a body. */
-    private static final int SLOW_BYTES_PER_SECOND = 64_000;
+    /** A little more than the 64 kB a second at which a client may take a body. */
+    private static final int SLOW_BYTES_PER_SECOND = 70_000;
 
     private final Rig rig;
     private final byte[] block = new byte[BLOCK_BYTES];
@@ -175,7 +175,7 @@
         }
     }
 
-    /** Sleeps until so many bytes are due at 64 kB a second. */
+    /** Sleeps until so many bytes are due at 70 kB a second. */
     private static void pace(long startNanos, long bytes) throws IOException {
         try {
             long dueNanos = startNanos + bytes * 1_000_000_000L / SLOW_BYTES_PER_SECOND;
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -25,6 +25,8 @@
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
+    private static final long LIMIT_MILLIS = 113_000;
+
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     final Path root;
@@ -54,8 +56,8 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         try (Rig rig = new Rig(Path.of(arguments[0]), Path.of(arguments[1]), trouble)) {
             rig.log("TROUBLE=" + (trouble ? 1 : 0));
-            Thread guard = new Thread(rig::close);
-            Runtime.getRuntime().addShutdownHook(guard);
+            Runtime.getRuntime().addShutdownHook(new Thread(rig::close));
+            rig.limitTime();
             try {
                 result = body.run(rig);
             } catch (Exception e) {
@@ -73,6 +75,24 @@
         Runtime.getRuntime().halt(result);
     }
 
+    /** Ends the case, and all that it started, before it has run for 120 s. */
+    private void limitTime() {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(LIMIT_MILLIS);
+                            } catch (InterruptedException e) {
+                                return;
+                            }
+                            log("could not run: the time is up");
+                            close();
+                            Runtime.getRuntime().halt(COULD_NOT_RUN);
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Writes a line to the record, with the time since the start in milliseconds. */
     void log(String line) {
         synchronized (record) {
