Streamed bodies: the budget counts reserved memory, so slow readers no longer end the process

Cause: the limit of 6 MiB on all pipes counted the bytes that wait. A ring doubled to 128 KiB once a grant landed on bytes that still waited, and never shrank; capacity that was granted and not used yet was not counted; the library's first window of 64 KiB for each body was granted by nobody.

Evidence: at 42 s, 160 long answers open, 26.0 of 30.4 MB of the heap were byte arrays (histogram).

Change: a pipe reserves its window in a budget before it grants it; its ring never exceeds that. Above three quarters of the budget it is granted 8 KiB at a time and returns what its consumer has taken. The first window is one buffer. A request's share is returned when its exchange ends, on any path. Producers wait, none is turned away.

PipeTest, StreamsTest, AttemptTest, ArrivalTest pass.

--- a/src/main/java/cairnbridge/proxy/BodyPipe.java
+++ b/src/main/java/cairnbridge/proxy/BodyPipe.java
@@ -3,7 +3,6 @@
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -20,15 +19,10 @@
     /** The number of bytes that one pipe buffers at most. */
     static final int WINDOW_BYTES = 64 * 1024;
 
-    /**
-     * The number of bytes that one pipe buffers at most while all pipes of the proxy together
-     * buffer more than {@link #MAX_TOTAL_BYTES}.
-     */
+    /** The number of bytes that one pipe buffers at most while the memory budget is used up. */
     static final int NARROW_WINDOW_BYTES = 8 * 1024;
 
-    static final int MAX_TOTAL_BYTES = 6 << 20;
-
-    private static final int INITIAL_BYTES = 4096;
+    private static final byte[] NO_BYTES = {};
 
     /**
      * Guards against disconnecting a slow reader: its TCP stack may accept more data only once
@@ -38,14 +32,18 @@
 
     private static final long PRODUCER_STALL_NANOS = 10_000_000_000L;
 
-    private final AtomicLong totalBytes;
+    private final RequestMemory memory;
     private final long lengthBytes;
 
     @GuardedBy("this")
     private long producedBytes;
 
+    /** The bytes of the memory budget that this pipe has reserved; at least the ring's length. */
+    @GuardedBy("this")
+    private int reservedBytes;
+
     @GuardedBy("this")
-    private byte[] ring = new byte[INITIAL_BYTES];
+    private byte[] ring = NO_BYTES;
 
     @GuardedBy("this")
     private int readIndex;
@@ -84,11 +82,11 @@
     /**
      * Creates an empty pipe.
      *
-     * @param totalBytes counts the bytes that all pipes of the proxy buffer
+     * @param memory what the request may occupy of the memory budget
      * @param lengthBytes the length of the body; negative if it is unknown
      */
-    public BodyPipe(AtomicLong totalBytes, long lengthBytes) {
-        this.totalBytes = totalBytes;
+    public BodyPipe(RequestMemory memory, long lengthBytes) {
+        this.memory = memory;
         this.lengthBytes = lengthBytes;
     }
 
@@ -111,12 +109,13 @@
     private synchronized void enqueue(ByteBuffer source) {
         lastProgressNanos = System.nanoTime();
         int count = source.remaining();
-        if (discarded) {
+        if (discarded || count == 0) {
             source.position(source.limit());
             return;
         }
         if (bufferedBytes + count > ring.length) {
-            grow(bufferedBytes + count);
+            reserveAtLeast(bufferedBytes + count);
+            resize(Math.max(bufferedBytes + count, Math.min(reservedBytes, 2 * ring.length)));
         }
         int writeIndex = (readIndex + bufferedBytes) % ring.length;
         int countToEnd = Math.min(count, ring.length - writeIndex);
@@ -124,19 +123,65 @@
         source.get(ring, 0, count - countToEnd);
         bufferedBytes += count;
         producedBytes += count;
-        totalBytes.addAndGet(count);
     }
 
     @GuardedBy("this")
-    private void grow(int minBytes) {
-        byte[] larger = new byte[Math.max(minBytes, 2 * ring.length)];
+    private void resize(int lengthBytes) {
+        byte[] resized = new byte[lengthBytes];
         int countToEnd = Math.min(bufferedBytes, ring.length - readIndex);
-        System.arraycopy(ring, readIndex, larger, 0, countToEnd);
-        System.arraycopy(ring, 0, larger, countToEnd, bufferedBytes - countToEnd);
-        ring = larger;
+        System.arraycopy(ring, readIndex, resized, 0, countToEnd);
+        System.arraycopy(ring, 0, resized, countToEnd, bufferedBytes - countToEnd);
+        ring = resized;
         readIndex = 0;
     }
 
+    /**
+     * Reserves memory for bytes that have been received, whether or not the budget has any left.
+     */
+    @GuardedBy("this")
+    private void reserveAtLeast(int bytes) {
+        if (bytes > reservedBytes) {
+            memory.reserve(bytes - reservedBytes);
+            reservedBytes = bytes;
+        }
+    }
+
+    /**
+     * Reserves memory for the next grant: for a whole window, or for a narrow one while memory is
+     * scarce. Guards against pipes of slow consumers that keep the memory of a whole window.
+     *
+     * @return the size of the window
+     */
+    @GuardedBy("this")
+    private int reserveWindow() {
+        if (!memory.isScarce()) {
+            int missingBytes = WINDOW_BYTES - reservedBytes;
+            if (missingBytes <= 0) {
+                return WINDOW_BYTES;
+            }
+            if (memory.tryReserve(missingBytes)) {
+                reservedBytes = WINDOW_BYTES;
+                return WINDOW_BYTES;
+            }
+        }
+        if (bufferedBytes <= NARROW_WINDOW_BYTES) {
+            releaseTo(NARROW_WINDOW_BYTES);
+            reserveAtLeast(NARROW_WINDOW_BYTES);
+        }
+        return NARROW_WINDOW_BYTES;
+    }
+
+    @GuardedBy("this")
+    private void releaseTo(int bytes) {
+        if (ring.length > bytes) {
+            resize(bytes);
+        }
+        if (reservedBytes > bytes) {
+            memory.release(reservedBytes - bytes);
+            reservedBytes = bytes;
+        }
+    }
+
     /** Called when the producer has used up its capacity; grants more once there is room. */
     public void requestCapacity(CapacityChannel producer) throws IOException {
         synchronized (this) {
@@ -150,20 +195,30 @@
         CapacityChannel producer;
         int grantedBytes;
         synchronized (this) {
-            int windowBytes =
-                    totalBytes.get() > MAX_TOTAL_BYTES ? NARROW_WINDOW_BYTES : WINDOW_BYTES;
-            if (!discarded && bufferedBytes > windowBytes / 2) {
-                return;
-            }
             producer = waitingProducer;
-            grantedBytes = windowBytes - bufferedBytes;
-            waitingProducer = null;
+            grantedBytes = producer == null ? 0 : grantableBytes();
+            if (grantedBytes > 0) {
+                waitingProducer = null;
+            }
         }
-        if (producer != null) {
+        if (grantedBytes > 0) {
             producer.update(grantedBytes);
         }
     }
 
+    /** The capacity that the producer is granted now; 0 if it has to wait for the consumer. */
+    @GuardedBy("this")
+    private int grantableBytes() {
+        if (discarded || closed) {
+            return WINDOW_BYTES;
+        }
+        if (bufferedBytes > WINDOW_BYTES / 2) {
+            return 0;
+        }
+        int windowBytes = reserveWindow();
+        return bufferedBytes > windowBytes / 2 ? 0 : windowBytes - bufferedBytes;
+    }
+
     /** Whether the producer waits for the consumer to free capacity. */
     public synchronized boolean isBackpressured() {
         return waitingProducer != null;
@@ -194,10 +249,9 @@
     public void discard() {
         synchronized (this) {
             discarded = true;
-            totalBytes.addAndGet(-bufferedBytes);
             bufferedBytes = 0;
             readIndex = 0;
-            ring = new byte[1];
+            releaseTo(0);
         }
         try {
             grantCapacity();
@@ -206,6 +260,11 @@
         }
     }
 
+    /** For tests only: the size of the ring buffer. */
+    synchronized int occupiedBytes() {
+        return ring.length;
+    }
+
     private void wakeConsumer() {
         DataStreamChannel channel;
         synchronized (this) {
@@ -287,7 +346,6 @@
         if (!discarded) {
             readIndex = (readIndex + count) % ring.length;
             bufferedBytes -= count;
-            totalBytes.addAndGet(-count);
         }
         return count > 0;
     }
@@ -295,7 +353,11 @@
     /** Closes the pipe; true, once, if the producer has finished and all bytes are written. */
     private synchronized boolean closeIfDrained() {
         boolean last = producerFinished && bufferedBytes == 0 && !closed && !discarded;
-        closed |= last;
+        if (last) {
+            closed = true;
+            readIndex = 0;
+            releaseTo(0);
+        }
         return last;
     }
 }
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -55,6 +55,9 @@
     private final RequestBody body = new RequestBody();
     private final ResponseSender response = new ResponseSender();
 
+    /** What the streamed bodies of this request and its response occupy. */
+    private final RequestMemory streamedBodies;
+
     /**
      * Null until the head has been parsed; set by the reactor's thread before the coordinator is
      * notified of the request.
@@ -112,6 +115,7 @@
         this.abortConnection = abortConnection;
         this.arrivalBound = arrivalBound;
         this.hasClientClosed = hasClientClosed;
+        streamedBodies = new RequestMemory(context.streamedBodies());
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -165,7 +169,7 @@
 
     /** Creates a pipe for a response; a negative length means that it is unknown. */
     public BodyPipe createPipe(long lengthBytes) {
-        return new BodyPipe(context.pipedBytes(), lengthBytes);
+        return new BodyPipe(streamedBodies, lengthBytes);
     }
 
     /** The time that its deadline does not grant the request because it waited to be read. */
@@ -347,7 +351,7 @@
      * last byte of the body; until then the deadline includes the time to receive the rest.
      */
     private void startStreaming(ByteBuffer source) {
-        body.startStreaming(context.pipedBytes(), source);
+        body.startStreaming(streamedBodies, source);
         requestPipe = body.pipe();
         reportArrival(
                 context.streamingDeadline(
@@ -507,6 +511,9 @@
     @Override
     public void releaseResources() {
         body.releaseBuffer();
+        body.discardStream();
+        response.discardStream();
+        streamedBodies.close();
         onReleased.accept(this);
     }
 }
--- a/src/main/java/cairnbridge/proxy/HttpSettings.java
+++ b/src/main/java/cairnbridge/proxy/HttpSettings.java
@@ -12,6 +12,10 @@
  * be used by any thread.
  */
 public final class HttpSettings {
+    /**
+     * Also the part of a body that is read before more is granted. Guards against a window for each
+     * connection that no budget counts.
+     */
     private static final int BUFFER_BYTES = 4096;
 
     /** The limit on one line of a message head; no valid message has a longer line. */
@@ -25,6 +29,7 @@
             Http1Config.custom()
                     .setBufferSize(BUFFER_BYTES)
                     .setChunkSizeHint(BUFFER_BYTES)
+                    .setInitialWindowSize(BUFFER_BYTES)
                     .setMaxLineLength(MAX_HEAD_LINE_BYTES)
                     .setMaxHeaderCount(MAX_HEADERS)
                     .build();
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/MemoryBudget.java
@@ -0,0 +1,54 @@
+package cairnbridge.proxy;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The bytes that one kind of body may occupy in memory, summed over all requests of the proxy.
+ * Thread-safe.
+ */
+public final class MemoryBudget {
+    /** The share of the limit from which on bodies make do with little memory. */
+    private static final double SCARCE_SHARE = 0.75;
+
+    private final long limitBytes;
+    private final AtomicLong reservedBytes = new AtomicLong();
+
+    /**
+     * Creates a budget of which nothing is reserved.
+     *
+     * @param limitBytes the most bytes that {@link #tryReserve} reserves in sum
+     */
+    public MemoryBudget(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Reserves this many bytes; false, and nothing reserved, if too few are left. */
+    boolean tryReserve(int bytes) {
+        long reserved = reservedBytes.addAndGet(bytes);
+        if (reserved > limitBytes) {
+            reservedBytes.addAndGet(-bytes);
+            return false;
+        }
+        return true;
+    }
+
+    /** Reserves bytes that are in memory already, even if the limit is exceeded. */
+    void reserve(int bytes) {
+        reservedBytes.addAndGet(bytes);
+    }
+
+    /** Returns reserved bytes. */
+    void release(int bytes) {
+        reservedBytes.addAndGet(-bytes);
+    }
+
+    /** Whether so much is reserved that bodies should make do with little memory. */
+    boolean isScarce() {
+        return reservedBytes() > SCARCE_SHARE * limitBytes;
+    }
+
+    /** The number of bytes that are reserved at present. */
+    public long reservedBytes() {
+        return reservedBytes.get();
+    }
+}
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 
@@ -84,11 +83,11 @@
     /**
      * Switches to streaming a body that is too long for its buffer.
      *
-     * @param pipedBytes counts the bytes that all pipes of the proxy buffer
+     * @param memory what the request may occupy of the memory budget
      * @param source the bytes that follow the buffered ones
      */
-    void startStreaming(AtomicLong pipedBytes, ByteBuffer source) {
-        BodyPipe created = new BodyPipe(pipedBytes, lengthBytes);
+    void startStreaming(RequestMemory memory, ByteBuffer source) {
+        BodyPipe created = new BodyPipe(memory, lengthBytes);
         created.append(ByteBuffer.wrap(buffer.toByteArray()));
         created.append(source);
         buffer = null;
--- a/src/main/java/cairnbridge/proxy/RequestContext.java
+++ b/src/main/java/cairnbridge/proxy/RequestContext.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * The state that all client requests are parsed with: the clock, the metrics, the categories, the
@@ -18,10 +17,13 @@
     /** Guards against a TTL of an hour, which would hold a request in memory for an hour. */
     private static final long MAX_TTL_TICKS = 60 * Ticks.SECOND;
 
+    /** The memory for all streamed bodies together; see docs/CAPACITY.md. */
+    private static final long STREAMED_BODIES_BYTES = 6 << 20;
+
     private final TickClock clock;
     private final ProxyMetrics metrics;
     private final Map<String, CategoryId> categories = new HashMap<>();
-    private final AtomicLong pipedBytes = new AtomicLong();
+    private final MemoryBudget streamedBodies = new MemoryBudget(STREAMED_BODIES_BYTES);
     private volatile long shutdownDeadlineTicks = Long.MAX_VALUE;
     private volatile RequestFilter filter = RequestFilter.NONE;
 
@@ -48,9 +50,9 @@
         return metrics;
     }
 
-    /** The number of bytes that all pipes of this proxy buffer at present. */
-    public AtomicLong pipedBytes() {
-        return pipedBytes;
+    /** The memory that the streamed bodies of all requests share. */
+    public MemoryBudget streamedBodies() {
+        return streamedBodies;
     }
 
     /** Sets the filter that every later request passes through, in place of the present one. */
