Kept connections to servers drop the exchanges that are over

Cause: UpstreamConnection kept the exchange that it was opened for and the one sent last, and with them the client's exchange and the whole answer, while it was idle.

Change: the first exchange is handed on when the connect ends; the latest one is dropped when its response is complete, from when on nothing asks for it.

Result: RetainedBodiesTest fails on the code before (the request is still held) and passes now; AttemptTest and StreamsTest pass.

--- a/src/main/java/cairnbridge/proxy/UpstreamConnection.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamConnection.java
@@ -23,7 +23,6 @@
     private final ConnectionReactor reactor;
     private final Timeout socketTimeout;
     private final AtomicBoolean closed = new AtomicBoolean();
-    private final UpstreamExchange firstExchange;
     private volatile IOSession session;
     private volatile Future<IOSession> pendingConnect;
     private volatile boolean closeRequested;
@@ -31,7 +30,10 @@
     /** Whether a request was sent and its response is incomplete. Used by the reactor thread. */
     private boolean awaitingResponse;
 
-    /** Used only by the reactor thread; null until a request is sent. */
+    /** Waits for the connect; null from then on. Used only by the thread that ends the connect. */
+    private UpstreamExchange firstExchange;
+
+    /** The exchange whose response is awaited, else null. Used only by the reactor thread. */
     private UpstreamExchange latestExchange;
 
     /** The node to pool the connection for, else null. Used only by the coordinator thread. */
@@ -84,14 +86,18 @@
         latestExchange = exchange;
     }
 
-    /** The exchange whose request was sent last on this connection; null if there was none. */
+    /** The exchange whose response is awaited; null if there is none. */
     UpstreamExchange latestExchange() {
         return latestExchange;
     }
 
-    /** Records that the response has been read completely; called on the reactor thread. */
+    /**
+     * Records that the response has been read completely; called on the reactor thread. Guards
+     * against keeping the bodies of an exchange in memory while its connection is idle.
+     */
     void completeResponse() {
         awaitingResponse = false;
+        latestExchange = null;
     }
 
     /** Whether a request was sent and its response is incomplete; for the reactor thread. */
@@ -123,18 +129,25 @@
     public void completed(IOSession established) {
         session = established;
         established.setSocketTimeout(socketTimeout);
+        UpstreamExchange first = takeFirstExchange();
         if (closeRequested) {
-            firstExchange.failed(new IOException("closed while connecting"));
+            first.failed(new IOException("closed while connecting"));
             established.close(CloseMode.IMMEDIATE);
         } else {
-            send(firstExchange);
+            send(first);
         }
     }
 
     @Override
     public void failed(Exception cause) {
         handleClosed();
-        firstExchange.failed(cause);
+        takeFirstExchange().failed(cause);
+    }
+
+    private UpstreamExchange takeFirstExchange() {
+        UpstreamExchange first = firstExchange;
+        firstExchange = null;
+        return first;
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
@@ -0,0 +1,95 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import cairnbridge.admin.ProxyMetrics;
+import cairnbridge.decision.Ids.NodeId;
+import java.lang.ref.WeakReference;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+import org.junit.jupiter.api.Test;
+
+/** That the bodies of a request are not kept in memory once it is over. */
+class RetainedBodiesTest {
+    private static final int BODY_BYTES = 60_000;
+    private static final long DEADLINE_TICKS = 60_000 * TickClock.TICKS_PER_MILLI;
+
+    private final TickClock clock = new TickClock();
+    private final EventQueue eventQueue = new EventQueue(99);
+    private final ProxyMetrics metrics = new ProxyMetrics(List.of("view"));
+
+    private UpstreamAttempt createAttempt() {
+        ClientExchange client =
+                new ClientExchange(
+                        new ListenerState(clock, List.of("view"), metrics),
+                        eventQueue,
+                        exchange -> {},
+                        () -> {},
+                        new ArrivalBound(clock, new PollTimes(clock), clock.now()),
+                        () -> false);
+        client.method = "GET";
+        client.target = "/view/1";
+        client.traceId = "1";
+        return new UpstreamAttempt(
+                client,
+                new NodeId(1),
+                0,
+                clock.now() + DEADLINE_TICKS,
+                clock.now() + DEADLINE_TICKS,
+                eventQueue,
+                clock,
+                metrics);
+    }
+
+    /** A session that accepts everything and has nothing to read. */
+    private static IOSession createSession() {
+        return (IOSession)
+                Proxy.newProxyInstance(
+                        IOSession.class.getClassLoader(),
+                        new Class<?>[] {IOSession.class},
+                        (session, method, arguments) ->
+                                method.getReturnType() == int.class ? Integer.valueOf(0) : null);
+    }
+
+    private void exchangeMessages(UpstreamAttempt attempt) throws Exception {
+        attempt.produceRequest((request, entity, context) -> {}, null);
+        attempt.consumeResponse(
+                new BasicHttpResponse(200), new BasicEntityDetails(BODY_BYTES, null), null);
+        attempt.consume(ByteBuffer.allocate(BODY_BYTES));
+        attempt.streamEnd(List.of());
+        eventQueue.poll();
+    }
+
+    private static void assertIsCollected(WeakReference<?> reference) {
+        for (int i = 0; i < 10 && reference.get() != null; i++) {
+            System.gc();
+        }
+        assertNull(reference.get(), "the request is still held");
+    }
+
+    /** Guards against hundreds of kept connections that each hold the bodies of two requests. */
+    @Test
+    void aKeptConnectionHoldsNoRequestThatIsOver() throws Exception {
+        UpstreamAttempt attempt = createAttempt();
+        UpstreamConnection connection =
+                new UpstreamConnection(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                        null,
+                        Timeout.DISABLED,
+                        attempt);
+        connection.completed(createSession());
+        exchangeMessages(attempt);
+        WeakReference<UpstreamAttempt> held = new WeakReference<>(attempt);
+        attempt = null;
+
+        assertIsCollected(held);
+        assertNull(connection.latestExchange());
+    }
+}
