Timers name attempts instead of holding them with their bodies

Cause: a timer cannot be cancelled and held its attempt, and so the buffered answer and the request's body, until the request's TTL, which may be a minute.

Change: the timer names the request and the number of the attempt, and both are looked up when it is due. A request that is complete has no open attempt.

--- a/src/main/java/cairnbridge/proxy/RequestCoordinator.java
+++ b/src/main/java/cairnbridge/proxy/RequestCoordinator.java
@@ -247,7 +247,7 @@
         if (target instanceof RequestDeadline deadline) {
             deadlines.deadlineReached(deadline.request());
         } else if (target instanceof AttemptTimeout timeout) {
-            deadlines.attemptTimedOut(timeout.attempt());
+            deadlines.attemptTimedOut(timeout.request(), timeout.attemptNumber());
         } else if (target instanceof RouterTimer routerTimer) {
             notifyRouter(now, new Event.TimerFired(routerTimer.timer()));
         }
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -32,10 +32,17 @@
         this.clock = context.clock();
     }
 
-    /** Abandons an attempt that has timed out, unless its response is being streamed. */
-    void attemptTimedOut(UpstreamAttempt attempt) {
-        ActiveRequest request = activeRequests.find(attempt.exchange.requestId);
-        if (request == null || !request.isStreamedFrom(attempt)) {
+    /**
+     * Abandons an attempt that has timed out, unless its request is complete or its response is
+     * being streamed.
+     */
+    void attemptTimedOut(RequestId id, int attemptNumber) {
+        ActiveRequest request = activeRequests.find(id);
+        if (request == null) {
+            return;
+        }
+        UpstreamAttempt attempt = request.attempts().get(attemptNumber);
+        if (!request.isStreamedFrom(attempt)) {
             attemptSender.abandonAttempt(attempt, AttemptOutcome.TIMED_OUT);
         }
     }
--- a/src/main/java/cairnbridge/proxy/TimerQueue.java
+++ b/src/main/java/cairnbridge/proxy/TimerQueue.java
@@ -16,8 +16,11 @@
     /** A timer that the router has started. */
     record RouterTimer(TimerId timer) implements TimerTarget {}
 
-    /** The time by which an attempt must have ended. */
-    record AttemptTimeout(UpstreamAttempt attempt) implements TimerTarget {}
+    /**
+     * The time by which an attempt must have ended. Guards against keeping the bodies of an attempt
+     * in memory until its timeout: the timer names the attempt and does not refer to it.
+     */
+    record AttemptTimeout(RequestId request, int attemptNumber) implements TimerTarget {}
 
     /** The time by which a request must have been answered. */
     record RequestDeadline(RequestId request) implements TimerTarget {}
@@ -42,7 +45,7 @@
 
     /** Schedules the timeout of an attempt. */
     void scheduleAttemptTimeout(long dueTicks, UpstreamAttempt attempt) {
-        schedule(dueTicks, new AttemptTimeout(attempt));
+        schedule(dueTicks, new AttemptTimeout(attempt.exchange.requestId, attempt.attemptNumber));
     }
 
     /** Schedules the deadline of a request. */
--- a/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
+++ b/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
@@ -1,9 +1,11 @@
 package cairnbridge.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import cairnbridge.admin.ProxyMetrics;
 import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.RequestId;
 import java.lang.ref.WeakReference;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
@@ -92,4 +94,18 @@
         assertIsCollected(held);
         assertNull(connection.latestExchange());
     }
+
+    /** Guards against a body that stays in memory until its request's TTL, of a minute perhaps. */
+    @Test
+    void aPendingTimeoutHoldsNoAttemptThatIsOver() {
+        UpstreamAttempt attempt = createAttempt();
+        attempt.exchange.assignRequestId(new RequestId(1));
+        TimerQueue timers = new TimerQueue();
+        timers.scheduleAttemptTimeout(clock.now() + DEADLINE_TICKS, attempt);
+        WeakReference<UpstreamAttempt> held = new WeakReference<>(attempt);
+        attempt = null;
+
+        assertIsCollected(held);
+        assertFalse(timers.isEmpty());
+    }
 }
