Discovery's lists are parsed as they are read, and are in memory once

Cause: a list was in memory up to seven times (line, text, builder, text, tree, entries, former list); the configuration's list stayed as a tree for as long as the process ran; the first list made a second array of the ring's size; an indented list had no limit.

Evidence: a histogram at 26 s has 31.5 of 32 MB in use, 3,202 JsonObject with their maps among them.

LargeListTest (24 MB) fails on the code before, the process ends at its start, and passes now; DiscoveryMessageReaderTest, DiscoveryTest, ReloadTest, ArchitectureTest pass.

--- a/src/main/java/cairnbridge/cli/Main.java
+++ b/src/main/java/cairnbridge/cli/Main.java
@@ -140,17 +140,10 @@
         @Override
         public Integer call() throws InterruptedException {
             ClassDataArchive.logIfUnused();
-            ProxyConfig config = ProxyConfig.read(System.getenv());
-            FleetConfig member = fleet == null ? null : FleetConfig.read(fleet, config.name());
-            Optional<DurableState> durableState =
-                    member == null ? Optional.empty() : openDurableState(member);
-            ProxyServer server =
-                    new ProxyServer(
-                            config,
-                            Main::haltAfterCriticalFailure,
-                            durableState
-                                    .map(DurableState::restoredWarmStartState)
-                                    .orElse(WarmStartState.EMPTY));
+            PreparedProxy prepared = prepare();
+            ProxyServer server = prepared.server();
+            FleetConfig member = prepared.member();
+            Optional<DurableState> durableState = prepared.durableState();
             try {
                 if (member != null) {
                     server.joinFleet(
@@ -177,8 +170,35 @@
                 return 1;
             }
         }
+
+        /**
+         * Creates the proxy. Guards against keeping the configuration's endpoint list in memory for
+         * as long as the proxy runs: only this method refers to the whole configuration.
+         */
+        private PreparedProxy prepare() throws InterruptedException {
+            ProxyConfig config = ProxyConfig.read(System.getenv());
+            FleetConfig member = fleet == null ? null : FleetConfig.read(fleet, config.name());
+            Optional<DurableState> durableState =
+                    member == null ? Optional.empty() : openDurableState(member);
+            ProxyServer server =
+                    new ProxyServer(
+                            config,
+                            Main::haltAfterCriticalFailure,
+                            durableState
+                                    .map(DurableState::restoredWarmStartState)
+                                    .orElse(WarmStartState.EMPTY));
+            return new PreparedProxy(server, member, durableState);
+        }
     }
 
+    /**
+     * A proxy that has not joined its fleet yet.
+     *
+     * @param member the configuration of its fleet; null if it joins none
+     */
+    private record PreparedProxy(
+            ProxyServer server, FleetConfig member, Optional<DurableState> durableState) {}
+
     private static Optional<DurableState> openDurableState(FleetConfig member)
             throws InterruptedException {
         return member.recovery().isEmpty()
--- a/src/main/java/cairnbridge/config/JsonObject.java
+++ b/src/main/java/cairnbridge/config/JsonObject.java
@@ -75,6 +75,15 @@
         };
     }
 
+    /**
+     * An object without any values.
+     *
+     * @param path the path of the object in error messages
+     */
+    static JsonObject empty(String path) {
+        return new JsonObject(path);
+    }
+
     /** Whether the key is present with a value other than null. */
     public boolean has(String key) {
         return values.containsKey(key);
@@ -100,7 +109,7 @@
     /** Returns the object at a key, an empty one if the key is absent. */
     public JsonObject object(String key) {
         JsonObject value = valueOfType(key, JsonObject.class, "an object");
-        return value == null ? new JsonObject(path + "." + key) : value;
+        return value == null ? empty(path + "." + key) : value;
     }
 
     /** Returns the list of strings at a key, an empty one if the key is absent. */
--- a/src/main/java/cairnbridge/config/ProxyConfig.java
+++ b/src/main/java/cairnbridge/config/ProxyConfig.java
@@ -72,6 +72,20 @@
         return new ProxyConfigReader(variables).read();
     }
 
+    /** The same configuration without the endpoint list, which may be long. */
+    public ProxyConfig withoutInitialEndpoints() {
+        return new ProxyConfig(
+                name,
+                seed,
+                network,
+                names,
+                readsLoadReports,
+                settings,
+                JsonObject.empty("known"),
+                warmStartFile,
+                stateFolder);
+    }
+
     /**
      * Returns the path of the configuration file that the environment variables name.
      *
--- a/src/main/java/cairnbridge/decision/RingPoints.java
+++ b/src/main/java/cairnbridge/decision/RingPoints.java
@@ -42,7 +42,10 @@
         return (position & POSITION_MASK) | ((long) slot << RANK_BITS) | rank;
     }
 
-    /** Removes the points of freed slots and merges the added points. */
+    /**
+     * Removes the points of freed slots and merges the added points. The array of the added points
+     * belongs to this instance from then on: a first list needs no second array of its size.
+     */
     void change(BitSet freedSlots, long[] added) {
         int kept = 0;
         for (int i = 0; i < size; i++) {
@@ -52,6 +55,10 @@
         }
         Arrays.sort(added);
         size = kept + added.length;
+        if (kept == 0) {
+            points = added;
+            return;
+        }
         if (size > points.length) {
             points = Arrays.copyOf(points, size);
         }
--- a/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
+++ b/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
@@ -2,7 +2,6 @@
 
 import cairnbridge.admin.ProxyMetrics;
 import cairnbridge.config.ConfigurationException;
-import cairnbridge.config.IpAddresses;
 import cairnbridge.config.JsonObject;
 import cairnbridge.config.ProxyConfig;
 import cairnbridge.decision.Event;
@@ -10,20 +9,23 @@
 import cairnbridge.decision.Event.Endpoint;
 import cairnbridge.decision.Event.ListScope;
 import cairnbridge.decision.Event.NodeState;
-import cairnbridge.decision.Ids.CellId;
-import cairnbridge.decision.Ids.MachineKind;
 import cairnbridge.decision.Ids.NodeId;
-import cairnbridge.decision.Ids.ZoneId;
 import cairnbridge.decision.TimeBudget;
-import cairnbridge.hash.Fnv1a;
+import cairnbridge.proxy.EndpointListParser.EndpointListMessage;
+import cairnbridge.proxy.EndpointListParser.ListedEndpoint;
 import cairnbridge.recovery.EndpointListAssembler;
 import cairnbridge.zones.plan.ListedNode;
 import cairnbridge.zones.plan.Zone;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import java.io.IOException;
+import java.io.StringReader;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
@@ -32,6 +34,7 @@
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.apache.hc.core5.http.nio.CapacityChannel;
 
 /**
  * Follows discovery's endpoint list over a long-lived HTTP watch, which is opened again whenever it
@@ -41,7 +44,7 @@
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
     private static final String LIST_PATH = "/api/targets";
     private static final int OK = 200;
-    private static final int UNKNOWN_INDEX = 1 << 20;
+    private static final Runnable NOTHING_TO_RELEASE = () -> {};
 
     private final ProxyConfig config;
     private final ConnectionReactor reactor;
@@ -88,6 +91,11 @@
 
     private final DeduplicatedLog deduplicatedLog = new DeduplicatedLog(LOG, "roster");
 
+    private final EndpointListParser parser;
+
+    /** The list of the configuration until it is published. */
+    private Optional<EndpointListMessage> initialList;
+
     /** The nodes on the list, and whether each is a cache. */
     private final Map<NodeId, Boolean> isCacheByNode = new ConcurrentHashMap<>();
 
@@ -96,14 +104,26 @@
 
     private final ProxyMetrics metrics;
 
+    /**
+     * Creates a watch, which {@link #start} opens.
+     *
+     * @param initialEndpoints the endpoint list of the configuration, in the form of discovery's
+     *     messages
+     */
     DiscoveryWatch(
             ProxyConfig config,
+            JsonObject initialEndpoints,
             ConnectionReactor reactor,
             EventQueue eventQueue,
             ScheduledExecutorService scheduler,
             ProxyMetrics metrics) {
         this.metrics = metrics;
         this.config = config;
+        parser = new EndpointListParser(config.names(), deduplicatedLog);
+        initialList =
+                initialEndpoints.has("targets")
+                        ? Optional.of(parser.convert(initialEndpoints, version))
+                        : Optional.empty();
         this.discoveryAddress = config.network().discovery();
         this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed());
         this.reactor = reactor;
@@ -116,9 +136,8 @@
      * the settings say that the decision module has to subscribe first.
      */
     void start() {
-        if (config.initialEndpoints().has("targets")) {
-            publishList(config.initialEndpoints(), ListScope.CACHED);
-        }
+        initialList.ifPresent(list -> publishList(list, ListScope.CACHED, NOTHING_TO_RELEASE));
+        initialList = Optional.empty();
         scheduler.execute(
                 () -> {
                     started = true;
@@ -211,7 +230,10 @@
                         return; // Discovery's own list takes precedence.
                     }
                     try {
-                        publishList(JsonObject.parse(text, "persisted list"), ListScope.CACHED);
+                        publishList(
+                                parser.parse(new StringReader(text), version),
+                                ListScope.CACHED,
+                                NOTHING_TO_RELEASE);
                         listCurrent = false; // The first call requests the whole list.
                         endpointListAssembler.lineReceived(text);
                     } catch (ConfigurationException e) {
@@ -344,30 +366,37 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void handleMessage(DiscoveryCall call, String text) {
+    /**
+     * Applies a message.
+     *
+     * @param applied runs once the message is no longer needed
+     */
+    private void handleMessage(DiscoveryCall call, ChunkedBytes text, Runnable applied) {
         // Guards against a late message from a previous discovery address: its versions cannot be
         // compared with those of the current address.
         if (!call.address.equals(discoveryAddress)) {
+            applied.run();
             return;
         }
         try {
-            JsonObject tree = JsonObject.parse(text, "roster");
-            long receivedVersion = (long) tree.number("rev", version);
-            if (receivedVersion < versionFloor) {
-                eventQueue.post(new ProxyEvent.StaleListReceived(receivedVersion));
+            EndpointListMessage message = parser.parse(text.reader(), version);
+            if (message.version() < versionFloor) {
+                eventQueue.post(new ProxyEvent.StaleListReceived(message.version()));
+                applied.run();
                 return;
             }
             discoveryListReceived = true;
             if (endpointListAssembler != null) {
-                endpointListAssembler.lineReceived(text);
+                endpointListAssembler.lineReceived(text.text());
             }
-            publishList(tree, tree.flag("all") ? ListScope.FULL : ListScope.CHANGES);
+            publishList(message, message.whole() ? ListScope.FULL : ListScope.CHANGES, applied);
             backoffMillis = TimeBudget.MIN_BACKOFF_MILLIS;
             if (watchLost) {
                 watchLost = false;
                 LOG.info("roster: the watch is back, version " + version);
             }
         } catch (ConfigurationException e) {
+            applied.run();
             deduplicatedLog.warnOnce(
                     "line cannot be used, asking for the whole list, " + e.getMessage());
             // Guards against losing the change in this message: later messages do not repeat it, so
@@ -380,56 +409,26 @@
         }
     }
 
-    private void publishList(JsonObject tree, ListScope scope) {
-        List<Endpoint> entries = new ArrayList<>();
+    private void publishList(EndpointListMessage message, ListScope scope, Runnable applied) {
+        List<Endpoint> entries = new ArrayList<>(message.endpoints().size());
         Map<NodeId, InetSocketAddress> addresses = new HashMap<>();
-        for (JsonObject target : tree.objects("targets")) {
-            String uid = target.text("uid", "");
-            InetSocketAddress address = IpAddresses.parse(target.text("endpoint", "")).orElse(null);
-            NodeState state =
-                    switch (target.text("state", "")) {
-                        case "Ready" -> NodeState.READY;
-                        case "Terminating" -> NodeState.DRAINING;
-                        case "Gone" -> NodeState.GONE;
-                        default -> null;
-                    };
-            if (uid.isEmpty() || state == null || address == null && state != NodeState.GONE) {
-                deduplicatedLog.warnOnce(
-                        "entry ignored, uid '"
-                                + uid
-                                + "' state '"
-                                + target.text("state", "")
-                                + "'");
-                continue;
-            }
-            NodeId node = new NodeId(Fnv1a.hash(uid));
-            if (address != null) {
-                addresses.put(node, address);
-            }
-            Endpoint entry =
-                    new Endpoint(
-                            node,
-                            state,
-                            new MachineKind(
-                                    indexOf(
-                                            config.names().machineKinds(),
-                                            target.text("model", ""))),
-                            target.number("capacity_hint", 1),
-                            TickClock.fromUnixMillis((long) target.number("boot_ms", 0)),
-                            new CellId((int) target.number("pod_group", 0)),
-                            new ZoneId(indexOf(config.names().zones(), target.text("az", ""))));
+        for (ListedEndpoint listed : message.endpoints()) {
+            Endpoint entry = listed.endpoint();
             entries.add(entry);
-            updateListedCache(entry, new Zone(target.text("az", "")));
+            listed.address().ifPresent(address -> addresses.put(entry.node(), address));
+            updateListedCache(entry, listed.zone());
         }
         updateListedNodes(scope, entries);
         if (scope != ListScope.CHANGES && !entries.isEmpty()) {
             listedCaches.keySet().retainAll(isCacheByNode.keySet());
         }
-        version = (long) tree.number("rev", version);
+        version = message.version();
         listCurrent = true;
         eventQueue.post(
                 new ProxyEvent.EndpointListChanged(
-                        new Event.EndpointListReceived(scope, version, entries), addresses));
+                        new Event.EndpointListReceived(scope, version, entries),
+                        addresses,
+                        applied));
         if (scope != ListScope.CACHED) {
             firstResult.countDown();
         }
@@ -488,38 +487,23 @@
         return isCacheByNode.containsKey(node);
     }
 
-    private static int indexOf(List<String> names, String name) {
-        int index = names.indexOf(name);
-        return index < 0 ? UNKNOWN_INDEX : index;
-    }
-
-    /** The number of opening minus closing braces in a line of JSON, outside its strings. */
-    private static int countOpenBraces(String text) {
-        int depth = 0;
-        boolean quoted = false;
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            if (c == '"') {
-                quoted = !quoted;
-            } else if (quoted) {
-                i += c == '\\' ? 1 : 0;
-            } else {
-                depth += c == '{' ? 1 : c == '}' ? -1 : 0;
-            }
-        }
-        return depth;
-    }
-
     /** One call to discovery: the long-lived watch, or a single request for the list. */
     private final class DiscoveryCall extends InternalRequest {
         private final InetSocketAddress address;
         private final boolean isWatch;
         private final long startedAtNanos = System.nanoTime();
 
-        /** The lines received so far of a JSON object that spans several lines. */
-        private final StringBuilder partialMessage = new StringBuilder();
+        private final DiscoveryMessageReader messageReader =
+                new DiscoveryMessageReader(this::handleReceived, this::recordReceived);
+
+        /** The messages that have been received and not been applied yet. */
+        @GuardedBy("this")
+        private int pendingMessages;
+
+        /** The capacity of the connection while a message is pending; otherwise null. */
+        @GuardedBy("this")
+        private CapacityChannel waitingCapacity;
 
-        private int openBraces;
         private volatile long lastReceivedNanos = startedAtNanos;
         private volatile int statusCode;
 
@@ -541,22 +525,56 @@
                     TimeUnit.MILLISECONDS);
         }
 
-        @Override
-        void onLine(String text) {
+        private void recordReceived() {
             lastReceivedNanos = System.nanoTime();
-            if (statusCode != OK || text.isBlank() && partialMessage.length() == 0) {
+        }
+
+        @Override
+        void onBody(ByteBuffer source) throws IOException {
+            if (statusCode != OK) {
+                super.onBody(source);
                 return;
             }
-            // Guards against a list that is indented over several lines: it is complete once its
-            // braces are balanced. Discovery sends no heartbeat inside a list, so an empty line
-            // completes it as well.
-            partialMessage.append(text).append('\n');
-            openBraces += countOpenBraces(text);
-            if (text.isBlank() || openBraces <= 0) {
-                openBraces = 0;
-                String message = partialMessage.toString();
-                partialMessage.setLength(0);
-                scheduler.execute(() -> handleMessage(this, message));
+            try {
+                messageReader.read(source);
+            } catch (IOException e) {
+                deduplicatedLog.warnOnce(e.getMessage());
+                throw e;
+            }
+        }
+
+        @Override
+        void onBodyEnd() {
+            messageReader.end();
+        }
+
+        private void handleReceived(ChunkedBytes message) {
+            synchronized (this) {
+                pendingMessages++;
+            }
+            scheduler.execute(() -> handleMessage(this, message, this::messageApplied));
+        }
+
+        private void messageApplied() {
+            CapacityChannel capacity;
+            synchronized (this) {
+                pendingMessages--;
+                if (pendingMessages > 0) {
+                    return;
+                }
+                capacity = waitingCapacity;
+                waitingCapacity = null;
+            }
+            if (capacity != null) {
+                grantCapacity(capacity);
+            }
+        }
+
+        private void grantCapacity(CapacityChannel capacity) {
+            try {
+                super.updateCapacity(capacity);
+            } catch (IOException e) {
+                LOG.fine("roster: the connection has failed: " + e.getMessage());
             }
         }
 
--- a/src/main/java/cairnbridge/proxy/FleetEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/FleetEventHandler.java
@@ -68,6 +68,7 @@
         listeners.recovery().endpointListChanged(event.list(), clock.now());
         router.notifyRouter(clock.now(), event.list());
         attemptSender.abandonUnsendableAttempts(activeRequests.all());
+        event.applied().run();
     }
 
     private void handleHealthCheckCompleted(HealthCheckCompleted event) {
--- a/src/main/java/cairnbridge/proxy/HealthCheck.java
+++ b/src/main/java/cairnbridge/proxy/HealthCheck.java
@@ -61,12 +61,6 @@
             statusCode = status;
         }
 
-        @Override
-        void onLine(String text) {
-            // Load reports are not parsed, because their format is not specified yet; the router
-            // gets none.
-        }
-
         @Override
         void onEnd(AttemptOutcome outcome) {
             AttemptOutcome checkOutcome =
--- a/src/main/java/cairnbridge/proxy/InternalRequest.java
+++ b/src/main/java/cairnbridge/proxy/InternalRequest.java
@@ -1,12 +1,10 @@
 package cairnbridge.proxy;
 
 import cairnbridge.decision.Event.AttemptOutcome;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -18,13 +16,11 @@
 
 /**
  * A request that the proxy itself originates: to discovery, as a health check or for the warm-up.
- * It is a GET request unless a body to PUT is set; its response body is parsed line by line.
+ * It is a GET request unless a body to PUT is set.
  */
 abstract class InternalRequest extends UpstreamExchange {
-    private static final int MAX_LINE_BYTES = 8 << 20;
     private final String host;
     private final String target;
-    private final ByteArrayOutputStream lineBuffer = new ByteArrayOutputStream(256);
     private boolean finished;
     private boolean requestStarted;
     private byte[] putBody;
@@ -47,8 +43,19 @@
     /** Called with the status code once the head of the response has been read. */
     abstract void onStatus(int code);
 
-    /** Called with each line of the response body, without its line break. */
-    abstract void onLine(String text);
+    /**
+     * Called with each part of the response body; discards it unless a subclass needs it.
+     *
+     * @throws IOException if the response is of no use, which closes the connection
+     */
+    void onBody(ByteBuffer source) throws IOException {
+        source.position(source.limit());
+    }
+
+    /** Called after the last part of the response body. */
+    void onBodyEnd() {
+        // Most requests do not need the body.
+    }
 
     /**
      * Called once: with SUCCESS if the response was read completely, whatever its status; otherwise
@@ -87,29 +94,12 @@
 
     @Override
     public void consume(ByteBuffer src) throws IOException {
-        while (src.hasRemaining()) {
-            byte b = src.get();
-            if (b == '\n') {
-                emitLine();
-            } else if (lineBuffer.size() < MAX_LINE_BYTES) {
-                lineBuffer.write(b);
-            } else {
-                throw new IOException("response line is too long");
-            }
-        }
-    }
-
-    private void emitLine() {
-        String text = lineBuffer.toString(StandardCharsets.UTF_8);
-        lineBuffer.reset();
-        onLine(text);
+        onBody(src);
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        if (lineBuffer.size() > 0) {
-            emitLine();
-        }
+        onBodyEnd();
         completeResponse();
         finishOnce(AttemptOutcome.SUCCESS);
     }
--- a/src/main/java/cairnbridge/proxy/ProxyComponents.java
+++ b/src/main/java/cairnbridge/proxy/ProxyComponents.java
@@ -40,14 +40,17 @@
     /**
      * Creates the components of one proxy.
      *
+     * @param fullConfig the configuration; only the discovery watch gets its endpoint list, and
+     *     drops it once it is published
      * @param previousRun what an earlier process learnt; used unless the configuration's warm start
      *     file is newer
      */
     static ProxyComponents create(
-            ProxyConfig config,
+            ProxyConfig fullConfig,
             CriticalThreads criticalThreads,
             TickClock clock,
             WarmStartState previousRun) {
+        ProxyConfig config = fullConfig.withoutInitialEndpoints();
         EventQueue eventQueue = new EventQueue(EVENTS_PER_SOCKET * config.network().maxSockets());
         ProxyMetrics metrics = new ProxyMetrics(config.names().categories());
         SiblingProcesses siblings = new SiblingProcesses(config.stateFolder());
@@ -57,7 +60,13 @@
                 new ConnectionReactor(config, eventQueue, listenerState, criticalThreads);
         ScheduledExecutorService scheduler = createScheduler();
         DiscoveryWatch discoveryWatch =
-                new DiscoveryWatch(config, reactor, eventQueue, scheduler, metrics);
+                new DiscoveryWatch(
+                        config,
+                        fullConfig.initialEndpoints(),
+                        reactor,
+                        eventQueue,
+                        scheduler,
+                        metrics);
         // Guards against rejecting, and so losing, a maintenance change while a starting process
         // has no endpoint list: until it has one, every node counts as listed.
         MaintenanceMarkers maintenanceMarkers =
--- a/src/main/java/cairnbridge/proxy/ProxyEvent.java
+++ b/src/main/java/cairnbridge/proxy/ProxyEvent.java
@@ -70,10 +70,21 @@
     /** The descriptor budget is used up: an idle connection to a server should be closed. */
     record DescriptorBudgetExceeded() implements ConnectionEvent {}
 
-    /** Discovery has sent the endpoint list or changes to it, or could not be reached. */
+    /**
+     * Discovery has sent the endpoint list or changes to it, or could not be reached.
+     *
+     * @param applied runs once the pool and the router have applied the change
+     */
     record EndpointListChanged(
-            Event.EndpointListReceived list, Map<NodeId, InetSocketAddress> addresses)
-            implements FleetEvent {}
+            Event.EndpointListReceived list,
+            Map<NodeId, InetSocketAddress> addresses,
+            Runnable applied)
+            implements FleetEvent {
+        EndpointListChanged(
+                Event.EndpointListReceived list, Map<NodeId, InetSocketAddress> addresses) {
+            this(list, addresses, () -> {});
+        }
+    }
 
     /** Discovery has sent an endpoint list that is older than a known one; it is not used. */
     record StaleListReceived(long version) implements FleetEvent {}
--- a/src/main/java/cairnbridge/proxy/ProxyServer.java
+++ b/src/main/java/cairnbridge/proxy/ProxyServer.java
@@ -64,7 +64,7 @@
             Runnable onFatalError,
             TickClock clock,
             WarmStartState previousRun) {
-        this.config = config;
+        this.config = config.withoutInitialEndpoints();
         criticalThreads = new CriticalThreads(config.name(), onFatalError);
         components = ProxyComponents.create(config, criticalThreads, clock, previousRun);
         periodicTasks = new PeriodicTasks(components);
--- a/src/main/java/cairnbridge/proxy/Warmup.java
+++ b/src/main/java/cairnbridge/proxy/Warmup.java
@@ -259,11 +259,6 @@
                 // Any status will do: the request path was run.
             }
 
-            @Override
-            void onLine(String text) {
-                // The value does not matter.
-            }
-
             @Override
             void onEnd(AttemptOutcome outcome) {
                 if (outcome == AttemptOutcome.SUCCESS) {
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/LargeListTest.java
@@ -0,0 +1,77 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** The memory that long endpoint lists take while they are received and applied. */
+class LargeListTest extends ProxyTestSupport {
+    /** The most cache nodes of a fleet. */
+    private static final int CACHES = 3200;
+
+    /** Less than half of the heap of a deployed proxy, whose other half connections may need. */
+    private static final String SMALL_HEAP =
+            "export JAVA_TOOL_OPTIONS='-XX:+UseSerialGC -Xmx24m -Xmn6m"
+                    + " -XX:+ExitOnOutOfMemoryError'";
+
+    private static final int WHOLE_LISTS = 4;
+
+    private static String wholeList() {
+        String[] targets = new String[CACHES];
+        for (int i = 0; i < CACHES; i++) {
+            String address = "127." + (1 + i / 200) + "." + (1 + i % 200) + ".1:9";
+            targets[i] = endpointJson("s-" + i, address, "cache", "Ready");
+        }
+        return endpointListJson(1, true, targets);
+    }
+
+    private static byte[] chunk(String text) {
+        return (Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static void beginWatch(Socket socket) throws IOException {
+        readMessage(socket);
+        socket.getOutputStream()
+                .write(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Guards against the end of the process as a watch over 3,200 cache nodes is opened anew. */
+    @Test
+    void aWholeListOfTheLargestFleetFitsIntoASmallHeap() throws Exception {
+        AtomicInteger listsSent = new AtomicInteger();
+        String list = wholeList();
+        discovery =
+                new StubServer(request -> "") {
+                    @Override
+                    Void serve(Socket socket) throws IOException, InterruptedException {
+                        beginWatch(socket);
+                        socket.getOutputStream().write(chunk(list + "\n"));
+                        if (listsSent.incrementAndGet() < WHOLE_LISTS) {
+                            Thread.sleep(300);
+                            socket.close();
+                        }
+                        return null;
+                    }
+                };
+        config(list, discovery.address());
+
+        Process process = startProcessAfter(SMALL_HEAP);
+        int listeningPort = portFromLog(logOf(process));
+        waitUntil(() -> listsSent.get() == WHOLE_LISTS || !process.isAlive());
+        Thread.sleep(300);
+
+        assertTrue(process.isAlive(), "the process has ended");
+        try (Socket client = new Socket("127.0.0.1", listeningPort)) {
+            send(client, "GET /-/ready", "", "");
+            assertEquals(200, statusCode(readMessage(client)));
+        }
+    }
+}
