Discovery is read no faster than its lists are applied

Cause: a call granted its connection capacity whether or not the lists before were applied, and parsed lists wait in a queue of eight events a descriptor.

Change: no capacity while a message is not applied by the pool and the router.

Result: LargeListTest.discoveryIsReadNoFasterThanItsListsAreApplied fails on the code before (all 150 whole lists were read while the coordinator stood still) and passes now.

--- a/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
+++ b/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
@@ -555,6 +555,21 @@
             scheduler.execute(() -> handleMessage(this, message, this::messageApplied));
         }
 
+        /**
+         * Guards against lists that fill the heap because they arrive faster than they are applied:
+         * no more is read until all received messages are applied.
+         */
+        @Override
+        public void updateCapacity(CapacityChannel capacity) throws IOException {
+            synchronized (this) {
+                if (pendingMessages > 0) {
+                    waitingCapacity = capacity;
+                    return;
+                }
+            }
+            super.updateCapacity(capacity);
+        }
+
         private void messageApplied() {
             CapacityChannel capacity;
             synchronized (this) {
--- a/src/test/java/cairnbridge/proxy/LargeListTest.java
+++ b/src/test/java/cairnbridge/proxy/LargeListTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +22,7 @@
                     + " -XX:+ExitOnOutOfMemoryError'";
 
     private static final int WHOLE_LISTS = 4;
+    private static final int LISTS_AT_ONCE = 150;
 
     private static String wholeList() {
         String[] targets = new String[CACHES];
@@ -74,4 +77,62 @@
             assertEquals(200, statusCode(readMessage(client)));
         }
     }
+
+    /** Guards against lists that fill the heap because they arrive faster than they are applied. */
+    @Test
+    void discoveryIsReadNoFasterThanItsListsAreApplied() throws Exception {
+        CountDownLatch resume = new CountDownLatch(1);
+        closeables.add(resume::countDown);
+        AtomicInteger listsSent = new AtomicInteger();
+        String list = wholeList();
+        clock =
+                new TickClock() {
+                    @Override
+                    long now() {
+                        boolean isCoordinator =
+                                Thread.currentThread()
+                                        .getName()
+                                        .equals(ProxyServer.OWNER_THREAD_NAME);
+                        if (isCoordinator && listsSent.get() > 0) {
+                            awaitUninterrupted(resume);
+                        }
+                        return super.now();
+                    }
+                };
+        CountDownLatch ready = new CountDownLatch(1);
+        discovery =
+                new StubServer(request -> "") {
+                    @Override
+                    Void serve(Socket socket) throws IOException, InterruptedException {
+                        beginWatch(socket);
+                        OutputStream out = socket.getOutputStream();
+                        out.write(chunk(EMPTY_UPDATE.substring("200 OK||".length())));
+                        ready.await();
+                        for (int i = 0; i < LISTS_AT_ONCE; i++) {
+                            listsSent.incrementAndGet();
+                            out.write(chunk(list + "\n"));
+                        }
+                        return null;
+                    }
+                };
+        proxy = startServer("{}");
+
+        ready.countDown();
+        int sentBefore = -1;
+        while (sentBefore < listsSent.get()) {
+            sentBefore = listsSent.get();
+            Thread.sleep(500);
+        }
+        assertTrue(sentBefore < LISTS_AT_ONCE, "all lists were read");
+        resume.countDown();
+        waitUntil(() -> listsSent.get() == LISTS_AT_ONCE);
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
