Buffered requests share one budget; a client for which none is left waits

Cause: a body of up to 64 KiB was limited for each connection and not in sum. Every client was granted 64 KiB before it had sent a byte.

Change: a buffered body reserves 16 KiB at a time in a budget of all requests before its client is granted them. Without memory the client is not read and goes on when another request returns some; after half of its TTL, a second at most, it is answered 503 with nothing sent to a server. The wait comes off its TTL. New metrics: lb.calls_refused.memory, lb.memory.*.

--- a/src/main/java/cairnbridge/admin/ProxyMetrics.java
+++ b/src/main/java/cairnbridge/admin/ProxyMetrics.java
@@ -48,6 +48,7 @@
     private final LongAdder requestsAccepted = new LongAdder();
     private final LongAdder requestsEnded = new LongAdder();
     private final LongAdder attempts = new LongAdder();
+    private final LongAdder rejectedForMemory = new LongAdder();
     private final LongAdder[] rejections =
             Stream.generate(LongAdder::new)
                     .limit(AttemptRejection.values().length)
@@ -55,6 +56,9 @@
     private volatile int listedNodes;
     private volatile int avoidedNodes;
 
+    /** The bytes that are reserved for bodies, by metric name. */
+    private volatile Supplier<Map<String, Long>> bodyBytes = Map::of;
+
     /** The metrics of optional features that are enabled, by name. */
     private volatile Supplier<Map<String, Long>> additionalMetrics = Map::of;
 
@@ -89,6 +93,16 @@
         requestsEnded.increment();
     }
 
+    /** Counts a request that was rejected because there was no memory for its body. */
+    public void requestRejectedForMemory() {
+        rejectedForMemory.increment();
+    }
+
+    /** Sets the sources of the bytes that are reserved for bodies, by metric name. */
+    public void setBodyBytes(Supplier<Map<String, Long>> bytes) {
+        bodyBytes = bytes;
+    }
+
     /** Counts an attempt whose request has been written completely. */
     public void attemptSent() {
         attempts.increment();
@@ -125,6 +139,8 @@
         append(text, "inflight", requestsAccepted.sum() - ended, GAUGE);
         append(text, "hosts_listed", listedNodes, GAUGE);
         append(text, "hosts_down", avoidedNodes, GAUGE);
+        append(text, "calls_refused.memory", rejectedForMemory.sum(), COUNTER);
+        bodyBytes.get().forEach((name, bytes) -> append(text, name, bytes, GAUGE));
         for (AttemptRejection reason : AttemptRejection.values()) {
             String name = "attempts_refused." + lowerCase(reason);
             append(text, name, rejections[reason.ordinal()].sum(), COUNTER);
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -150,6 +150,10 @@
     }
 
     private void closeIfOverdue(ClientConnection client, long nowNanos) {
+        ClientExchange latest = client.latestRequest();
+        if (latest != null) {
+            latest.rejectIfMemoryIsMissing();
+        }
         if (isOverdue(client, nowNanos)) {
             client.recheckOnReactor();
         } else if (listenerState.state() == ListenerState.State.STANDBY
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -4,6 +4,7 @@
 import cairnbridge.decision.Ids.CategoryId;
 import cairnbridge.decision.Ids.KeyId;
 import cairnbridge.decision.Ids.RequestId;
+import cairnbridge.time.Ticks;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -44,6 +45,9 @@
     private static final byte[] NO_BYTES = {};
     private static final long NO_RETRY_AFTER = 0;
 
+    /** The longest time that a body waits for memory before its request is rejected. */
+    private static final long MAX_MEMORY_WAIT_TICKS = Ticks.SECOND;
+
     private final RequestContext context;
     private final ListenerState listenerState;
     private final ClientEvents events;
@@ -52,9 +56,15 @@
     private final ArrivalBound arrivalBound;
     private final BooleanSupplier hasClientClosed;
     final SendPermit sendPermit = new SendPermit();
-    private final RequestBody body = new RequestBody();
+    private final RequestBody body;
     private final ResponseSender response = new ResponseSender();
 
+    /** What the buffered body of this request occupies. */
+    private final RequestMemory bufferedRequest;
+
+    /** What the buffered answers of this request's attempts occupy. */
+    private final RequestMemory bufferedAnswers;
+
     /** What the streamed bodies of this request and its response occupy. */
     private final RequestMemory streamedBodies;
 
@@ -115,7 +125,10 @@
         this.abortConnection = abortConnection;
         this.arrivalBound = arrivalBound;
         this.hasClientClosed = hasClientClosed;
+        bufferedRequest = new RequestMemory(context.bufferedRequests());
+        bufferedAnswers = new RequestMemory(context.bufferedAnswers());
         streamedBodies = new RequestMemory(context.streamedBodies());
+        body = new RequestBody(bufferedRequest);
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -172,6 +185,11 @@
         return new BodyPipe(streamedBodies, lengthBytes);
     }
 
+    /** What the buffered answers of this request's attempts occupy of the memory budget. */
+    RequestMemory bufferedAnswers() {
+        return bufferedAnswers;
+    }
+
     /** The time that its deadline does not grant the request because it waited to be read. */
     public long readDelayTicks() {
         return readDelayTicks;
@@ -360,7 +378,8 @@
 
     /** The deadline of a request whose last byte has just been read. */
     private long deadline() {
-        readDelayTicks = arrivalBound.delayTicks();
+        // The last byte may have come as early as the first time that reading was paused.
+        readDelayTicks = arrivalBound.delayTicks() + body.waitedNanos() / TickClock.NANOS_PER_TICK;
         long arrivedTicks = context.clock().now() - readDelayTicks;
         return context.deadline(arrivedTicks, request.ttlTicks());
     }
@@ -422,6 +441,24 @@
         sendResponse(HttpStatus.SC_BAD_GATEWAY, NO_BYTES, NO_RETRY_AFTER, false);
     }
 
+    /**
+     * Rejects the request if its body has waited too long for memory. Guards against clients that
+     * get no answer while others fill the memory with requests that they do not finish. Called on
+     * any thread.
+     */
+    void rejectIfMemoryIsMissing() {
+        long waitNanos = body.presentWaitNanos();
+        if (waitNanos > 0 && waitNanos / TickClock.NANOS_PER_TICK >= memoryWaitLimitTicks()) {
+            sendResponse(HttpStatus.SC_SERVICE_UNAVAILABLE, NO_BYTES, NO_RETRY_AFTER, true);
+            body.releaseBuffer();
+            context.metrics().requestRejectedForMemory();
+        }
+    }
+
+    private long memoryWaitLimitTicks() {
+        return Math.min(MAX_MEMORY_WAIT_TICKS, request.ttlTicks() / 2);
+    }
+
     private void sendResponse(int status, byte[] content, long retryAfterTicks, boolean close) {
         if (response.isStreaming()) {
             // Guards against a truncated response that looks complete: the connection is closed
@@ -513,6 +550,8 @@
         body.releaseBuffer();
         body.discardStream();
         response.discardStream();
+        bufferedRequest.close();
+        bufferedAnswers.close();
         streamedBodies.close();
         onReleased.accept(this);
     }
--- a/src/main/java/cairnbridge/proxy/MemoryBudget.java
+++ b/src/main/java/cairnbridge/proxy/MemoryBudget.java
@@ -1,5 +1,7 @@
 package cairnbridge.proxy;
 
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -7,12 +9,18 @@
  * Thread-safe.
  */
 public final class MemoryBudget {
+    /** What a body that is received as a whole reserves at a time. */
+    static final int GRANT_BYTES = 16 * 1024;
+
     /** The share of the limit from which on bodies make do with little memory. */
     private static final double SCARCE_SHARE = 0.75;
 
     private final long limitBytes;
     private final AtomicLong reservedBytes = new AtomicLong();
 
+    /** Run, in order of arrival, when memory has been returned. */
+    private final Queue<Runnable> waiters = new ConcurrentLinkedQueue<>();
+
     /**
      * Creates a budget of which nothing is reserved.
      *
@@ -40,6 +48,30 @@
     /** Returns reserved bytes. */
     void release(int bytes) {
         reservedBytes.addAndGet(-bytes);
+        notifyWaiters();
+    }
+
+    /**
+     * Runs the waiter once there may be room for {@link #GRANT_BYTES}, perhaps at once. It runs on
+     * the thread that returns memory, and has to wait again if it cannot reserve any.
+     */
+    void awaitRoom(Runnable waiter) {
+        waiters.add(waiter);
+        notifyWaiters();
+    }
+
+    /** Ends the wait of a waiter that needs no memory any more. */
+    void cancelWait(Runnable waiter) {
+        waiters.remove(waiter);
+    }
+
+    private void notifyWaiters() {
+        while (!waiters.isEmpty() && reservedBytes() + GRANT_BYTES <= limitBytes) {
+            Runnable waiter = waiters.poll();
+            if (waiter != null) {
+                waiter.run();
+            }
+        }
     }
 
     /** Whether so much is reserved that bodies should make do with little memory. */
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.EntityDetails;
@@ -7,14 +8,31 @@
 
 /**
  * The body of one client request: buffered as a whole while it is short, streamed through a pipe
- * once it does not fit into the buffer. Only the reactor's thread writes it. Any thread may read
- * the volatile fields; the coordinator thread reads the bytes after it was notified of the request.
+ * once it does not fit into the buffer. Only the reactor's thread writes it; any thread may return
+ * the memory that it waits for, or query its state. The coordinator thread reads the bytes after it
+ * was notified of the request.
  */
 final class RequestBody {
     private static final byte[] NO_BYTES = {};
 
+    private final RequestMemory memory;
+
+    /** Run when memory has been returned for which this body waits. */
+    private final Runnable memoryWaiter = this::memoryReturned;
+
     /** Null before the head is received, and once the body is complete, streamed or dropped. */
-    private BufferedBody buffer;
+    private volatile BufferedBody buffer;
+
+    /** The client's capacity while it waits for memory; otherwise null. */
+    @GuardedBy("this")
+    private CapacityChannel waitingCapacity;
+
+    @GuardedBy("this")
+    private long waitingSinceNanos;
+
+    /** How long the client has waited for memory, not counting the present wait. */
+    @GuardedBy("this")
+    private long waitedNanos;
 
     /** The length according to the head; negative if it is unknown. */
     private long lengthBytes;
@@ -26,9 +44,18 @@
 
     private volatile long receivedBytes;
 
+    /**
+     * Creates a body of which nothing is received.
+     *
+     * @param memory what the request may occupy of the memory budget
+     */
+    RequestBody(RequestMemory memory) {
+        this.memory = memory;
+    }
+
     /** Prepares for the body that the head has announced. */
     void expect(EntityDetails entity) {
-        buffer = new BufferedBody(entity);
+        buffer = new BufferedBody(memory, entity);
         lengthBytes = entity.getContentLength();
     }
 
@@ -69,11 +96,17 @@
 
     /** Buffers all bytes of the source; false, and nothing buffered, if the body gets too long. */
     boolean tryBuffer(ByteBuffer source) {
-        return buffer.tryAppend(source);
+        BufferedBody buffered = buffer;
+        if (buffered == null) { // Another thread has just rejected the request.
+            source.position(source.limit());
+            return true;
+        }
+        return buffered.tryAppend(source);
     }
 
     /** Completes a buffered body; does nothing if the request has no body. */
     void completeBuffered() {
+        endWait();
         if (buffer != null) {
             bytes = buffer.toByteArray();
             buffer = null;
@@ -83,14 +116,15 @@
     /**
      * Switches to streaming a body that is too long for its buffer.
      *
-     * @param memory what the request may occupy of the memory budget
+     * @param streamMemory what the request may occupy of the budget of streamed bodies
      * @param source the bytes that follow the buffered ones
      */
-    void startStreaming(RequestMemory memory, ByteBuffer source) {
-        BodyPipe created = new BodyPipe(memory, lengthBytes);
-        created.append(ByteBuffer.wrap(buffer.toByteArray()));
+    void startStreaming(RequestMemory streamMemory, ByteBuffer source) {
+        BufferedBody buffered = buffer;
+        BodyPipe created = new BodyPipe(streamMemory, lengthBytes);
+        created.append(ByteBuffer.wrap(buffered.toByteArray()));
         created.append(source);
-        buffer = null;
+        releaseBuffer();
         pipe = created;
     }
 
@@ -99,9 +133,14 @@
         return (lengthBytes < 0 ? MessageFraming.MAX_BODY_BYTES : lengthBytes) - receivedBytes;
     }
 
-    /** Frees the buffer of a body that is no longer needed. */
+    /** Frees the buffer of a body that is no longer needed, and ends its wait for memory. */
     void releaseBuffer() {
-        buffer = null;
+        endWait();
+        BufferedBody buffered = buffer;
+        if (buffered != null) {
+            buffer = null;
+            buffered.release();
+        }
     }
 
     /** Discards the unsent rest of a streamed body. */
@@ -111,19 +150,88 @@
         }
     }
 
-    /** Grants capacity to the client: at once, or, for a streamed body, once its pipe has room. */
+    /**
+     * Grants capacity to the client once there is memory: for a buffered body as soon as the budget
+     * has room, for a streamed one once its pipe has.
+     */
     void requestCapacity(CapacityChannel channel) throws IOException {
         if (pipe != null) {
             pipe.requestCapacity(channel);
+        } else if (buffer == null) {
+            channel.update(MemoryBudget.GRANT_BYTES);
         } else {
-            channel.update(BufferedBody.MAX_BYTES);
+            requestBufferCapacity(channel);
         }
     }
 
-    /** Whether reading the body is paused because its pipe is full. */
+    private void requestBufferCapacity(CapacityChannel channel) throws IOException {
+        BufferedBody buffered = buffer;
+        if (buffered == null || buffered.tryReserve(MemoryBudget.GRANT_BYTES)) {
+            endWait();
+            channel.update(MemoryBudget.GRANT_BYTES);
+        } else {
+            beginWait(channel);
+        }
+    }
+
+    private void beginWait(CapacityChannel channel) {
+        synchronized (this) {
+            boolean waits = waitingCapacity != null;
+            waitingCapacity = channel;
+            if (waits) {
+                return;
+            }
+            waitingSinceNanos = System.nanoTime();
+        }
+        memory.awaitRoom(memoryWaiter);
+    }
+
+    private void endWait() {
+        synchronized (this) {
+            if (waitingCapacity == null) {
+                return;
+            }
+            waitingCapacity = null;
+            waitedNanos += System.nanoTime() - waitingSinceNanos;
+        }
+        memory.cancelWait(memoryWaiter);
+    }
+
+    private void memoryReturned() {
+        CapacityChannel channel;
+        synchronized (this) {
+            channel = waitingCapacity;
+        }
+        if (channel == null) {
+            return;
+        }
+        BufferedBody buffered = buffer;
+        if (buffered != null && !buffered.tryReserve(MemoryBudget.GRANT_BYTES)) {
+            memory.awaitRoom(memoryWaiter);
+            return;
+        }
+        endWait();
+        try {
+            channel.update(MemoryBudget.GRANT_BYTES);
+        } catch (IOException e) {
+            releaseBuffer(); // The client's connection has failed.
+        }
+    }
+
+    /** How long the client has waited for memory in all, in nanoseconds. */
+    synchronized long waitedNanos() {
+        return waitedNanos + presentWaitNanos();
+    }
+
+    /** How long the client has been waiting for memory, in nanoseconds; 0 if it does not wait. */
+    synchronized long presentWaitNanos() {
+        return waitingCapacity == null ? 0 : System.nanoTime() - waitingSinceNanos;
+    }
+
+    /** Whether reading the body is paused, because its pipe is full or it waits for memory. */
     boolean isBackpressured() {
         BodyPipe current = pipe;
-        return current != null && current.isBackpressured();
+        return current != null ? current.isBackpressured() : presentWaitNanos() > 0;
     }
 
     /** Whether a streamed body has made no progress for too long. */
--- a/src/main/java/cairnbridge/proxy/RequestContext.java
+++ b/src/main/java/cairnbridge/proxy/RequestContext.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * The state that all client requests are parsed with: the clock, the metrics, the categories, the
@@ -17,12 +18,20 @@
     /** Guards against a TTL of an hour, which would hold a request in memory for an hour. */
     private static final long MAX_TTL_TICKS = 60 * Ticks.SECOND;
 
+    /** The memory for all buffered bodies of requests together; see docs/CAPACITY.md. */
+    private static final long BUFFERED_REQUESTS_BYTES = 8 << 20;
+
+    /** The memory for all buffered answers together; see docs/CAPACITY.md. */
+    private static final long BUFFERED_ANSWERS_BYTES = 8 << 20;
+
     /** The memory for all streamed bodies together; see docs/CAPACITY.md. */
     private static final long STREAMED_BODIES_BYTES = 6 << 20;
 
     private final TickClock clock;
     private final ProxyMetrics metrics;
     private final Map<String, CategoryId> categories = new HashMap<>();
+    private final MemoryBudget bufferedRequests = new MemoryBudget(BUFFERED_REQUESTS_BYTES);
+    private final MemoryBudget bufferedAnswers = new MemoryBudget(BUFFERED_ANSWERS_BYTES);
     private final MemoryBudget streamedBodies = new MemoryBudget(STREAMED_BODIES_BYTES);
     private volatile long shutdownDeadlineTicks = Long.MAX_VALUE;
     private volatile RequestFilter filter = RequestFilter.NONE;
@@ -35,6 +44,7 @@
     public RequestContext(TickClock clock, List<String> categories, ProxyMetrics metrics) {
         this.clock = clock;
         this.metrics = metrics;
+        metrics.setBodyBytes(this::bodyBytes);
         for (String name : categories) {
             this.categories.putIfAbsent(name, new CategoryId(this.categories.size()));
         }
@@ -50,6 +60,24 @@
         return metrics;
     }
 
+    /** The memory that the buffered bodies of all requests share. */
+    public MemoryBudget bufferedRequests() {
+        return bufferedRequests;
+    }
+
+    /** The memory that the buffered answers of all requests share. */
+    public MemoryBudget bufferedAnswers() {
+        return bufferedAnswers;
+    }
+
+    private Map<String, Long> bodyBytes() {
+        return new TreeMap<>(
+                Map.of(
+                        "memory.buffered_requests", bufferedRequests.reservedBytes(),
+                        "memory.buffered_answers", bufferedAnswers.reservedBytes(),
+                        "memory.streamed_bodies", streamedBodies.reservedBytes()));
+    }
+
     /** The memory that the streamed bodies of all requests share. */
     public MemoryBudget streamedBodies() {
         return streamedBodies;
--- a/src/main/java/cairnbridge/proxy/RequestMemory.java
+++ b/src/main/java/cairnbridge/proxy/RequestMemory.java
@@ -4,7 +4,8 @@
 
 /**
  * The part of a {@link MemoryBudget} that the bodies of one request occupy. It returns all of it
- * when it is closed, so that no path on which a request ends can keep a part. Thread-safe.
+ * when it is closed, so that no path on which a request ends can keep a part. Thread-safe. Guards
+ * against a deadlock: memory is returned outside the lock, because that may grant it to others.
  */
 public final class RequestMemory implements AutoCloseable {
     private final MemoryBudget budget;
@@ -38,11 +39,24 @@
     }
 
     /** Returns reserved bytes to the budget. */
-    synchronized void release(int bytes) {
-        if (!closed) {
+    void release(int bytes) {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
             reservedBytes -= bytes;
-            budget.release(bytes);
         }
+        budget.release(bytes);
+    }
+
+    /** See {@link MemoryBudget#awaitRoom}. */
+    void awaitRoom(Runnable waiter) {
+        budget.awaitRoom(waiter);
+    }
+
+    /** See {@link MemoryBudget#cancelWait}. */
+    void cancelWait(Runnable waiter) {
+        budget.cancelWait(waiter);
     }
 
     /** See {@link MemoryBudget#isScarce}. */
@@ -52,11 +66,15 @@
 
     /** Returns everything to the budget; later calls reserve nothing. */
     @Override
-    public synchronized void close() {
-        if (!closed) {
+    public void close() {
+        int bytes;
+        synchronized (this) {
             closed = true;
-            budget.release(reservedBytes);
+            bytes = reservedBytes;
             reservedBytes = 0;
         }
+        if (bytes > 0) {
+            budget.release(bytes);
+        }
     }
 }
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -256,7 +256,7 @@
                             case "pending" -> 3;
                             default -> 0;
                         };
-        bufferedResponse = new BufferedBody(entity);
+        bufferedResponse = new BufferedBody(exchange.bufferedAnswers(), entity);
         headReceivedAtTicks = clock.now();
         if (entity == null) {
             streamEnd(List.of());
