Buffered answers share one budget; one for which none is left is streamed

Cause: an answer of up to 64 KiB is buffered until it is complete and its client has taken it, and each connection was granted 64 KiB whatever the others had.

Change: an answer reserves 16 KiB at a time in a budget of all requests. Without memory it is streamed: the client gets what has come, and the server waits until the client has taken it. Bodies that nobody needs any more are not kept, and those of failed attempts are returned when the attempt ends.

Result: RetainedBodiesTest.theAnswersOfManyRequestsStayWithinTheirBudgetInSum fails on the code before (1,000 servers may send 60,000,000 bytes) and passes now.

--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -63,6 +63,9 @@
     /** The response body if it is streamed; null while it is buffered. */
     private BodyPipe responsePipe;
 
+    /** The length of the response body; negative if it is unknown. */
+    private long announcedBytes;
+
     private boolean lengthUnknown;
     private boolean abandoned;
     private long headReceivedAtTicks;
@@ -258,10 +261,11 @@
                         };
         bufferedResponse = new BufferedBody(exchange.bufferedAnswers(), entity);
         headReceivedAtTicks = clock.now();
+        announcedBytes = entity == null ? 0 : entity.getContentLength();
         if (entity == null) {
             streamEnd(List.of());
-        } else if (statusCode == OK && entity.getContentLength() > BufferedBody.MAX_BYTES) {
-            startStreaming(entity.getContentLength());
+        } else if (statusCode == OK && announcedBytes > BufferedBody.MAX_BYTES) {
+            startStreaming(announcedBytes);
         }
         lengthUnknown = entity != null && entity.isChunked();
     }
@@ -271,8 +275,8 @@
         receivedBytes += src.remaining();
         if (receivedBytes > MessageFraming.MAX_BODY_BYTES) {
             throw new IOException("response body is too long");
-        } else if (statusCode != OK) {
-            src.position(src.limit()); // The body of an error response is not used.
+        } else if (!isBodyNeeded()) {
+            src.position(src.limit());
             return;
         }
         boolean slow = lengthUnknown && clock.now() - headReceivedAtTicks >= STREAM_AFTER_TICKS;
@@ -284,10 +288,19 @@
         }
     }
 
+    /**
+     * Whether the response body may still be sent to the client: not that of an error response, nor
+     * one that was buffered for a client that has its answer or has disconnected.
+     */
+    private boolean isBodyNeeded() {
+        return statusCode == OK && (responsePipe != null || !exchange.isFinished());
+    }
+
     /** Switches from buffering the response to streaming it, first the bytes buffered so far. */
     private void startStreaming(long length) {
         responsePipe = exchange.createPipe(length);
         responsePipe.append(ByteBuffer.wrap(bufferedResponse.toByteArray()));
+        bufferedResponse.release();
         eventQueue.post(new ProxyEvent.ResponseStreamStarted(this, responsePipe));
     }
 
@@ -298,15 +311,44 @@
                 : -1;
     }
 
+    /**
+     * Grants capacity to the node. Guards against answers that together fill the heap: an answer
+     * for which no memory is left is streamed, so that the node waits until the client has taken
+     * what came before.
+     */
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
+        if (responsePipe == null
+                && isBodyNeeded()
+                && !bufferedResponse.tryReserve(MemoryBudget.GRANT_BYTES)) {
+            startStreaming(announcedBytes);
+        }
         if (responsePipe == null) {
-            super.updateCapacity(capacity);
+            capacity.update(MemoryBudget.GRANT_BYTES);
         } else {
             responsePipe.requestCapacity(capacity);
         }
     }
 
+    /** Guards against answers of failed attempts that are counted until their request is over. */
+    @Override
+    public void releaseResources() {
+        if (bufferedResponse != null) {
+            bufferedResponse.release();
+            bufferedResponse = null;
+        }
+    }
+
+    /** The buffered answer, which belongs to the request from now on; null if it was streamed. */
+    private byte[] takeBufferedResponse() {
+        if (responsePipe != null) {
+            return null;
+        }
+        byte[] bytes = bufferedResponse.toByteArray();
+        bufferedResponse = null;
+        return bytes;
+    }
+
     @Override
     public void streamEnd(List<? extends Header> trailers) {
         completeResponse();
@@ -315,9 +357,7 @@
                 if (responsePipe != null) {
                     responsePipe.finish();
                 }
-                completeOnce(
-                        AttemptOutcome.SUCCESS,
-                        responsePipe == null ? bufferedResponse.toByteArray() : null);
+                completeOnce(AttemptOutcome.SUCCESS, takeBufferedResponse());
             }
             case 404 -> completeOnce(AttemptOutcome.CACHE_MISS, null);
             default ->
--- a/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
+++ b/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cairnbridge.admin.ProxyMetrics;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.Ids.RequestId;
+import java.io.IOException;
 import java.lang.ref.WeakReference;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
@@ -14,23 +16,27 @@
 import java.util.List;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.Test;
 
-/** That the bodies of a request are not kept in memory once it is over. */
+/** What the bodies of requests occupy in sum, and that none is kept once its request is over. */
 class RetainedBodiesTest {
     private static final int BODY_BYTES = 60_000;
+    private static final int READ_BYTES = 4096;
+    private static final int MANY_REQUESTS = 1000;
     private static final long DEADLINE_TICKS = 60_000 * TickClock.TICKS_PER_MILLI;
 
     private final TickClock clock = new TickClock();
     private final EventQueue eventQueue = new EventQueue(99);
     private final ProxyMetrics metrics = new ProxyMetrics(List.of("view"));
+    private final ListenerState listenerState = new ListenerState(clock, List.of("view"), metrics);
 
     private UpstreamAttempt createAttempt() {
         ClientExchange client =
                 new ClientExchange(
-                        new ListenerState(clock, List.of("view"), metrics),
+                        listenerState,
                         eventQueue,
                         exchange -> {},
                         () -> {},
@@ -108,4 +114,52 @@
         assertIsCollected(held);
         assertFalse(timers.isEmpty());
     }
+
+    /** A server that sends as much of its answer as it is granted, in reads of a buffer each. */
+    private static final class EagerServer implements CapacityChannel {
+        private final UpstreamAttempt attempt;
+        private int grantedBytes = READ_BYTES;
+        private int sentBytes;
+
+        EagerServer(UpstreamAttempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void update(int increment) {
+            grantedBytes += increment;
+        }
+
+        void sendAllGranted() throws IOException {
+            while (sentBytes < Math.min(grantedBytes, BODY_BYTES)) {
+                int count = Math.min(READ_BYTES, BODY_BYTES - sentBytes);
+                attempt.consume(ByteBuffer.allocate(count));
+                sentBytes += count;
+                if (sentBytes >= grantedBytes && sentBytes < BODY_BYTES) {
+                    attempt.updateCapacity(this);
+                }
+            }
+        }
+    }
+
+    /** Guards against the end of the process as hundreds of answers are buffered at a time. */
+    @Test
+    void theAnswersOfManyRequestsStayWithinTheirBudgetInSum() throws Exception {
+        long sentBytes = 0;
+        for (int i = 0; i < MANY_REQUESTS; i++) {
+            UpstreamAttempt attempt = createAttempt();
+            attempt.consumeResponse(
+                    new BasicHttpResponse(200), new BasicEntityDetails(BODY_BYTES, null), null);
+            EagerServer server = new EagerServer(attempt);
+            server.sendAllGranted();
+            sentBytes += server.sentBytes;
+            while (eventQueue.poll() != null) {
+                // The coordinator starts no answer, so that no client takes any bytes.
+            }
+        }
+
+        long mostBytes =
+                16_000_000 + MANY_REQUESTS * (BodyPipe.NARROW_WINDOW_BYTES + 2L * READ_BYTES);
+        assertTrue(sentBytes <= mostBytes, "servers may send " + sentBytes + " bytes");
+    }
 }
