One account of the heap: budgets follow it, and an answer stays in one budget

What callers saw: nothing at a caller; the limits so far were constants beside a heap that nobody had added up, and one of them leaked. An answer that became a stream returned its memory to the buffered answers and took as much of the streams without being asked, so that the next answer found room again: with budgets for a heap of 32 MB, 1,000 servers might send 53,801,664 bytes (RetainedBodiesTest, whose bound for fixed budgets had let it pass).

Change: HeapAccount has what program, nodes, connections and a list in transfer need; requests and answers get half each of what is left, buffered or streamed. Metrics: lb.memory.requests, lb.memory.answers.

--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -59,14 +59,11 @@
     private final RequestBody body;
     private final ResponseSender response = new ResponseSender();
 
-    /** What the buffered body of this request occupies. */
-    private final RequestMemory bufferedRequest;
+    /** What the body of this request occupies. */
+    private final RequestMemory requestMemory;
 
-    /** What the buffered answers of this request's attempts occupy. */
-    private final RequestMemory bufferedAnswers;
-
-    /** What the streamed bodies of this request and its response occupy. */
-    private final RequestMemory streamedBodies;
+    /** What the answers of this request's attempts occupy, buffered or streamed. */
+    private final RequestMemory answerMemory;
 
     /**
      * Null until the head has been parsed; set by the reactor's thread before the coordinator is
@@ -125,10 +122,9 @@
         this.abortConnection = abortConnection;
         this.arrivalBound = arrivalBound;
         this.hasClientClosed = hasClientClosed;
-        bufferedRequest = new RequestMemory(context.bufferedRequests());
-        bufferedAnswers = new RequestMemory(context.bufferedAnswers());
-        streamedBodies = new RequestMemory(context.streamedBodies());
-        body = new RequestBody(bufferedRequest);
+        requestMemory = new RequestMemory(context.requestBodies());
+        answerMemory = new RequestMemory(context.answerBodies());
+        body = new RequestBody(requestMemory);
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -182,12 +178,12 @@
 
     /** Creates a pipe for a response; a negative length means that it is unknown. */
     public BodyPipe createPipe(long lengthBytes) {
-        return new BodyPipe(streamedBodies, lengthBytes);
+        return new BodyPipe(answerMemory, lengthBytes);
     }
 
-    /** What the buffered answers of this request's attempts occupy of the memory budget. */
-    RequestMemory bufferedAnswers() {
-        return bufferedAnswers;
+    /** What the answers of this request's attempts occupy of the memory budget. */
+    RequestMemory answerMemory() {
+        return answerMemory;
     }
 
     /** The time that its deadline does not grant the request because it waited to be read. */
@@ -369,7 +365,7 @@
      * last byte of the body; until then the deadline includes the time to receive the rest.
      */
     private void startStreaming(ByteBuffer source) {
-        body.startStreaming(streamedBodies, source);
+        body.startStreaming(source);
         requestPipe = body.pipe();
         reportArrival(
                 context.streamingDeadline(
@@ -550,9 +546,8 @@
         body.releaseBuffer();
         body.discardStream();
         response.discardStream();
-        bufferedRequest.close();
-        bufferedAnswers.close();
-        streamedBodies.close();
+        requestMemory.close();
+        answerMemory.close();
         onReleased.accept(this);
     }
 }
--- a/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
+++ b/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
@@ -103,6 +103,7 @@
     private final Map<NodeId, ListedNode> listedCaches = new ConcurrentHashMap<>();
 
     private final ProxyMetrics metrics;
+    private volatile int listedNodes;
 
     /**
      * Creates a watch, which {@link #start} opens.
@@ -473,6 +474,7 @@
                         !entry.kind().equals(config.settings().origin().machineKind()));
             }
         }
+        listedNodes = isCacheByNode.size();
         metrics.setListedNodes(
                 (int) isCacheByNode.values().stream().filter(isCache -> isCache).count());
     }
@@ -482,6 +484,11 @@
         return !isCacheByNode.isEmpty();
     }
 
+    /** The number of nodes on the list, whatever their state; any thread may call it. */
+    int listedNodeCount() {
+        return listedNodes;
+    }
+
     /** Whether the list names a node, whatever its state. */
     boolean isListed(NodeId node) {
         return isCacheByNode.containsKey(node);
--- a/src/main/java/cairnbridge/proxy/ListenerState.java
+++ b/src/main/java/cairnbridge/proxy/ListenerState.java
@@ -39,10 +39,19 @@
 
     private final RequestContext requestContext;
 
-    /** Creates the state of a proxy that is starting, together with its request context. */
+    /** Creates the state of a proxy whose bodies may use the heap of this process. */
     ListenerState(TickClock clock, List<String> categories, ProxyMetrics metrics) {
+        this(clock, categories, metrics, HeapAccount.ofProcess());
+    }
+
+    /** Creates the state of a proxy that is starting, together with its request context. */
+    ListenerState(
+            TickClock clock,
+            List<String> categories,
+            ProxyMetrics metrics,
+            HeapAccount heapAccount) {
         this.clock = clock;
-        requestContext = new RequestContext(clock, categories, metrics);
+        requestContext = new RequestContext(clock, categories, metrics, heapAccount);
         requestContext.setFilter(new WarmupFilter());
     }
 
--- a/src/main/java/cairnbridge/proxy/MemoryBudget.java
+++ b/src/main/java/cairnbridge/proxy/MemoryBudget.java
@@ -3,6 +3,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 
 /**
  * The bytes that one kind of body may occupy in memory, summed over all requests of the proxy.
@@ -15,7 +16,7 @@
     /** The share of the limit from which on bodies make do with little memory. */
     private static final double SCARCE_SHARE = 0.75;
 
-    private final long limitBytes;
+    private final LongSupplier limitBytes;
     private final AtomicLong reservedBytes = new AtomicLong();
 
     /** Run, in order of arrival, when memory has been returned. */
@@ -24,16 +25,21 @@
     /**
      * Creates a budget of which nothing is reserved.
      *
-     * @param limitBytes the most bytes that {@link #tryReserve} reserves in sum
+     * @param limitBytes the most bytes that {@link #tryReserve} reserves in sum, which may change
      */
-    public MemoryBudget(long limitBytes) {
+    public MemoryBudget(LongSupplier limitBytes) {
         this.limitBytes = limitBytes;
     }
 
+    /** Creates a budget with a limit that does not change. */
+    public MemoryBudget(long limitBytes) {
+        this(() -> limitBytes);
+    }
+
     /** Reserves this many bytes; false, and nothing reserved, if too few are left. */
     boolean tryReserve(int bytes) {
         long reserved = reservedBytes.addAndGet(bytes);
-        if (reserved > limitBytes) {
+        if (reserved > limitBytes.getAsLong()) {
             reservedBytes.addAndGet(-bytes);
             return false;
         }
@@ -66,7 +72,7 @@
     }
 
     private void notifyWaiters() {
-        while (!waiters.isEmpty() && reservedBytes() + GRANT_BYTES <= limitBytes) {
+        while (!waiters.isEmpty() && reservedBytes() + GRANT_BYTES <= limitBytes.getAsLong()) {
             Runnable waiter = waiters.poll();
             if (waiter != null) {
                 waiter.run();
@@ -76,7 +82,7 @@
 
     /** Whether so much is reserved that bodies should make do with little memory. */
     boolean isScarce() {
-        return reservedBytes() > SCARCE_SHARE * limitBytes;
+        return reservedBytes() > SCARCE_SHARE * limitBytes.getAsLong();
     }
 
     /** The number of bytes that are reserved at present. */
--- a/src/main/java/cairnbridge/proxy/ProxyComponents.java
+++ b/src/main/java/cairnbridge/proxy/ProxyComponents.java
@@ -54,8 +54,9 @@
         EventQueue eventQueue = new EventQueue(EVENTS_PER_SOCKET * config.network().maxSockets());
         ProxyMetrics metrics = new ProxyMetrics(config.names().categories());
         SiblingProcesses siblings = new SiblingProcesses(config.stateFolder());
+        HeapAccount heapAccount = HeapAccount.ofProcess();
         ListenerState listenerState =
-                new ListenerState(clock, config.names().categories(), metrics);
+                new ListenerState(clock, config.names().categories(), metrics, heapAccount);
         ConnectionReactor reactor =
                 new ConnectionReactor(config, eventQueue, listenerState, criticalThreads);
         ScheduledExecutorService scheduler = createScheduler();
@@ -67,6 +68,8 @@
                         eventQueue,
                         scheduler,
                         metrics);
+        heapAccount.setNodeCount(discoveryWatch::listedNodeCount);
+        heapAccount.setConnectionCount(reactor::openDescriptors);
         // Guards against rejecting, and so losing, a maintenance change while a starting process
         // has no endpoint list: until it has one, every node counts as listed.
         MaintenanceMarkers maintenanceMarkers =
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -116,12 +116,11 @@
     /**
      * Switches to streaming a body that is too long for its buffer.
      *
-     * @param streamMemory what the request may occupy of the budget of streamed bodies
      * @param source the bytes that follow the buffered ones
      */
-    void startStreaming(RequestMemory streamMemory, ByteBuffer source) {
+    void startStreaming(ByteBuffer source) {
         BufferedBody buffered = buffer;
-        BodyPipe created = new BodyPipe(streamMemory, lengthBytes);
+        BodyPipe created = new BodyPipe(memory, lengthBytes);
         created.append(ByteBuffer.wrap(buffered.toByteArray()));
         created.append(source);
         releaseBuffer();
--- a/src/main/java/cairnbridge/proxy/RequestContext.java
+++ b/src/main/java/cairnbridge/proxy/RequestContext.java
@@ -18,21 +18,17 @@
     /** Guards against a TTL of an hour, which would hold a request in memory for an hour. */
     private static final long MAX_TTL_TICKS = 60 * Ticks.SECOND;
 
-    /** The memory for all buffered bodies of requests together; see docs/CAPACITY.md. */
-    private static final long BUFFERED_REQUESTS_BYTES = 8 << 20;
+    /** The share of the bytes for bodies that the bodies of requests may occupy. */
+    private static final double REQUEST_BODIES_SHARE = 0.5;
 
-    /** The memory for all buffered answers together; see docs/CAPACITY.md. */
-    private static final long BUFFERED_ANSWERS_BYTES = 8 << 20;
-
-    /** The memory for all streamed bodies together; see docs/CAPACITY.md. */
-    private static final long STREAMED_BODIES_BYTES = 6 << 20;
+    /** The share of the bytes for bodies that the bodies of answers may occupy. */
+    private static final double ANSWER_BODIES_SHARE = 0.5;
 
     private final TickClock clock;
     private final ProxyMetrics metrics;
     private final Map<String, CategoryId> categories = new HashMap<>();
-    private final MemoryBudget bufferedRequests = new MemoryBudget(BUFFERED_REQUESTS_BYTES);
-    private final MemoryBudget bufferedAnswers = new MemoryBudget(BUFFERED_ANSWERS_BYTES);
-    private final MemoryBudget streamedBodies = new MemoryBudget(STREAMED_BODIES_BYTES);
+    private final MemoryBudget requestBodies;
+    private final MemoryBudget answerBodies;
     private volatile long shutdownDeadlineTicks = Long.MAX_VALUE;
     private volatile RequestFilter filter = RequestFilter.NONE;
 
@@ -40,16 +36,27 @@
      * Creates a context without a filter.
      *
      * @param categories the category names that a path may begin with, ordered by category id
+     * @param heapAccount tells how much memory there is for bodies
      */
-    public RequestContext(TickClock clock, List<String> categories, ProxyMetrics metrics) {
+    public RequestContext(
+            TickClock clock,
+            List<String> categories,
+            ProxyMetrics metrics,
+            HeapAccount heapAccount) {
         this.clock = clock;
         this.metrics = metrics;
+        requestBodies = createBudget(heapAccount, REQUEST_BODIES_SHARE);
+        answerBodies = createBudget(heapAccount, ANSWER_BODIES_SHARE);
         metrics.setBodyBytes(this::bodyBytes);
         for (String name : categories) {
             this.categories.putIfAbsent(name, new CategoryId(this.categories.size()));
         }
     }
 
+    private static MemoryBudget createBudget(HeapAccount heapAccount, double share) {
+        return new MemoryBudget(() -> (long) (share * heapAccount.bodyBytes()));
+    }
+
     /** The clock that all deadlines refer to. */
     public TickClock clock() {
         return clock;
@@ -60,27 +67,21 @@
         return metrics;
     }
 
-    /** The memory that the buffered bodies of all requests share. */
-    public MemoryBudget bufferedRequests() {
-        return bufferedRequests;
+    /** The memory that the bodies of all requests share, buffered and streamed ones. */
+    public MemoryBudget requestBodies() {
+        return requestBodies;
     }
 
-    /** The memory that the buffered answers of all requests share. */
-    public MemoryBudget bufferedAnswers() {
-        return bufferedAnswers;
+    /** The memory that the answers to all requests share, buffered and streamed ones. */
+    public MemoryBudget answerBodies() {
+        return answerBodies;
     }
 
     private Map<String, Long> bodyBytes() {
         return new TreeMap<>(
                 Map.of(
-                        "memory.buffered_requests", bufferedRequests.reservedBytes(),
-                        "memory.buffered_answers", bufferedAnswers.reservedBytes(),
-                        "memory.streamed_bodies", streamedBodies.reservedBytes()));
-    }
-
-    /** The memory that the streamed bodies of all requests share. */
-    public MemoryBudget streamedBodies() {
-        return streamedBodies;
+                        "memory.answers", answerBodies.reservedBytes(),
+                        "memory.requests", requestBodies.reservedBytes()));
     }
 
     /** Sets the filter that every later request passes through, in place of the present one. */
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -259,7 +259,7 @@
                             case "pending" -> 3;
                             default -> 0;
                         };
-        bufferedResponse = new BufferedBody(exchange.bufferedAnswers(), entity);
+        bufferedResponse = new BufferedBody(exchange.answerMemory(), entity);
         headReceivedAtTicks = clock.now();
         announcedBytes = entity == null ? 0 : entity.getContentLength();
         if (entity == null) {
--- a/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
+++ b/src/test/java/cairnbridge/proxy/RetainedBodiesTest.java
@@ -25,13 +25,15 @@
 class RetainedBodiesTest {
     private static final int BODY_BYTES = 60_000;
     private static final int READ_BYTES = 4096;
+    private static final long HEAP_BYTES = 32 << 20;
     private static final int MANY_REQUESTS = 1000;
     private static final long DEADLINE_TICKS = 60_000 * TickClock.TICKS_PER_MILLI;
 
     private final TickClock clock = new TickClock();
     private final EventQueue eventQueue = new EventQueue(99);
     private final ProxyMetrics metrics = new ProxyMetrics(List.of("view"));
-    private final ListenerState listenerState = new ListenerState(clock, List.of("view"), metrics);
+    private final ListenerState listenerState =
+            new ListenerState(clock, List.of("view"), metrics, new HeapAccount(HEAP_BYTES));
 
     private UpstreamAttempt createAttempt() {
         ClientExchange client =
@@ -158,8 +160,9 @@
             }
         }
 
+        long budgetBytes = new HeapAccount(HEAP_BYTES).bodyBytes() / 2;
         long mostBytes =
-                16_000_000 + MANY_REQUESTS * (BodyPipe.NARROW_WINDOW_BYTES + 2L * READ_BYTES);
+                budgetBytes + MANY_REQUESTS * (BodyPipe.NARROW_WINDOW_BYTES + 2L * READ_BYTES);
         assertTrue(sentBytes <= mostBytes, "servers may send " + sentBytes + " bytes");
     }
 }
