A body's wait for memory comes off its TTL only where its last byte may have waited

What callers saw: nothing; found while the change was read once more.

Cause: a body that had waited for memory and then became a stream lost the time of that wait as well, although its last byte came long after it. And a request that the scheduler's thread rejects, because its wait was too long, may be read on by the reactor's thread at the same moment: its buffer was looked at twice.

Change: only a body that is buffered to its end loses its wait; the buffer is read once. ArrivalTest.aBodyLosesTheTimeForWhichItWaitsForMemory guards the deadline; the two threads are not forced to cross in a test.

--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -333,7 +333,7 @@
                 countAccepted();
             }
             body.pipe().finish();
-            long deadlineTicks = deadline();
+            long deadlineTicks = deadline(0);
             traceRead(deadlineTicks);
             events.requestBodyCompleted(this, deadlineTicks);
         } else if (body.isBuffering() && !response.isStarted()) {
@@ -352,7 +352,7 @@
         requestComplete = true;
         // Guards against a request whose TTL has expired on arrival: a client may take a second to
         // send its body, so the TTL runs from the last byte.
-        long deadlineTicks = deadline();
+        long deadlineTicks = deadline(body.waitedNanos() / TickClock.NANOS_PER_TICK);
         traceRead(deadlineTicks);
         if (!context.filter().intercept(this, deadlineTicks)) {
             reportArrival(deadlineTicks);
@@ -366,16 +366,23 @@
      */
     private void startStreaming(ByteBuffer source) {
         body.startStreaming(source);
+        if (!body.isStreamed()) {
+            return;
+        }
         requestPipe = body.pipe();
         reportArrival(
                 context.streamingDeadline(
                         context.clock().now(), request.ttlTicks(), body.remainingBytes()));
     }
 
-    /** The deadline of a request whose last byte has just been read. */
-    private long deadline() {
-        // The last byte may have come as early as the first time that reading was paused.
-        readDelayTicks = arrivalBound.delayTicks() + body.waitedNanos() / TickClock.NANOS_PER_TICK;
+    /**
+     * The deadline of a request whose last byte has just been read.
+     *
+     * @param pausedTicks how long reading was paused for want of memory: the last byte may have
+     *     come as early as its beginning
+     */
+    private long deadline(long pausedTicks) {
+        readDelayTicks = arrivalBound.delayTicks() + pausedTicks;
         long arrivedTicks = context.clock().now() - readDelayTicks;
         return context.deadline(arrivedTicks, request.ttlTicks());
     }
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -107,19 +107,24 @@
     /** Completes a buffered body; does nothing if the request has no body. */
     void completeBuffered() {
         endWait();
-        if (buffer != null) {
-            bytes = buffer.toByteArray();
+        BufferedBody buffered = buffer;
+        if (buffered != null) {
+            bytes = buffered.toByteArray();
             buffer = null;
         }
     }
 
     /**
-     * Switches to streaming a body that is too long for its buffer.
+     * Switches to streaming a body that is too long for its buffer; does nothing if another thread
+     * has just rejected the request.
      *
      * @param source the bytes that follow the buffered ones
      */
     void startStreaming(ByteBuffer source) {
         BufferedBody buffered = buffer;
+        if (buffered == null) {
+            return;
+        }
         BodyPipe created = new BodyPipe(memory, lengthBytes);
         created.append(ByteBuffer.wrap(buffered.toByteArray()));
         created.append(source);
--- a/src/test/java/cairnbridge/proxy/ArrivalTest.java
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -33,6 +33,9 @@
     private static final String HEADERS = "X-Expires-In: 1000m\r\nX-Trace-Id: ";
     private static final int WAIT_SECONDS = 9;
 
+    private static final long HEAP_BYTES = 32 << 20;
+    private static final long MEMORY_WAIT_MILLIS = 400;
+
     /** A request whose TTL the reactor has fixed. */
     private record Arrival(String traceId, long deadlineTicks, boolean permitted) {}
 
@@ -41,6 +44,7 @@
     private final CountDownLatch held = new CountDownLatch(1);
     private final CountDownLatch release = new CountDownLatch(1);
     private ConnectionReactor reactor;
+    private RequestMemory othersMemory;
 
     @BeforeEach
     void startReactor() throws Exception {
@@ -53,7 +57,12 @@
                 };
         ProxyConfig config = config(endpointListJson(1, true), "127.0.0.1:9");
         ListenerState listenerState =
-                new ListenerState(clock, List.of("view"), new ProxyMetrics(List.of("view")));
+                new ListenerState(
+                        clock,
+                        List.of("view"),
+                        new ProxyMetrics(List.of("view")),
+                        new HeapAccount(HEAP_BYTES));
+        othersMemory = new RequestMemory(listenerState.requestContext().requestBodies());
         reactor =
                 new ConnectionReactor(
                         config,
@@ -209,6 +218,25 @@
         assertDeadlineWithinSlack("late", sentTicks);
     }
 
+    /** Guards against a deadline that is too long after a body has waited for memory. */
+    @Test
+    void aBodyLosesTheTimeForWhichItWaitsForMemory() throws Exception {
+        othersMemory.reserve((int) HEAP_BYTES);
+        long sentTicks = nowTicks.get();
+        Socket client = connect();
+        send(client, "PUT /view/2", HEADERS + "late\r\nContent-Length: 30000\r\n", "");
+        client.getOutputStream().write(new byte[30_000]);
+        Thread.sleep(MEMORY_WAIT_MILLIS);
+        othersMemory.close();
+
+        long deadlineTicks = deadlineOf("late");
+
+        long waitedTicks = Ticks.fromMillis(MEMORY_WAIT_MILLIS);
+        assertTrue(
+                deadlineTicks <= sentTicks + TTL_TICKS - waitedTicks + SLACK_TICKS,
+                "deadline after ticks: " + (deadlineTicks - sentTicks));
+    }
+
     /** Guards against an attempt that begins long after its client has closed its connection. */
     @Test
     void aCloseThatTheReactorHasNotReadRevokesThePermitOfTheRequest() throws Exception {
