Metrics of memory come with the additional ones, so that the recorded format stays

The recorded text stays as it is; the counter is lb.memory.refused_total now and, like the gauges of memory, comes from the request context.

--- a/src/main/java/cairnbridge/admin/ProxyMetrics.java
+++ b/src/main/java/cairnbridge/admin/ProxyMetrics.java
@@ -48,7 +48,6 @@
     private final LongAdder requestsAccepted = new LongAdder();
     private final LongAdder requestsEnded = new LongAdder();
     private final LongAdder attempts = new LongAdder();
-    private final LongAdder rejectedForMemory = new LongAdder();
     private final LongAdder[] rejections =
             Stream.generate(LongAdder::new)
                     .limit(AttemptRejection.values().length)
@@ -56,8 +55,8 @@
     private volatile int listedNodes;
     private volatile int avoidedNodes;
 
-    /** The bytes that are reserved for bodies, by metric name. */
-    private volatile Supplier<Map<String, Long>> bodyBytes = Map::of;
+    /** The metrics of the memory that bodies share, by name. */
+    private volatile Supplier<Map<String, Long>> memoryMetrics = Map::of;
 
     /** The metrics of optional features that are enabled, by name. */
     private volatile Supplier<Map<String, Long>> additionalMetrics = Map::of;
@@ -93,14 +92,9 @@
         requestsEnded.increment();
     }
 
-    /** Counts a request that was rejected because there was no memory for its body. */
-    public void requestRejectedForMemory() {
-        rejectedForMemory.increment();
-    }
-
-    /** Sets the sources of the bytes that are reserved for bodies, by metric name. */
-    public void setBodyBytes(Supplier<Map<String, Long>> bytes) {
-        bodyBytes = bytes;
+    /** Sets the source of the metrics of memory; a name that ends in _total denotes a counter. */
+    public void setMemoryMetrics(Supplier<Map<String, Long>> metrics) {
+        memoryMetrics = metrics;
     }
 
     /** Counts an attempt whose request has been written completely. */
@@ -139,24 +133,21 @@
         append(text, "inflight", requestsAccepted.sum() - ended, GAUGE);
         append(text, "hosts_listed", listedNodes, GAUGE);
         append(text, "hosts_down", avoidedNodes, GAUGE);
-        append(text, "calls_refused.memory", rejectedForMemory.sum(), COUNTER);
-        bodyBytes.get().forEach((name, bytes) -> append(text, name, bytes, GAUGE));
         for (AttemptRejection reason : AttemptRejection.values()) {
             String name = "attempts_refused." + lowerCase(reason);
             append(text, name, rejections[reason.ordinal()].sum(), COUNTER);
         }
-        additionalMetrics
-                .get()
-                .forEach(
-                        (name, value) ->
-                                append(
-                                        text,
-                                        name,
-                                        value,
-                                        name.endsWith("_total") ? COUNTER : GAUGE));
+        appendNamed(text, memoryMetrics.get());
+        appendNamed(text, additionalMetrics.get());
         return text.toString();
     }
 
+    private static void appendNamed(StringBuilder text, Map<String, Long> metrics) {
+        metrics.forEach(
+                (name, value) ->
+                        append(text, name, value, name.endsWith("_total") ? COUNTER : GAUGE));
+    }
+
     private static void appendOutcomes(StringBuilder text, String category, LongAdder[] counters) {
         for (RequestOutcome outcome : RequestOutcome.values()) {
             String name = "calls." + category + "." + lowerCase(outcome);
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -454,7 +454,7 @@
         if (waitNanos > 0 && waitNanos / TickClock.NANOS_PER_TICK >= memoryWaitLimitTicks()) {
             sendResponse(HttpStatus.SC_SERVICE_UNAVAILABLE, NO_BYTES, NO_RETRY_AFTER, true);
             body.releaseBuffer();
-            context.metrics().requestRejectedForMemory();
+            context.requestRejectedForMemory();
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/RequestContext.java
+++ b/src/main/java/cairnbridge/proxy/RequestContext.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The state that all client requests are parsed with: the clock, the metrics, the categories, the
@@ -29,6 +30,7 @@
     private final Map<String, CategoryId> categories = new HashMap<>();
     private final MemoryBudget requestBodies;
     private final MemoryBudget answerBodies;
+    private final LongAdder rejectedForMemory = new LongAdder();
     private volatile long shutdownDeadlineTicks = Long.MAX_VALUE;
     private volatile RequestFilter filter = RequestFilter.NONE;
 
@@ -47,7 +49,7 @@
         this.metrics = metrics;
         requestBodies = createBudget(heapAccount, REQUEST_BODIES_SHARE);
         answerBodies = createBudget(heapAccount, ANSWER_BODIES_SHARE);
-        metrics.setBodyBytes(this::bodyBytes);
+        metrics.setMemoryMetrics(this::memoryMetrics);
         for (String name : categories) {
             this.categories.putIfAbsent(name, new CategoryId(this.categories.size()));
         }
@@ -77,10 +79,16 @@
         return answerBodies;
     }
 
-    private Map<String, Long> bodyBytes() {
+    /** Counts a request that was rejected because there was no memory for its body. */
+    void requestRejectedForMemory() {
+        rejectedForMemory.increment();
+    }
+
+    private Map<String, Long> memoryMetrics() {
         return new TreeMap<>(
                 Map.of(
                         "memory.answers", answerBodies.reservedBytes(),
+                        "memory.refused_total", rejectedForMemory.sum(),
                         "memory.requests", requestBodies.reservedBytes()));
     }
 
