A test that a body for which no memory is freed is answered 503 and not passed on

Guards the half of the mend of half-sent requests that no test reached: the wait ends with an answer that its client reads, although its body lies unread.

--- a/src/test/java/cairnbridge/proxy/ArrivalTest.java
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -237,6 +237,25 @@
                 "deadline after ticks: " + (deadlineTicks - sentTicks));
     }
 
+    /** Guards against a client that waits in vain while others hold all memory for bodies. */
+    @Test
+    void aRequestForWhichNoMemoryIsFreedIsAnswered() throws Exception {
+        othersMemory.reserve((int) HEAP_BYTES);
+        Socket client = connect();
+        send(client, "PUT /view/2", HEADERS + "late\r\nContent-Length: 60000\r\n", "");
+        client.getOutputStream().write(new byte[60_000]);
+        daemon(
+                () -> {
+                    while (true) {
+                        reactor.closeOverdue();
+                        Thread.sleep(20);
+                    }
+                });
+
+        assertEquals(503, statusCode(readMessage(client)));
+        assertTrue(arrivals.isEmpty(), "the request was passed on");
+    }
+
     /** Guards against an attempt that begins long after its client has closed its connection. */
     @Test
     void aCloseThatTheReactorHasNotReadRevokesThePermitOfTheRequest() throws Exception {
