The test of the whole output of stats names the new metrics of memory

They are now, so it is as strict as before, and holds in addition that nothing stays reserved once the requests are over. It waits for that, as memory is returned just after the answer is counted.

--- a/src/test/java/cairnbridge/proxy/OperatorsTest.java
+++ b/src/test/java/cairnbridge/proxy/OperatorsTest.java
@@ -154,7 +154,7 @@
         assertTrue(hasMetric("inflight:1|g"));
         slowResponse.countDown();
         assertEquals(200, statusCode(readMessage(slow)));
-        waitUntil(() -> hasMetric("inflight:0|g"));
+        waitUntil(() -> hasMetric("inflight:0|g") && hasMetric("memory.answers:0|g"));
         String stats = callAdmin("stats");
         assertEquals(
                 """
@@ -172,6 +172,9 @@
                 lb.attempts_refused.op_over:0|c
                 lb.attempts_refused.node_closed:0|c
                 lb.attempts_refused.too_late:0|c
+                lb.memory.answers:0|g
+                lb.memory.refused_total:0|c
+                lb.memory.requests:0|g
                 EOF
                 """,
                 stats);
