--- /dev/null
+++ b/review/7/Case7.java
@@ -0,0 +1,87 @@
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Clients that read long answers slowly: does each get its whole answer? */
+final class Case7 {
+    private static final int ANSWER_BYTES = 1_000_000;
+    private static final int CLIENTS = 8;
+
+    /** A slow client takes a piece of this size ten times a second. */
+    private static final int PIECE_BYTES = 6400;
+
+    private static final int TTL_MILLIS = 600;
+
+    private Case7() {}
+
+    private static final class Cache extends Lib.Node {
+        private final Lib.Record record;
+
+        Cache(String uid, Lib.Record record) throws IOException {
+            super(uid);
+            this.record = record;
+        }
+
+        @Override
+        void answer(Lib.Head head, byte[] body, OutputStream out) throws IOException {
+            String id = head.header("x-trace-id");
+            out.write(response(200, "X-Store: hit\r\n", "x".repeat(ANSWER_BYTES)));
+            record.line("%s: has written its whole answer to %s", uid, id);
+        }
+    }
+
+    public static void main(String[] args) throws IOException {
+        Lib.play(args, Case7::play);
+    }
+
+    private static int play(Lib.Run run) throws Exception {
+        Lib.Discovery discovery = run.add(new Lib.Discovery());
+        Cache origin = run.add(new Cache("s-origin", run.record));
+        List<Cache> caches = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            caches.add(run.add(new Cache("s-cache" + i, run.record)));
+        }
+        discovery.set(Lib.ready(caches, origin));
+        Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
+        AtomicInteger lost = new AtomicInteger();
+        CountDownLatch ended = new CountDownLatch(CLIENTS);
+        for (int i = 0; i < CLIENTS; i++) {
+            String id = String.format("7a%014x", i);
+            Lib.start(
+                    "client",
+                    () -> {
+                        if (!readWhole(run, proxy, id)) {
+                            lost.incrementAndGet();
+                        }
+                        ended.countDown();
+                    });
+        }
+        ended.await();
+        run.record.line("%d of %d requests lost", lost.get(), CLIENTS);
+        return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
+    }
+
+    private static boolean readWhole(Lib.Run run, Lib.Proxy proxy, String id) {
+        int read = 0;
+        try (Lib.Client client = new Lib.Client(proxy.address)) {
+            client.socket.setSoTimeout(10_000);
+            String path = "/sheet-view/" + id;
+            client.send(Lib.Client.head("GET", path, id, TTL_MILLIS, ""));
+            Lib.Head head = Lib.readHead(client.in);
+            run.record.line("client: %s, first bytes, %s", id, head.first);
+            for (int bytes = -1; bytes != 0; read += bytes) {
+                bytes = client.in.readNBytes(Math.min(PIECE_BYTES, ANSWER_BYTES - read)).length;
+                Lib.sleep(Lib.trouble() ? 100 : 0);
+            }
+        } catch (IOException e) {
+            run.record.line("client: %s, %s", id, e);
+        }
+        boolean whole = read == ANSWER_BYTES;
+        run.record.line(
+                "client: %s has %d of %d bytes%s", id, read, ANSWER_BYTES, whole ? "" : " LOST");
+        return whole;
+    }
+}
