--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -5,22 +5,33 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Clients that read long answers slowly: does each get its whole answer? */
+/** Writes with long bodies while the origin is slow: does each get its final answer in time? */
 final class Case7 {
-    private static final int ANSWER_BYTES = 1_000_000;
-    private static final int CLIENTS = 8;
+    private static final int WORK_MILLIS = 30;
+    private static final int SLOWER = 7;
+    private static final int SLOW_FROM_MILLIS = 5_000;
+    private static final int SLOW_TO_MILLIS = 20_000;
+    private static final int END_MILLIS = 25_000;
+    private static final int WRITES_PER_SECOND = 10;
 
-    /** A slow client takes a piece of this size ten times a second. */
-    private static final int PIECE_BYTES = 6400;
+    /** One write in this many has a long body. */
+    private static final int LONG_EVERY = 2;
 
+    private static final int LONG_BYTES = 150_000;
+    private static final int SHORT_BYTES = 200;
     private static final int TTL_MILLIS = 600;
 
+    /** An answer that comes later than this after its TTL is lost; 50 ms are the sockets' slack. */
+    private static final int LATE_MILLIS = 500 + 50;
+
     private Case7() {}
 
-    private static final class Cache extends Lib.Node {
+    /** Does one piece of work after the other, as a machine with one core. */
+    private static final class Origin extends Lib.Node {
         private final Lib.Record record;
+        volatile int slower = 1;
 
-        Cache(String uid, Lib.Record record) throws IOException {
+        Origin(String uid, Lib.Record record) throws IOException {
             super(uid);
             this.record = record;
         }
@@ -28,8 +39,12 @@
         @Override
         void answer(Lib.Head head, byte[] body, OutputStream out) throws IOException {
             String id = head.header("x-trace-id");
-            out.write(response(200, "X-Store: hit\r\n", "x".repeat(ANSWER_BYTES)));
-            record.line("%s: has written its whole answer to %s", uid, id);
+            String told = head.header("x-expires-in");
+            synchronized (this) {
+                Lib.sleep((long) WORK_MILLIS * slower);
+            }
+            record.line("%s: has run %s, which told %s", uid, id, told);
+            out.write(response(200, "", "made for " + id));
         }
     }
 
@@ -39,49 +54,64 @@
 
     private static int play(Lib.Run run) throws Exception {
         Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Cache origin = run.add(new Cache("s-origin", run.record));
-        List<Cache> caches = new ArrayList<>();
+        Origin origin = run.add(new Origin("s-origin", run.record));
+        List<Origin> caches = new ArrayList<>();
         for (int i = 1; i <= 3; i++) {
-            caches.add(run.add(new Cache("s-cache" + i, run.record)));
+            caches.add(run.add(new Origin("s-cache" + i, run.record)));
         }
         discovery.set(Lib.ready(caches, origin));
         Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
         AtomicInteger lost = new AtomicInteger();
-        CountDownLatch ended = new CountDownLatch(CLIENTS);
-        for (int i = 0; i < CLIENTS; i++) {
-            String id = String.format("7a%014x", i);
+        int writes = END_MILLIS * WRITES_PER_SECOND / 1000;
+        CountDownLatch ended = new CountDownLatch(writes);
+        double start = run.record.millis();
+        for (int i = 0; i < writes; i++) {
+            int dueMillis = i * 1000 / WRITES_PER_SECOND;
+            Lib.sleep((long) (start + dueMillis - run.record.millis()));
+            boolean slow = dueMillis >= SLOW_FROM_MILLIS && dueMillis < SLOW_TO_MILLIS;
+            int slower = Lib.trouble() && slow ? SLOWER : 1;
+            if (origin.slower != slower) {
+                origin.slower = slower;
+                run.record.line("%s: work takes %d times as long as usual", origin.uid, slower);
+            }
+            int number = i;
             Lib.start(
                     "client",
                     () -> {
-                        if (!readWhole(run, proxy, id)) {
+                        if (!isAnsweredInTime(run, proxy, number)) {
                             lost.incrementAndGet();
                         }
                         ended.countDown();
                     });
         }
         ended.await();
-        run.record.line("%d of %d requests lost", lost.get(), CLIENTS);
+        run.record.line("%d of %d writes lost", lost.get(), writes);
         return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
     }
 
-    private static boolean readWhole(Lib.Run run, Lib.Proxy proxy, String id) {
-        int read = 0;
+    private static boolean isAnsweredInTime(Lib.Run run, Lib.Proxy proxy, int number) {
+        String id = String.format("7a%014x", number);
+        int bytes = number % LONG_EVERY == 0 ? LONG_BYTES : SHORT_BYTES;
+        double sentAt = run.record.millis();
+        boolean answered = false;
+        String answer;
         try (Lib.Client client = new Lib.Client(proxy.address)) {
-            client.socket.setSoTimeout(10_000);
-            String path = "/sheet-view/" + id;
-            client.send(Lib.Client.head("GET", path, id, TTL_MILLIS, ""));
+            client.socket.setSoTimeout(20_000);
+            String path = String.format("/loan-record/%016x", number);
+            String length = "Content-Length: " + bytes + "\r\n";
+            client.send(Lib.Client.head("PUT", path, id, TTL_MILLIS, length) + "v".repeat(bytes));
+            sentAt = run.record.millis();
             Lib.Head head = Lib.readHead(client.in);
-            run.record.line("client: %s, first bytes, %s", id, head.first);
-            for (int bytes = -1; bytes != 0; read += bytes) {
-                bytes = client.in.readNBytes(Math.min(PIECE_BYTES, ANSWER_BYTES - read)).length;
-                Lib.sleep(Lib.trouble() ? 100 : 0);
-            }
+            answered = head != null;
+            answer = answered ? head.first : "no answer";
         } catch (IOException e) {
-            run.record.line("client: %s, %s", id, e);
+            answer = "no answer, " + e;
         }
-        boolean whole = read == ANSWER_BYTES;
+        double took = run.record.millis() - sentAt;
+        boolean inTime = answered && took <= TTL_MILLIS + LATE_MILLIS;
         run.record.line(
-                "client: %s has %d of %d bytes%s", id, read, ANSWER_BYTES, whole ? "" : " LOST");
-        return whole;
+                "client: %s, body of %d bytes, last byte written at %.1f: %s after %.0f ms%s",
+                id, bytes, sentAt, answer, took, inTime ? "" : " LOST");
+        return inTime;
     }
 }
--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -2,49 +2,24 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** Writes with long bodies while the origin is slow: does each get its final answer in time? */
+/** Clients that send much at once, stop in their heads and stay: does the proxy live on? */
 final class Case8 {
-    private static final int WORK_MILLIS = 30;
-    private static final int SLOWER = 7;
-    private static final int SLOW_FROM_MILLIS = 5_000;
-    private static final int SLOW_TO_MILLIS = 20_000;
-    private static final int END_MILLIS = 25_000;
-    private static final int WRITES_PER_SECOND = 10;
-
-    /** One write in this many has a long body. */
-    private static final int LONG_EVERY = 2;
-
-    private static final int LONG_BYTES = 150_000;
-    private static final int SHORT_BYTES = 200;
-    private static final int TTL_MILLIS = 600;
-
-    /** An answer that comes later than this after its TTL is lost; 50 ms are the sockets' slack. */
-    private static final int LATE_MILLIS = 500 + 50;
+    private static final int BAD_CLIENTS = 400;
+    private static final int LINES = 16;
+    private static final int LINE_BYTES = 4000;
+    private static final int PLAY_MILLIS = 10_000;
 
     private Case8() {}
 
-    /** Does one piece of work after the other, as a machine with one core. */
-    private static final class Origin extends Lib.Node {
-        private final Lib.Record record;
-        volatile int slower = 1;
-
-        Origin(String uid, Lib.Record record) throws IOException {
+    private static final class Cache extends Lib.Node {
+        Cache(String uid) throws IOException {
             super(uid);
-            this.record = record;
         }
 
         @Override
         void answer(Lib.Head head, byte[] body, OutputStream out) throws IOException {
-            String id = head.header("x-trace-id");
-            String told = head.header("x-expires-in");
-            synchronized (this) {
-                Lib.sleep((long) WORK_MILLIS * slower);
-            }
-            record.line("%s: has run %s, which told %s", uid, id, told);
-            out.write(response(200, "", "made for " + id));
+            out.write(response(200, "X-Store: hit\r\n", "made for " + head.header("x-trace-id")));
         }
     }
 
@@ -54,64 +29,59 @@
 
     private static int play(Lib.Run run) throws Exception {
         Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Origin origin = run.add(new Origin("s-origin", run.record));
-        List<Origin> caches = new ArrayList<>();
+        Cache origin = run.add(new Cache("s-origin"));
+        List<Cache> caches = new ArrayList<>();
         for (int i = 1; i <= 3; i++) {
-            caches.add(run.add(new Origin("s-cache" + i, run.record)));
+            caches.add(run.add(new Cache("s-cache" + i)));
         }
         discovery.set(Lib.ready(caches, origin));
         Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
-        AtomicInteger lost = new AtomicInteger();
-        int writes = END_MILLIS * WRITES_PER_SECOND / 1000;
-        CountDownLatch ended = new CountDownLatch(writes);
-        double start = run.record.millis();
-        for (int i = 0; i < writes; i++) {
-            int dueMillis = i * 1000 / WRITES_PER_SECOND;
-            Lib.sleep((long) (start + dueMillis - run.record.millis()));
-            boolean slow = dueMillis >= SLOW_FROM_MILLIS && dueMillis < SLOW_TO_MILLIS;
-            int slower = Lib.trouble() && slow ? SLOWER : 1;
-            if (origin.slower != slower) {
-                origin.slower = slower;
-                run.record.line("%s: work takes %d times as long as usual", origin.uid, slower);
+        if (Lib.trouble()) {
+            sendBadHeads(run, proxy);
+        }
+        int lost = 0;
+        double end = run.record.millis() + PLAY_MILLIS;
+        for (int i = 0; run.record.millis() < end && proxy.process.isAlive(); i++) {
+            String id = String.format("8a%014x", i);
+            try (Lib.Caller client = new Lib.Caller(proxy.address)) {
+                String path = "/sheet-view/7f3a9c21e0b4d655";
+                int status = client.call(Lib.Client.head("GET", path, id, 480, "")).status();
+                run.record.line("client: %s answered %d", id, status);
+            } catch (IOException e) {
+                run.record.line("client: %s not answered, %s", id, e);
+                lost++;
             }
+            Lib.sleep(50);
+        }
+        boolean alive = proxy.process.isAlive();
+        run.record.line(
+                "%d requests not answered; the proxy %s",
+                lost, alive ? "lives" : "ended with status " + proxy.process.exitValue());
+        return alive ? Lib.HELD : Lib.BROKEN;
+    }
+
+    /** Starts clients that each send the begin of a head, and wait for what comes. */
+    private static void sendBadHeads(Lib.Run run, Lib.Proxy proxy) {
+        StringBuilder head = new StringBuilder("GET /sheet-view/7f3a9c21e0b4d655 HTTP/1.1\r\n");
+        for (int i = 0; i < LINES; i++) {
+            String name = "X-Note-" + i + ": ";
+            head.append(name).append("a".repeat(LINE_BYTES - name.length())).append("\r\n");
+        }
+        byte[] bytes = Lib.ascii(head.toString());
+        run.record.line("%d bad clients send %d bytes each", BAD_CLIENTS, bytes.length);
+        for (int i = 0; i < BAD_CLIENTS; i++) {
             int number = i;
             Lib.start(
-                    "client",
+                    "bad client",
                     () -> {
-                        if (!isAnsweredInTime(run, proxy, number)) {
-                            lost.incrementAndGet();
+                        try (Lib.Client client = new Lib.Client(proxy.address)) {
+                            client.socket.setSoTimeout(PLAY_MILLIS);
+                            client.out.write(bytes);
+                            run.record.line("bad client %d: read %d", number, client.in.read());
+                        } catch (IOException e) {
+                            run.record.line("bad client %d: %s", number, e);
                         }
-                        ended.countDown();
                     });
         }
-        ended.await();
-        run.record.line("%d of %d writes lost", lost.get(), writes);
-        return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
-    }
-
-    private static boolean isAnsweredInTime(Lib.Run run, Lib.Proxy proxy, int number) {
-        String id = String.format("8a%014x", number);
-        int bytes = number % LONG_EVERY == 0 ? LONG_BYTES : SHORT_BYTES;
-        double sentAt = run.record.millis();
-        boolean answered = false;
-        String answer;
-        try (Lib.Client client = new Lib.Client(proxy.address)) {
-            client.socket.setSoTimeout(20_000);
-            String path = String.format("/loan-record/%016x", number);
-            String length = "Content-Length: " + bytes + "\r\n";
-            client.send(Lib.Client.head("PUT", path, id, TTL_MILLIS, length) + "v".repeat(bytes));
-            sentAt = run.record.millis();
-            Lib.Head head = Lib.readHead(client.in);
-            answered = head != null;
-            answer = answered ? head.first : "no answer";
-        } catch (IOException e) {
-            answer = "no answer, " + e;
-        }
-        double took = run.record.millis() - sentAt;
-        boolean inTime = answered && took <= TTL_MILLIS + LATE_MILLIS;
-        run.record.line(
-                "client: %s, body of %d bytes, last byte written at %.1f: %s after %.0f ms%s",
-                id, bytes, sentAt, answer, took, inTime ? "" : " LOST");
-        return inTime;
     }
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-find review/lib-2 review/6 review/7 review/8 review/9 review/10 -name '*.java' -exec \
-    javac --release 17 -Xlint:all -d target/review-2 {} +
+javac --release 17 -Xlint:all -d target/review-2 review/lib-2/*.java review/[6-9]/*.java review/10/*.java
