--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,9 +1,5 @@
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Answers of a cache node that never end: does each request get its final answer? */
 final class Case10 {
@@ -65,38 +61,17 @@
     }
 
     private static int play(Lib.Run run) throws Exception {
-        Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Cache origin = run.add(new Cache("s-origin", run.record));
-        List<Cache> caches = new ArrayList<>();
-        for (int i = 1; i <= 3; i++) {
-            caches.add(run.add(new Cache("s-cache" + i, run.record)));
-        }
-        discovery.set(Lib.ready(caches, origin));
-        Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
-        AtomicInteger lost = new AtomicInteger();
-        CountDownLatch ended = new CountDownLatch(REQUESTS);
-        for (int i = 0; i < REQUESTS; i++) {
-            String id = String.format("aa%014x", i);
-            Lib.sleep(50);
-            Lib.start(
-                    "client",
-                    () -> {
-                        if (!isAnsweredInTime(run, proxy, id)) {
-                            lost.incrementAndGet();
-                        }
-                        ended.countDown();
-                    });
-        }
-        ended.await();
-        run.record.line("%d of %d requests lost", lost.get(), REQUESTS);
-        return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
+        Lib.Proxy proxy = Lib.startFleet(run, uid -> new Cache(uid, run.record)).proxy();
+        return Lib.playRequests(
+                run, REQUESTS, i -> Lib.sleep(50), i -> isAnsweredInTime(run, proxy, i));
     }
 
     /**
      * Whether a request has its final answer in time: a whole one, or one that the proxy breaks
      * off, so that its client can tell that it is not whole.
      */
-    private static boolean isAnsweredInTime(Lib.Run run, Lib.Proxy proxy, String id) {
+    private static boolean isAnsweredInTime(Lib.Run run, Lib.Proxy proxy, int number) {
+        String id = String.format("aa%014x", number);
         double sentAt = run.record.millis();
         String answer;
         try (Lib.Client client = new Lib.Client(proxy.address)) {
--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -1,9 +1,5 @@
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Clients that read long answers slowly: does each get its whole answer? */
 final class Case6 {
@@ -38,33 +34,12 @@
     }
 
     private static int play(Lib.Run run) throws Exception {
-        Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Cache origin = run.add(new Cache("s-origin", run.record));
-        List<Cache> caches = new ArrayList<>();
-        for (int i = 1; i <= 3; i++) {
-            caches.add(run.add(new Cache("s-cache" + i, run.record)));
-        }
-        discovery.set(Lib.ready(caches, origin));
-        Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
-        AtomicInteger lost = new AtomicInteger();
-        CountDownLatch ended = new CountDownLatch(CLIENTS);
-        for (int i = 0; i < CLIENTS; i++) {
-            String id = String.format("6a%014x", i);
-            Lib.start(
-                    "client",
-                    () -> {
-                        if (!readWhole(run, proxy, id)) {
-                            lost.incrementAndGet();
-                        }
-                        ended.countDown();
-                    });
-        }
-        ended.await();
-        run.record.line("%d of %d requests lost", lost.get(), CLIENTS);
-        return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
+        Lib.Proxy proxy = Lib.startFleet(run, uid -> new Cache(uid, run.record)).proxy();
+        return Lib.playRequests(run, CLIENTS, i -> {}, i -> readWhole(run, proxy, i));
     }
 
-    private static boolean readWhole(Lib.Run run, Lib.Proxy proxy, String id) {
+    private static boolean readWhole(Lib.Run run, Lib.Proxy proxy, int number) {
+        String id = String.format("6a%014x", number);
         int read = 0;
         try (Lib.Client client = new Lib.Client(proxy.address)) {
             client.socket.setSoTimeout(10_000);
--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -1,9 +1,5 @@
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Writes with long bodies while the origin is slow: does each get its final answer in time? */
 final class Case7 {
@@ -26,7 +22,10 @@
 
     private Case7() {}
 
-    /** Does one piece of work after the other, as a machine with one core. */
+    /**
+     * Does one piece of work after the other, as a machine with one core, and drops an op whose
+     * time is over when its turn comes.
+     */
     private static final class Origin extends Lib.Node {
         private final Lib.Record record;
         volatile int slower = 1;
@@ -40,11 +39,23 @@
         void answer(Lib.Head head, byte[] body, OutputStream out) throws IOException {
             String id = head.header("x-trace-id");
             String told = head.header("x-expires-in");
+            double overAt = record.millis() + millis(told);
+            boolean over;
             synchronized (this) {
-                Lib.sleep((long) WORK_MILLIS * slower);
+                over = record.millis() > overAt;
+                Lib.sleep(over ? 0 : (long) WORK_MILLIS * slower);
             }
-            record.line("%s: has run %s, which told %s", uid, id, told);
-            out.write(response(200, "", "made for " + id));
+            record.line("%s: %s %s, which told %s", uid, over ? "drops" : "has run", id, told);
+            out.write(
+                    over
+                            ? response(504, "X-Never-Ran: 1\r\n", "")
+                            : response(200, "", "made for " + id));
+        }
+
+        /** The time that a request tells, in the protocol's form. */
+        private static double millis(String told) {
+            double number = Double.parseDouble(told.substring(0, told.length() - 1));
+            return told.endsWith("u") ? number / 1000 : number;
         }
     }
 
@@ -53,40 +64,26 @@
     }
 
     private static int play(Lib.Run run) throws Exception {
-        Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Origin origin = run.add(new Origin("s-origin", run.record));
-        List<Origin> caches = new ArrayList<>();
-        for (int i = 1; i <= 3; i++) {
-            caches.add(run.add(new Origin("s-cache" + i, run.record)));
-        }
-        discovery.set(Lib.ready(caches, origin));
-        Lib.Proxy proxy = Lib.startProxy(run, discovery, "");
-        AtomicInteger lost = new AtomicInteger();
-        int writes = END_MILLIS * WRITES_PER_SECOND / 1000;
-        CountDownLatch ended = new CountDownLatch(writes);
+        Lib.Fleet<Origin> fleet = Lib.startFleet(run, uid -> new Origin(uid, run.record));
+        Origin origin = fleet.origin();
+        Lib.Proxy proxy = fleet.proxy();
         double start = run.record.millis();
-        for (int i = 0; i < writes; i++) {
-            int dueMillis = i * 1000 / WRITES_PER_SECOND;
-            Lib.sleep((long) (start + dueMillis - run.record.millis()));
-            boolean slow = dueMillis >= SLOW_FROM_MILLIS && dueMillis < SLOW_TO_MILLIS;
-            int slower = Lib.trouble() && slow ? SLOWER : 1;
-            if (origin.slower != slower) {
-                origin.slower = slower;
-                run.record.line("%s: work takes %d times as long as usual", origin.uid, slower);
-            }
-            int number = i;
-            Lib.start(
-                    "client",
-                    () -> {
-                        if (!isAnsweredInTime(run, proxy, number)) {
-                            lost.incrementAndGet();
-                        }
-                        ended.countDown();
-                    });
+        return Lib.playRequests(
+                run,
+                END_MILLIS * WRITES_PER_SECOND / 1000,
+                i -> awaitTurn(run, origin, start, i * 1000 / WRITES_PER_SECOND),
+                i -> isAnsweredInTime(run, proxy, i));
+    }
+
+    /** Waits until a write is due, and slows the origin or makes it usual again. */
+    private static void awaitTurn(Lib.Run run, Origin origin, double start, int dueMillis) {
+        Lib.sleep((long) (start + dueMillis - run.record.millis()));
+        boolean slow = dueMillis >= SLOW_FROM_MILLIS && dueMillis < SLOW_TO_MILLIS;
+        int slower = Lib.trouble() && slow ? SLOWER : 1;
+        if (origin.slower != slower) {
+            origin.slower = slower;
+            run.record.line("%s: work takes %d times as long as usual", origin.uid, slower);
         }
-        ended.await();
-        run.record.line("%d of %d writes lost", lost.get(), writes);
-        return lost.get() > 0 ? Lib.BROKEN : Lib.HELD;
     }
 
     private static boolean isAnsweredInTime(Lib.Run run, Lib.Proxy proxy, int number) {
--- a/review/lib-2/Lib.java
+++ b/review/lib-2/Lib.java
@@ -20,7 +20,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntConsumer;
+import java.util.function.IntPredicate;
 
 /** What the cases 6 to 10 share: stand-ins, the start of a proxy, and the record. */
 final class Lib {
@@ -298,11 +302,12 @@
             notifyAll();
         }
 
-        static String entry(String uid, String endpoint, String model, String state) {
+        static String entry(String uid, String endpoint, String model, double size) {
             return String.format(
+                    Locale.ROOT,
                     "{\"uid\":\"%s\",\"endpoint\":\"%s\",\"az\":\"bangna\",\"model\":\"%s\","
-                            + "\"pod_group\":1,\"state\":\"%s\",\"capacity_hint\":1.0,\"boot_ms\":0}",
-                    uid, endpoint, model, state);
+                            + "\"pod_group\":1,\"state\":\"Ready\",\"capacity_hint\":%s,\"boot_ms\":0}",
+                    uid, endpoint, model, size);
         }
 
         synchronized String list() {
@@ -485,21 +490,17 @@
     static final class Proxy implements Closeable {
         final Process process;
         final InetSocketAddress address;
-        final Path config;
-        final Path state;
         private final Run run;
         private final String name;
 
         /** Starts a process; {@link #awaitReady} waits until it is ready. */
-        Proxy(Run run, String name, int port, String json, Path state, String arguments)
-                throws IOException {
+        Proxy(Run run, String name, int port, String json) throws IOException {
             this.run = run;
             this.name = name;
-            this.state = state;
             address = new InetSocketAddress("127.0.0.1", port);
-            config = Files.writeString(run.temporary.resolve(name + ".json"), json);
-            Files.createDirectories(state);
-            String command = deployCommand(run.root) + arguments;
+            Path config = Files.writeString(run.temporary.resolve(name + ".json"), json);
+            Path state = Files.createDirectory(run.temporary.resolve(name));
+            String command = deployCommand(run.root);
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
             builder.directory(run.root.toFile());
             builder.environment().put("LB_CONFIG", config.toString());
@@ -556,14 +557,6 @@
             }
         }
 
-        void signal(String signal) throws IOException, InterruptedException {
-            run.record.line("proxy %s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
-                    .inheritIO()
-                    .start()
-                    .waitFor();
-        }
-
         @Override
         public void close() {
             process.destroyForcibly();
@@ -608,12 +601,37 @@
                 + "\"tier\":0,\"tiers\":[\"sheet-cache\"],\"weight-kind\":\"nominal\",\"zone\":0}";
     }
 
-    /**
-     * Starts a proxy with the list that discovery has now, and waits until it is ready.
-     *
-     * @param keys further keys of the configuration, each after a comma
-     */
-    static Proxy startProxy(Run run, Discovery discovery, String keys) throws IOException {
+    /** Creates the caches and the origin of a fleet. */
+    interface NodeFactory<T extends Node> {
+        T create(String uid) throws IOException;
+    }
+
+    /** Discovery, a few nodes and a proxy that is ready. */
+    record Fleet<T extends Node>(Discovery discovery, T origin, List<T> caches, Proxy proxy) {}
+
+    /** Starts a fleet with an origin and three caches, which the list names once each. */
+    static <T extends Node> Fleet<T> startFleet(Run run, NodeFactory<T> factory)
+            throws IOException {
+        Discovery discovery = run.add(new Discovery());
+        T origin = run.add(factory.create("s-origin"));
+        List<T> caches = new ArrayList<>();
+        List<String> entries = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            T cache = run.add(factory.create("s-cache" + i));
+            caches.add(cache);
+            entries.add(Discovery.entry(cache.uid, cache.address(), "std-1", 1.0));
+        }
+        entries.add(originEntry(origin));
+        discovery.set(entries);
+        return new Fleet<>(discovery, origin, caches, startProxy(run, discovery));
+    }
+
+    static String originEntry(Node origin) {
+        return Discovery.entry(origin.uid, origin.address(), "origin", 1.0);
+    }
+
+    /** Starts a proxy with the list that discovery has now, and waits until it is ready. */
+    static Proxy startProxy(Run run, Discovery discovery) throws IOException {
         int port = freePort();
         String config =
                 "{\"name\":\"n1\",\"listen\":\"127.0.0.1:"
@@ -625,20 +643,75 @@
                         + discovery.list()
                         + ",\"settings\":"
                         + settings()
-                        + keys
                         + "}";
-        Proxy proxy = new Proxy(run, "n1", port, config, run.temporary.resolve("n1"), "");
+        Proxy proxy = new Proxy(run, "n1", port, config);
         proxy.awaitReady();
         return proxy;
     }
 
-    /** The list of some caches and an origin, all of them ready. */
-    static List<String> ready(List<? extends Node> caches, Node origin) {
-        List<String> entries = new ArrayList<>();
-        for (Node cache : caches) {
-            entries.add(Discovery.entry(cache.uid, cache.address(), "std-1", "Ready"));
+    /**
+     * Plays requests, each on a thread of its own, and counts those that are lost.
+     *
+     * @param before runs before each request is begun
+     * @param play plays the request with this number; false if it was lost
+     * @return HELD or BROKEN
+     */
+    static int playRequests(Run run, int requests, IntConsumer before, IntPredicate play)
+            throws InterruptedException {
+        AtomicInteger lost = new AtomicInteger();
+        CountDownLatch ended = new CountDownLatch(requests);
+        for (int i = 0; i < requests; i++) {
+            int number = i;
+            before.accept(number);
+            start(
+                    "client",
+                    () -> {
+                        lost.addAndGet(play.test(number) ? 0 : 1);
+                        ended.countDown();
+                    });
+        }
+        ended.await();
+        run.record.line("%d of %d requests lost", lost.get(), requests);
+        return lost.get() > 0 ? BROKEN : HELD;
+    }
+
+    /** A cache that has every key, or an origin, that answers at once. */
+    static final class QuickNode extends Node {
+        QuickNode(String uid) throws IOException {
+            super(uid);
+        }
+
+        @Override
+        void answer(Head head, byte[] body, OutputStream out) throws IOException {
+            out.write(response(200, "X-Store: hit\r\n", "made for " + head.header("x-trace-id")));
+        }
+    }
+
+    /**
+     * Reads a key every 50 ms until the end, or until the proxy's process has ended; before
+     * each request a task runs.
+     *
+     * @return whether the proxy lives
+     */
+    static boolean readUntil(Run run, Proxy proxy, long millis, Runnable before) {
+        int lost = 0;
+        double endMillis = run.record.millis() + millis;
+        for (int i = 0; run.record.millis() < endMillis && proxy.process.isAlive(); i++) {
+            before.run();
+            String id = String.format("ad%014x", i);
+            try (Caller client = new Caller(proxy.address)) {
+                String head = Client.head("GET", "/sheet-view/" + id, id, 480, "");
+                run.record.line("client: %s answered %d", id, client.call(head).status());
+            } catch (IOException e) {
+                run.record.line("client: %s not answered, %s", id, e);
+                lost++;
+            }
+            sleep(50);
         }
-        entries.add(Discovery.entry(origin.uid, origin.address(), "origin", "Ready"));
-        return entries;
+        sleep(500);
+        boolean alive = proxy.process.isAlive();
+        String end = alive ? "lives" : "ended with status " + proxy.process.exitValue();
+        run.record.line("%d requests not answered; the proxy %s", lost, end);
+        return alive;
     }
 }
