Review: the cases' stand-ins and their ends made sound, after a second look

In case 9 nodes shared addresses; each has a port of its own. In case 10 the time ran from the connect; it runs from the last byte sent. A proxy listens at a loopback address of its run's own: with 3,200 ports in use beside it another case had found a foreign server at its port. A virtual machine or a client that fails by itself is status 2, not 1. What is sent and run stands in each record.

--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -15,7 +15,7 @@
     private static final int LATE_MILLIS = 500 + 50;
 
     /** How long a client looks on, which is longer than the rule asks. */
-    private static final int WAIT_MILLIS = 30_000;
+    private static final int WAIT_MILLIS = 10_000;
 
     private Case10() {}
 
@@ -56,7 +56,7 @@
         }
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lib.play(args, Case10::play);
     }
 
@@ -75,9 +75,11 @@
         double sentAt = run.record.millis();
         String answer;
         try (Lib.Client client = new Lib.Client(proxy.address)) {
+            run.record.line("client: sends %s", id);
             client.send(Lib.Client.head("GET", "/sheet-view/" + id, id, TTL_MILLIS, ""));
+            sentAt = run.record.millis();
             Lib.start("patience", () -> giveUp(run, client));
-            Lib.Head head = Lib.readHead(client.in);
+            Lib.Head head = client.readAnswer();
             Lib.readBody(head, client.in);
             answer = head.first + ", whole";
         } catch (IOException e) {
--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -6,8 +6,10 @@
     private static final int ANSWER_BYTES = 1_000_000;
     private static final int CLIENTS = 8;
 
-    /** A slow client takes a piece of this size ten times a second. */
-    private static final int PIECE_BYTES = 6400;
+    /** A slow client takes a piece of this size ten times a second: 70 kB; the pages say 64. */
+    private static final int PIECE_BYTES = 7000;
+
+    private static final int PIECE_MILLIS = 100;
 
     private static final int TTL_MILLIS = 600;
 
@@ -29,7 +31,7 @@
         }
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lib.play(args, Case6::play);
     }
 
@@ -44,12 +46,17 @@
         try (Lib.Client client = new Lib.Client(proxy.address)) {
             client.socket.setSoTimeout(10_000);
             String path = "/sheet-view/" + id;
+            run.record.line("client: sends %s", id);
             client.send(Lib.Client.head("GET", path, id, TTL_MILLIS, ""));
-            Lib.Head head = Lib.readHead(client.in);
+            Lib.Head head = client.readAnswer();
             run.record.line("client: %s, first bytes, %s", id, head.first);
+            double start = run.record.millis();
+            int pieces = 0;
             for (int bytes = -1; bytes != 0; read += bytes) {
                 bytes = client.in.readNBytes(Math.min(PIECE_BYTES, ANSWER_BYTES - read)).length;
-                Lib.sleep(Lib.trouble() ? 100 : 0);
+                pieces++;
+                double due = start + pieces * (double) PIECE_MILLIS;
+                Lib.sleep(Lib.trouble() ? (long) (due - run.record.millis()) : 0);
             }
         } catch (IOException e) {
             run.record.line("client: %s, %s", id, e);
--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -59,7 +59,7 @@
         }
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lib.play(args, Case7::play);
     }
 
@@ -96,6 +96,7 @@
             client.socket.setSoTimeout(20_000);
             String path = String.format("/loan-record/%016x", number);
             String length = "Content-Length: " + bytes + "\r\n";
+            run.record.line("client: sends %s", id);
             client.send(Lib.Client.head("PUT", path, id, TTL_MILLIS, length) + "v".repeat(bytes));
             sentAt = run.record.millis();
             Lib.Head head = Lib.readHead(client.in);
--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -9,12 +9,12 @@
 
     private Case8() {}
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lib.play(args, Case8::play);
     }
 
     private static int play(Lib.Run run) throws Exception {
-        Lib.Proxy proxy = Lib.startFleet(run, Lib.QuickNode::new).proxy();
+        Lib.Proxy proxy = Lib.startFleet(run, uid -> new Lib.QuickNode(uid, run.record)).proxy();
         if (Lib.trouble()) {
             sendBadHeads(run, proxy);
         }
--- a/review/9/Case9.java
+++ b/review/9/Case9.java
@@ -10,29 +10,23 @@
     /** The registered size of each node. */
     private static final double SIZE = 4.0;
 
-    /** So many stand-ins serve for all of the nodes. */
-    private static final int SERVERS = 8;
-
     private static final int JOIN_MILLIS = 3000;
     private static final int PLAY_MILLIS = 10_000;
 
     private Case9() {}
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Lib.play(args, Case9::play);
     }
 
     private static int play(Lib.Run run) throws Exception {
         Lib.Discovery discovery = run.add(new Lib.Discovery());
-        Lib.Node origin = run.add(new Lib.QuickNode("s-origin"));
-        List<Lib.Node> servers = new ArrayList<>();
-        for (int i = 0; i < SERVERS; i++) {
-            servers.add(run.add(new Lib.QuickNode("server " + i)));
-        }
+        Lib.Node origin = run.add(new Lib.QuickNode("s-origin", run.record));
+        Lib.ManyCaches caches = run.add(new Lib.ManyCaches(NODES + 1, run.record));
         List<String> entries = new ArrayList<>();
         entries.add(Lib.originEntry(origin));
         for (int i = 0; i < NODES; i++) {
-            entries.add(entry(servers, i));
+            entries.add(entry(caches, i));
         }
         discovery.set(entries);
         Lib.Proxy proxy = Lib.startProxy(run, discovery);
@@ -41,7 +35,7 @@
                 () -> {
                     boolean due = Lib.trouble() && run.record.millis() >= joinAt;
                     if (due && entries.size() == 1 + NODES) {
-                        entries.add(entry(servers, NODES));
+                        entries.add(entry(caches, NODES));
                         discovery.set(entries);
                         run.record.line("one more node joins");
                     }
@@ -49,8 +43,7 @@
         return Lib.readUntil(run, proxy, PLAY_MILLIS, join) ? Lib.HELD : Lib.BROKEN;
     }
 
-    private static String entry(List<Lib.Node> servers, int number) {
-        String address = servers.get(number % SERVERS).address();
-        return Lib.Discovery.entry("s-cache" + number, address, "std-1", SIZE);
+    private static String entry(Lib.ManyCaches caches, int number) {
+        return Lib.Discovery.entry("s-cache" + number, caches.address(number), "std-1", SIZE);
     }
 }
--- a/review/lib-2/Lib.java
+++ b/review/lib-2/Lib.java
@@ -11,6 +11,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +26,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntConsumer;
@@ -120,8 +126,15 @@
     }
 
     /** Plays a case and ends this process with its status, after 110 seconds at the latest. */
-    static void play(String[] args, Body body) throws IOException {
-        Run run = new Run(Path.of(args[0]));
+    static void play(String[] args, Body body) {
+        Run run;
+        try {
+            run = new Run(Path.of(args[0]));
+        } catch (IOException e) {
+            System.out.println("the case could not run: " + e);
+            System.exit(COULD_NOT_RUN);
+            return;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(run::close));
         start(
                 "watchdog",
@@ -133,7 +146,7 @@
         int status;
         try {
             status = body.play(run);
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             run.record.line("the case could not run: %s", e);
             status = COULD_NOT_RUN;
         }
@@ -265,7 +278,7 @@
             }
         }
 
-        private void serveQuietly(Socket socket) {
+        final void serveQuietly(Socket socket) {
             try (socket) {
                 serve(socket);
             } catch (IOException e) {
@@ -415,6 +428,15 @@
             out = socket.getOutputStream();
         }
 
+        /** Reads the head of an answer; the end of the connection before it is an exception. */
+        Head readAnswer() throws IOException {
+            Head head = readHead(in);
+            if (head == null) {
+                throw new EOFException("the connection ended with no answer");
+            }
+            return head;
+        }
+
         void send(String text) throws IOException {
             out.write(ascii(text));
             out.flush();
@@ -458,10 +480,7 @@
                 client.socket.setSoTimeout(10_000);
             }
             client.send(request);
-            Head head = readHead(client.in);
-            if (head == null) {
-                throw new EOFException("the connection ended with no answer");
-            }
+            Head head = client.readAnswer();
             body = new String(readBody(head, client.in), StandardCharsets.ISO_8859_1);
             if ("close".equalsIgnoreCase(head.header("connection"))) {
                 close();
@@ -480,9 +499,18 @@
 
     // The proxy
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /**
+     * A free port of a loopback address that is this run's own, so that no other run and none of
+     * the stand-ins, which are at 127.0.0.1, takes it before the proxy does.
+     */
+    private static InetSocketAddress freeAddress() throws IOException {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        String host =
+                String.format(
+                        "127.%d.%d.%d",
+                        random.nextInt(1, 255), random.nextInt(1, 255), random.nextInt(1, 255));
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(host, socket.getLocalPort());
         }
     }
 
@@ -494,10 +522,11 @@
         private final String name;
 
         /** Starts a process; {@link #awaitReady} waits until it is ready. */
-        Proxy(Run run, String name, int port, String json) throws IOException {
+        Proxy(Run run, String name, InetSocketAddress address, String json)
+                throws IOException {
             this.run = run;
             this.name = name;
-            address = new InetSocketAddress("127.0.0.1", port);
+            this.address = address;
             Path config = Files.writeString(run.temporary.resolve(name + ".json"), json);
             Path state = Files.createDirectory(run.temporary.resolve(name));
             String command = deployCommand(run.root);
@@ -632,10 +661,12 @@
 
     /** Starts a proxy with the list that discovery has now, and waits until it is ready. */
     static Proxy startProxy(Run run, Discovery discovery) throws IOException {
-        int port = freePort();
+        InetSocketAddress address = freeAddress();
         String config =
-                "{\"name\":\"n1\",\"listen\":\"127.0.0.1:"
-                        + port
+                "{\"name\":\"n1\",\"listen\":\""
+                        + address.getHostString()
+                        + ":"
+                        + address.getPort()
                         + "\",\"discovery\":\""
                         + discovery.address()
                         + "\",\"seed\":\"8c1f30d27a5be964\","
@@ -644,7 +675,7 @@
                         + ",\"settings\":"
                         + settings()
                         + "}";
-        Proxy proxy = new Proxy(run, "n1", port, config);
+        Proxy proxy = new Proxy(run, "n1", address, config);
         proxy.awaitReady();
         return proxy;
     }
@@ -654,11 +685,12 @@
      *
      * @param before runs before each request is begun
      * @param play plays the request with this number; false if it was lost
-     * @return HELD or BROKEN
+     * @return HELD, BROKEN, or COULD_NOT_RUN if a client failed by itself
      */
     static int playRequests(Run run, int requests, IntConsumer before, IntPredicate play)
             throws InterruptedException {
         AtomicInteger lost = new AtomicInteger();
+        AtomicInteger failed = new AtomicInteger();
         CountDownLatch ended = new CountDownLatch(requests);
         for (int i = 0; i < requests; i++) {
             int number = i;
@@ -666,24 +698,83 @@
             start(
                     "client",
                     () -> {
-                        lost.addAndGet(play.test(number) ? 0 : 1);
+                        try {
+                            lost.addAndGet(play.test(number) ? 0 : 1);
+                        } catch (RuntimeException e) {
+                            run.record.line("client %d failed: %s", number, e);
+                            failed.incrementAndGet();
+                        }
                         ended.countDown();
                     });
         }
         ended.await();
         run.record.line("%d of %d requests lost", lost.get(), requests);
-        return lost.get() > 0 ? BROKEN : HELD;
+        return failed.get() > 0 ? COULD_NOT_RUN : lost.get() > 0 ? BROKEN : HELD;
     }
 
     /** A cache that has every key, or an origin, that answers at once. */
     static final class QuickNode extends Node {
-        QuickNode(String uid) throws IOException {
+        private final Record record;
+
+        QuickNode(String uid, Record record) throws IOException {
             super(uid);
+            this.record = record;
         }
 
         @Override
         void answer(Head head, byte[] body, OutputStream out) throws IOException {
-            out.write(response(200, "X-Store: hit\r\n", "made for " + head.header("x-trace-id")));
+            String id = head.header("x-trace-id");
+            record.line("%s: runs %s", uid, id);
+            out.write(response(200, "X-Store: hit\r\n", "made for " + id));
+        }
+    }
+
+    /** Caches that have every key, each at a port of its own; one thread accepts for all. */
+    static final class ManyCaches implements Closeable {
+        private final Selector selector = Selector.open();
+        private final List<ServerSocketChannel> listeners = new ArrayList<>();
+        private final QuickNode server;
+
+        ManyCaches(int count, Record record) throws IOException {
+            server = new QuickNode("s-cache", record);
+            for (int i = 0; i < count; i++) {
+                ServerSocketChannel listener = ServerSocketChannel.open();
+                listeners.add(listener);
+                listener.bind(new InetSocketAddress("127.0.0.1", 0));
+                listener.configureBlocking(false);
+                listener.register(selector, SelectionKey.OP_ACCEPT);
+            }
+            Lib.start("caches", this::acceptAll);
+        }
+
+        String address(int number) {
+            return "127.0.0.1:" + listeners.get(number).socket().getLocalPort();
+        }
+
+        private void acceptAll() {
+            try {
+                while (true) {
+                    selector.select();
+                    for (SelectionKey key : selector.selectedKeys()) {
+                        SocketChannel accepted = ((ServerSocketChannel) key.channel()).accept();
+                        if (accepted != null) {
+                            Lib.start("connection", () -> server.serveQuietly(accepted.socket()));
+                        }
+                    }
+                    selector.selectedKeys().clear();
+                }
+            } catch (IOException | ClosedSelectorException e) {
+                // The case is over.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            selector.close();
+            server.close();
+            for (ServerSocketChannel listener : listeners) {
+                listener.close();
+            }
         }
     }
 
@@ -701,6 +792,7 @@
             String id = String.format("ad%014x", i);
             try (Caller client = new Caller(proxy.address)) {
                 String head = Client.head("GET", "/sheet-view/" + id, id, 480, "");
+                run.record.line("client: sends %s", id);
                 run.record.line("client: %s answered %d", id, client.call(head).status());
             } catch (IOException e) {
                 run.record.line("client: %s not answered, %s", id, e);
