Short responses that are not whole 0.3 s after their deadline are broken off

Cause: RequestDeadlines left every streamed response alone, as a long one has a deadline for its first bytes only. But a chunked response is streamed 0.1 s after its head, however short it is, and so is one for which no memory is left to buffer it.

Change: a streamed response of at most 64 KiB that is not complete 0.3 s after its deadline is broken off. One of unknown length goes on while it arrives at 48 kB/s or more, as it may be a long one. ResponseProgress holds what UpstreamAttempt counted.

--- a/src/main/java/cairnbridge/proxy/ActiveRequest.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequest.java
@@ -71,6 +71,11 @@
         streamingAttempt = attempt;
     }
 
+    /** The attempt whose response is streamed to the client; null if there is none. */
+    UpstreamAttempt streamingAttempt() {
+        return streamingAttempt;
+    }
+
     /** Whether the response of any attempt is streamed to the client. */
     boolean isStreaming() {
         return streamingAttempt != null;
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -4,6 +4,8 @@
 import cairnbridge.decision.Event.AttemptOutcome;
 import cairnbridge.decision.Ids.RequestId;
 import cairnbridge.time.Ticks;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * Handles the deadlines of requests and the timeouts of attempts. Used only by the coordinator
@@ -13,6 +15,17 @@
     /** A request with a streamed body is ended this much before its deadline. */
     private static final long DEADLINE_MARGIN_TICKS = 20 * Ticks.MILLISECOND;
 
+    /**
+     * The time after its deadline in which a response that was begun in time may be completed. The
+     * platform counts a response as lost half a second after its deadline.
+     */
+    private static final long MAX_LATE_RESPONSE_TICKS = 300 * Ticks.MILLISECOND;
+
+    /** The interval between checks whether a late response still arrives fast enough. */
+    private static final long PROGRESS_CHECK_TICKS = 50 * Ticks.MILLISECOND;
+
+    private static final Logger LOG = Logger.getLogger(RequestDeadlines.class.getName());
+
     private final ActiveRequests activeRequests;
     private final TimerQueue timers;
     private final AttemptSender attemptSender;
@@ -53,7 +66,9 @@
      */
     void deadlineReached(RequestId id) {
         ActiveRequest request = activeRequests.find(id);
-        if (request != null && (request.isStreaming() || request.hasStreamedBody())) {
+        if (request != null && request.isStreaming()) {
+            limitStreamedResponse(request);
+        } else if (request != null && request.hasStreamedBody()) {
             endStreamedRequest(request);
         } else if (!invariants.check(
                 request == null || request.isAnswered(),
@@ -63,13 +78,36 @@
     }
 
     /**
-     * Ends a request whose body was streamed and that has no response yet. A response that is being
-     * streamed may take longer than the deadline: {@link BodyPipe} limits how long it may stall.
+     * Breaks off a streamed response that is not complete some time after the deadline, so that the
+     * client learns in time that it will not get a whole one. Guards against a response of a few
+     * bytes that is passed on for ever. A long response has no deadline for its end: {@link
+     * BodyPipe} limits how long it may stall.
      */
-    private void endStreamedRequest(ActiveRequest request) {
-        if (request.isStreaming()) {
+    private void limitStreamedResponse(ActiveRequest request) {
+        UpstreamAttempt attempt = request.streamingAttempt();
+        ResponseProgress progress = attempt.responseProgress();
+        if (!attempt.isOpen() || progress.isLong()) {
             return;
         }
+        long now = clock.now();
+        long latestEndTicks = request.deadlineTicks() + MAX_LATE_RESPONSE_TICKS;
+        if (now < latestEndTicks) {
+            timers.scheduleRequestDeadline(latestEndTicks, request.id());
+        } else if (progress.mayBecomeLong(now)) {
+            timers.scheduleRequestDeadline(now + PROGRESS_CHECK_TICKS, request.id());
+        } else {
+            LOG.log(
+                    Level.INFO,
+                    "response of request {0} broken off after its deadline, {1} bytes received",
+                    new Object[] {
+                        request.exchange().traceId, Long.toString(progress.receivedBytes())
+                    });
+            attemptSender.abandonAttempt(attempt, AttemptOutcome.TIMED_OUT);
+        }
+    }
+
+    /** Ends a request whose body was streamed and that has no response yet. */
+    private void endStreamedRequest(ActiveRequest request) {
         boolean hasOpenAttempt = false;
         for (UpstreamAttempt attempt : request.attempts()) {
             if (attempt.isOpen()) {
--- /dev/null
+++ b/src/main/java/cairnbridge/proxy/ResponseProgress.java
@@ -0,0 +1,71 @@
+package cairnbridge.proxy;
+
+import org.apache.hc.core5.http.EntityDetails;
+
+/**
+ * How much of a response has arrived from its server, and when. The reactor's thread records it;
+ * any thread may query it. All times are ticks.
+ */
+final class ResponseProgress {
+    /** A lower bound for a response body that is received at the lowest rate that is tolerated. */
+    private static final long MIN_BYTES_PER_MILLI = ListenerState.MIN_BODY_BYTES_PER_MILLI;
+
+    private volatile long headReceivedAtTicks;
+
+    /** The length according to the head; negative if it is unknown. */
+    private volatile long announcedBytes;
+
+    private volatile boolean chunked;
+    private volatile long receivedBytes;
+
+    /**
+     * Records that the head has been received.
+     *
+     * @param entity the description of the body; null if there is none
+     */
+    void headReceived(EntityDetails entity, long now) {
+        headReceivedAtTicks = now;
+        announcedBytes = entity == null ? 0 : entity.getContentLength();
+        chunked = entity != null && entity.isChunked();
+    }
+
+    /** Adds to the number of received bytes of the body. */
+    void bytesReceived(int count) {
+        long total = receivedBytes + count;
+        receivedBytes = total;
+    }
+
+    /** When the head was received. */
+    long headReceivedAtTicks() {
+        return headReceivedAtTicks;
+    }
+
+    /** The length according to the head; negative if it is unknown. */
+    long announcedBytes() {
+        return announcedBytes;
+    }
+
+    /** Whether the body is sent in chunks, so that its length is unknown until its end. */
+    boolean isChunked() {
+        return chunked;
+    }
+
+    /** The number of bytes of the body that have been received. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
+    /** Whether the body is known to be too long to be buffered: only its head has a deadline. */
+    boolean isLong() {
+        return announcedBytes > BufferedBody.MAX_BYTES || receivedBytes > BufferedBody.MAX_BYTES;
+    }
+
+    /**
+     * Whether a body of unknown length may still turn out to be a long one: it has arrived at least
+     * as fast as the slowest peer sends.
+     */
+    boolean mayBecomeLong(long now) {
+        long elapsedMillis = (now - headReceivedAtTicks) / TickClock.TICKS_PER_MILLI;
+        return announcedBytes < 0 && receivedBytes >= elapsedMillis * MIN_BYTES_PER_MILLI;
+    }
+}
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -63,13 +63,8 @@
     /** The response body if it is streamed; null while it is buffered. */
     private BodyPipe responsePipe;
 
-    /** The length of the response body; negative if it is unknown. */
-    private long announcedBytes;
-
-    private boolean lengthUnknown;
+    private final ResponseProgress responseProgress = new ResponseProgress();
     private boolean abandoned;
-    private long headReceivedAtTicks;
-    private long receivedBytes;
     private volatile long writtenAtTicks;
 
     /**
@@ -241,7 +236,8 @@
                 exchange.requestPipe == null
                         ? startedAtTicks
                         : writtenAtTicks > 0 ? writtenAtTicks : endedAtTicks;
-        return Math.max(0, (responsePipe == null ? endedAtTicks : headReceivedAtTicks) - from);
+        long until = responsePipe == null ? endedAtTicks : responseProgress.headReceivedAtTicks();
+        return Math.max(0, until - from);
     }
 
     @Override
@@ -260,27 +256,24 @@
                             default -> 0;
                         };
         bufferedResponse = new BufferedBody(exchange.answerMemory(), entity);
-        headReceivedAtTicks = clock.now();
-        announcedBytes = entity == null ? 0 : entity.getContentLength();
+        responseProgress.headReceived(entity, clock.now());
         if (entity == null) {
             streamEnd(List.of());
-        } else if (statusCode == OK && announcedBytes > BufferedBody.MAX_BYTES) {
-            startStreaming(announcedBytes);
+        } else if (statusCode == OK && responseProgress.isLong()) {
+            startStreaming(responseProgress.announcedBytes());
         }
-        lengthUnknown = entity != null && entity.isChunked();
     }
 
     @Override
     public void consume(ByteBuffer src) throws IOException {
-        receivedBytes += src.remaining();
-        if (receivedBytes > MessageFraming.MAX_BODY_BYTES) {
+        responseProgress.bytesReceived(src.remaining());
+        if (responseProgress.receivedBytes() > MessageFraming.MAX_BODY_BYTES) {
             throw new IOException("response body is too long");
         } else if (!isBodyNeeded()) {
             src.position(src.limit());
             return;
         }
-        boolean slow = lengthUnknown && clock.now() - headReceivedAtTicks >= STREAM_AFTER_TICKS;
-        if (responsePipe == null && (slow || !bufferedResponse.tryAppend(src))) {
+        if (responsePipe == null && (isHeldBack() || !bufferedResponse.tryAppend(src))) {
             startStreaming(-1);
         }
         if (responsePipe != null) {
@@ -288,6 +281,17 @@
         }
     }
 
+    /** Whether a response of unknown length has been buffered for so long that it is streamed. */
+    private boolean isHeldBack() {
+        return responseProgress.isChunked()
+                && clock.now() - responseProgress.headReceivedAtTicks() >= STREAM_AFTER_TICKS;
+    }
+
+    /** How much of the response has arrived. */
+    ResponseProgress responseProgress() {
+        return responseProgress;
+    }
+
     /**
      * Whether the response body may still be sent to the client: not that of an error response, nor
      * one that was buffered for a client that has its answer or has disconnected.
@@ -307,7 +311,7 @@
     @Override
     long streamedBytesIfReadable() {
         return responsePipe != null && isOpen() && !responsePipe.isBackpressured()
-                ? receivedBytes
+                ? responseProgress.receivedBytes()
                 : -1;
     }
 
@@ -321,7 +325,7 @@
         if (responsePipe == null
                 && isBodyNeeded()
                 && !bufferedResponse.tryReserve(MemoryBudget.GRANT_BYTES)) {
-            startStreaming(announcedBytes);
+            startStreaming(responseProgress.announcedBytes());
         }
         if (responsePipe == null) {
             capacity.update(MemoryBudget.GRANT_BYTES);
