The TTL of a long body runs while the rest of the body waits to be read

With a server that reads slowly the answer came seconds late as well.

Cause: a long body is read only as fast as a server takes it. The rest stands in the systems' buffers, and the client has sent its last byte. The proxy gave the request a deadline that allows for the slowest client, and counted the TTL from its own read of the last byte. The origin's queue, the permit and the told time went by that deadline.

Change: ReadPauses bounds the time of the last byte by the first pause in reading since the input was found drained. The deadline is that of a client that has sent the last byte as early as it can have, and is put off while the client is still sending; the router is told (RequestDeadlineChanged).

--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -53,6 +53,14 @@
             double[] loadReport)
             implements Event {}
 
+    /**
+     * The deadline of a request has changed. The deadline of a request whose body is still being
+     * received is that of a client which has just sent the last byte, until it has been received.
+     *
+     * @param deadline the clock time by which the request must be answered
+     */
+    record RequestDeadlineChanged(RequestId request, long deadline) implements Event {}
+
     /** The response of an attempt has begun to stream to the client. */
     record StreamingStarted(RequestId request, int attempt, NodeId node, long elapsed)
             implements Event {}
--- a/src/main/java/cairnbridge/decision/Request.java
+++ b/src/main/java/cairnbridge/decision/Request.java
@@ -19,10 +19,12 @@
     final int tenant;
     final long ringPoint;
     final long arrivedAt;
-    final long deadline;
+
+    /** Changes only while the body is being received; see {@link #changeDeadline}. */
+    long deadline;
 
     /** The time after which an answer has no value. */
-    final long usefulUntil;
+    long usefulUntil;
 
     final boolean isWrite;
     final boolean isClientRetry;
@@ -42,14 +44,23 @@
         tenant = event.tenant().value();
         ringPoint = SplitMix64.mix(key == null ? id.value() : key.value());
         arrivedAt = now;
-        deadline = event.deadline();
+        changeDeadline(event.deadline(), now);
+        isWrite = event.isWrite();
+        isClientRetry = event.isClientRetry();
+        priorityWeight = policy.priorityWeight();
+    }
+
+    /**
+     * Sets the deadline.
+     *
+     * @param now the present time, from which the latency objective counts
+     */
+    final void changeDeadline(long newDeadline, long now) {
+        deadline = newDeadline;
         usefulUntil =
                 policy.countsWhenLate()
                         ? deadline
                         : Math.min(deadline, now + policy.latencyObjective());
-        isWrite = event.isWrite();
-        isClientRetry = event.isClientRetry();
-        priorityWeight = policy.priorityWeight();
     }
 
     /** All attempts so far; the index is the attempt's number. */
--- a/src/main/java/cairnbridge/decision/RequestTable.java
+++ b/src/main/java/cairnbridge/decision/RequestTable.java
@@ -50,6 +50,8 @@
             }
         } else if (event instanceof Event.ShutdownScheduled shutdown) {
             shutdownScheduled(shutdown.deadline());
+        } else if (event instanceof Event.RequestDeadlineChanged changed) {
+            deadlineChanged(changed);
         } else if (event instanceof Event.StreamingStarted started) {
             Request request = requests.get(started.request());
             if (request != null) {
@@ -69,10 +71,27 @@
             context.loop.post(() -> context.dispatcher.answer(request, 0));
             return;
         }
-        context.loop.schedule(timeLeft, () -> expired(request));
+        context.loop.schedule(timeLeft, () -> deadlineReached(request));
         context.loop.post(() -> context.admission.requestArrived(request));
     }
 
+    private void deadlineChanged(Event.RequestDeadlineChanged event) {
+        Request request = requests.get(event.request());
+        if (request == null || request.isFinished()) {
+            return;
+        }
+        request.changeDeadline(event.deadline(), context.now());
+        long timeLeft = Math.max(0, request.deadline - answerMargin - context.now());
+        context.loop.schedule(timeLeft, () -> deadlineReached(request));
+    }
+
+    /** Guards against the end of a request whose deadline has been put off since. */
+    private void deadlineReached(Request request) {
+        if (context.now() >= request.deadline - answerMargin) {
+            expired(request);
+        }
+    }
+
     /**
      * Guards against requests that are still unanswered when the process exits: at the shutdown
      * deadline they are answered as if their own deadline had passed.
--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -267,6 +267,9 @@
         if (reading != null) {
             ReadLoop.readWhileProgressing(
                     () -> super.inputReady(ioSession, null), reading::streamedBytesIfReadable);
+            if (session.isDrained()) {
+                reading.inputDrained();
+            }
         }
         updateReadingSince(countBefore);
         // Guards against processing a request whose client has closed its connection.
--- a/src/main/java/cairnbridge/proxy/ClientEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/ClientEventHandler.java
@@ -16,7 +16,6 @@
     private static final TenantId NO_TENANT = new TenantId(-1);
 
     private final ActiveRequests activeRequests;
-    private final TimerQueue timers;
     private final StallDetector stallDetector;
     private final RequestCompletion completion;
     private final RequestDeadlines deadlines;
@@ -30,7 +29,6 @@
             RequestCompletion completion,
             RequestDeadlines deadlines) {
         this.activeRequests = context.activeRequests();
-        this.timers = context.timers();
         this.stallDetector = stallDetector;
         this.completion = completion;
         this.deadlines = deadlines;
@@ -65,7 +63,7 @@
                 Math.max(0, stallDetector.stallTicks() - exchange.readDelayTicks());
         long deadlineTicks = announcedDeadlineTicks - unmeasuredStallTicks;
         ActiveRequest request = activeRequests.add(exchange, deadlineTicks);
-        timers.scheduleRequestDeadline(deadlineTicks, request.id());
+        deadlines.schedule(request);
         listeners.load().requestAccepted(exchange.category.value());
         if (!listeners.recovery().admit(exchange, deadlineTicks, clock.now())) {
             completion.markAnswered(request);
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -44,6 +44,7 @@
     private static final String EXPECT_HEADER = "Expect";
     private static final byte[] NO_BYTES = {};
     private static final long NO_RETRY_AFTER = 0;
+    private static final long INCOMPLETE = -1;
 
     /** The longest time that a body waits for memory before its request is rejected. */
     private static final long MAX_MEMORY_WAIT_TICKS = Ticks.SECOND;
@@ -89,6 +90,9 @@
     /** Set by the reactor's thread before the coordinator is notified of the deadline. */
     private long readDelayTicks;
 
+    /** When the last byte of the request was sent, at the earliest; until then incomplete. */
+    private volatile long lastByteTicks = INCOMPLETE;
+
     private volatile boolean requestComplete;
     private volatile boolean arrivalReported;
     private volatile boolean countedAsAccepted;
@@ -328,12 +332,13 @@
     @Override
     public void streamEnd(List<? extends Header> trailers) {
         if (body.isStreamed()) {
+            recordLastByte();
             requestComplete = true;
             if (!finished) {
                 countAccepted();
             }
             body.pipe().finish();
-            long deadlineTicks = deadline(0);
+            long deadlineTicks = presentDeadlineTicks();
             traceRead(deadlineTicks);
             events.requestBodyCompleted(this, deadlineTicks);
         } else if (body.isBuffering() && !response.isStarted()) {
@@ -349,10 +354,11 @@
     private void completeRequest() {
         body.completeBuffered();
         requestBody = body.bytes();
-        requestComplete = true;
         // Guards against a request whose TTL has expired on arrival: a client may take a second to
         // send its body, so the TTL runs from the last byte.
-        long deadlineTicks = deadline(body.waitedNanos() / TickClock.NANOS_PER_TICK);
+        recordLastByte();
+        requestComplete = true;
+        long deadlineTicks = presentDeadlineTicks();
         traceRead(deadlineTicks);
         if (!context.filter().intercept(this, deadlineTicks)) {
             reportArrival(deadlineTicks);
@@ -360,31 +366,40 @@
         }
     }
 
-    /**
-     * Reports the arrival of a request whose body is too long to be buffered. Its TTL runs from the
-     * last byte of the body; until then the deadline includes the time to receive the rest.
-     */
+    /** Reports the arrival of a request whose body is too long to be buffered. */
     private void startStreaming(ByteBuffer source) {
         body.startStreaming(source);
         if (!body.isStreamed()) {
             return;
         }
         requestPipe = body.pipe();
-        reportArrival(
-                context.streamingDeadline(
-                        context.clock().now(), request.ttlTicks(), body.remainingBytes()));
+        reportArrival(presentDeadlineTicks());
+    }
+
+    /** Records that the last byte of the request has just been read. */
+    private void recordLastByte() {
+        readDelayTicks = Math.max(arrivalBound.delayTicks(), unreadTicks());
+        lastByteTicks = context.clock().now() - readDelayTicks;
     }
 
     /**
-     * The deadline of a request whose last byte has just been read.
-     *
-     * @param pausedTicks how long reading was paused for want of memory: the last byte may have
-     *     come as early as its beginning
+     * The time by which the request must be answered, as far as it is known: its TTL runs from the
+     * last byte. While the body is being received, it is the deadline of a client that has sent the
+     * last byte as early as it can have. Called on any thread, once the head has been parsed.
      */
-    private long deadline(long pausedTicks) {
-        readDelayTicks = arrivalBound.delayTicks() + pausedTicks;
-        long arrivedTicks = context.clock().now() - readDelayTicks;
-        return context.deadline(arrivedTicks, request.ttlTicks());
+    long presentDeadlineTicks() {
+        long lastByte = lastByteTicks;
+        long sentTicks = lastByte == INCOMPLETE ? context.clock().now() - unreadTicks() : lastByte;
+        return context.deadline(sentTicks, request.ttlTicks());
+    }
+
+    private long unreadTicks() {
+        return body.unreadNanos() / TickClock.NANOS_PER_TICK;
+    }
+
+    /** Called on the reactor's thread when everything that the client has sent has been read. */
+    void inputDrained() {
+        body.inputDrained();
     }
 
     private void traceRead(long deadlineTicks) {
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -26,6 +26,9 @@
     private volatile long closingAtNanos = NOT_CLOSING;
     private volatile boolean peerClosed;
 
+    /** Whether the latest read has taken all input there was. Reactor's thread only. */
+    private boolean drained;
+
     /** The number of bytes discarded so far. Reactor's thread only. */
     private long discardedBytes;
 
@@ -98,9 +101,16 @@
         }
     }
 
+    /** Whether the latest read has taken all input there was. Called on the reactor's thread. */
+    boolean isDrained() {
+        return drained;
+    }
+
     @Override
     public int read(ByteBuffer destination) throws IOException {
+        int wanted = destination.remaining();
         int count = delegate().read(destination);
+        drained = count < wanted;
         if (count < 0) {
             peerClosed = true;
         }
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -16,6 +16,7 @@
     private static final byte[] NO_BYTES = {};
 
     private final RequestMemory memory;
+    private final ReadPauses readPauses = new ReadPauses();
 
     /** Run when memory has been returned for which this body waits. */
     private final Runnable memoryWaiter = this::memoryReturned;
@@ -30,10 +31,6 @@
     @GuardedBy("this")
     private long waitingSinceNanos;
 
-    /** How long the client has waited for memory, not counting the present wait. */
-    @GuardedBy("this")
-    private long waitedNanos;
-
     /** The length according to the head; negative if it is unknown. */
     private long lengthBytes;
 
@@ -132,9 +129,28 @@
         pipe = created;
     }
 
-    /** The number of bytes still to be received, at most. */
-    long remainingBytes() {
-        return (lengthBytes < 0 ? MessageFraming.MAX_BODY_BYTES : lengthBytes) - receivedBytes;
+    /** The number of bytes still to be received; negative if it is unknown. */
+    private long bytesLeft() {
+        return lengthBytes < 0 ? lengthBytes : lengthBytes - receivedBytes;
+    }
+
+    /**
+     * For how long the last byte of the body may have waited to be read, if the client has sent it,
+     * in nanoseconds.
+     */
+    long unreadNanos() {
+        return readPauses.unreadNanos(System.nanoTime());
+    }
+
+    /** Records that everything which the client has sent so far has been read. */
+    void inputDrained() {
+        if (!isBackpressured()) {
+            readPauses.drained();
+        }
+    }
+
+    private void recordPause() {
+        readPauses.paused(System.nanoTime(), receivedBytes, bytesLeft());
     }
 
     /** Frees the buffer of a body that is no longer needed, and ends its wait for memory. */
@@ -161,6 +177,9 @@
     void requestCapacity(CapacityChannel channel) throws IOException {
         if (pipe != null) {
             pipe.requestCapacity(channel);
+            if (pipe.isBackpressured()) {
+                recordPause();
+            }
         } else if (buffer == null) {
             channel.update(MemoryBudget.GRANT_BYTES);
         } else {
@@ -187,6 +206,7 @@
             }
             waitingSinceNanos = System.nanoTime();
         }
+        recordPause();
         memory.awaitRoom(memoryWaiter);
     }
 
@@ -196,7 +216,6 @@
                 return;
             }
             waitingCapacity = null;
-            waitedNanos += System.nanoTime() - waitingSinceNanos;
         }
         memory.cancelWait(memoryWaiter);
     }
@@ -222,11 +241,6 @@
         }
     }
 
-    /** How long the client has waited for memory in all, in nanoseconds. */
-    synchronized long waitedNanos() {
-        return waitedNanos + presentWaitNanos();
-    }
-
     /** How long the client has been waiting for memory, in nanoseconds; 0 if it does not wait. */
     synchronized long presentWaitNanos() {
         return waitingCapacity == null ? 0 : System.nanoTime() - waitingSinceNanos;
--- a/src/main/java/cairnbridge/proxy/RequestContext.java
+++ b/src/main/java/cairnbridge/proxy/RequestContext.java
@@ -108,31 +108,16 @@
     }
 
     /**
-     * The deadline of a completely received request: its TTL from now, but at most a minute, and no
-     * later than the shutdown deadline.
+     * The deadline of a request: its TTL from its last byte, but at most a minute, and no later
+     * than the shutdown deadline.
      *
-     * @param now the present time in ticks
+     * @param now the time of the last byte in ticks
      * @param ttlTicks the TTL that the client has sent
      */
     public long deadline(long now, long ttlTicks) {
         return Math.min(now + Math.min(ttlTicks, MAX_TTL_TICKS), shutdownDeadlineTicks);
     }
 
-    /**
-     * The deadline of a request whose body is still being received. It allows in addition for the
-     * time that the slowest permitted client needs to send the rest of the body.
-     *
-     * @param now the present time in ticks
-     * @param ttlTicks the TTL that the client has sent
-     * @param bytesLeft an upper bound on the bytes of the body that are yet to be received
-     */
-    public long streamingDeadline(long now, long ttlTicks, long bytesLeft) {
-        long slowestMillis = bytesLeft / ListenerState.MIN_BODY_BYTES_PER_MILLI;
-        long slowestTicks = Ticks.fromMillis(slowestMillis) + Ticks.SECOND;
-        return Math.min(
-                now + Math.min(ttlTicks, MAX_TTL_TICKS) + slowestTicks, shutdownDeadlineTicks);
-    }
-
     /** The category with this name; empty if the settings define none. */
     Optional<CategoryId> category(String name) {
         return Optional.ofNullable(categories.get(name));
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -24,6 +24,9 @@
     /** The interval between checks whether a late response still arrives fast enough. */
     private static final long PROGRESS_CHECK_TICKS = 50 * Ticks.MILLISECOND;
 
+    /** The interval between checks of the deadline of a request whose body is being received. */
+    private static final long BODY_CHECK_TICKS = 100 * Ticks.MILLISECOND;
+
     private static final Logger LOG = Logger.getLogger(RequestDeadlines.class.getName());
 
     private final ActiveRequests activeRequests;
@@ -55,11 +58,25 @@
             return;
         }
         UpstreamAttempt attempt = request.attempts().get(attemptNumber);
-        if (!request.isStreamedFrom(attempt)) {
+        if (attempt.isOpen()
+                && request.hasStreamedBody()
+                && clock.now() < request.deadlineTicks()) {
+            timers.scheduleAttemptTimeout(request.deadlineTicks(), attempt);
+        } else if (!request.isStreamedFrom(attempt)) {
             attemptSender.abandonAttempt(attempt, AttemptOutcome.TIMED_OUT);
         }
     }
 
+    /** Schedules the deadline of a request that has just arrived. */
+    void schedule(ActiveRequest request) {
+        long dueTicks = request.deadlineTicks();
+        if (request.hasStreamedBody()) {
+            long checkTicks = clock.now() + BODY_CHECK_TICKS;
+            dueTicks = Math.min(dueTicks - DEADLINE_MARGIN_TICKS, checkTicks);
+        }
+        timers.scheduleRequestDeadline(dueTicks, request.id());
+    }
+
     /**
      * Handles the deadline of a request. Guards against a defect in the router that leaves a
      * request without an answer.
@@ -69,7 +86,7 @@
         if (request != null && request.isStreaming()) {
             limitStreamedResponse(request);
         } else if (request != null && request.hasStreamedBody()) {
-            endStreamedRequest(request);
+            reviewStreamedRequest(request);
         } else if (!invariants.check(
                 request == null || request.isAnswered(),
                 "a request is answered before its deadline")) {
@@ -106,6 +123,33 @@
         }
     }
 
+    /**
+     * Ends a request whose body is streamed at its deadline, which is put off while the client is
+     * still sending the body. Guards against a deadline that allows for a slow client although the
+     * rest of the body only waits to be read.
+     */
+    private void reviewStreamedRequest(ActiveRequest request) {
+        changeDeadline(request, request.exchange().presentDeadlineTicks());
+        long dueTicks = request.deadlineTicks() - DEADLINE_MARGIN_TICKS;
+        long now = clock.now();
+        if (now >= dueTicks) {
+            endStreamedRequest(request);
+        } else if (request.exchange().isRequestComplete()) {
+            timers.scheduleRequestDeadline(dueTicks, request.id());
+        } else {
+            timers.scheduleRequestDeadline(
+                    Math.min(dueTicks, now + BODY_CHECK_TICKS), request.id());
+        }
+    }
+
+    private void changeDeadline(ActiveRequest request, long deadlineTicks) {
+        if (deadlineTicks != request.deadlineTicks()) {
+            request.setDeadline(deadlineTicks);
+            router.notifyRouter(
+                    clock.now(), new Event.RequestDeadlineChanged(request.id(), deadlineTicks));
+        }
+    }
+
     /** Ends a request whose body was streamed and that has no response yet. */
     private void endStreamedRequest(ActiveRequest request) {
         boolean hasOpenAttempt = false;
@@ -124,7 +168,7 @@
     void requestBodyCompleted(ClientExchange exchange, long deadlineTicks) {
         ActiveRequest request = activeRequests.find(exchange);
         if (request != null) {
-            request.setDeadline(deadlineTicks);
+            changeDeadline(request, deadlineTicks);
             timers.scheduleRequestDeadline(deadlineTicks - DEADLINE_MARGIN_TICKS, request.id());
         }
     }
--- a/src/main/java/cairnbridge/proxy/SendPermit.java
+++ b/src/main/java/cairnbridge/proxy/SendPermit.java
@@ -13,7 +13,7 @@
     /** The permit of the request that the attempt belongs to; null if this is that permit. */
     private final SendPermit requestPermit;
 
-    private final long latestStartTicks;
+    private volatile long latestStartTicks;
 
     /** Why the permit was revoked; null if it was not. */
     private final AtomicReference<AttemptRejection> revocation = new AtomicReference<>();
@@ -37,6 +37,14 @@
         return new SendPermit(this, latestStartTicks);
     }
 
+    /**
+     * Puts off the time from which on the attempt may not be sent. Called on the reactor's thread
+     * only, for an attempt whose body the client is still sending.
+     */
+    void extendTo(long ticks) {
+        latestStartTicks = Math.max(latestStartTicks, ticks);
+    }
+
     /** Revokes the permit; if it was revoked before, the earlier reason remains. */
     public void revoke(AttemptRejection reason) {
         revocation.compareAndSet(null, reason);
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -147,22 +147,16 @@
             throw new IOException("attempt was abandoned");
         }
         exchange.revokeIfClientClosed();
+        extendPermit();
         throwIfRejected(sendPermit.rejection(clock.now()));
         startRequest();
         if (!stage.compareAndSet(Stage.WAITING, Stage.SENDING)) {
             throw new IOException("attempt was abandoned");
         }
-        BasicHttpRequest request = new BasicHttpRequest(exchange.method, exchange.target);
-        request.addHeader("Host", connection.address.getHostString());
-        request.addHeader(ClientExchange.TRACE_ID_HEADER, exchange.traceId);
         long remainingTicks = Math.max(1, deadlineTicks - clock.now());
-        request.addHeader(
-                ClientExchange.TTL_HEADER,
-                remainingTicks * (1000 / TickClock.TICKS_PER_MILLI) + "u");
         RequestTrace.attemptBegun(exchange.traceId, remainingTicks);
-        if (exchange.idempotencyKey != null) {
-            request.addHeader(ClientExchange.IDEMPOTENCY_KEY_HEADER, exchange.idempotencyKey);
-        }
+        BasicHttpRequest request =
+                AttemptHead.of(exchange, connection.address.getHostString(), remainingTicks);
         if (exchange.requestPipe != null) {
             // Guards against two attempts that each send a part of one streamed body.
             if (!exchange.requestPipe.tryClaim()) {
@@ -193,11 +187,19 @@
     public void produce(DataStreamChannel out) throws IOException {
         if (!isWritten()) {
             exchange.revokeIfClientClosed();
+            extendPermit();
             throwIfRejected(sendPermit.rejectionOfLastByte(clock.now()));
         }
         super.produce(out);
     }
 
+    /** Guards against rejecting a client that sends its body for longer than its TTL. */
+    private void extendPermit() {
+        if (exchange.requestPipe != null) {
+            sendPermit.extendTo(exchange.presentDeadlineTicks());
+        }
+    }
+
     /**
      * Fails the attempt as not sent if there is a reason. The node cannot have executed the
      * request: its last byte was not written, and the exception closes the connection.
--- a/src/test/java/cairnbridge/decision/RouterTest.java
+++ b/src/test/java/cairnbridge/decision/RouterTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests the safety rules of the decision module, its load balancing, and its behaviour in known
@@ -95,6 +96,18 @@
         assertEquals(3, host.attempts.size());
     }
 
+    /** Guards against an answer at a deadline that no longer holds. */
+    @ParameterizedTest
+    @ValueSource(longs = {SECOND / 2, 3 * SECOND})
+    void aRequestIsAnsweredAtTheDeadlineThatWasSetLast(long newTtl) {
+        FakeHost host = new FakeHost(Effect.AT_MOST_ONCE).listCaches(4).request(1, 77, SECOND);
+        host.handle(new Event.RequestDeadlineChanged(new RequestId(1), host.clock + newTtl));
+        host.advance(newTtl - SECOND / 10);
+        assertEquals(List.of(), host.answers);
+        host.advance(SECOND / 10);
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
     @Test
     void anOriginInMaintenanceGetsNoFetches() {
         FakeHost host = new FakeHost(Effect.IDEMPOTENT).listCaches(2).setMaintenance(ORIGIN, true);
--- a/src/test/java/cairnbridge/proxy/RequestBodyTest.java
+++ b/src/test/java/cairnbridge/proxy/RequestBodyTest.java
@@ -49,7 +49,7 @@
 
         assertEquals(MemoryBudget.GRANT_BYTES, grantedToSecond.get());
         assertFalse(second.isBackpressured());
-        assertTrue(second.waitedNanos() > 0);
+        assertTrue(second.unreadNanos() > 0);
         assertEquals(2 * MemoryBudget.GRANT_BYTES, budget.reservedBytes());
     }
 
