Heads keep only the headers that are used, and long ones share the memory budget

Cause: the library keeps each header line as characters until the head is complete, and the head while its exchange is open: up to 40 lines of 4 KiB, in no row of the account. Heads of servers and trailers of both sides were kept in the same way.

Change: HeadInput drops the lines of headers that are not used as they are read; lines still count towards the limits, and malformed ones are left to the library. What is kept over 1 KiB is reserved until the exchange is over, or answered 431 at once. The duplexers are built without the library's factories, which have no way to set the decoder's input.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -6,7 +6,6 @@
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
@@ -40,6 +39,7 @@
 
     private final LingeringSession session;
     private final RequestHandlers requestHandlers;
+    private final HeadMemory headMemory;
     private final ClientConnections connections;
 
     /**
@@ -59,12 +59,14 @@
 
     ClientConnection(
             LingeringSession session,
-            ServerHttp1StreamDuplexer duplexer,
+            ServerDuplexer duplexer,
             RequestHandlers requestHandlers,
+            HeadMemory headMemory,
             ClientConnections connections) {
         super(duplexer);
         this.session = session;
         this.requestHandlers = requestHandlers;
+        this.headMemory = headMemory;
         this.connections = connections;
     }
 
@@ -301,6 +303,7 @@
     public void disconnected(IOSession ioSession) {
         RequestTrace.connectionClosed(remoteAddress, closeReason());
         super.disconnected(ioSession);
+        headMemory.close();
         connections.remove(this, session);
     }
 }
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -4,8 +4,6 @@
 import java.util.Deque;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
@@ -15,8 +13,6 @@
  * on the reactor's thread.
  */
 public final class ClientConnections {
-    private static final String SCHEME = "http";
-
     private final DescriptorBudget budget;
     private final RequestHandlerFactory handlerFactory;
     private final DescriptorBudgetListener descriptorBudgetListener;
@@ -48,22 +44,13 @@
     /** Creates the event handler of an accepted connection. */
     IOEventHandler createHandler(ProtocolIOSession session, ArrivalBound arrivalBound) {
         LingeringSession client = new LingeringSession(session, this::trackLingering);
-        RequestHandlers requestHandlers = new RequestHandlers(client, handlerFactory, arrivalBound);
-        ServerHttp1StreamDuplexerFactory factory =
-                new ServerHttp1StreamDuplexerFactory(
-                        HttpSettings.RESPONSE_PROCESSOR,
-                        requestHandlers,
-                        HttpSettings.CONFIG,
-                        null,
-                        null,
-                        () ->
-                                new RequestHeadParser(
-                                        HttpSettings.CONFIG, requestHandlers::checkPipelined),
-                        null,
-                        null,
-                        null);
-        ServerHttp1StreamDuplexer duplexer = factory.create(SCHEME, client);
-        return new ClientConnection(client, duplexer, requestHandlers, this);
+        HeadMemory headMemory = new HeadMemory(listenerState.requestContext().requestBodies());
+        RequestHandlers requestHandlers =
+                new RequestHandlers(client, handlerFactory, arrivalBound, headMemory::release);
+        RequestHeadParser parser =
+                new RequestHeadParser(requestHandlers::checkPipelined, headMemory);
+        ServerDuplexer duplexer = new ServerDuplexer(client, requestHandlers, parser);
+        return new ClientConnection(client, duplexer, requestHandlers, headMemory, this);
     }
 
     /** The number of connections that are open, or accepted and not yet admitted. */
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -42,6 +42,7 @@
     private final ConnectionListener connectionListener;
     private final ThreadFactory threadFactory;
     private final TickClock clock;
+    private final MemoryBudget responseHeads;
     private final PollTimes pollTimes;
     private final int backlog;
     private final DefaultConnectingIOReactor reactor;
@@ -88,6 +89,7 @@
         this.connectionListener = connectionListener;
         this.threadFactory = threadFactory;
         clock = listenerState.clock;
+        responseHeads = listenerState.requestContext().answerBodies();
         pollTimes = new PollTimes(clock);
         backlog = config.network().maxSockets();
         budget = new DescriptorBudget(config.network());
@@ -224,7 +226,7 @@
                 connect(
                         address,
                         toTimeout(connectTimeoutTicks),
-                        new UpstreamAttachment(connection)));
+                        new UpstreamAttachment(connection, responseHeads)));
         return connection;
     }
 
--- a/src/main/java/cairnbridge/proxy/HttpSettings.java
+++ b/src/main/java/cairnbridge/proxy/HttpSettings.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import java.util.Set;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -19,10 +20,10 @@
     private static final int BUFFER_BYTES = 4096;
 
     /** The limit on one line of a message head; no valid message has a longer line. */
-    private static final int MAX_HEAD_LINE_BYTES = 4096;
+    static final int MAX_HEAD_LINE_BYTES = 4096;
 
     /** The limit on the headers of a message; no valid message has more. */
-    private static final int MAX_HEADERS = 40;
+    static final int MAX_HEADERS = 40;
 
     /** The buffer sizes and the limits on the head of a message. */
     public static final Http1Config CONFIG =
@@ -34,6 +35,22 @@
                     .setMaxHeaderCount(MAX_HEADERS)
                     .build();
 
+    /** The headers of requests that the proxy or the library uses, in lower case. */
+    static final Set<String> USED_REQUEST_HEADERS =
+            Set.of(
+                    "connection",
+                    "content-length",
+                    "expect",
+                    "idempotency-key",
+                    "transfer-encoding",
+                    "x-expires-in",
+                    "x-second-try",
+                    "x-trace-id");
+
+    /** The headers of responses that the proxy or the library uses, in lower case. */
+    static final Set<String> USED_RESPONSE_HEADERS =
+            Set.of("connection", "content-length", "transfer-encoding", "x-never-ran", "x-store");
+
     /** Adds the headers that requests to servers need. */
     public static final HttpProcessor REQUEST_PROCESSOR =
             new DefaultHttpProcessor(RequestContent.INSTANCE);
--- a/src/main/java/cairnbridge/proxy/RequestHandlers.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlers.java
@@ -15,18 +15,27 @@
     private final LingeringSession session;
     private final RequestHandlerFactory factory;
     private final ArrivalBound arrivalBound;
+    private final Runnable onReleased;
     private volatile ClientExchange latest;
     private volatile int requestCount;
 
     /** Whether a request was pipelined. Reactor's thread only. */
     private boolean pipelined;
 
-    /** Creates an instance for a new connection; a request may abort its session. */
+    /**
+     * Creates an instance for a new connection; a request may abort its session.
+     *
+     * @param onReleased called once the HTTP library no longer uses a request
+     */
     RequestHandlers(
-            LingeringSession session, RequestHandlerFactory factory, ArrivalBound arrivalBound) {
+            LingeringSession session,
+            RequestHandlerFactory factory,
+            ArrivalBound arrivalBound,
+            Runnable onReleased) {
         this.session = session;
         this.factory = factory;
         this.arrivalBound = arrivalBound;
+        this.onReleased = onReleased;
     }
 
     @Override
@@ -44,6 +53,7 @@
 
     /** Guards against keeping the body of a request in memory while its connection is idle. */
     private void handleReleased(ClientExchange released) {
+        onReleased.run();
         if (latest == released && !released.isLastOnConnection()) {
             latest = null;
         }
--- a/src/main/java/cairnbridge/proxy/RequestHeadParser.java
+++ b/src/main/java/cairnbridge/proxy/RequestHeadParser.java
@@ -5,7 +5,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.ProtocolException;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
@@ -14,18 +13,21 @@
  * Parses the request heads of one client connection, and rejects requests that are pipelined or
  * whose length is ambiguous. Used on the reactor's thread.
  */
-public final class RequestHeadParser extends DefaultHttpRequestParser<HttpRequest> {
+final class RequestHeadParser extends DefaultHttpRequestParser<HttpRequest> {
     private final BooleanSupplier requestOpen;
+    private final HeadInput headInput;
 
     /**
      * Creates a parser for one connection.
      *
      * @param requestOpen whether a request on the connection has not been answered yet, or the last
      *     response of the connection has begun
+     * @param headMemory holds the memory of the latest head
      */
-    public RequestHeadParser(Http1Config httpConfig, BooleanSupplier requestOpen) {
-        super(httpConfig, DefaultHttpRequestFactory.INSTANCE);
+    RequestHeadParser(BooleanSupplier requestOpen, HeadMemory headMemory) {
+        super(HttpSettings.CONFIG, DefaultHttpRequestFactory.INSTANCE);
         this.requestOpen = requestOpen;
+        headInput = new HeadInput(HttpSettings.USED_REQUEST_HEADERS, headMemory);
     }
 
     /** The library answers an exception with an error response and closes the connection. */
@@ -38,9 +40,11 @@
             throw new ProtocolException("one request at a time");
         }
         HttpRequest request =
-                MessageHeadParser.requireComplete(super.parse(buffer, false), buffer, ended);
+                MessageHeadParser.requireComplete(
+                        super.parse(headInput.over(buffer), false), buffer, ended);
         // Guards against request smuggling, where the body of one request hides another request.
         if (request != null) {
+            headInput.headComplete();
             MessageFraming.requireUnambiguousLength(request, true);
         }
         return request;
--- a/src/main/java/cairnbridge/proxy/UpstreamAttachment.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttachment.java
@@ -7,14 +7,21 @@
 /** Forwards the reactor's events for a connection to a server to its {@link UpstreamConnection}. */
 final class UpstreamAttachment implements ConnectionAttachment {
     private final UpstreamConnection connection;
+    private final MemoryBudget responseHeads;
 
-    UpstreamAttachment(UpstreamConnection connection) {
+    /**
+     * Creates the attachment of a connection that is not established yet.
+     *
+     * @param responseHeads the budget for the heads of its responses
+     */
+    UpstreamAttachment(UpstreamConnection connection, MemoryBudget responseHeads) {
         this.connection = connection;
+        this.responseHeads = responseHeads;
     }
 
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session) {
-        return new UpstreamIoHandler(session, connection);
+        return new UpstreamIoHandler(session, connection, new HeadMemory(responseHeads));
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/UpstreamIoHandler.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamIoHandler.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
@@ -18,26 +16,21 @@
 
     private final UpstreamConnection connection;
 
-    /** Creates the handler of a connection that has just been established. */
-    UpstreamIoHandler(ProtocolIOSession session, UpstreamConnection connection) {
-        super(createDuplexer(session, connection));
-        this.connection = connection;
-    }
+    private final HeadMemory headMemory;
 
-    private static ClientHttp1StreamDuplexer createDuplexer(
-            ProtocolIOSession session, UpstreamConnection connection) {
-        ClientHttp1StreamDuplexerFactory factory =
-                new ClientHttp1StreamDuplexerFactory(
-                        HttpSettings.REQUEST_PROCESSOR,
-                        HttpSettings.CONFIG,
-                        null,
-                        null,
-                        () ->
-                                new ResponseHeadParser(
-                                        HttpSettings.CONFIG, connection::isAwaitingResponse),
-                        null,
-                        null);
-        return factory.create(session);
+    /**
+     * Creates the handler of a connection that has just been established.
+     *
+     * @param headMemory holds the memory of the latest response head
+     */
+    UpstreamIoHandler(
+            ProtocolIOSession session, UpstreamConnection connection, HeadMemory headMemory) {
+        super(
+                new UpstreamDuplexer(
+                        session,
+                        new ResponseHeadParser(connection::isAwaitingResponse, headMemory)));
+        this.connection = connection;
+        this.headMemory = headMemory;
     }
 
     @Override
@@ -46,6 +39,7 @@
             super.inputReady(session, source);
             ReadLoop.readWhileProgressing(
                     () -> super.inputReady(session, null), this::streamedBytesIfReadable);
+            releaseHeadIfComplete();
         } else {
             // Guards against unsolicited bytes on an idle connection, which the next request would
             // read as its response. The end of the stream is reported here as well.
@@ -53,6 +47,12 @@
         }
     }
 
+    private void releaseHeadIfComplete() {
+        if (!connection.isAwaitingResponse()) {
+            headMemory.release();
+        }
+    }
+
     private long streamedBytesIfReadable() {
         return connection.isAwaitingResponse()
                 ? connection.latestExchange().streamedBytesIfReadable()
@@ -62,6 +62,7 @@
     @Override
     public void disconnected(IOSession session) {
         super.disconnected(session);
+        headMemory.close();
         connection.handleClosed();
     }
 }
