A connection is let go without a reset while its client still reads the response

Cause: a response counts as finished when its last byte is handed to the socket, long before the client has read it. The connection is then idle; its output is shut down, and 2 s later it was closed with CloseMode.IMMEDIATE, which resets it and discards what the system still holds.

Change: after those 2 s the input is drained and the socket closed in the ordinary way, so that the system delivers the rest. When the process stops, connections without an open request are closed in that way too, not only those that were closing.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -162,9 +162,12 @@
         return rejected;
     }
 
-    /** Closes the socket if the connection only waits for the client to close its side. */
-    void releaseLingering() {
-        if (session.isClosing()) {
+    /**
+     * Closes the socket if no request is open on the connection. The system still delivers what the
+     * client has not read.
+     */
+    void releaseIfIdle() {
+        if (session.isClosing() || isIdle()) {
             session.release();
         }
     }
@@ -225,11 +228,15 @@
             }
             return false;
         }
-        if (connections.isOverdue(this, System.nanoTime())) {
+        if (!connections.isOverdue(this, System.nanoTime())) {
+            return false;
+        }
+        if (session.isClosing()) {
+            session.releaseDrained();
+        } else {
             closeNow();
-            return true;
         }
-        return false;
+        return true;
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -173,8 +173,8 @@
         connections.forEach(ClientConnection::closeGracefully);
     }
 
-    /** Closes the connections that only wait for their client to close. */
-    void releaseLingering() {
-        connections.forEach(ClientConnection::releaseLingering);
+    /** Closes the connections without an open request. */
+    void releaseIdle() {
+        connections.forEach(ClientConnection::releaseIfIdle);
     }
 }
--- a/src/main/java/cairnbridge/proxy/ConnectionReactor.java
+++ b/src/main/java/cairnbridge/proxy/ConnectionReactor.java
@@ -338,7 +338,7 @@
         stopListening();
         // Guards against a reset that discards the end of a complete response which the client has
         // not read yet.
-        clients.releaseLingering();
+        clients.releaseIdle();
         reactor.close(CloseMode.IMMEDIATE);
     }
 }
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -47,6 +47,20 @@
         delegate().close(CloseMode.GRACEFUL);
     }
 
+    /**
+     * Closes the socket after reading what the client has sent. Guards against a reset, which
+     * unread input causes and which discards what the client has not read of its response. Called
+     * on the reactor's thread.
+     */
+    void releaseDrained() {
+        try {
+            discardInput();
+            release();
+        } catch (IOException e) {
+            delegate().close(CloseMode.IMMEDIATE); // The client has reset the connection.
+        }
+    }
+
     /** Whether the output has been shut down. */
     boolean isClosing() {
         return closingAtNanos != NOT_CLOSING;
