The limit on waits for memory holds for all waits of a body together

Cause: a body is granted 16 KiB at a time, and each wait was compared by itself with the limit of half a TTL; a body of 60 kB may wait four times.

Change: the limit counts from the first wait since the client's input was drained.

Result: ArrivalTest.aRequestThatWaitsForMemorySeveralTimes... fails on the code before (no answer within 4 s) and passes now.

--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -460,13 +460,12 @@
     }
 
     /**
-     * Rejects the request if its body has waited too long for memory. Guards against clients that
-     * get no answer while others fill the memory with requests that they do not finish. Called on
-     * any thread.
+     * Rejects the request if its body waits for memory, and has waited too long, perhaps several
+     * times. Guards against clients that get no answer while others fill the memory with requests
+     * that they do not finish. Called on any thread.
      */
     void rejectIfMemoryIsMissing() {
-        long waitNanos = body.presentWaitNanos();
-        if (waitNanos > 0 && waitNanos / TickClock.NANOS_PER_TICK >= memoryWaitLimitTicks()) {
+        if (body.presentWaitNanos() > 0 && unreadTicks() >= memoryWaitLimitTicks()) {
             sendResponse(HttpStatus.SC_SERVICE_UNAVAILABLE, NO_BYTES, NO_RETRY_AFTER, true);
             body.releaseBuffer();
             context.requestRejectedForMemory();
--- a/src/test/java/cairnbridge/proxy/ArrivalTest.java
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -256,6 +256,26 @@
         assertTrue(arrivals.isEmpty(), "the request was passed on");
     }
 
+    /** Guards against a late answer after several waits that are each within their limit. */
+    @Test
+    void aRequestThatWaitsForMemorySeveralTimesIsAnsweredOnceTheyAreTooLongInSum()
+            throws Exception {
+        othersMemory.reserve((int) HEAP_BYTES);
+        Socket client = connect();
+        client.setSoTimeout(4000);
+        send(client, "PUT /view/2", HEADERS + "late\r\nContent-Length: 60000\r\n", "");
+        client.getOutputStream().write(new byte[60_000]);
+        Thread.sleep(MEMORY_WAIT_MILLIS);
+        // Frees memory for one grant, which the body takes, and waits again for the next.
+        long limitBytes = new HeapAccount(HEAP_BYTES).bodyBytes() / 2;
+        othersMemory.release((int) (HEAP_BYTES - limitBytes) + 4 * MemoryBudget.GRANT_BYTES);
+        othersMemory.reserve((int) HEAP_BYTES);
+        Thread.sleep(MEMORY_WAIT_MILLIS);
+        reactor.closeOverdue();
+
+        assertEquals(503, statusCode(readMessage(client)));
+    }
+
     /** Guards against an attempt that begins long after its client has closed its connection. */
     @Test
     void aCloseThatTheReactorHasNotReadRevokesThePermitOfTheRequest() throws Exception {
