Pipelined requests to the proxy's own paths are rejected like all others

Cause: such a request is answered at once, so the next one does not count as pipelined. The library reads a connection while there is input; the reactor came to no other one, and the answers piled up in an output buffer without a limit.

Change: bytes behind a request that the proxy answers itself, and requests that come while the socket does not accept the answers before, are pipelined: 400 and close. A connection whose socket accepts nothing for 60 s is closed.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -116,6 +116,11 @@
         return session.isClosing();
     }
 
+    /** For how long the client's socket has accepted no output, in milliseconds. */
+    long outputBlockedMillis(long nowNanos) {
+        return session.outputBlockedMillis(nowNanos);
+    }
+
     /** How long the proxy has waited for the client to close, in milliseconds. */
     long lingeringMillis(long nowNanos) {
         return session.lingeringMillis(nowNanos);
@@ -220,7 +225,8 @@
         if (countAtCheck == NOT_OVERDUE) {
             return false;
         }
-        if (isIdle() && !isReadingRequest() && !session.isClosing()) {
+        boolean overdue = connections.isOverdue(this, System.nanoTime());
+        if (isIdle() && !isReadingRequest() && !session.isClosing() && !session.isOutputBlocked()) {
             // The check itself counts as an event, so the idle time is no longer known: the
             // connection is kept only if a request has begun since.
             if (countAtCheck == requestHandlers.requestCount()) {
@@ -228,7 +234,7 @@
             }
             return false;
         }
-        if (!connections.isOverdue(this, System.nanoTime())) {
+        if (!overdue) {
             return false;
         }
         if (session.isClosing()) {
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -48,7 +48,10 @@
         RequestHandlers requestHandlers =
                 new RequestHandlers(client, handlerFactory, arrivalBound, headMemory::release);
         RequestHeadParser parser =
-                new RequestHeadParser(requestHandlers::checkPipelined, headMemory);
+                new RequestHeadParser(
+                        requestHandlers::checkPipelined,
+                        requestHandlers::recordPipelined,
+                        headMemory);
         ServerDuplexer duplexer = new ServerDuplexer(client, requestHandlers, parser);
         return new ClientConnection(client, duplexer, requestHandlers, headMemory, this);
     }
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -37,9 +37,6 @@
 
     private static final Logger LOG = Logger.getLogger(ClientExchange.class.getName());
 
-    /** The prefix of the paths that the proxy answers itself. */
-    private static final String PROXY_PATH_PREFIX = "/-/";
-
     private static final String READINESS_PATH = "/-/ready";
     private static final String EXPECT_HEADER = "Expect";
     private static final byte[] NO_BYTES = {};
@@ -277,7 +274,7 @@
             throws HttpException, IOException {
         response.open(responseChannel, httpContext);
         String target = RequestParser.pathOf(head.getRequestUri());
-        if (target.startsWith(PROXY_PATH_PREFIX)) {
+        if (RequestParser.isForProxy(head)) {
             sendResponse(proxyPathStatus(target), NO_BYTES, NO_RETRY_AFTER, entity != null);
             return;
         }
--- a/src/main/java/cairnbridge/proxy/ClientTimeouts.java
+++ b/src/main/java/cairnbridge/proxy/ClientTimeouts.java
@@ -22,6 +22,12 @@
     /** The time for a client to close its side once the proxy has closed its own. */
     private static final long LINGER_MILLIS = 2000;
 
+    /**
+     * The time in which a client must read some of its response, also of one that is finished for
+     * the proxy; the system accepts more output only once the client has read a lot.
+     */
+    private static final long WRITE_STALL_MILLIS = 60_000;
+
     private ClientTimeouts() {}
 
     /**
@@ -36,6 +42,9 @@
         if (client.isClosing()) {
             return client.lingeringMillis(nowNanos) >= LINGER_MILLIS;
         }
+        if (client.outputBlockedMillis(nowNanos) >= WRITE_STALL_MILLIS) {
+            return true;
+        }
         ClientExchange latest = client.latestRequest();
         if (latest != null && latest.isStalled(nowNanos)) {
             LOG.info("streamed body of request " + latest.traceId + " stalled, closing connection");
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -21,11 +21,18 @@
     private static final int SCRATCH_BYTES = 4096;
     private static final int MAX_READS = 16;
     private static final long NOT_CLOSING = 0;
+    private static final long NOT_BLOCKED = 0;
 
     private final Consumer<LingeringSession> onClosing;
     private volatile long closingAtNanos = NOT_CLOSING;
     private volatile boolean peerClosed;
 
+    /**
+     * Since when the socket has accepted no more output although some is left; {@link #NOT_BLOCKED}
+     * if it accepts all. Written on the reactor's and the coordinator's threads.
+     */
+    private volatile long outputBlockedAtNanos = NOT_BLOCKED;
+
     /** Whether the latest read has taken all input there was. Reactor's thread only. */
     private boolean drained;
 
@@ -131,6 +138,28 @@
         return count;
     }
 
+    @Override
+    public int write(ByteBuffer source) throws IOException {
+        int count = delegate().write(source);
+        if (!source.hasRemaining()) {
+            outputBlockedAtNanos = NOT_BLOCKED;
+        } else if (count > 0 || !isOutputBlocked()) {
+            outputBlockedAtNanos = System.nanoTime();
+        }
+        return count;
+    }
+
+    /** Whether the client has not read what it was sent, so that the socket accepts no more. */
+    boolean isOutputBlocked() {
+        return outputBlockedAtNanos != NOT_BLOCKED;
+    }
+
+    /** For how long the socket has accepted no output, in milliseconds; 0 if it does. */
+    long outputBlockedMillis(long nowNanos) {
+        long since = outputBlockedAtNanos;
+        return since == NOT_BLOCKED ? 0 : TimeUnit.NANOSECONDS.toMillis(nowNanos - since);
+    }
+
     @Override
     public void close() {
         close(CloseMode.GRACEFUL);
--- a/src/main/java/cairnbridge/proxy/RequestHandlers.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlers.java
@@ -98,10 +98,20 @@
     boolean checkPipelined() {
         ClientExchange current = latest;
         boolean busy = current != null && (!current.isAnswered() || current.isLastOnConnection());
-        if (busy) {
+        // Guards against responses that fill the heap because their client does not read them.
+        if (busy || session.isOutputBlocked()) {
             pipelined = true;
         }
-        return busy;
+        return pipelined;
+    }
+
+    /**
+     * Records that bytes have been received behind a request that the proxy answers itself. Guards
+     * against a client that sends such requests without waiting: each is answered at once, so that
+     * the reactor would read the next ones without an end.
+     */
+    void recordPipelined() {
+        pipelined = true;
     }
 
     /**
--- a/src/main/java/cairnbridge/proxy/RequestHeadParser.java
+++ b/src/main/java/cairnbridge/proxy/RequestHeadParser.java
@@ -15,6 +15,7 @@
  */
 final class RequestHeadParser extends DefaultHttpRequestParser<HttpRequest> {
     private final BooleanSupplier requestOpen;
+    private final Runnable onPipelined;
     private final HeadInput headInput;
 
     /**
@@ -22,11 +23,13 @@
      *
      * @param requestOpen whether a request on the connection has not been answered yet, or the last
      *     response of the connection has begun
+     * @param onPipelined called when bytes follow a request that the proxy answers itself
      * @param headMemory holds the memory of the latest head
      */
-    RequestHeadParser(BooleanSupplier requestOpen, HeadMemory headMemory) {
+    RequestHeadParser(BooleanSupplier requestOpen, Runnable onPipelined, HeadMemory headMemory) {
         super(HttpSettings.CONFIG, DefaultHttpRequestFactory.INSTANCE);
         this.requestOpen = requestOpen;
+        this.onPipelined = onPipelined;
         headInput = new HeadInput(HttpSettings.USED_REQUEST_HEADERS, headMemory);
     }
 
@@ -46,6 +49,9 @@
         if (request != null) {
             headInput.headComplete();
             MessageFraming.requireUnambiguousLength(request, true);
+            if (buffer.hasData() && RequestParser.isForProxy(request)) {
+                onPipelined.run();
+            }
         }
         return request;
     }
--- a/src/main/java/cairnbridge/proxy/RequestParser.java
+++ b/src/main/java/cairnbridge/proxy/RequestParser.java
@@ -19,6 +19,9 @@
     /** Forwarded unchanged; a request with this header may be sent to servers more than once. */
     public static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
 
+    /** The prefix of the paths that the proxy answers itself. */
+    private static final String PROXY_PATH_PREFIX = "/-/";
+
     private static final String RETRY_HEADER = "X-Second-Try";
     private static final String RETRY_VALUE = "1";
     private static final String WRITE_METHOD = "PUT";
@@ -30,6 +33,11 @@
 
     private RequestParser() {}
 
+    /** Whether the proxy answers the request itself, at once. */
+    static boolean isForProxy(HttpRequest request) {
+        return pathOf(request.getRequestUri()).startsWith(PROXY_PATH_PREFIX);
+    }
+
     /**
      * Reads the headers and the path that routing needs; other headers are not interpreted.
      *
