An input event of a client reads for a millisecond at most

Cause: the library handles an input event until its window of 64 KiB is used up; with chunks of a byte that is a system call and a call of the pipe for each byte. Five of six samples of the reactor's stack stand there. A limit on the extra reads of ReadLoop alone changed nothing (trial, taken back).

Change: LingeringSession reads nothing more 1 ms after the event began; the rest comes in the next event, after other connections.

Result: RequestFloodTest.clientsThatSend... fails on the code before and passes now.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -252,7 +252,12 @@
         } else if (hasStoppedReading()) {
             discardInput(ioSession);
         } else {
-            readInput(ioSession, source);
+            session.beginInputEvent();
+            try {
+                readInput(ioSession, source);
+            } finally {
+                session.endInputEvent();
+            }
         }
     }
 
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -20,6 +20,10 @@
 final class LingeringSession extends ForwardingSession {
     private static final int SCRATCH_BYTES = 4096;
     private static final int MAX_READS = 16;
+
+    /** The time after which one input event reads no more; the rest is read in the next one. */
+    private static final long MAX_INPUT_EVENT_NANOS = 1_000_000;
+
     private static final long NOT_CLOSING = 0;
     private static final long NOT_BLOCKED = 0;
 
@@ -33,6 +37,12 @@
      */
     private volatile long outputBlockedAtNanos = NOT_BLOCKED;
 
+    /** When the present input event began. Reactor's thread only. */
+    private long inputEventNanos;
+
+    /** Whether an input event is being handled. Reactor's thread only. */
+    private boolean inInputEvent;
+
     /** Whether the latest read has taken all input there was. Reactor's thread only. */
     private boolean drained;
 
@@ -122,6 +132,25 @@
         }
     }
 
+    /**
+     * Limits the time for which the present input event reads, until {@link #endInputEvent}. Guards
+     * against clients whose input costs much more than its length, such as a body in chunks of a
+     * byte, and that keep the reactor from all others. Called on the reactor's thread.
+     */
+    void beginInputEvent() {
+        inputEventNanos = System.nanoTime();
+        inInputEvent = true;
+    }
+
+    /** Ends the limit of {@link #beginInputEvent}. Called on the reactor's thread. */
+    void endInputEvent() {
+        inInputEvent = false;
+    }
+
+    private boolean isInputTimeUp() {
+        return inInputEvent && System.nanoTime() - inputEventNanos >= MAX_INPUT_EVENT_NANOS;
+    }
+
     /** Whether the latest read has taken all input there was. Called on the reactor's thread. */
     boolean isDrained() {
         return drained;
@@ -129,6 +158,10 @@
 
     @Override
     public int read(ByteBuffer destination) throws IOException {
+        if (isInputTimeUp()) {
+            drained = false;
+            return 0;
+        }
         int wanted = destination.remaining();
         int count = delegate().read(destination);
         drained = count < wanted;
--- a/src/test/java/cairnbridge/proxy/RequestFloodTest.java
+++ b/src/test/java/cairnbridge/proxy/RequestFloodTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -15,6 +16,8 @@
 class RequestFloodTest extends ProxyTestSupport {
     private static final int REQUESTS_PER_WRITE = 200;
     private static final int MAX_WRITES = 3000;
+    private static final int CHUNK_CLIENTS = 20;
+    private static final int CHUNKS = 200_000;
     private static final int TTL_MILLIS = 400;
     private static final int LOST_AFTER_MILLIS = TTL_MILLIS + 550;
 
@@ -42,6 +45,35 @@
         assertTrue(!flood.isAlive(), "the flood goes on");
     }
 
+    /** Guards against a few costly bodies that keep the reactor from all other clients. */
+    @Test
+    void clientsThatSendBodiesInChunksOfAByteDoNotDelayOthers() throws Exception {
+        start();
+        byte[] chunks = "1\r\nx\r\n".repeat(CHUNKS).getBytes(StandardCharsets.US_ASCII);
+        CountDownLatch flooding = new CountDownLatch(CHUNK_CLIENTS);
+        for (int i = 0; i < CHUNK_CLIENTS; i++) {
+            Socket bad = connectClient();
+            String headers =
+                    "X-Trace-Id: chunks-"
+                            + i
+                            + "\r\nX-Expires-In: 900m\r\nTransfer-Encoding: chunked\r\n";
+            daemon(
+                    () -> {
+                        send(bad, "PUT /loan/1", headers, "");
+                        flooding.countDown();
+                        bad.getOutputStream().write(chunks);
+                        return null;
+                    });
+        }
+        assertTrue(flooding.await(10, TimeUnit.SECONDS));
+        for (int i = 0; i < 10; i++) {
+            long sentNanos = System.nanoTime();
+            assertEquals(200, statusCode(sendRequest("GET /view/1", ttlHeader(TTL_MILLIS), "")));
+            long millis = (System.nanoTime() - sentNanos) / 1_000_000;
+            assertTrue(millis <= LOST_AFTER_MILLIS, "answered after " + millis);
+        }
+    }
+
     private static Void flood(Socket client, String target, CountDownLatch flooding)
             throws IOException {
         String request = "GET " + target + " HTTP/1.1\r\nHost: app.svc\r\n\r\n";
