--- a/src/main/java/cairnbridge/proxy/ResponseProgress.java
+++ b/src/main/java/cairnbridge/proxy/ResponseProgress.java
@@ -7,8 +7,11 @@
  * any thread may query it. All times are ticks.
  */
 final class ResponseProgress {
-    /** A lower bound for a response body that is received at the lowest rate that is tolerated. */
-    private static final long MIN_BYTES_PER_MILLI = ListenerState.MIN_BODY_BYTES_PER_MILLI;
+    /**
+     * The rate at which a late response has to arrive to be taken for a long one. At that rate it
+     * has exceeded the longest body that is buffered after some four seconds.
+     */
+    private static final long MIN_BYTES_PER_MILLI = 16;
 
     private volatile long headReceivedAtTicks;
 
@@ -61,8 +64,8 @@
     }
 
     /**
-     * Whether a body of unknown length may still turn out to be a long one: it has arrived at least
-     * as fast as the slowest peer sends.
+     * Whether a body of unknown length may still turn out to be a long one, judged by the rate at
+     * which it has arrived since its head.
      */
     boolean mayBecomeLong(long now) {
         long elapsedMillis = (now - headReceivedAtTicks) / TickClock.TICKS_PER_MILLI;
