A request that may have run is not forwarded again after its client has left

Cause: the id was reserved only while the request had no answer. A client's leaving ended that, although an attempt had reached a server.

Change: the ids of requests that may have run and are not idempotent are remembered for a minute when their client leaves, 4,096 at most; the same id is answered 409. ServerHeaders takes the reading of headers out of UpstreamAttempt.

Not mended: the other process of an upgrade does not know the ids.

--- a/src/main/java/cairnbridge/proxy/ActiveRequest.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequest.java
@@ -66,6 +66,11 @@
         return openAttempts > 0;
     }
 
+    /** Whether a server may have received the last byte of the request. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(UpstreamAttempt::mayHaveRun);
+    }
+
     /** Records that the response of this attempt is being streamed to the client. */
     void streamFrom(UpstreamAttempt attempt) {
         streamingAttempt = attempt;
--- a/src/main/java/cairnbridge/proxy/ActiveRequests.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequests.java
@@ -15,6 +15,7 @@
 final class ActiveRequests {
     private final Map<RequestId, ActiveRequest> requests = new HashMap<>();
     private final Set<String> openTraceIds = new HashSet<>();
+    private final AbandonedTraceIds abandonedTraceIds = new AbandonedTraceIds();
     private long lastRequestNumber;
 
     /** Written only by the coordinator thread; read by any thread. */
@@ -25,9 +26,17 @@
         return new RequestId(++lastRequestNumber);
     }
 
-    /** Reserves a trace id until its request is answered; false if an open request uses it. */
-    boolean claimTraceId(String traceId) {
-        return openTraceIds.add(traceId);
+    /**
+     * Reserves a trace id until its request is answered; false if an open request uses it, or one
+     * whose client has left may have run.
+     */
+    boolean claimTraceId(String traceId, long now) {
+        return !abandonedTraceIds.contains(traceId, now) && openTraceIds.add(traceId);
+    }
+
+    /** Remembers the trace id of a request that may have run and whose client has left. */
+    void rememberAbandoned(ActiveRequest request, long now) {
+        abandonedTraceIds.add(request.exchange().traceId, now);
     }
 
     /** Adds a request whose id is assigned and whose trace id is reserved. */
--- a/src/main/java/cairnbridge/proxy/ClientEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/ClientEventHandler.java
@@ -53,8 +53,9 @@
         if (exchange.isFinished()) {
             return;
         }
-        // Guards against two open requests with the same trace id: the second one is rejected.
-        if (!activeRequests.claimTraceId(exchange.traceId)) {
+        // Guards against running a request twice: the second one with the same trace id is
+        // rejected.
+        if (!activeRequests.claimTraceId(exchange.traceId, clock.now())) {
             exchange.rejectConflict();
             return;
         }
--- a/src/main/java/cairnbridge/proxy/RequestCompletion.java
+++ b/src/main/java/cairnbridge/proxy/RequestCompletion.java
@@ -2,6 +2,9 @@
 
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Ids.RequestId;
+import cairnbridge.decision.Settings.Category;
+import cairnbridge.decision.Settings.Effect;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -10,6 +13,7 @@
  * coordinator thread.
  */
 final class RequestCompletion {
+    private final List<Category> categories;
     private final ActiveRequests activeRequests;
     private final AttemptSender attemptSender;
     private final CoordinatorListeners listeners;
@@ -17,7 +21,14 @@
     private final RouterNotifier router;
     private final TickClock clock;
 
-    RequestCompletion(CoordinatorContext context, AttemptSender attemptSender) {
+    /**
+     * Creates an instance that sends its answers through the exchanges.
+     *
+     * @param categories the categories of the settings, by index
+     */
+    RequestCompletion(
+            CoordinatorContext context, AttemptSender attemptSender, List<Category> categories) {
+        this.categories = categories;
         this.activeRequests = context.activeRequests();
         this.attemptSender = attemptSender;
         this.listeners = context.listeners();
@@ -46,10 +57,18 @@
     void dropDisconnected(ClientExchange exchange) {
         ActiveRequest request = activeRequests.find(exchange);
         if (request != null && !request.isAnswered()) {
+            if (isRepeatHarmful(exchange) && request.mayHaveRun()) {
+                activeRequests.rememberAbandoned(request, clock.now());
+            }
             dropRequest(request);
         }
     }
 
+    private boolean isRepeatHarmful(ClientExchange exchange) {
+        int category = Math.min(exchange.category.value(), categories.size() - 1);
+        return categories.get(category).effect() != Effect.IDEMPOTENT;
+    }
+
     /** Marks a request as answered, and notifies the router that it was cancelled. */
     private void dropRequest(ActiveRequest request) {
         markAnswered(request);
--- a/src/main/java/cairnbridge/proxy/RequestCoordinator.java
+++ b/src/main/java/cairnbridge/proxy/RequestCoordinator.java
@@ -124,7 +124,7 @@
         invariants = context.invariants();
         attemptSender =
                 new AttemptSender(context, upstreamPool, eventQueue, deferredEvents, metrics);
-        completion = new RequestCompletion(context, attemptSender);
+        completion = new RequestCompletion(context, attemptSender, config.settings().categories());
         deadlines = new RequestDeadlines(context, attemptSender, completion);
         clientEvents = new ClientEventHandler(context, stallDetector, completion, deadlines);
         attemptEvents = new AttemptEventHandler(context, upstreamPool, attemptSender, completion);
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -226,6 +226,11 @@
         return writtenAtTicks > 0;
     }
 
+    /** Whether the node may have received the last byte of the request, or may yet. */
+    boolean mayHaveRun() {
+        return isWritten() || stage.get() == Stage.SENDING;
+    }
+
     /**
      * How long the node took. A streamed request counts from its last byte, so that the speed of
      * the client does not matter, and as 0 if that was never written; a streamed response counts
@@ -245,18 +250,8 @@
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         statusCode = response.getCode();
-        Header neverRanHeader = response.getFirstHeader("X-Never-Ran");
-        neverRan = neverRanHeader != null && neverRanHeader.getValue().equals("1");
-        Header storeHeader = response.getFirstHeader("X-Store");
-        cacheStatus =
-                storeHeader == null
-                        ? 0
-                        : switch (storeHeader.getValue()) {
-                            case "hit" -> 1;
-                            case "miss" -> 2;
-                            case "pending" -> 3;
-                            default -> 0;
-                        };
+        neverRan = ServerHeaders.neverRan(response);
+        cacheStatus = ServerHeaders.cacheStatus(response);
         bufferedResponse = new BufferedBody(exchange.answerMemory(), entity);
         responseProgress.headReceived(entity, clock.now());
         if (entity == null) {
--- /dev/null
+++ b/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
@@ -0,0 +1,57 @@
+package cairnbridge.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+
+/** Requests that come again with the same trace id after their client has left. */
+class RepeatedRequestsTest extends ProxyTestSupport {
+    private static final long SECOND = TickClock.TICKS_PER_SECOND;
+
+    private final AbandonedTraceIds ids = new AbandonedTraceIds();
+
+    /** Guards against an at-most-once request that runs a second time. */
+    @Test
+    void anAtMostOnceRequestThatMayHaveRunIsNotForwardedAgainAfterItsClientLeft() throws Exception {
+        originHandler = request -> SILENT;
+        start();
+        leaveAfter("PUT /loan/1", origin);
+
+        assertEquals(409, statusCode(sendRequest("PUT /loan/1", ttlHeader(900), "")));
+        assertEquals(1, origin.requests.size());
+    }
+
+    @Test
+    void anIdempotentRequestIsForwardedAgain() throws Exception {
+        cacheHandler = request -> cache.requests.size() == 1 ? SILENT : HIT;
+        start();
+        leaveAfter("GET /view/1", cache);
+
+        assertEquals(200, statusCode(sendRequest("GET /view/1", ttlHeader(900), "")));
+    }
+
+    /** Sends a request, waits until it has reached the server, and leaves. */
+    private void leaveAfter(String requestLine, StubServer server) throws Exception {
+        Socket client = connectClient();
+        send(client, requestLine, ttlHeader(900), "");
+        waitUntil(() -> server.requests.size() == 1);
+        int descriptors = proxy.openDescriptors();
+        client.close();
+        waitUntil(() -> proxy.openDescriptors() < descriptors);
+    }
+
+    @Test
+    void idsAreForgottenWhenTheyAreOldOrTooMany() {
+        ids.add("old", 0);
+        assertTrue(ids.contains("old", 60 * SECOND - 1));
+        assertFalse(ids.contains("old", 60 * SECOND));
+        for (int i = 0; i <= AbandonedTraceIds.MAX_IDS; i++) {
+            ids.add("id-" + i, 100 * SECOND);
+        }
+        assertFalse(ids.contains("id-0", 100 * SECOND));
+        assertTrue(ids.contains("id-1", 100 * SECOND));
+    }
+}
