A client's close is found behind any amount of unread input

Cause: the look for a close before an attempt reads 64 KiB at most of what stands before it.

Change: it reads until nothing is left; over 1 MiB the client counts as gone, as before.

Result: ArrivalTest.aCloseBehindMuchUnreadInput... fails on the code before (the permit is valid) and passes now.

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -32,7 +32,7 @@
      * The most bytes that are discarded before the connection is closed: those that a client sends
      * during a lingering close or while a response is pending.
      */
-    private static final long MAX_DISCARDED_BYTES = 1 << 20;
+    static final long MAX_DISCARDED_BYTES = 1 << 20;
 
     private static final long NOT_READING = 0;
     private static final int NOT_OVERDUE = -1;
--- a/src/main/java/cairnbridge/proxy/LingeringSession.java
+++ b/src/main/java/cairnbridge/proxy/LingeringSession.java
@@ -111,12 +111,28 @@
         int count = 1;
         for (int i = 0; i < MAX_READS && count > 0; i++) {
             scratch.clear();
-            count = read(scratch);
+            count = readNow(scratch);
             discardedBytes += Math.max(0, count);
         }
         return discardedBytes;
     }
 
+    /**
+     * Discards all input there is. Guards against missing the client's close behind more input than
+     * one call of {@link #discardInput} reads. Called on the reactor's thread.
+     *
+     * @return whether the client has closed its side, or has sent more than the given number of
+     *     bytes to be discarded
+     * @throws IOException if the client has reset the connection
+     */
+    boolean discardAll(long maxDiscardedBytes) throws IOException {
+        long total = discardInput();
+        while (!drained && total <= maxDiscardedBytes) {
+            total = discardInput();
+        }
+        return peerClosed || total > maxDiscardedBytes;
+    }
+
     /**
      * Handles input after the output has been shut down: closes the socket if the client has closed
      * its side, or has sent too much. Called on the reactor's thread.
@@ -162,6 +178,10 @@
             drained = false;
             return 0;
         }
+        return readNow(destination);
+    }
+
+    private int readNow(ByteBuffer destination) throws IOException {
         int wanted = destination.remaining();
         int count = delegate().read(destination);
         drained = count < wanted;
--- a/src/main/java/cairnbridge/proxy/RequestHandlers.java
+++ b/src/main/java/cairnbridge/proxy/RequestHandlers.java
@@ -120,11 +120,10 @@
      */
     private boolean hasClientClosed() {
         try {
-            session.discardInput();
+            return session.discardAll(ClientConnection.MAX_DISCARDED_BYTES);
         } catch (IOException e) {
             return true; // The client has reset the connection.
         }
-        return session.hasPeerClosed();
     }
 
     /** Whether a client has pipelined a request on this connection. Reactor's thread only. */
--- a/src/test/java/cairnbridge/proxy/ArrivalTest.java
+++ b/src/test/java/cairnbridge/proxy/ArrivalTest.java
@@ -288,6 +288,19 @@
         assertFalse(arrivalOf("closed").permitted);
     }
 
+    /** Guards against an attempt for a client that has left behind much that is not read. */
+    @Test
+    void aCloseBehindMuchUnreadInputRevokesThePermitOfTheRequest() throws Exception {
+        Socket client = connect();
+        holdReactor();
+        send(client, "GET /view/2", HEADERS + "closed\r\n", "");
+        client.getOutputStream().write(new byte[300_000]);
+        client.close();
+        release.countDown();
+
+        assertFalse(arrivalOf("closed").permitted);
+    }
+
     @Test
     void aRequestWhoseClientWaitsKeepsItsPermit() throws Exception {
         send(connect(), "GET /view/2", HEADERS + "waiting\r\n", "");
