--- a/src/main/java/cairnbridge/decision/Request.java
+++ b/src/main/java/cairnbridge/decision/Request.java
@@ -55,7 +55,7 @@
      *
      * @param now the present time, from which the latency objective counts
      */
-    final void changeDeadline(long newDeadline, long now) {
+    void changeDeadline(long newDeadline, long now) {
         deadline = newDeadline;
         usefulUntil =
                 policy.countsWhenLate()
