An address belongs to the node that the list has told last

Cause: nodes are told apart by their ids and keep their addresses until the list says they are gone. If a change tells of the successor first, two nodes lead to one process.

Change: UpstreamPool drops the address of a node when a change gives it to another.

--- a/src/main/java/cairnbridge/proxy/UpstreamPool.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamPool.java
@@ -56,6 +56,7 @@
                 && (list.scope() == ListScope.CACHED || list.scope() == ListScope.FULL)) {
             addresses.clear();
         }
+        removePredecessors(newAddresses);
         addresses.putAll(newAddresses);
         for (Endpoint endpoint : list.endpoints()) {
             if (endpoint.state() != NodeState.READY) {
@@ -65,6 +66,21 @@
         closeUnusable();
     }
 
+    /**
+     * Removes nodes whose address has been given to another node. Guards against requests that
+     * reach a new process in the belief that it is the old one, because the list tells of the new
+     * node before it tells that the old one is gone.
+     */
+    private void removePredecessors(Map<NodeId, InetSocketAddress> newAddresses) {
+        Set<InetSocketAddress> takenAddresses = new HashSet<>(newAddresses.values());
+        addresses
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                !newAddresses.containsKey(entry.getKey())
+                                        && takenAddresses.contains(entry.getValue()));
+    }
+
     /** Puts a node into maintenance, in which it gets no connections, or takes it out. */
     void setMaintenance(NodeId node, boolean enabled) {
         if (enabled) {
