The limit on trailers holds for each message, not for a connection's messages together

Cause: ChunkInput, one for a connection, never began its selector anew.

Change: it does when the trailers of a message begin.

Result: HeadInputTest.theLimitOnTrailers... fails without the change and passes with it.

--- a/src/main/java/cairnbridge/proxy/ChunkInput.java
+++ b/src/main/java/cairnbridge/proxy/ChunkInput.java
@@ -16,7 +16,7 @@
     public boolean readLine(CharArrayBuffer line, boolean ended) throws IOException {
         while (input().readLine(line, ended)) {
             if (line.length() == 0 || !readingTrailers) {
-                readingTrailers = isLastChunk(line);
+                beginTrailers(isLastChunk(line));
                 return true;
             }
             if (selector.isKept(line)) {
@@ -27,6 +27,14 @@
         return false;
     }
 
+    /** Guards against counting the trailers of all messages of a connection together. */
+    private void beginTrailers(boolean begin) {
+        readingTrailers = begin;
+        if (begin) {
+            selector.reset();
+        }
+    }
+
     /** Whether the line announces a chunk of size zero, which the trailers follow. */
     private static boolean isLastChunk(CharArrayBuffer line) {
         int digits = 0;
--- a/src/test/java/cairnbridge/proxy/HeadInputTest.java
+++ b/src/test/java/cairnbridge/proxy/HeadInputTest.java
@@ -111,4 +111,13 @@
         List<String> lines = List.of("5;a=b", "", "00;last", "X-Note: 1", "X-Used: 2", "", "10");
         assertEquals(List.of("5;a=b", "", "00;last", "", "10"), readAll(new ChunkInput(), lines));
     }
+
+    /** Guards against a kept connection that breaks after some messages with trailers. */
+    @Test
+    void theLimitOnTrailersHoldsForEachMessage() throws IOException {
+        ChunkInput chunks = new ChunkInput();
+        for (int i = 0; i <= HttpSettings.MAX_HEADERS; i++) {
+            assertEquals(List.of("0", ""), readAll(chunks, List.of("0", "X-Note: 1", "")));
+        }
+    }
 }
