--- a/src/main/java/cairnbridge/proxy/AbandonedTraceIds.java
+++ b/src/main/java/cairnbridge/proxy/AbandonedTraceIds.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import cairnbridge.hash.Fnv1a;
 import cairnbridge.time.Ticks;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -7,24 +8,25 @@
 
 /**
  * The trace ids of requests that may have run and whose clients left before the answer. Guards
- * against a second execution when such a request comes again. Not thread-safe; times are ticks.
+ * against a second execution when such a request comes again. Only hashes are kept, so that the
+ * length of an id does not matter. Not thread-safe; times are ticks.
  */
 final class AbandonedTraceIds {
     /** For how long an id is remembered: the longest TTL. */
     private static final long REMEMBERED_TICKS = 60 * Ticks.SECOND;
 
-    /** The most ids that are remembered; the account of the heap has them with the program. */
+    /** The most ids that are remembered. */
     static final int MAX_IDS = 4096;
 
-    /** When each id was added, in the order of adding. */
-    private final Map<String, Long> addedAtTicks = new LinkedHashMap<>();
+    /** When each id was added, by its hash, in the order of adding. */
+    private final Map<Long, Long> addedAtTicks = new LinkedHashMap<>();
 
     /** Remembers an id; the oldest one is forgotten if there are too many. */
     void add(String traceId, long now) {
         removeExpired(now);
-        addedAtTicks.putIfAbsent(traceId, now);
+        addedAtTicks.putIfAbsent(Fnv1a.hash(traceId), now);
         if (addedAtTicks.size() > MAX_IDS) {
-            Iterator<String> oldest = addedAtTicks.keySet().iterator();
+            Iterator<Long> oldest = addedAtTicks.keySet().iterator();
             oldest.next();
             oldest.remove();
         }
@@ -33,7 +35,7 @@
     /** Whether the id is remembered. */
     boolean contains(String traceId, long now) {
         removeExpired(now);
-        return addedAtTicks.containsKey(traceId);
+        return addedAtTicks.containsKey(Fnv1a.hash(traceId));
     }
 
     private void removeExpired(long now) {
--- a/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
+++ b/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.ref.WeakReference;
 import java.net.Socket;
 import org.junit.jupiter.api.Test;
 
@@ -54,4 +56,17 @@
         assertFalse(ids.contains("id-0", 100 * SECOND));
         assertTrue(ids.contains("id-1", 100 * SECOND));
     }
+
+    /** Guards against long ids that fill the heap although their number is limited. */
+    @Test
+    void theTextOfARememberedIdIsNotKept() {
+        String id = "a".repeat(4000);
+        WeakReference<String> held = new WeakReference<>(id);
+        ids.add(id, 0);
+        id = null;
+        for (int i = 0; i < 10 && held.get() != null; i++) {
+            System.gc();
+        }
+        assertNull(held.get(), "the id is still held");
+    }
 }
