Points on the ring take 4 B and change in place, so that large nodes do not end the process

Cause: such a node has 1,024 points of 8 B, 26 MB in sum. A list with one more made a second array of the ring while the first was in use; one that replaced all nodes had both and the encoded new points. The account of the heap counted 256 points a node.

Change: a point is its slot and rank; its position is computed where it is compared. HeapAccount counts the points that the ring has. The number of points follows from a node's own size as before, so nothing moves but what the list changes.

--- a/src/main/java/cairnbridge/decision/HashRing.java
+++ b/src/main/java/cairnbridge/decision/HashRing.java
@@ -142,7 +142,6 @@
         BitSet freedSlots = new BitSet();
         double totalSize = 0;
         cacheCount = 0;
-        int addedPoints = 0;
         for (ServerNode node : context.registry.nodes()) {
             int wantedCount = wantedPointCount(node);
             if (wantedCount != node.pointCount() && node.isOnRing()) {
@@ -151,11 +150,10 @@
                 node.leaveRing();
             }
             node.pointCountChanged(wantedCount);
-            addedPoints += node.isOnRing() ? 0 : wantedCount;
             totalSize += wantedCount > 0 ? node.size() : 0;
             cacheCount += wantedCount > 0 ? 1 : 0;
         }
-        points.change(freedSlots, join(totalSize, addedPoints));
+        points.change(freedSlots, join(totalSize));
         context.registry.removeGoneNodes();
         context.loop.post(context.origin::membersChanged);
         updateSpeeds();
@@ -174,10 +172,9 @@
         return (int) Math.max(1, count);
     }
 
-    /** Assigns slots to nodes that have none, and returns the encoded points of these nodes. */
-    private long[] join(double totalSize, int addedPoints) {
-        long[] added = new long[addedPoints];
-        int next = addedPoints;
+    /** Assigns slots to nodes that have none, and returns the points of these nodes. */
+    private List<NodePoints> join(double totalSize) {
+        List<NodePoints> joined = new ArrayList<>();
         for (ServerNode node : context.registry.nodes()) {
             node.weightChanged(totalSize > 0 ? node.size() * cacheCount / totalSize : 1);
             if (node.pointCount() == 0 || node.isOnRing()) {
@@ -186,13 +183,11 @@
             int slot = freeSlot();
             owners.set(slot, node);
             node.joinRing(slot);
-            for (int rank = 0; rank < node.pointCount(); rank++) {
-                long position = SplitMix64.mix(SplitMix64.mix(node.id().value()) + rank);
-                added[--next] = RingPoints.encode(position, slot, rank);
-            }
+            long nodeHash = SplitMix64.mix(node.id().value());
+            joined.add(new NodePoints(nodeHash, slot, node.pointCount()));
             node.enterTransition();
         }
-        return added;
+        return joined;
     }
 
     private int freeSlot() {
--- a/src/main/java/cairnbridge/decision/Router.java
+++ b/src/main/java/cairnbridge/decision/Router.java
@@ -44,6 +44,11 @@
                 context.registry.savedHealth());
     }
 
+    /** The number of points on the ring, which decides how much memory the ring takes. */
+    public int ringPointCount() {
+        return context.ring.points().size();
+    }
+
     /** Handles one event at a clock time, and runs all calls that result from it. */
     public void handle(long clock, Event event) {
         context.advanceTo(clock);
--- a/src/main/java/cairnbridge/proxy/ProxyComponents.java
+++ b/src/main/java/cairnbridge/proxy/ProxyComponents.java
@@ -90,6 +90,7 @@
                                 ? previousRun
                                 : warmStartFile,
                         metrics);
+        heapAccount.setRingPointCount(coordinator::ringPointCount);
         return new ProxyComponents(
                 config,
                 clock,
--- a/src/main/java/cairnbridge/proxy/RequestCoordinator.java
+++ b/src/main/java/cairnbridge/proxy/RequestCoordinator.java
@@ -90,6 +90,7 @@
     private long lastRouterTimeTicks;
     private long lastSweepTicks;
     private volatile boolean stopped;
+    private volatile int ringPointCount;
     private volatile WarmStartState warmStartState = WarmStartState.EMPTY;
 
     /**
@@ -154,6 +155,11 @@
         return activeRequests.unansweredCount();
     }
 
+    /** The number of points on the router's ring; any thread may call this. */
+    int ringPointCount() {
+        return ringPointCount;
+    }
+
     /** The latest stalls of the process; any thread may call this. */
     StallHistory stallHistory() {
         return stallHistory;
@@ -295,6 +301,14 @@
     public void notifyRouter(long nowTicks, Event event) {
         lastRouterTimeTicks = nowTicks;
         router.handle(nowTicks, event);
+        publishRingPointCount();
+    }
+
+    private void publishRingPointCount() {
+        int count = router.ringPointCount();
+        if (count != ringPointCount) {
+            ringPointCount = count;
+        }
     }
 
     // The methods of Host, which the router calls while it handles an event.
--- a/src/test/java/cairnbridge/proxy/HeapAccountTest.java
+++ b/src/test/java/cairnbridge/proxy/HeapAccountTest.java
@@ -15,6 +15,11 @@
 class HeapAccountTest {
     private static final int LARGEST_FLEET = 3201;
     private static final int MOST_CONNECTIONS = 1000;
+    private static final int POINTS_OF_SIZE_1 = 256;
+
+    /** The points of a node of size 4; larger ones have no more. */
+    private static final int MOST_POINTS = 1024;
+
     private static final long HEAP_BYTES = 64 << 20;
 
     private static long deployedHeapBytes() throws IOException {
@@ -25,8 +30,14 @@
     }
 
     private static HeapAccount account(long heapBytes, int nodes, int connections) {
+        return account(heapBytes, nodes, connections, POINTS_OF_SIZE_1);
+    }
+
+    private static HeapAccount account(
+            long heapBytes, int nodes, int connections, int pointsPerNode) {
         HeapAccount account = new HeapAccount(heapBytes);
         account.setNodeCount(() -> nodes);
+        account.setRingPointCount(() -> nodes * pointsPerNode);
         account.setConnectionCount(() -> connections);
         return account;
     }
@@ -40,6 +51,17 @@
         assertFalse(account(heapBytes / 2, LARGEST_FLEET, MOST_CONNECTIONS).isBalanced());
     }
 
+    /** Guards against nodes whose points are in the heap and not in its account. */
+    @Test
+    void theDeployedHeapHoldsTheLargestFleetOfTheLargestNodes() throws IOException {
+        long heapBytes = deployedHeapBytes();
+        HeapAccount account = account(heapBytes, LARGEST_FLEET, MOST_CONNECTIONS, MOST_POINTS);
+
+        assertTrue(account.isBalanced());
+        long usualBytes = account(heapBytes, LARGEST_FLEET, MOST_CONNECTIONS).bodyBytes();
+        assertTrue(account.bodyBytes() < usualBytes, account.bodyBytes() + " of " + usualBytes);
+    }
+
     /** Guards against a crowd of clients whose bodies take the heap that their connections need. */
     @Test
     void nodesAndConnectionsTakeFromTheBytesForBodies() {
--- a/src/test/java/cairnbridge/proxy/LargeListTest.java
+++ b/src/test/java/cairnbridge/proxy/LargeListTest.java
@@ -6,9 +6,12 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
+import java.util.function.IntToDoubleFunction;
 import org.junit.jupiter.api.Test;
 
 /** The memory that long endpoint lists take while they are received and applied. */
@@ -21,16 +24,31 @@
             "export JAVA_TOOL_OPTIONS='-XX:+UseSerialGC -Xmx24m -Xmn6m"
                     + " -XX:+ExitOnOutOfMemoryError'";
 
+    /** The heap of a deployed proxy less what a thousand connections may need. */
+    private static final String HEAP_WITHOUT_CONNECTIONS =
+            "export JAVA_TOOL_OPTIONS='-XX:+UseSerialGC -Xmx30m -Xmn6m"
+                    + " -XX:+ExitOnOutOfMemoryError'";
+
+    private static final double LARGEST_SIZE = 4;
+    private static final double[] MIXED_SIZES = {0.25, 1, 2.5, 4, 64};
+    private static final int LISTS_IN_A_ROW = 12;
     private static final int WHOLE_LISTS = 4;
     private static final int LISTS_AT_ONCE = 150;
 
     private static String wholeList() {
+        return wholeList(1, i -> 1);
+    }
+
+    /** Returns a list of caches that no list with another version has. */
+    private static String wholeList(int version, IntToDoubleFunction sizeOfCache) {
         String[] targets = new String[CACHES];
         for (int i = 0; i < CACHES; i++) {
-            String address = "127." + (1 + i / 200) + "." + (1 + i % 200) + ".1:9";
-            targets[i] = endpointJson("s-" + i, address, "cache", "Ready");
+            String uid = "s-" + version + "-" + i;
+            String address = "127." + (1 + i / 200) + "." + (1 + i % 200) + "." + version + ":9";
+            double size = sizeOfCache.applyAsDouble(i);
+            targets[i] = endpointJson(uid, address, "cache", "Ready", size);
         }
-        return endpointListJson(1, true, targets);
+        return endpointListJson(version, true, targets);
     }
 
     private static byte[] chunk(String text) {
@@ -78,6 +96,65 @@
         }
     }
 
+    /** Guards against the end of the process as a list changes before 3,200 nodes of size 4. */
+    @Test
+    void listsOfTheLargestNodesThatReplaceAllOfThemFitIntoTheHeap() throws Exception {
+        sendListsInARow(version -> i -> LARGEST_SIZE);
+    }
+
+    /** Guards against the end of the process as the sizes in a list change with each list. */
+    @Test
+    void listsOfMixedSizesThatReplaceAllNodesFitIntoTheHeap() throws Exception {
+        sendListsInARow(version -> i -> MIXED_SIZES[(i + version) % MIXED_SIZES.length]);
+    }
+
+    /**
+     * Sends lists one after the other, each as soon as the one before is read, and checks that the
+     * process holds all of them: a last list leads to a cache that it sends a request to.
+     */
+    private void sendListsInARow(IntFunction<IntToDoubleFunction> sizesOfList) throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        closeables.add(end::countDown);
+        cache = new StubServer(request -> HIT);
+        String lastList =
+                endpointListJson(
+                        LISTS_IN_A_ROW,
+                        true,
+                        endpointJson("last", cache.address(), "cache", "Ready"));
+        discovery =
+                new StubServer(request -> "") {
+                    @Override
+                    Void serve(Socket socket) throws IOException, InterruptedException {
+                        beginWatch(socket);
+                        OutputStream out = socket.getOutputStream();
+                        for (int version = 1; version < LISTS_IN_A_ROW; version++) {
+                            String list = wholeList(version, sizesOfList.apply(version));
+                            out.write(chunk(list + "\n"));
+                        }
+                        out.write(chunk(lastList + "\n"));
+                        end.await();
+                        return null;
+                    }
+                };
+        config(wholeList(0, sizesOfList.apply(0)), discovery.address());
+
+        Process process = startProcessAfter(HEAP_WITHOUT_CONNECTIONS);
+        int listeningPort = portFromLog(logOf(process));
+
+        waitUntil(() -> !process.isAlive() || isAnsweredByCache(listeningPort));
+        assertTrue(process.isAlive(), "the process has ended");
+    }
+
+    private boolean isAnsweredByCache(int listeningPort) throws IOException {
+        try (Socket client = new Socket("127.0.0.1", listeningPort)) {
+            send(client, "GET /view/k", ttlHeader(200), "");
+            readMessage(client);
+        } catch (SocketException e) {
+            return false;
+        }
+        return !cache.requests.isEmpty();
+    }
+
     /** Guards against lists that fill the heap because they arrive faster than they are applied. */
     @Test
     void discoveryIsReadNoFasterThanItsListsAreApplied() throws Exception {
--- a/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
@@ -266,6 +266,11 @@
     }
 
     static String endpointJson(String uid, String address, String hostType, String state) {
+        return endpointJson(uid, address, hostType, state, 1);
+    }
+
+    static String endpointJson(
+            String uid, String address, String hostType, String state, double size) {
         return "{\"uid\":\""
                 + uid
                 + "\",\"endpoint\":\""
@@ -274,7 +279,9 @@
                 + hostType
                 + "\",\"pod_group\":1,\"state\":\""
                 + state
-                + "\",\"capacity_hint\":1,\"boot_ms\":0,\"news\":[1]}";
+                + "\",\"capacity_hint\":"
+                + size
+                + ",\"boot_ms\":0,\"news\":[1]}";
     }
 
     static String endpointListJson(int version, boolean complete, String... targets) {
