Decisions compute with StrictMath, so that recorded runs are the same on each machine

What callers saw: nothing. RecordedRunTest failed on arm64 in two of its runs, which were recorded on x86-64; a change of a transcript could not be told from that.

Cause: Math.pow, exp and log may differ in the last place between kinds of machine.

Evidence: on arm64 six lines differ in all, each a saved share of health, by up to 13 in the last place; no call of the router does.

Change: decision and LiveProxyCount use StrictMath, whose results are specified to the last bit.

--- a/src/main/java/cairnbridge/decision/ConcurrencyLimit.java
+++ b/src/main/java/cairnbridge/decision/ConcurrencyLimit.java
@@ -81,7 +81,10 @@
         long intervals = gap / CUT_INTERVAL;
         double cuts = Math.max(1, Math.min(most, (double) intervals));
         lastCutAt = context.now();
-        level = Math.max(minimum(), Math.min(level, inFlight + 1) * Math.pow(CUT_FACTOR, cuts));
+        level =
+                Math.max(
+                        minimum(),
+                        Math.min(level, inFlight + 1) * StrictMath.pow(CUT_FACTOR, cuts));
     }
 
     /**
@@ -89,7 +92,8 @@
      * with a lower probability for lower priorities.
      */
     boolean admits(double relativePriority) {
-        return level >= 1 || context.random.nextDouble() < Math.pow(level, 1 / relativePriority);
+        return level >= 1
+                || context.random.nextDouble() < StrictMath.pow(level, 1 / relativePriority);
     }
 
     /**
--- a/src/main/java/cairnbridge/decision/LatencyHistogram.java
+++ b/src/main/java/cairnbridge/decision/LatencyHistogram.java
@@ -20,7 +20,7 @@
 
     void add(long latency) {
         double positive = (double) Math.max(1, latency);
-        long bin = Math.round(2 * Math.log(positive) / Math.log(2));
+        long bin = Math.round(2 * StrictMath.log(positive) / StrictMath.log(2));
         bins[(int) Math.min(BINS - 1, bin)]++;
         total++;
         if (total % FLOOR_INTERVAL == 0 || total == MIN_SAMPLES || total == 2 * MIN_SAMPLES) {
@@ -60,7 +60,7 @@
         for (int i = 0; i < BINS; i++) {
             remaining -= bins[i];
             if (remaining < 0) {
-                return Math.round(Math.pow(2, i / 2.0));
+                return Math.round(StrictMath.pow(2, i / 2.0));
             }
         }
         return defaultLatency;
--- a/src/main/java/cairnbridge/decision/NodeHealth.java
+++ b/src/main/java/cairnbridge/decision/NodeHealth.java
@@ -67,7 +67,9 @@
 
     void suspected() {
         acceptedShare =
-                Math.max(MIN_SHARE, acceptedShare * Math.pow(FAILURE_FACTOR, MAX_OUTCOME_WEIGHT));
+                Math.max(
+                        MIN_SHARE,
+                        acceptedShare * StrictMath.pow(FAILURE_FACTOR, MAX_OUTCOME_WEIGHT));
     }
 
     void attemptEnded(RequestPolicy policy, Event.AttemptEnded ended) {
@@ -97,7 +99,8 @@
                                 MAX_OUTCOME_WEIGHT,
                                 ticksSinceUpdate * OUTCOME_WEIGHT_PER_SECOND / Ticks.SECOND));
         lastUpdateAt = context.now();
-        double factor = Math.pow(isLateOrFailed ? FAILURE_FACTOR : SUCCESS_FACTOR, outcomeWeight);
+        double factor =
+                StrictMath.pow(isLateOrFailed ? FAILURE_FACTOR : SUCCESS_FACTOR, outcomeWeight);
         acceptedShare = Math.max(MIN_SHARE, Math.min(1, acceptedShare * factor));
         if (acceptedShare < 1) {
             node.enterTransition();
--- a/src/main/java/cairnbridge/decision/NodeLatency.java
+++ b/src/main/java/cairnbridge/decision/NodeLatency.java
@@ -30,7 +30,7 @@
         if (lastSampleAt == 0) {
             return 1;
         }
-        double confidence = Math.pow(0.5, (now - lastSampleAt) / HALF_LIFE);
+        double confidence = StrictMath.pow(0.5, (now - lastSampleAt) / HALF_LIFE);
         double expected = typicalLatency + (estimate - typicalLatency) * confidence;
         double acceptable = Math.max(typicalLatency, objective / 4.0);
         return expected <= acceptable ? 1 : Math.max(MIN_SPEED, acceptable / expected);
--- a/src/main/java/cairnbridge/decision/RouterContext.java
+++ b/src/main/java/cairnbridge/decision/RouterContext.java
@@ -86,6 +86,6 @@
     /** The weight of the warm start state, which halves every {@code WARM_START_HALF_LIFE}. */
     double warmStartWeight() {
         long age = now - warmStart.recordedAt();
-        return age < 0 ? 0 : Math.pow(0.5, (double) age / WARM_START_HALF_LIFE);
+        return age < 0 ? 0 : StrictMath.pow(0.5, (double) age / WARM_START_HALF_LIFE);
     }
 }
--- a/src/main/java/cairnbridge/decision/SlowStartBudget.java
+++ b/src/main/java/cairnbridge/decision/SlowStartBudget.java
@@ -90,11 +90,11 @@
     double sendsPerWindow() {
         long now = context.now();
         double decayTime = SENT_DECAY_WINDOWS * window;
-        sent *= Math.exp((sentUpdatedAt - now) / decayTime);
+        sent *= StrictMath.exp((sentUpdatedAt - now) / decayTime);
         sentUpdatedAt = now;
         long age = now - createdAt;
         double observedShare =
-                1 - Math.exp(-Math.max(RouterContext.HOUSEKEEPING_INTERVAL, age) / decayTime);
+                1 - StrictMath.exp(-Math.max(RouterContext.HOUSEKEEPING_INTERVAL, age) / decayTime);
         // Guards against a budget near zero when all caches are cold, so that there is no warm
         // cache's rate to take a share of: the rate from the warm start state is the lower bound.
         double warmStart =
--- a/src/main/java/cairnbridge/fleet/coordination/LiveProxyCount.java
+++ b/src/main/java/cairnbridge/fleet/coordination/LiveProxyCount.java
@@ -37,7 +37,7 @@
         double target = target(view.liveMembers().size());
         double timeConstant = target > smoothed ? RISE_TIME : FALL_TIME;
         double elapsed = Math.max(0, now - updatedAt);
-        smoothed += (target - smoothed) * (1 - Math.exp(-elapsed / timeConstant));
+        smoothed += (target - smoothed) * (1 - StrictMath.exp(-elapsed / timeConstant));
         updatedAt = Math.max(updatedAt, now);
         if (Math.abs(smoothed - reported) > HYSTERESIS) {
             reported = (int) Math.max(1, Math.round(smoothed));
