Long answers that are read slowly no longer keep other requests out

Cause: AdmissionControl counted answers that stream to their clients as requests in flight at the caches. Over a limit that has been cut nobody is admitted, no attempt ends, and the limit stays. Besides, the time of the reader counted as the cache's latency, cut the limit as slow readers finished and made the caches count as failing.

Why it works: the count holds what waits for a cache, and samples end at the first bytes. A body of a request that streams has an event of its own, as it says nothing of latency.

Tests: two of StreamingLoadTest fail before and pass; the third shows that overload is still recognised.

--- a/src/main/java/cairnbridge/decision/AdmissionControl.java
+++ b/src/main/java/cairnbridge/decision/AdmissionControl.java
@@ -28,6 +28,9 @@
 
     private long lastSampleAt;
 
+    /** The attempts at caches whose responses stream to their clients. */
+    private int streamingAttempts;
+
     AdmissionControl(RouterContext context) {
         this.context = context;
         quotas = new TenantQuotas(context);
@@ -53,23 +56,44 @@
      * admitting a request while none is in flight.
      */
     private boolean hasCapacity(double level) {
-        return context.ring.inFlight() < Math.max(1, level)
+        return waitingAttempts() < Math.max(1, level)
                 && (level >= 1 || level > context.random.nextDouble());
     }
 
-    void attemptEnded(Request request, ServerNode node, Event.AttemptEnded ended) {
+    /**
+     * The attempts at caches that wait for a response. Guards against slow readers of long
+     * responses that keep all other requests out, as a response that streams tells nothing of the
+     * caches' load.
+     */
+    private int waitingAttempts() {
+        return context.ring.inFlight() - streamingAttempts;
+    }
+
+    /** The response of an attempt at a cache has begun to stream to its client. */
+    void streamingStarted(Request request, ServerNode node, long elapsed) {
+        streamingAttempts++;
+        if (context.settings.loadReportColumns().isEmpty()) {
+            addSample(latencyRatioOf(request, node, elapsed, LoadReports.UNKNOWN));
+        }
+    }
+
+    void attemptEnded(Request request, Attempt attempt, Event.AttemptEnded ended) {
+        streamingAttempts -= attempt.isStreaming() ? 1 : 0;
         double reported = context.loadReports.latency(ended.loadReport());
-        if (reported < 0 && !reflectsLatency(ended.outcome())) {
+        boolean isStreaming = attempt.isStreaming();
+        if (reported < 0 && (isStreaming || !reflectsLatency(ended.outcome()))) {
             return;
         }
-        double ratio =
-                ranOutOfTime(request, ended.outcome())
+        addSample(
+                !isStreaming && ranOutOfTime(request, ended.outcome())
                         ? MAX_LATENCY_RATIO
-                        : Math.min(
-                                MAX_LATENCY_RATIO, latencyRatioOf(request, node, ended, reported));
+                        : latencyRatioOf(request, attempt.node, ended.duration(), reported));
+    }
+
+    private void addSample(double ratio) {
         long now = context.now();
         latencyRatio +=
-                (ratio - latencyRatio)
+                (Math.min(MAX_LATENCY_RATIO, ratio) - latencyRatio)
                         * MovingAverage.weightAfter(now - lastSampleAt, LATENCY_SAMPLES);
         lastSampleAt = now;
     }
@@ -94,14 +118,14 @@
      * the usual latency is also bounded from below.
      */
     private double latencyRatioOf(
-            Request request, ServerNode node, Event.AttemptEnded ended, double reported) {
+            Request request, ServerNode node, long duration, double reported) {
         RequestPolicy policy = request.policy;
         double base = policy.latencyObjective() / 6.0;
         if (reported >= 0) {
             return reported / base;
         }
         double usual = Math.max(base / 10, Math.min((double) policy.hitLatency().floor(), base));
-        return context.slowStart.warmth(node) * ended.duration() / usual;
+        return context.slowStart.warmth(node) * duration / usual;
     }
 
     /**
@@ -109,7 +133,7 @@
      * proxy may send its minimum at once.
      */
     void housekeeping() {
-        int inFlight = context.ring.inFlight();
+        int inFlight = waitingAttempts();
         double cachesPerProxy = context.ring.cacheCount() / context.proxyCount();
         double minimum = Math.min(2, MIN_LEVEL_PER_CACHE * cachesPerProxy);
         limit.update(latencyRatio, minimum, inFlight, cachesPerProxy);
--- a/src/main/java/cairnbridge/decision/Attempt.java
+++ b/src/main/java/cairnbridge/decision/Attempt.java
@@ -11,6 +11,9 @@
     /** Whether the attempt goes to the origin rather than to a cache. */
     final boolean isFetch;
 
+    /** The time from the start to the response's first bytes; negative before it streams. */
+    private long timeToStream = -1;
+
     private boolean isOpen = true;
     private boolean mayHaveRun = true;
 
@@ -28,6 +31,23 @@
         return mayHaveRun;
     }
 
+    /** Whether the response streams, or has streamed, to the client. */
+    boolean isStreaming() {
+        return timeToStream >= 0;
+    }
+
+    void streamingStarted(long elapsed) {
+        timeToStream = elapsed;
+    }
+
+    /**
+     * The time that the server took. Guards against a server that is held for slow because a client
+     * reads a long response slowly.
+     */
+    long serverTime(long duration) {
+        return isStreaming() ? timeToStream : duration;
+    }
+
     void markEnded(Event.AttemptOutcome outcome) {
         isOpen = false;
         mayHaveRun = !outcome.provesNotExecuted;
--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -51,7 +51,20 @@
             long duration,
             boolean isRequestOver,
             double[] loadReport)
-            implements Event {}
+            implements Event {
+        /** Returns the same event with another duration. */
+        AttemptEnded withDuration(long changed) {
+            return new AttemptEnded(
+                    request,
+                    attempt,
+                    node,
+                    outcome,
+                    cacheStatus,
+                    changed,
+                    isRequestOver,
+                    loadReport);
+        }
+    }
 
     /**
      * The deadline of a request has changed. The deadline of a request whose body is still being
@@ -61,7 +74,15 @@
      */
     record RequestDeadlineChanged(RequestId request, long deadline) implements Event {}
 
-    /** The response of an attempt has begun to stream to the client. */
+    /** The body of a request has begun to stream to a server. */
+    record RequestBodyStreamingStarted(RequestId request) implements Event {}
+
+    /**
+     * The response of an attempt has begun to stream to the client. How long it takes from then on
+     * depends on the client.
+     *
+     * @param elapsed the time since the attempt began
+     */
     record StreamingStarted(RequestId request, int attempt, NodeId node, long elapsed)
             implements Event {}
 
--- a/src/main/java/cairnbridge/decision/LoadReports.java
+++ b/src/main/java/cairnbridge/decision/LoadReports.java
@@ -8,7 +8,9 @@
  * returned as a negative number.
  */
 final class LoadReports {
-    private static final double UNKNOWN = -1;
+    /** Stands for a value that no report contains. */
+    static final double UNKNOWN = -1;
+
     private static final double MAX_UTILIZATION = 0.95;
 
     /** The lower bound on the idle share of a core in the latency estimate. */
--- a/src/main/java/cairnbridge/decision/RequestTable.java
+++ b/src/main/java/cairnbridge/decision/RequestTable.java
@@ -53,14 +53,33 @@
         } else if (event instanceof Event.RequestDeadlineChanged changed) {
             deadlineChanged(changed);
         } else if (event instanceof Event.StreamingStarted started) {
+            streamingStarted(started);
+        } else if (event instanceof Event.RequestBodyStreamingStarted started) {
             Request request = requests.get(started.request());
             if (request != null) {
                 request.streamingStarted();
-                context.loop.post(() -> context.origin.streamingStarted(request));
             }
         }
     }
 
+    private void streamingStarted(Event.StreamingStarted event) {
+        Request request = requests.get(event.request());
+        if (request == null) {
+            return;
+        }
+        request.streamingStarted();
+        context.loop.post(() -> context.origin.streamingStarted(request));
+        Attempt attempt = request.openAttempt(event.attempt());
+        if (attempt == null || attempt.isStreaming()) {
+            return;
+        }
+        attempt.streamingStarted(event.elapsed());
+        if (!attempt.isFetch) {
+            request.policy.hitLatency().add(event.elapsed());
+            context.admission.streamingStarted(request, attempt.node, event.elapsed());
+        }
+    }
+
     private void requestArrived(Event.RequestArrived event) {
         int category = Math.min(policies.size() - 1, event.category().value());
         Request request = new Request(event, policies.get(Math.max(0, category)), context.now());
@@ -157,12 +176,13 @@
             return;
         }
         request.attemptEnded(attempt, event.outcome());
-        context.loop.post(() -> attempt.node.attemptEnded(request, event));
+        Event.AttemptEnded ended = event.withDuration(attempt.serverTime(event.duration()));
+        context.loop.post(() -> attempt.node.attemptEnded(request, ended));
         if (attempt.isFetch) {
-            context.loop.post(() -> context.origin.attemptEnded(request, event));
+            context.loop.post(() -> context.origin.attemptEnded(request, ended));
         } else {
-            context.loop.post(() -> context.admission.attemptEnded(request, attempt.node, event));
-            if (event.outcome() == AttemptOutcome.SUCCESS) {
+            context.loop.post(() -> context.admission.attemptEnded(request, attempt, ended));
+            if (event.outcome() == AttemptOutcome.SUCCESS && !attempt.isStreaming()) {
                 request.policy.hitLatency().add(event.duration());
             }
         }
--- a/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
@@ -2,6 +2,7 @@
 
 import cairnbridge.decision.Event;
 import cairnbridge.decision.Event.AttemptOutcome;
+import cairnbridge.decision.Ids.RequestId;
 import cairnbridge.proxy.ProxyEvent.AttemptCompleted;
 import cairnbridge.proxy.ProxyEvent.AttemptEvent;
 import cairnbridge.proxy.ProxyEvent.PooledConnectionFailed;
@@ -143,17 +144,6 @@
             completion.dropDisconnected(exchange);
             return;
         }
-        notifyStreamingStarted(attempt);
-        attemptSender.cancelOtherAttempts(request, attempt);
-    }
-
-    private void handleRequestBodyClaimed(UpstreamAttempt attempt) {
-        if (activeRequests.find(attempt.exchange.requestId) != null) {
-            notifyStreamingStarted(attempt);
-        }
-    }
-
-    private void notifyStreamingStarted(UpstreamAttempt attempt) {
         long now = clock.now();
         router.notifyRouter(
                 now,
@@ -162,5 +152,13 @@
                         attempt.attemptNumber,
                         attempt.node,
                         attempt.durationTicks(now)));
+        attemptSender.cancelOtherAttempts(request, attempt);
+    }
+
+    private void handleRequestBodyClaimed(UpstreamAttempt attempt) {
+        RequestId requestId = attempt.exchange.requestId;
+        if (activeRequests.find(requestId) != null) {
+            router.notifyRouter(clock.now(), new Event.RequestBodyStreamingStarted(requestId));
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/cairnbridge/decision/StreamingLoadTest.java
@@ -0,0 +1,95 @@
+package cairnbridge.decision;
+
+import static cairnbridge.decision.FakeHost.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cairnbridge.decision.Event.AttemptOutcome;
+import cairnbridge.decision.FakeHost.SentAttempt;
+import cairnbridge.decision.Ids.NodeId;
+import cairnbridge.decision.Ids.RequestId;
+import cairnbridge.decision.Settings.Effect;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What long responses, read slowly by their clients, mean for the requests of other clients. */
+class StreamingLoadTest {
+    /** More than the limit on requests in flight with which a router starts. */
+    private static final int MANY_STREAMS = 400;
+
+    private static final int FEW_STREAMS = 100;
+    private static final long FIRST_OTHER = 10_000;
+    private static final int OTHERS = 100;
+    private static final int UNANSWERED = 100;
+    private static final long SERVER_TIME = 10;
+
+    private final FakeHost host = new FakeHost(Effect.IDEMPOTENT).listCaches(3);
+
+    private void startStreams(int count) {
+        for (long id = 0; id < count; id++) {
+            host.request(id, id, SECOND).advance(SERVER_TIME);
+            SentAttempt attempt = host.attempts.get(host.attempts.size() - 1);
+            assertEquals(id, attempt.request(), "not sent");
+            host.handle(
+                    new Event.StreamingStarted(
+                            new RequestId(id),
+                            attempt.attempt(),
+                            new NodeId(attempt.node()),
+                            SERVER_TIME));
+        }
+    }
+
+    private void assertOthersAreServed() {
+        host.succeedRequests(FIRST_OTHER, FIRST_OTHER + OTHERS, SERVER_TIME);
+        assertEquals(List.of(), host.answers);
+    }
+
+    /** Guards against hundreds of slow readers that have all other clients answered 503. */
+    @Test
+    void slowReadersOfLongResponsesDoNotKeepOtherRequestsOut() {
+        startStreams(MANY_STREAMS);
+
+        assertOthersAreServed();
+    }
+
+    /** Guards against clients that read slowly and are taken for slow caches as they finish. */
+    @Test
+    void theEndOfSlowlyReadResponsesIsNoSignOfOverload() {
+        startStreams(FEW_STREAMS);
+        host.advance(100 * SECOND);
+        for (SentAttempt attempt : List.copyOf(host.attempts)) {
+            host.handle(
+                    new Event.AttemptEnded(
+                            new RequestId(attempt.request()),
+                            attempt.attempt(),
+                            new NodeId(attempt.node()),
+                            AttemptOutcome.SUCCESS,
+                            0,
+                            100 * SECOND,
+                            true,
+                            null));
+        }
+
+        host.advance(SECOND);
+
+        assertEquals(0, host.avoidedNodes);
+        assertOthersAreServed();
+    }
+
+    /** Guards against caches that get more than they bear because long responses hide the load. */
+    @Test
+    void overloadIsStillRecognisedBesideSlowReaders() {
+        startStreams(FEW_STREAMS);
+        for (long id = FIRST_OTHER; id < FIRST_OTHER + UNANSWERED; id++) {
+            host.request(id, id, SECOND).endAttempt(AttemptOutcome.TIMED_OUT, SECOND);
+        }
+        int attemptsBefore = host.attempts.size();
+
+        for (long id = 2 * FIRST_OTHER; id < 2 * FIRST_OTHER + OTHERS; id++) {
+            host.request(id, id, SECOND);
+        }
+
+        int sent = host.attempts.size() - attemptsBefore;
+        assertTrue(sent < OTHERS / 4, sent + " of " + OTHERS + " sent to overloaded caches");
+    }
+}
