Slow uploads and slowly read answers of the origin no longer keep other writes out

What callers saw: beside 30 clients that sent 1 MB each at 70 kB/s all other writes were answered 503 at their TTL, for as long as the uploads went on.

Cause: the origin's limit, 16 at first, counted attempts whose bodies still came from their clients, and took the time of these clients for the origin's latency: requests with less time left than that were not sent at all.

Change: an attempt counts from its body's last byte (new event RequestBodyReceived) to the first bytes of its answer, and only that time is the server's. It is the same rule as for slow readers before the caches, in one place (RequestTable.changePace).

Tests: slowUploadsDoNotKeep... and theEndOfASlowUpload... of StreamingLoadTest fail without the two mends (trial) and pass; receivedUploadsCount... shows that what has come still counts.

--- a/src/main/java/cairnbridge/decision/AdmissionControl.java
+++ b/src/main/java/cairnbridge/decision/AdmissionControl.java
@@ -28,8 +28,8 @@
 
     private long lastSampleAt;
 
-    /** The attempts at caches whose responses stream to their clients. */
-    private int streamingAttempts;
+    /** The attempts at caches that go on at the pace of their clients. */
+    private int clientPacedAttempts;
 
     AdmissionControl(RouterContext context) {
         this.context = context;
@@ -61,24 +61,26 @@
     }
 
     /**
-     * The attempts at caches that wait for a response. Guards against slow readers of long
-     * responses that keep all other requests out, as a response that streams tells nothing of the
-     * caches' load.
+     * The attempts at caches that wait for a response. Guards against slow clients that keep all
+     * other requests out, as a body or response that streams tells nothing of the caches' load.
      */
     private int waitingAttempts() {
-        return context.ring.inFlight() - streamingAttempts;
+        return context.ring.inFlight() - clientPacedAttempts;
+    }
+
+    /** An attempt at a cache goes on at the pace of its client, or waits for the cache again. */
+    void paceChanged(boolean isClientPaced) {
+        clientPacedAttempts += isClientPaced ? 1 : -1;
     }
 
     /** The response of an attempt at a cache has begun to stream to its client. */
     void streamingStarted(Request request, ServerNode node, long elapsed) {
-        streamingAttempts++;
         if (context.settings.loadReportColumns().isEmpty()) {
             addSample(latencyRatioOf(request, node, elapsed, LoadReports.UNKNOWN));
         }
     }
 
     void attemptEnded(Request request, Attempt attempt, Event.AttemptEnded ended) {
-        streamingAttempts -= attempt.isStreaming() ? 1 : 0;
         double reported = context.loadReports.latency(ended.loadReport());
         boolean isStreaming = attempt.isStreaming();
         if (reported < 0 && (isStreaming || !reflectsLatency(ended.outcome()))) {
--- a/src/main/java/cairnbridge/decision/Attempt.java
+++ b/src/main/java/cairnbridge/decision/Attempt.java
@@ -11,6 +11,11 @@
     /** Whether the attempt goes to the origin rather than to a cache. */
     final boolean isFetch;
 
+    private static final long NOT_RECEIVED = Long.MAX_VALUE;
+
+    /** The time from the start to the last byte of a body that streams; 0 if none streams. */
+    private long timeToBody;
+
     /** The time from the start to the response's first bytes; negative before it streams. */
     private long timeToStream = -1;
 
@@ -40,12 +45,30 @@
         timeToStream = elapsed;
     }
 
+    void bodyStreamingStarted() {
+        timeToBody = NOT_RECEIVED;
+    }
+
+    /** The client has sent the last byte of the body. */
+    void bodyReceived(long now) {
+        timeToBody = isReceivingBody() ? now - sentAt : timeToBody;
+    }
+
+    private boolean isReceivingBody() {
+        return timeToBody == NOT_RECEIVED;
+    }
+
+    /** Whether the attempt goes on at the pace of its client, and does not wait for the server. */
+    boolean isClientPaced() {
+        return isOpen && (isReceivingBody() || isStreaming());
+    }
+
     /**
      * The time that the server took. Guards against a server that is held for slow because a client
-     * reads a long response slowly.
+     * sends a long body or reads a long response slowly.
      */
     long serverTime(long duration) {
-        return isStreaming() ? timeToStream : duration;
+        return Math.max(0, (isStreaming() ? timeToStream : duration) - timeToBody);
     }
 
     void markEnded(Event.AttemptOutcome outcome) {
--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -74,8 +74,14 @@
      */
     record RequestDeadlineChanged(RequestId request, long deadline) implements Event {}
 
-    /** The body of a request has begun to stream to a server. */
-    record RequestBodyStreamingStarted(RequestId request) implements Event {}
+    /**
+     * The body of a request has begun to stream to a server. How long it takes until {@link
+     * RequestBodyReceived} depends on the client.
+     */
+    record RequestBodyStreamingStarted(RequestId request, int attempt) implements Event {}
+
+    /** The last byte of the body of a request has been received. */
+    record RequestBodyReceived(RequestId request) implements Event {}
 
     /**
      * The response of an attempt has begun to stream to the client. How long it takes from then on
--- a/src/main/java/cairnbridge/decision/OriginLimiter.java
+++ b/src/main/java/cairnbridge/decision/OriginLimiter.java
@@ -32,6 +32,8 @@
     private final Map<KeyId, CoalescedFetch> fetches = new HashMap<>();
     private List<ServerNode> replicas = List.of();
     private double typicalLatency;
+
+    /** The attempts at the origin, but for those that go on at the pace of their clients. */
     private int inFlight;
 
     OriginLimiter(RouterContext context) {
@@ -112,6 +114,17 @@
         sendQueued();
     }
 
+    /**
+     * An attempt goes on at the pace of its client, or waits for the origin again. Guards against
+     * slow clients with long bodies and responses that keep all other requests from the origin.
+     */
+    void paceChanged(boolean isClientPaced) {
+        inFlight += isClientPaced ? -1 : 1;
+        if (isClientPaced) {
+            context.loop.post(this::sendQueued);
+        }
+    }
+
     /** The dispatcher's rules did not allow an attempt for a request taken from the queue. */
     void attemptVetoed(Request request) {
         inFlight--;
--- a/src/main/java/cairnbridge/decision/RequestTable.java
+++ b/src/main/java/cairnbridge/decision/RequestTable.java
@@ -55,10 +55,9 @@
         } else if (event instanceof Event.StreamingStarted started) {
             streamingStarted(started);
         } else if (event instanceof Event.RequestBodyStreamingStarted started) {
-            Request request = requests.get(started.request());
-            if (request != null) {
-                request.streamingStarted();
-            }
+            bodyStreamingStarted(started);
+        } else if (event instanceof Event.RequestBodyReceived received) {
+            bodyReceived(received);
         }
     }
 
@@ -73,10 +72,47 @@
         if (attempt == null || attempt.isStreaming()) {
             return;
         }
-        attempt.streamingStarted(event.elapsed());
+        changePace(attempt, () -> attempt.streamingStarted(event.elapsed()));
         if (!attempt.isFetch) {
-            request.policy.hitLatency().add(event.elapsed());
-            context.admission.streamingStarted(request, attempt.node, event.elapsed());
+            long serverTime = attempt.serverTime(event.elapsed());
+            request.policy.hitLatency().add(serverTime);
+            context.admission.streamingStarted(request, attempt.node, serverTime);
+        }
+    }
+
+    private void bodyStreamingStarted(Event.RequestBodyStreamingStarted event) {
+        Request request = requests.get(event.request());
+        if (request == null) {
+            return;
+        }
+        request.streamingStarted();
+        Attempt attempt = request.openAttempt(event.attempt());
+        if (attempt != null) {
+            changePace(attempt, attempt::bodyStreamingStarted);
+        }
+    }
+
+    private void bodyReceived(Event.RequestBodyReceived event) {
+        Request request = requests.get(event.request());
+        if (request == null) {
+            return;
+        }
+        for (Attempt attempt : request.attempts()) {
+            changePace(attempt, () -> attempt.bodyReceived(context.now()));
+        }
+    }
+
+    /** Makes a change to an attempt, and tells the limits if it waits for its server or no more. */
+    private void changePace(Attempt attempt, Runnable change) {
+        boolean wasClientPaced = attempt.isClientPaced();
+        change.run();
+        if (attempt.isClientPaced() == wasClientPaced) {
+            return;
+        }
+        if (attempt.isFetch) {
+            context.origin.paceChanged(!wasClientPaced);
+        } else {
+            context.admission.paceChanged(!wasClientPaced);
         }
     }
 
@@ -175,7 +211,7 @@
         if (attempt == null) {
             return;
         }
-        request.attemptEnded(attempt, event.outcome());
+        changePace(attempt, () -> request.attemptEnded(attempt, event.outcome()));
         Event.AttemptEnded ended = event.withDuration(attempt.serverTime(event.duration()));
         context.loop.post(() -> attempt.node.attemptEnded(request, ended));
         if (attempt.isFetch) {
@@ -183,7 +219,7 @@
         } else {
             context.loop.post(() -> context.admission.attemptEnded(request, attempt, ended));
             if (event.outcome() == AttemptOutcome.SUCCESS && !attempt.isStreaming()) {
-                request.policy.hitLatency().add(event.duration());
+                request.policy.hitLatency().add(ended.duration());
             }
         }
         if (event.isRequestOver() || request.isFinished()) {
--- a/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
@@ -156,9 +156,16 @@
     }
 
     private void handleRequestBodyClaimed(UpstreamAttempt attempt) {
-        RequestId requestId = attempt.exchange.requestId;
-        if (activeRequests.find(requestId) != null) {
-            router.notifyRouter(clock.now(), new Event.RequestBodyStreamingStarted(requestId));
+        ClientExchange exchange = attempt.exchange;
+        RequestId requestId = exchange.requestId;
+        if (activeRequests.find(requestId) == null) {
+            return;
+        }
+        long now = clock.now();
+        router.notifyRouter(
+                now, new Event.RequestBodyStreamingStarted(requestId, attempt.attemptNumber));
+        if (exchange.isRequestComplete()) {
+            router.notifyRouter(now, new Event.RequestBodyReceived(requestId));
         }
     }
 }
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -170,6 +170,7 @@
         if (request != null) {
             changeDeadline(request, deadlineTicks);
             timers.scheduleRequestDeadline(deadlineTicks - DEADLINE_MARGIN_TICKS, request.id());
+            router.notifyRouter(clock.now(), new Event.RequestBodyReceived(request.id()));
         }
     }
 
--- a/src/test/java/cairnbridge/decision/StreamingLoadTest.java
+++ b/src/test/java/cairnbridge/decision/StreamingLoadTest.java
@@ -24,6 +24,7 @@
     private static final long SERVER_TIME = 10;
 
     private final FakeHost host = new FakeHost(Effect.IDEMPOTENT).listCaches(3);
+    private final long startedAt = host.clock;
 
     private void startStreams(int count) {
         for (long id = 0; id < count; id++) {
@@ -92,4 +93,62 @@
         int sent = host.attempts.size() - attemptsBefore;
         assertTrue(sent < OTHERS / 4, sent + " of " + OTHERS + " sent to overloaded caches");
     }
+
+    private void startUploads() {
+        host.isWrite = true;
+        for (long id = 0; id < FEW_STREAMS; id++) {
+            host.request(id, id, SECOND);
+            SentAttempt attempt = host.attempts.get(host.attempts.size() - 1);
+            assertEquals(id, attempt.request(), "not sent");
+            host.handle(
+                    new Event.RequestBodyStreamingStarted(new RequestId(id), attempt.attempt()));
+        }
+    }
+
+    /** Guards against a few slow uploads that have all other writes and misses answered 503. */
+    @Test
+    void slowUploadsDoNotKeepOtherWritesFromTheOrigin() {
+        startUploads();
+
+        assertOthersAreServed();
+    }
+
+    /** Guards against the time of a slow upload that is taken for the latency of the origin. */
+    @Test
+    void theEndOfASlowUploadIsNoSignOfASlowOrigin() {
+        startUploads();
+        host.advance(20 * SECOND);
+        for (SentAttempt attempt : List.copyOf(host.attempts)) {
+            RequestId request = new RequestId(attempt.request());
+            host.handle(new Event.RequestDeadlineChanged(request, host.clock + SECOND));
+            host.handle(new Event.RequestBodyReceived(request));
+            host.advance(SERVER_TIME);
+            host.handle(
+                    new Event.AttemptEnded(
+                            request,
+                            attempt.attempt(),
+                            new NodeId(attempt.node()),
+                            AttemptOutcome.SUCCESS,
+                            0,
+                            host.clock - startedAt,
+                            true,
+                            null));
+        }
+
+        assertOthersAreServed();
+    }
+
+    /** Guards against an origin that is sent more than it bears once the bodies have come. */
+    @Test
+    void receivedUploadsCountForTheLimitOfTheOrigin() {
+        startUploads();
+        for (long id = 0; id < FEW_STREAMS; id++) {
+            host.handle(new Event.RequestBodyReceived(new RequestId(id)));
+        }
+        int attemptsBefore = host.attempts.size();
+
+        host.request(FIRST_OTHER, FIRST_OTHER, SECOND);
+
+        assertEquals(attemptsBefore, host.attempts.size());
+    }
 }
