The time of a streamed request body is not taken off its duration twice

An origin that is slow after long bodies which came slowly would have been held for quick, and sent more.

Cause: the proxy counts the duration of a request with a streamed body from its last byte already (UpstreamAttempt.durationTicks), and Attempt.serverTime took it off again.

Change: serverTime leaves the body alone; the doc of AttemptEnded says what is told.

Tests: anOriginThatIsSlowAfterLongBodies... fails before (16 writes sent at once after a hundred late ones) and passes. theEndOfASlowUpload... gave durations that the proxy does not tell; it gives the time from the last byte now and asks the same of the router.

--- a/src/main/java/cairnbridge/decision/Attempt.java
+++ b/src/main/java/cairnbridge/decision/Attempt.java
@@ -11,10 +11,8 @@
     /** Whether the attempt goes to the origin rather than to a cache. */
     final boolean isFetch;
 
-    private static final long NOT_RECEIVED = Long.MAX_VALUE;
-
-    /** The time from the start to the last byte of a body that streams; 0 if none streams. */
-    private long timeToBody;
+    /** Whether the client still sends the body, which streams to the server. */
+    private boolean isReceivingBody;
 
     /** The time from the start to the response's first bytes; negative before it streams. */
     private long timeToStream = -1;
@@ -46,29 +44,25 @@
     }
 
     void bodyStreamingStarted() {
-        timeToBody = NOT_RECEIVED;
+        isReceivingBody = true;
     }
 
     /** The client has sent the last byte of the body. */
-    void bodyReceived(long now) {
-        timeToBody = isReceivingBody() ? now - sentAt : timeToBody;
-    }
-
-    private boolean isReceivingBody() {
-        return timeToBody == NOT_RECEIVED;
+    void bodyReceived() {
+        isReceivingBody = false;
     }
 
     /** Whether the attempt goes on at the pace of its client, and does not wait for the server. */
     boolean isClientPaced() {
-        return isOpen && (isReceivingBody() || isStreaming());
+        return isOpen && (isReceivingBody || isStreaming());
     }
 
     /**
      * The time that the server took. Guards against a server that is held for slow because a client
-     * sends a long body or reads a long response slowly.
+     * reads a long response slowly.
      */
     long serverTime(long duration) {
-        return Math.max(0, (isStreaming() ? timeToStream : duration) - timeToBody);
+        return isStreaming() ? timeToStream : duration;
     }
 
     void markEnded(Event.AttemptOutcome outcome) {
--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -40,6 +40,8 @@
      * An attempt has ended.
      *
      * @param cacheStatus 1 for a hit, 2 or 3 for a miss, 0 if unknown
+     * @param duration the time that the server took; of a request whose body streams from its last
+     *     byte on
      * @param isRequestOver whether the request needs no answer any more
      */
     record AttemptEnded(
--- a/src/main/java/cairnbridge/decision/RequestTable.java
+++ b/src/main/java/cairnbridge/decision/RequestTable.java
@@ -74,9 +74,8 @@
         }
         changePace(attempt, () -> attempt.streamingStarted(event.elapsed()));
         if (!attempt.isFetch) {
-            long serverTime = attempt.serverTime(event.elapsed());
-            request.policy.hitLatency().add(serverTime);
-            context.admission.streamingStarted(request, attempt.node, serverTime);
+            request.policy.hitLatency().add(event.elapsed());
+            context.admission.streamingStarted(request, attempt.node, event.elapsed());
         }
     }
 
@@ -98,7 +97,7 @@
             return;
         }
         for (Attempt attempt : request.attempts()) {
-            changePace(attempt, () -> attempt.bodyReceived(context.now()));
+            changePace(attempt, attempt::bodyReceived);
         }
     }
 
--- a/src/test/java/cairnbridge/decision/StreamingLoadTest.java
+++ b/src/test/java/cairnbridge/decision/StreamingLoadTest.java
@@ -20,11 +20,12 @@
     private static final int FEW_STREAMS = 100;
     private static final long FIRST_OTHER = 10_000;
     private static final int OTHERS = 100;
+    private static final long LATE_TIME = SECOND * 8 / 10;
+    private static final int INITIAL_ORIGIN_LIMIT = 16;
     private static final int UNANSWERED = 100;
     private static final long SERVER_TIME = 10;
 
     private final FakeHost host = new FakeHost(Effect.IDEMPOTENT).listCaches(3);
-    private final long startedAt = host.clock;
 
     private void startStreams(int count) {
         for (long id = 0; id < count; id++) {
@@ -58,18 +59,7 @@
     void theEndOfSlowlyReadResponsesIsNoSignOfOverload() {
         startStreams(FEW_STREAMS);
         host.advance(100 * SECOND);
-        for (SentAttempt attempt : List.copyOf(host.attempts)) {
-            host.handle(
-                    new Event.AttemptEnded(
-                            new RequestId(attempt.request()),
-                            attempt.attempt(),
-                            new NodeId(attempt.node()),
-                            AttemptOutcome.SUCCESS,
-                            0,
-                            100 * SECOND,
-                            true,
-                            null));
-        }
+        List.copyOf(host.attempts).forEach(attempt -> end(attempt, 100 * SECOND));
 
         host.advance(SECOND);
 
@@ -97,14 +87,17 @@
     private void startUploads() {
         host.isWrite = true;
         for (long id = 0; id < FEW_STREAMS; id++) {
-            host.request(id, id, SECOND);
-            SentAttempt attempt = host.attempts.get(host.attempts.size() - 1);
-            assertEquals(id, attempt.request(), "not sent");
-            host.handle(
-                    new Event.RequestBodyStreamingStarted(new RequestId(id), attempt.attempt()));
+            startUpload(id);
         }
     }
 
+    private void startUpload(long id) {
+        host.request(id, id, SECOND);
+        SentAttempt attempt = host.attempts.get(host.attempts.size() - 1);
+        assertEquals(id, attempt.request(), "not sent");
+        host.handle(new Event.RequestBodyStreamingStarted(new RequestId(id), attempt.attempt()));
+    }
+
     /** Guards against a few slow uploads that have all other writes and misses answered 503. */
     @Test
     void slowUploadsDoNotKeepOtherWritesFromTheOrigin() {
@@ -113,31 +106,63 @@
         assertOthersAreServed();
     }
 
-    /** Guards against the time of a slow upload that is taken for the latency of the origin. */
+    /** Ends all uploads; as for the product, durations count from the last byte of the body. */
+    private void endUploads(long duration) {
+        List<SentAttempt> uploads = List.copyOf(host.attempts);
+        for (SentAttempt attempt : uploads) {
+            RequestId request = new RequestId(attempt.request());
+            host.handle(new Event.RequestDeadlineChanged(request, host.clock + 2 * duration));
+            host.handle(new Event.RequestBodyReceived(request));
+        }
+        host.advance(duration);
+        uploads.forEach(attempt -> end(attempt, duration));
+    }
+
+    private void end(SentAttempt attempt, long duration) {
+        host.handle(
+                new Event.AttemptEnded(
+                        new RequestId(attempt.request()),
+                        attempt.attempt(),
+                        new NodeId(attempt.node()),
+                        AttemptOutcome.SUCCESS,
+                        0,
+                        duration,
+                        true,
+                        null));
+    }
+
+    /** Guards against slow uploads that count as load, or as slow, once they have ended. */
     @Test
     void theEndOfASlowUploadIsNoSignOfASlowOrigin() {
         startUploads();
         host.advance(20 * SECOND);
-        for (SentAttempt attempt : List.copyOf(host.attempts)) {
-            RequestId request = new RequestId(attempt.request());
-            host.handle(new Event.RequestDeadlineChanged(request, host.clock + SECOND));
-            host.handle(new Event.RequestBodyReceived(request));
-            host.advance(SERVER_TIME);
-            host.handle(
-                    new Event.AttemptEnded(
-                            request,
-                            attempt.attempt(),
-                            new NodeId(attempt.node()),
-                            AttemptOutcome.SUCCESS,
-                            0,
-                            host.clock - startedAt,
-                            true,
-                            null));
-        }
+
+        endUploads(SERVER_TIME);
 
         assertOthersAreServed();
     }
 
+    /** Guards against a slow origin that is held for quick as the time of a body is taken off. */
+    @Test
+    void anOriginThatIsSlowAfterLongBodiesIsRecognised() {
+        host.isWrite = true;
+        for (long id = 0; id < FEW_STREAMS; id++) {
+            startUpload(id);
+            host.advance(SECOND / 2);
+            host.handle(new Event.RequestDeadlineChanged(new RequestId(id), host.clock + SECOND));
+            host.handle(new Event.RequestBodyReceived(new RequestId(id)));
+            host.endAttempt(AttemptOutcome.SUCCESS, LATE_TIME);
+        }
+        int attemptsBefore = host.attempts.size();
+
+        for (long id = FIRST_OTHER; id < FIRST_OTHER + OTHERS; id++) {
+            host.request(id, id, 5 * SECOND);
+        }
+
+        int sent = host.attempts.size() - attemptsBefore;
+        assertTrue(sent < INITIAL_ORIGIN_LIMIT, sent + " sent at once to a slow origin");
+    }
+
     /** Guards against an origin that is sent more than it bears once the bodies have come. */
     @Test
     void receivedUploadsCountForTheLimitOfTheOrigin() {
