A request that provably never ran is taken again after its client has left

What callers saw: 409 for an at-most-once request that came again, although its only attempt had been turned away with proof that it never ran.

Cause: UpstreamAttempt.mayHaveRun went by what was written alone, whatever the server answered.

Change: the coordinator records each attempt's outcome; if all attempts of a request whose client has left are proved not to have run, its id is forgotten.

Why it works: the outcomes that prove it are those by which the router sends such a request again. An attempt that was cancelled or broke off still counts as run.

Test: aRequestThatProvablyNeverRanIs... holds the coordinator between the outcome and the client's leave with latches; it fails before (409) and passes (200).

--- a/src/main/java/cairnbridge/proxy/AbandonedTraceIds.java
+++ b/src/main/java/cairnbridge/proxy/AbandonedTraceIds.java
@@ -32,6 +32,11 @@
         }
     }
 
+    /** Forgets an id. */
+    void remove(String traceId) {
+        addedAtTicks.remove(Fnv1a.hash(traceId));
+    }
+
     /** Whether the id is remembered. */
     boolean contains(String traceId, long now) {
         removeExpired(now);
--- a/src/main/java/cairnbridge/proxy/ActiveRequest.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequest.java
@@ -17,6 +17,10 @@
     private UpstreamAttempt streamingAttempt;
 
     private boolean answered;
+
+    /** Whether the client has left and the trace id is remembered. */
+    private boolean abandoned;
+
     private int openAttempts;
 
     /** Creates a request without attempts that must be answered by this deadline. */
@@ -106,6 +110,16 @@
         return answered;
     }
 
+    /** Records whether the trace id is remembered because the client has left. */
+    void setAbandoned(boolean isAbandoned) {
+        abandoned = isAbandoned;
+    }
+
+    /** Whether the trace id is remembered because the client has left. */
+    boolean isAbandoned() {
+        return abandoned;
+    }
+
     /** Whether the request is answered and all its attempts have ended. */
     boolean isComplete() {
         return answered && openAttempts == 0;
--- a/src/main/java/cairnbridge/proxy/ActiveRequests.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequests.java
@@ -37,6 +37,13 @@
     /** Remembers the trace id of a request that may have run and whose client has left. */
     void rememberAbandoned(ActiveRequest request, long now) {
         abandonedTraceIds.add(request.exchange().traceId, now);
+        request.setAbandoned(true);
+    }
+
+    /** Forgets the trace id of a request that was remembered. */
+    void forgetAbandoned(ActiveRequest request) {
+        abandonedTraceIds.remove(request.exchange().traceId);
+        request.setAbandoned(false);
     }
 
     /** Adds a request whose id is assigned and whose trace id is reserved. */
--- a/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
@@ -62,6 +62,8 @@
             return;
         }
         request.attemptEnded();
+        attempt.recordOutcome(event.outcome());
+        completion.forgetIfNotExecuted(request);
         // Guards against a retry for a client that has disconnected while the ClientDisconnected
         // event is still in the queue.
         if (exchange.hasClientDisconnected()) {
--- a/src/main/java/cairnbridge/proxy/RequestCompletion.java
+++ b/src/main/java/cairnbridge/proxy/RequestCompletion.java
@@ -64,6 +64,16 @@
         }
     }
 
+    /**
+     * Guards against rejecting a repeated request although every attempt of the first one, whose
+     * client has left, has turned out not to have run.
+     */
+    void forgetIfNotExecuted(ActiveRequest request) {
+        if (request.isAbandoned() && !request.mayHaveRun()) {
+            activeRequests.forgetAbandoned(request);
+        }
+    }
+
     private boolean isRepeatHarmful(ClientExchange exchange) {
         int category = Math.min(exchange.category.value(), categories.size() - 1);
         return categories.get(category).effect() != Effect.IDEMPOTENT;
--- a/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
+++ b/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
@@ -7,10 +7,12 @@
 
 import java.lang.ref.WeakReference;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
 /** Requests that come again with the same trace id after their client has left. */
 class RepeatedRequestsTest extends ProxyTestSupport {
+    private static final String NEVER_RAN = "503 Full|X-Never-Ran: 1|";
     private static final long SECOND = TickClock.TICKS_PER_SECOND;
 
     private final AbandonedTraceIds ids = new AbandonedTraceIds();
@@ -45,6 +47,54 @@
         waitUntil(() -> proxy.openDescriptors() < descriptors);
     }
 
+    /** Guards against a repeat that is rejected although the first request provably never ran. */
+    @Test
+    void aRequestThatProvablyNeverRanIsForwardedAgainAfterItsClientLeft() throws Exception {
+        CountDownLatch outcomeKnown = new CountDownLatch(1);
+        CountDownLatch clientLeft = new CountDownLatch(1);
+        closeables.add(clientLeft::countDown);
+        clock =
+                new TickClock() {
+                    @Override
+                    long now() {
+                        if (isOwnerThread() && isCalledBy("handleAttemptCompleted")) {
+                            outcomeKnown.countDown();
+                            awaitUninterrupted(clientLeft);
+                        }
+                        return super.now();
+                    }
+                };
+        originHandler = request -> origin.requests.size() == 1 ? NEVER_RAN : "200 OK||done";
+        start();
+        Socket client = connectClient();
+        send(client, "PUT /loan/1", ttlHeader(900), "");
+        outcomeKnown.await();
+        int descriptors = proxy.openDescriptors();
+        client.close();
+        waitUntil(() -> proxy.openDescriptors() < descriptors);
+        clientLeft.countDown();
+
+        assertEquals(200, statusCode(sendRequest("PUT /loan/1", ttlHeader(900), "")));
+        assertEquals(2, origin.requests.size());
+    }
+
+    private static boolean isOwnerThread() {
+        return Thread.currentThread().getName().equals(ProxyServer.OWNER_THREAD_NAME);
+    }
+
+    private static boolean isCalledBy(String method) {
+        return StackWalker.getInstance()
+                .walk(frames -> frames.anyMatch(frame -> frame.getMethodName().equals(method)));
+    }
+
+    private static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void idsAreForgottenWhenTheyAreOldOrTooMany() {
         ids.add("old", 0);
