--- a/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
+++ b/src/main/java/cairnbridge/proxy/DiscoveryWatch.java
@@ -8,14 +8,11 @@
 import cairnbridge.decision.Event.AttemptOutcome;
 import cairnbridge.decision.Event.Endpoint;
 import cairnbridge.decision.Event.ListScope;
-import cairnbridge.decision.Event.NodeState;
 import cairnbridge.decision.Ids.NodeId;
 import cairnbridge.decision.TimeBudget;
 import cairnbridge.proxy.EndpointListParser.EndpointListMessage;
 import cairnbridge.proxy.EndpointListParser.ListedEndpoint;
 import cairnbridge.recovery.EndpointListAssembler;
-import cairnbridge.zones.plan.ListedNode;
-import cairnbridge.zones.plan.Zone;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.io.StringReader;
@@ -26,7 +23,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -96,14 +92,8 @@
     /** The list of the configuration until it is published. */
     private Optional<EndpointListMessage> initialList;
 
-    /** The nodes on the list, and whether each is a cache. */
-    private final Map<NodeId, Boolean> isCacheByNode = new ConcurrentHashMap<>();
-
-    /** The caches on the list, in the form that zone plans need. */
-    private final Map<NodeId, ListedNode> listedCaches = new ConcurrentHashMap<>();
-
+    private final ListedNodes listedNodes;
     private final ProxyMetrics metrics;
-    private volatile int listedNodes;
 
     /**
      * Creates a watch, which {@link #start} opens.
@@ -120,6 +110,7 @@
             ProxyMetrics metrics) {
         this.metrics = metrics;
         this.config = config;
+        listedNodes = new ListedNodes(config.settings().origin().machineKind());
         parser = new EndpointListParser(config.names(), deduplicatedLog);
         initialList =
                 initialEndpoints.has("targets")
@@ -417,12 +408,9 @@
             Endpoint entry = listed.endpoint();
             entries.add(entry);
             listed.address().ifPresent(address -> addresses.put(entry.node(), address));
-            updateListedCache(entry, listed.zone());
-        }
-        updateListedNodes(scope, entries);
-        if (scope != ListScope.CHANGES && !entries.isEmpty()) {
-            listedCaches.keySet().retainAll(isCacheByNode.keySet());
         }
+        listedNodes.update(scope, message.endpoints());
+        metrics.setListedNodes(listedNodes.cacheCount());
         version = message.version();
         listCurrent = true;
         eventQueue.post(
@@ -435,65 +423,11 @@
         }
     }
 
-    /**
-     * Updates the caches on the list. A node whose machine kind is not configured counts as a
-     * cache, as it does in the decision module.
-     */
-    private void updateListedCache(Endpoint entry, Zone zone) {
-        if (entry.state() == NodeState.GONE
-                || entry.kind().equals(config.settings().origin().machineKind())) {
-            listedCaches.remove(entry.node());
-        } else {
-            listedCaches.put(
-                    entry.node(),
-                    new ListedNode(
-                            entry.node().value(),
-                            zone,
-                            entry.state() == NodeState.READY,
-                            entry.size(),
-                            entry.startedAt() / TickClock.TICKS_PER_MILLI));
-        }
-    }
-
-    /** The caches on the list; any thread may call it. */
-    List<ListedNode> listedCaches() {
-        return List.copyOf(listedCaches.values());
-    }
-
-    /** Updates which nodes are listed. An empty list leaves the current one in use. */
-    private void updateListedNodes(ListScope scope, List<Endpoint> entries) {
-        if (scope != ListScope.CHANGES && !entries.isEmpty()) {
-            isCacheByNode.clear();
-        }
-        for (Endpoint entry : entries) {
-            if (entry.state() == NodeState.GONE) {
-                isCacheByNode.remove(entry.node());
-            } else {
-                isCacheByNode.put(
-                        entry.node(),
-                        !entry.kind().equals(config.settings().origin().machineKind()));
-            }
-        }
-        listedNodes = isCacheByNode.size();
-        metrics.setListedNodes(
-                (int) isCacheByNode.values().stream().filter(isCache -> isCache).count());
-    }
-
-    /** Whether a list with at least one node is known. */
-    boolean hasList() {
-        return !isCacheByNode.isEmpty();
-    }
-
-    /** The number of nodes on the list, whatever their state; any thread may call it. */
-    int listedNodeCount() {
+    /** The nodes on the list that was published last; any thread may query them. */
+    ListedNodes listedNodes() {
         return listedNodes;
     }
 
-    /** Whether the list names a node, whatever its state. */
-    boolean isListed(NodeId node) {
-        return isCacheByNode.containsKey(node);
-    }
-
     /** One call to discovery: the long-lived watch, or a single request for the list. */
     private final class DiscoveryCall extends InternalRequest {
         private final InetSocketAddress address;
--- a/src/main/java/cairnbridge/proxy/FleetLink.java
+++ b/src/main/java/cairnbridge/proxy/FleetLink.java
@@ -97,7 +97,7 @@
 
     @Override
     public List<ListedNode> listedNodes() {
-        return discoveryWatch.listedCaches();
+        return discoveryWatch.listedNodes().caches();
     }
 
     @Override
--- a/src/main/java/cairnbridge/proxy/ProxyComponents.java
+++ b/src/main/java/cairnbridge/proxy/ProxyComponents.java
@@ -68,7 +68,8 @@
                         eventQueue,
                         scheduler,
                         metrics);
-        heapAccount.setNodeCount(discoveryWatch::listedNodeCount);
+        ListedNodes listedNodes = discoveryWatch.listedNodes();
+        heapAccount.setNodeCount(listedNodes::count);
         heapAccount.setConnectionCount(reactor::openDescriptors);
         // Guards against rejecting, and so losing, a maintenance change while a starting process
         // has no endpoint list: until it has one, every node counts as listed.
@@ -76,7 +77,7 @@
                 new MaintenanceMarkers(
                         config.stateFolder(),
                         eventQueue,
-                        node -> discoveryWatch.isListed(node) || !discoveryWatch.hasList(),
+                        node -> listedNodes.contains(node) || listedNodes.isEmpty(),
                         siblings::hasSiblings);
         WarmStartState warmStartFile = config.readWarmStart();
         RequestCoordinator coordinator =
--- a/src/test/java/cairnbridge/proxy/LargeListTest.java
+++ b/src/test/java/cairnbridge/proxy/LargeListTest.java
@@ -204,12 +204,4 @@
         resume.countDown();
         waitUntil(() -> listsSent.get() == LISTS_AT_ONCE);
     }
-
-    private static void awaitUninterrupted(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -437,6 +438,14 @@
         }
     }
 
+    static void awaitUninterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     static void sendSignal(Process process, String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
     }
--- a/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
+++ b/src/test/java/cairnbridge/proxy/RepeatedRequestsTest.java
@@ -101,14 +101,6 @@
                 .walk(frames -> frames.anyMatch(frame -> frame.getMethodName().equals(method)));
     }
 
-    private static void awaitUninterrupted(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Test
     void idsAreForgottenWhenTheyAreOldOrTooMany() {
         ids.add("old", 0);
