The outcomes that prove that nothing ran stand with the request, not with the attempt

Change: ActiveRequest.attemptEnded takes the outcome and remembers which attempts are proved not to have run. What is answered is the same.

--- a/src/main/java/cairnbridge/proxy/ActiveRequest.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequest.java
@@ -1,5 +1,6 @@
 package cairnbridge.proxy;
 
+import cairnbridge.decision.Event.AttemptOutcome;
 import cairnbridge.decision.Ids.RequestId;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +12,10 @@
 final class ActiveRequest {
     private final ClientExchange exchange;
     private final List<UpstreamAttempt> attempts = new ArrayList<>(2);
+
+    /** The attempts whose outcomes prove that their servers have not executed the request. */
+    private final List<UpstreamAttempt> notExecuted = new ArrayList<>(0);
+
     private long deadlineTicks;
 
     /** The attempt whose response is streamed to the client; null if there is none. */
@@ -61,8 +66,11 @@
     }
 
     /** Records that one of the open attempts has ended. */
-    void attemptEnded() {
+    void attemptEnded(UpstreamAttempt attempt, AttemptOutcome outcome) {
         openAttempts--;
+        if (outcome.provesNotExecuted) {
+            notExecuted.add(attempt);
+        }
     }
 
     /** Whether at least one attempt is still open. */
@@ -70,9 +78,13 @@
         return openAttempts > 0;
     }
 
-    /** Whether a server may have received the last byte of the request. */
+    /**
+     * Whether a server may have received the last byte of the request, and its answer does not
+     * prove that it has not executed it.
+     */
     boolean mayHaveRun() {
-        return attempts.stream().anyMatch(UpstreamAttempt::mayHaveRun);
+        return attempts.stream()
+                .anyMatch(attempt -> attempt.mayHaveRun() && !notExecuted.contains(attempt));
     }
 
     /** Records that the response of this attempt is being streamed to the client. */
--- a/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
@@ -61,8 +61,7 @@
                 "an attempt ends once, while its request is active")) {
             return;
         }
-        request.attemptEnded();
-        attempt.recordOutcome(event.outcome());
+        request.attemptEnded(attempt, event.outcome());
         completion.forgetIfNotExecuted(request);
         // Guards against a retry for a client that has disconnected while the ClientDisconnected
         // event is still in the queue.
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -66,9 +66,6 @@
     private final ResponseProgress responseProgress = new ResponseProgress();
     private boolean abandoned;
 
-    /** Used only by the coordinator thread. */
-    private boolean provedNotExecuted;
-
     private volatile long writtenAtTicks;
 
     /**
@@ -230,17 +227,9 @@
         return writtenAtTicks > 0;
     }
 
-    /** Records the outcome of the attempt, on the coordinator thread. */
-    void recordOutcome(AttemptOutcome outcome) {
-        provedNotExecuted = outcome.provesNotExecuted;
-    }
-
-    /**
-     * Whether the node may have received the last byte of the request, or may yet, and no outcome
-     * is recorded that proves that the request was not executed. For the coordinator thread.
-     */
+    /** Whether the node may have received the last byte of the request, or may yet. */
     boolean mayHaveRun() {
-        return !provedNotExecuted && (isWritten() || stage.get() == Stage.SENDING);
+        return isWritten() || stage.get() == Stage.SENDING;
     }
 
     /**
