--- a/src/main/java/cairnbridge/decision/Event.java
+++ b/src/main/java/cairnbridge/decision/Event.java
@@ -89,7 +89,7 @@
      * The response of an attempt has begun to stream to the client. How long it takes from then on
      * depends on the client.
      *
-     * @param elapsed the time since the attempt began
+     * @param elapsed the time that the server took until then
      */
     record StreamingStarted(RequestId request, int attempt, NodeId node, long elapsed)
             implements Event {}
