Trace when bytes of an attempt, heads and ends of attempts pass the sockets

The logs of the operators could not tell when an attempt's bytes left, when a node's head came, or why an attempt ended. RequestTrace (level FINE) has these three now; the bytes are seen where they are given to the system, in a session around each connection to a server.

--- a/src/main/java/cairnbridge/proxy/RequestTrace.java
+++ b/src/main/java/cairnbridge/proxy/RequestTrace.java
@@ -1,5 +1,7 @@
 package cairnbridge.proxy;
 
+import cairnbridge.decision.Event.AttemptOutcome;
+import cairnbridge.decision.Ids.NodeId;
 import java.net.SocketAddress;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -52,6 +54,43 @@
         }
     }
 
+    /** Logs that the system has accepted bytes of an attempt. */
+    static void attemptBytesWritten(String traceId, NodeId node, int count) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.log(
+                    Level.FINE,
+                    "trace {0} {1} bytes of an attempt given to {2} at {3}",
+                    new Object[] {traceId, Integer.toString(count), nodeText(node), nowText()});
+        }
+    }
+
+    /** Logs that a node has sent the head of a response. */
+    static void responseHeadReceived(String traceId, NodeId node, int status) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.log(
+                    Level.FINE,
+                    "trace {0} head {1} received from {2} at {3}",
+                    new Object[] {traceId, Integer.toString(status), nodeText(node), nowText()});
+        }
+    }
+
+    /** Logs why an attempt has ended, and how much of its response body had been received. */
+    static void attemptEnded(
+            String traceId, NodeId node, AttemptOutcome outcome, long receivedBytes) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.log(
+                    Level.FINE,
+                    "trace {0} attempt at {1} ended, {2}, {3} bytes received, at {4}",
+                    new Object[] {
+                        traceId, nodeText(node), outcome, Long.toString(receivedBytes), nowText()
+                    });
+        }
+    }
+
+    private static String nodeText(NodeId node) {
+        return "node " + Long.toString(node.value());
+    }
+
     /** Logs that the response of a request was started. */
     static void responseStarted(String traceId, int status) {
         if (LOG.isLoggable(Level.FINE)) {
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -110,9 +110,12 @@
             return null;
         }
         abandoned = true;
-        return before == Stage.WAITING && outcome == AttemptOutcome.TIMED_OUT
-                ? AttemptOutcome.CONNECT_FAILED
-                : outcome;
+        AttemptOutcome actual =
+                before == Stage.WAITING && outcome == AttemptOutcome.TIMED_OUT
+                        ? AttemptOutcome.CONNECT_FAILED
+                        : outcome;
+        traceEnd(actual);
+        return actual;
     }
 
     /** Whether the attempt has not ended. */
@@ -136,7 +139,13 @@
         }
     }
 
+    private void traceEnd(AttemptOutcome outcome) {
+        RequestTrace.attemptEnded(
+                exchange.traceId, node, outcome, responseProgress.receivedBytes());
+    }
+
     private void postCompleted(AttemptOutcome outcome, byte[] body) {
+        traceEnd(outcome);
         eventQueue.post(
                 new ProxyEvent.AttemptCompleted(this, outcome, cacheStatus, body, clock.now()));
     }
@@ -215,6 +224,11 @@
         }
     }
 
+    @Override
+    void bytesWritten(int count) {
+        RequestTrace.attemptBytesWritten(exchange.traceId, node, count);
+    }
+
     @Override
     void requestWritten() {
         writtenAtTicks = clock.now();
@@ -251,6 +265,7 @@
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         statusCode = response.getCode();
+        RequestTrace.responseHeadReceived(exchange.traceId, node, statusCode);
         neverRan = ServerHeaders.neverRan(response);
         cacheStatus = ServerHeaders.cacheStatus(response);
         bufferedResponse = new BufferedBody(exchange.answerMemory(), entity);
--- a/src/main/java/cairnbridge/proxy/UpstreamExchange.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamExchange.java
@@ -56,6 +56,11 @@
         return -1;
     }
 
+    /** Called when the system has accepted bytes of the request. */
+    void bytesWritten(int count) {
+        // Only attempts need this notification.
+    }
+
     /** Called once the last byte of the request has been passed to the connection. */
     void requestWritten() {
         // Only attempts need this notification.
--- a/src/main/java/cairnbridge/proxy/UpstreamIoHandler.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamIoHandler.java
@@ -27,7 +27,7 @@
             ProtocolIOSession session, UpstreamConnection connection, HeadMemory headMemory) {
         super(
                 new UpstreamDuplexer(
-                        session,
+                        new UpstreamSession(session, connection),
                         new ResponseHeadParser(connection::isAwaitingResponse, headMemory)));
         this.connection = connection;
         this.headMemory = headMemory;
