--- a/src/test/java/cairnbridge/proxy/AcceptorTest.java
+++ b/src/test/java/cairnbridge/proxy/AcceptorTest.java
@@ -8,11 +8,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -26,6 +28,12 @@
     private static final int CONNECTIONS = 32;
     private static final int BACKLOG = 256;
 
+    /** So much is read fast that a system which adapts its buffer has enlarged it. */
+    private static final int FAST_BYTES = 24_000_000;
+
+    /** What Linux holds at most of the output of a client that sets no size. */
+    private static final long CLIENT_BUFFER_BYTES = 4 << 20;
+
     private final List<Socket> clients = new ArrayList<>();
     private final List<Acceptor> acceptors = new ArrayList<>();
     private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -76,6 +84,43 @@
         }
     }
 
+    /**
+     * Guards against a late answer to a body of which the systems hold more than is allowed for.
+     */
+    @Test
+    void theSystemsHoldNoMoreOfABodyThanItsDeadlineAllowsFor() throws Exception {
+        CompletableFuture<SocketChannel> accepted = new CompletableFuture<>();
+        Acceptor acceptor =
+                new Acceptor(
+                        address,
+                        BACKLOG,
+                        () -> true,
+                        (channel, notQueuedTicks) -> accepted.complete(channel),
+                        new TickClock());
+        acceptors.add(acceptor);
+        Thread thread = new Thread(acceptor);
+        thread.start();
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), acceptor.address().getPort());
+        clients.add(client);
+        SocketChannel channel = accepted.get();
+        ProxyTestSupport.daemon(
+                () -> {
+                    client.getOutputStream().write(new byte[FAST_BYTES]);
+                    return null;
+                });
+        ByteBuffer bytes = ByteBuffer.allocate(FAST_BYTES);
+        while (bytes.hasRemaining()) {
+            channel.read(bytes);
+        }
+
+        // The system counts twice what the option tells.
+        long heldBytes = 2L * channel.getOption(StandardSocketOptions.SO_RCVBUF);
+        channel.close();
+        assertTrue(
+                heldBytes + CLIENT_BUFFER_BYTES <= ReadPauses.MAX_UNREAD_BYTES,
+                "held bytes: " + heldBytes);
+    }
+
     private void connectAll() throws IOException {
         for (int i = 0; i < CONNECTIONS; i++) {
             clients.add(new Socket(address.getAddress(), address.getPort()));
--- a/src/test/java/cairnbridge/proxy/ReadPausesTest.java
+++ b/src/test/java/cairnbridge/proxy/ReadPausesTest.java
@@ -26,6 +26,13 @@
         assertEquals(0, pauses.unreadNanos(300));
     }
 
+    /** Guards against a late answer to a body whose last 4.7 MB wait in the systems' buffers. */
+    @Test
+    void aBodyWhoseRestTheSystemsMayHoldCountsFromItsPause() {
+        pauses.paused(100, 3_300_000, 4_700_000);
+        assertEquals(200, pauses.unreadNanos(300));
+    }
+
     /** Guards against ending an upload of which the client has not sent the end. */
     @Test
     void aClientWithMoreLeftThanTheSystemsHoldHasNotSentTheEnd() {
