A long answer of unknown length that pauses past its TTL is begun at its client, not refused

Cause: an answer of unknown length was buffered until its next bytes came, and the router answered the request meanwhile; whether it is held back was asked only when bytes came, and only of chunked ones.

The coordinator now begins such an answer itself: 20 ms before the router would answer, and after one second at the most once bytes have come. Until then retries and hedged requests go on as before. ResponseBody guards the change from buffer to pipe, as two threads may make it.

Not told apart: a long answer of which under 64 KiB has come 0.4 s after its TTL, and which is silent then.

--- a/src/main/java/cairnbridge/decision/RequestTable.java
+++ b/src/main/java/cairnbridge/decision/RequestTable.java
@@ -23,7 +23,7 @@
     RequestTable(RouterContext context) {
         this.context = context;
         policies = context.settings.categories().stream().map(RequestPolicy::of).toList();
-        answerMargin = 2 * context.settings.proxy().clockGranularity();
+        answerMargin = TimeBudget.answerMargin(context.settings.proxy().clockGranularity());
     }
 
     /** Starts the periodic work of the ring and the origin limiter. */
--- a/src/main/java/cairnbridge/decision/TimeBudget.java
+++ b/src/main/java/cairnbridge/decision/TimeBudget.java
@@ -86,6 +86,15 @@
 
     private TimeBudget() {}
 
+    /**
+     * Returns how long before its deadline a request is answered at the latest, in ticks.
+     *
+     * @param clockGranularity the resolution of the clock in ticks
+     */
+    public static long answerMargin(long clockGranularity) {
+        return 2 * clockGranularity;
+    }
+
     /**
      * Returns the maximum delay in ticks before the endpoint list is requested again, from the time
      * that the settings allow.
--- a/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
+++ b/src/main/java/cairnbridge/proxy/AttemptEventHandler.java
@@ -18,6 +18,7 @@
     private final ActiveRequests activeRequests;
     private final AttemptSender attemptSender;
     private final RequestCompletion completion;
+    private final ResponseStreaming streaming;
     private final CoordinatorListeners listeners;
     private final Invariants invariants;
     private final RouterNotifier router;
@@ -27,11 +28,13 @@
             CoordinatorContext context,
             UpstreamPool upstreamPool,
             AttemptSender attemptSender,
-            RequestCompletion completion) {
+            RequestCompletion completion,
+            ResponseStreaming streaming) {
         this.upstreamPool = upstreamPool;
         this.activeRequests = context.activeRequests();
         this.attemptSender = attemptSender;
         this.completion = completion;
+        this.streaming = streaming;
         this.listeners = context.listeners();
         this.invariants = context.invariants();
         this.router = context.router();
@@ -45,7 +48,7 @@
         } else if (event instanceof PooledConnectionFailed failed) {
             attemptSender.retryOnAnotherConnection(failed.attempt());
         } else if (event instanceof ResponseStreamStarted started) {
-            handleResponseStreamStarted(started.attempt(), started.responsePipe());
+            streaming.begin(started.attempt(), started.responsePipe());
         } else if (event instanceof RequestBodyClaimed claimed) {
             handleRequestBodyClaimed(claimed.attempt());
         }
@@ -124,38 +127,6 @@
                         null));
     }
 
-    private void handleResponseStreamStarted(UpstreamAttempt attempt, BodyPipe responsePipe) {
-        ClientExchange exchange = attempt.exchange;
-        ActiveRequest request = activeRequests.find(exchange.requestId);
-        // Guards against streaming the response of an attempt that was abandoned while this event
-        // was queued: its connection is closed, and the client would get a truncated response.
-        if (request == null
-                || request.isAnswered()
-                || request.isStreaming()
-                || attempt.isAbandoned()) {
-            responsePipe.discard();
-            attemptSender.abandonAttempt(attempt, AttemptOutcome.CANCELLED);
-            return;
-        }
-        request.streamFrom(attempt);
-        exchange.streamAnswer(responsePipe);
-        // Guards against a node that keeps sending a response, and occupies a connection with it,
-        // after the client has disconnected.
-        if (exchange.hasClientDisconnected()) {
-            completion.dropDisconnected(exchange);
-            return;
-        }
-        long now = clock.now();
-        router.notifyRouter(
-                now,
-                new Event.StreamingStarted(
-                        attempt.exchange.requestId,
-                        attempt.attemptNumber,
-                        attempt.node,
-                        attempt.durationTicks(now)));
-        attemptSender.cancelOtherAttempts(request, attempt);
-    }
-
     private void handleRequestBodyClaimed(UpstreamAttempt attempt) {
         ClientExchange exchange = attempt.exchange;
         RequestId requestId = exchange.requestId;
--- a/src/main/java/cairnbridge/proxy/RequestCoordinator.java
+++ b/src/main/java/cairnbridge/proxy/RequestCoordinator.java
@@ -10,6 +10,7 @@
 import cairnbridge.decision.Ids.RequestId;
 import cairnbridge.decision.Ids.TimerId;
 import cairnbridge.decision.Router;
+import cairnbridge.decision.TimeBudget;
 import cairnbridge.decision.WarmStartState;
 import cairnbridge.fleet.coordination.FleetLoadCounters;
 import cairnbridge.proxy.ProxyEvent.AttemptEvent;
@@ -126,9 +127,16 @@
         attemptSender =
                 new AttemptSender(context, upstreamPool, eventQueue, deferredEvents, metrics);
         completion = new RequestCompletion(context, attemptSender, config.settings().categories());
-        deadlines = new RequestDeadlines(context, attemptSender, completion);
+        ResponseStreaming streaming = new ResponseStreaming(context, attemptSender, completion);
+        long answerMarginTicks =
+                TimeBudget.answerMargin(config.settings().proxy().clockGranularity());
+        deadlines =
+                new RequestDeadlines(
+                        context, attemptSender, completion, streaming, answerMarginTicks);
         clientEvents = new ClientEventHandler(context, stallDetector, completion, deadlines);
-        attemptEvents = new AttemptEventHandler(context, upstreamPool, attemptSender, completion);
+        attemptEvents =
+                new AttemptEventHandler(
+                        context, upstreamPool, attemptSender, completion, streaming);
         HealthCheck healthCheck = new HealthCheck(reactor, eventQueue, clock, config);
         fleetEvents = new FleetEventHandler(context, upstreamPool, healthCheck, attemptSender);
         lastRouterTimeTicks = clock.now();
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -17,13 +17,26 @@
 
     /**
      * The time after its deadline in which a response that was begun in time may be completed. The
-     * platform counts a response as lost half a second after its deadline.
+     * platform counts a response on a socket as lost 550 ms after its deadline, and a process may
+     * be held up for 150 ms before it breaks one off.
      */
-    private static final long MAX_LATE_RESPONSE_TICKS = 300 * Ticks.MILLISECOND;
+    private static final long MAX_LATE_RESPONSE_TICKS = 400 * Ticks.MILLISECOND;
 
     /** The interval between checks whether a late response still arrives fast enough. */
     private static final long PROGRESS_CHECK_TICKS = 50 * Ticks.MILLISECOND;
 
+    /** How much earlier than the router's answer a response that has paused is begun. */
+    private static final long HELD_RESPONSE_MARGIN_TICKS = 20 * Ticks.MILLISECOND;
+
+    /**
+     * For how long the beginning of a response of unknown length is held back at most. The platform
+     * counts a long response as lost whose rest is held back for two seconds.
+     */
+    private static final long MAX_HELD_TICKS = Ticks.SECOND;
+
+    /** The interval between checks of a request that has been unanswered for long. */
+    private static final long HELD_CHECK_TICKS = 100 * Ticks.MILLISECOND;
+
     /** The interval between checks of the deadline of a request whose body is being received. */
     private static final long BODY_CHECK_TICKS = 100 * Ticks.MILLISECOND;
 
@@ -33,16 +46,29 @@
     private final TimerQueue timers;
     private final AttemptSender attemptSender;
     private final RequestCompletion completion;
+    private final ResponseStreaming streaming;
+    private final long heldResponseMarginTicks;
     private final Invariants invariants;
     private final RouterNotifier router;
     private final TickClock clock;
 
+    /**
+     * Creates an instance that schedules its checks on the context's timers.
+     *
+     * @param answerMarginTicks how long before its deadline the router answers a request
+     */
     RequestDeadlines(
-            CoordinatorContext context, AttemptSender attemptSender, RequestCompletion completion) {
+            CoordinatorContext context,
+            AttemptSender attemptSender,
+            RequestCompletion completion,
+            ResponseStreaming streaming,
+            long answerMarginTicks) {
         this.activeRequests = context.activeRequests();
         this.timers = context.timers();
         this.attemptSender = attemptSender;
         this.completion = completion;
+        this.streaming = streaming;
+        this.heldResponseMarginTicks = answerMarginTicks + HELD_RESPONSE_MARGIN_TICKS;
         this.invariants = context.invariants();
         this.router = context.router();
         this.clock = context.clock();
@@ -67,16 +93,28 @@
         }
     }
 
-    /** Schedules the deadline of a request that has just arrived. */
+    /** Schedules the checks of a request whose deadline is new. */
     void schedule(ActiveRequest request) {
-        long dueTicks = request.deadlineTicks();
+        long now = clock.now();
         if (request.hasStreamedBody()) {
-            long checkTicks = clock.now() + BODY_CHECK_TICKS;
-            dueTicks = Math.min(dueTicks - DEADLINE_MARGIN_TICKS, checkTicks);
+            long dueTicks = request.deadlineTicks() - DEADLINE_MARGIN_TICKS;
+            timers.scheduleRequestDeadline(
+                    Math.min(dueTicks, now + BODY_CHECK_TICKS), request.id());
+            return;
         }
+        long dueTicks = Math.min(latestBeginTicks(request, now), now + MAX_HELD_TICKS);
         timers.scheduleRequestDeadline(dueTicks, request.id());
     }
 
+    /**
+     * The time by which a response that is held back must be begun at its client: before the router
+     * answers the request. Half of the time is left to retries where little is left in all.
+     */
+    private long latestBeginTicks(ActiveRequest request, long now) {
+        long latestTicks = request.deadlineTicks() - heldResponseMarginTicks;
+        return Math.max(latestTicks, now + (request.deadlineTicks() - now) / 2);
+    }
+
     /**
      * Handles the deadline of a request. Guards against a defect in the router that leaves a
      * request without an answer.
@@ -84,9 +122,13 @@
     void deadlineReached(RequestId id) {
         ActiveRequest request = activeRequests.find(id);
         if (request != null && request.isStreaming()) {
-            limitStreamedResponse(request);
+            reviewStreamedResponse(request);
         } else if (request != null && request.hasStreamedBody()) {
             reviewStreamedRequest(request);
+        } else if (request != null
+                && !request.isAnswered()
+                && clock.now() < request.deadlineTicks()) {
+            reviewHeldResponse(request);
         } else if (!invariants.check(
                 request == null || request.isAnswered(),
                 "a request is answered before its deadline")) {
@@ -94,6 +136,44 @@
         }
     }
 
+    /**
+     * Begins a response of unknown length that its server has begun and not completed, once it has
+     * been held back for too long or the deadline is near. Guards against refusing a long response
+     * because its server pauses.
+     */
+    private void reviewHeldResponse(ActiveRequest request) {
+        long now = clock.now();
+        if (mustBeginHeld(request, now)) {
+            streaming.beginHeld(request);
+            timers.scheduleRequestDeadline(request.deadlineTicks(), request.id());
+        } else {
+            long dueTicks = Math.min(latestBeginTicks(request, now), now + HELD_CHECK_TICKS);
+            timers.scheduleRequestDeadline(dueTicks, request.id());
+        }
+    }
+
+    private boolean mustBeginHeld(ActiveRequest request, long now) {
+        return now >= request.deadlineTicks() - heldResponseMarginTicks
+                || earliestHeldTicks(request) <= now - MAX_HELD_TICKS + HELD_CHECK_TICKS;
+    }
+
+    /** Since when the first bytes of a response are held back; a time that never comes if none. */
+    private static long earliestHeldTicks(ActiveRequest request) {
+        return request.attempts().stream()
+                .filter(UpstreamAttempt::isResponseHeld)
+                .mapToLong(attempt -> attempt.responseProgress().firstBytesAtTicks())
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    private void reviewStreamedResponse(ActiveRequest request) {
+        if (clock.now() < request.deadlineTicks()) {
+            timers.scheduleRequestDeadline(request.deadlineTicks(), request.id());
+        } else {
+            limitStreamedResponse(request);
+        }
+    }
+
     /**
      * Breaks off a streamed response that is not complete some time after the deadline, so that the
      * client learns in time that it will not get a whole one. Guards against a response of a few
@@ -132,13 +212,16 @@
         changeDeadline(request, request.exchange().presentDeadlineTicks());
         long dueTicks = request.deadlineTicks() - DEADLINE_MARGIN_TICKS;
         long now = clock.now();
-        if (now >= dueTicks) {
+        if (mustBeginHeld(request, now)) {
+            streaming.beginHeld(request);
+        }
+        if (request.isStreaming()) {
+            timers.scheduleRequestDeadline(request.deadlineTicks(), request.id());
+        } else if (now >= dueTicks) {
             endStreamedRequest(request);
-        } else if (request.exchange().isRequestComplete()) {
-            timers.scheduleRequestDeadline(dueTicks, request.id());
         } else {
-            timers.scheduleRequestDeadline(
-                    Math.min(dueTicks, now + BODY_CHECK_TICKS), request.id());
+            long checkTicks = Math.min(latestBeginTicks(request, now), now + BODY_CHECK_TICKS);
+            timers.scheduleRequestDeadline(Math.min(dueTicks, checkTicks), request.id());
         }
     }
 
@@ -169,7 +252,7 @@
         ActiveRequest request = activeRequests.find(exchange);
         if (request != null) {
             changeDeadline(request, deadlineTicks);
-            timers.scheduleRequestDeadline(deadlineTicks - DEADLINE_MARGIN_TICKS, request.id());
+            schedule(request);
             router.notifyRouter(clock.now(), new Event.RequestBodyReceived(request.id()));
         }
     }
@@ -179,7 +262,7 @@
         for (ActiveRequest request : activeRequests.all()) {
             if (request.deadlineTicks() > deadlineTicks) {
                 request.setDeadline(deadlineTicks);
-                timers.scheduleRequestDeadline(deadlineTicks, request.id());
+                schedule(request);
             }
         }
         router.notifyRouter(clock.now(), new Event.ShutdownScheduled(deadlineTicks));
--- a/src/main/java/cairnbridge/proxy/RequestTrace.java
+++ b/src/main/java/cairnbridge/proxy/RequestTrace.java
@@ -74,6 +74,16 @@
         }
     }
 
+    /** Logs that a response which has paused is begun at its client. */
+    static void heldResponseBegun(String traceId, NodeId node) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.log(
+                    Level.FINE,
+                    "trace {0} held response of {1} begun at {2}",
+                    new Object[] {traceId, nodeText(node), nowText()});
+        }
+    }
+
     /** Logs why an attempt has ended, and how much of its response body had been received. */
     static void attemptEnded(
             String traceId, NodeId node, AttemptOutcome outcome, long receivedBytes) {
--- a/src/main/java/cairnbridge/proxy/ResponseProgress.java
+++ b/src/main/java/cairnbridge/proxy/ResponseProgress.java
@@ -13,8 +13,13 @@
      */
     private static final long MIN_BYTES_PER_MILLI = 16;
 
+    private static final long NONE = Long.MAX_VALUE;
+
     private volatile long headReceivedAtTicks;
 
+    /** When the first bytes of the body were received; {@link #NONE} before. */
+    private volatile long firstBytesAtTicks = NONE;
+
     /** The length according to the head; negative if it is unknown. */
     private volatile long announcedBytes;
 
@@ -33,7 +38,10 @@
     }
 
     /** Adds to the number of received bytes of the body. */
-    void bytesReceived(int count) {
+    void bytesReceived(int count, long now) {
+        if (firstBytesAtTicks == NONE && count > 0) {
+            firstBytesAtTicks = now;
+        }
         long total = receivedBytes + count;
         receivedBytes = total;
     }
@@ -43,6 +51,11 @@
         return headReceivedAtTicks;
     }
 
+    /** When the first bytes of the body were received; a time that never comes before. */
+    long firstBytesAtTicks() {
+        return firstBytesAtTicks;
+    }
+
     /** The length according to the head; negative if it is unknown. */
     long announcedBytes() {
         return announcedBytes;
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -58,10 +58,12 @@
     private int statusCode;
     private int cacheStatus;
     private boolean neverRan;
-    private BufferedBody bufferedResponse;
 
-    /** The response body if it is streamed; null while it is buffered. */
-    private BodyPipe responsePipe;
+    /**
+     * Null before the head of the response is received, and once its bytes are not needed any more.
+     * The status code is set before it.
+     */
+    private volatile ResponseBody responseBody;
 
     private final ResponseProgress responseProgress = new ResponseProgress();
     private boolean abandoned;
@@ -258,7 +260,7 @@
                 exchange.requestPipe == null
                         ? startedAtTicks
                         : writtenAtTicks > 0 ? writtenAtTicks : endedAtTicks;
-        long until = responsePipe == null ? endedAtTicks : responseProgress.headReceivedAtTicks();
+        long until = isStreamed() ? responseProgress.headReceivedAtTicks() : endedAtTicks;
         return Math.max(0, until - from);
     }
 
@@ -268,8 +270,8 @@
         RequestTrace.responseHeadReceived(exchange.traceId, node, statusCode);
         neverRan = ServerHeaders.neverRan(response);
         cacheStatus = ServerHeaders.cacheStatus(response);
-        bufferedResponse = new BufferedBody(exchange.answerMemory(), entity);
         responseProgress.headReceived(entity, clock.now());
+        responseBody = new ResponseBody(exchange, entity);
         if (entity == null) {
             streamEnd(List.of());
         } else if (statusCode == OK && responseProgress.isLong()) {
@@ -279,22 +281,21 @@
 
     @Override
     public void consume(ByteBuffer src) throws IOException {
-        responseProgress.bytesReceived(src.remaining());
+        responseProgress.bytesReceived(src.remaining(), clock.now());
         if (responseProgress.receivedBytes() > MessageFraming.MAX_BODY_BYTES) {
             throw new IOException("response body is too long");
         } else if (!isBodyNeeded()) {
             src.position(src.limit());
             return;
         }
-        if (responsePipe == null && (isHeldBack() || !bufferedResponse.tryAppend(src))) {
-            startStreaming(-1);
-        }
-        if (responsePipe != null) {
-            responsePipe.append(src);
+        if (!isHeldBack() && responseBody.tryBuffer(src)) {
+            return;
         }
+        startStreaming(-1);
+        responseBody.pipe().append(src);
     }
 
-    /** Whether a response of unknown length has been buffered for so long that it is streamed. */
+    /** Whether a chunked response has been buffered for so long that it is streamed. */
     private boolean isHeldBack() {
         return responseProgress.isChunked()
                 && clock.now() - responseProgress.headReceivedAtTicks() >= STREAM_AFTER_TICKS;
@@ -310,20 +311,45 @@
      * one that was buffered for a client that has its answer or has disconnected.
      */
     private boolean isBodyNeeded() {
-        return statusCode == OK && (responsePipe != null || !exchange.isFinished());
+        return statusCode == OK && (isStreamed() || !exchange.isFinished());
     }
 
-    /** Switches from buffering the response to streaming it, first the bytes buffered so far. */
+    private boolean isStreamed() {
+        ResponseBody body = responseBody;
+        return body != null && body.isStreamed();
+    }
+
+    /** Begins to stream the response, unless the coordinator thread has begun to. */
     private void startStreaming(long length) {
-        responsePipe = exchange.createPipe(length);
-        responsePipe.append(ByteBuffer.wrap(bufferedResponse.toByteArray()));
-        bufferedResponse.release();
-        eventQueue.post(new ProxyEvent.ResponseStreamStarted(this, responsePipe));
+        BodyPipe created = responseBody.startStreaming(length);
+        if (created != null) {
+            eventQueue.post(new ProxyEvent.ResponseStreamStarted(this, created));
+        }
+    }
+
+    /** Whether a successful response of unknown length has begun and is still buffered. */
+    boolean isResponseHeld() {
+        ResponseBody body = responseBody;
+        return body != null
+                && !body.isStreamed()
+                && isOpen()
+                && statusCode == OK
+                && responseProgress.announcedBytes() < 0;
+    }
+
+    /**
+     * Begins to stream a response that is held; called on the coordinator thread.
+     *
+     * @return its pipe; null if the response is complete or streamed
+     */
+    BodyPipe streamHeldResponse() {
+        ResponseBody body = responseBody;
+        return body == null ? null : body.startStreaming();
     }
 
     @Override
     long streamedBytesIfReadable() {
-        return responsePipe != null && isOpen() && !responsePipe.isBackpressured()
+        return isStreamed() && isOpen() && !responseBody.pipe().isBackpressured()
                 ? responseProgress.receivedBytes()
                 : -1;
     }
@@ -335,34 +361,28 @@
      */
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        if (responsePipe == null
-                && isBodyNeeded()
-                && !bufferedResponse.tryReserve(MemoryBudget.GRANT_BYTES)) {
+        if (isBodyNeeded() && !responseBody.tryReserve()) {
             startStreaming(responseProgress.announcedBytes());
         }
-        if (responsePipe == null) {
-            capacity.update(MemoryBudget.GRANT_BYTES);
-        } else {
-            responsePipe.requestCapacity(capacity);
-        }
+        responseBody.grantCapacity(capacity);
     }
 
     /** Guards against answers of failed attempts that are counted until their request is over. */
     @Override
     public void releaseResources() {
-        if (bufferedResponse != null) {
-            bufferedResponse.release();
-            bufferedResponse = null;
+        ResponseBody body = responseBody;
+        if (body != null && !body.isStreamed()) {
+            body.release();
+            responseBody = null;
         }
     }
 
-    /** The buffered answer, which belongs to the request from now on; null if it was streamed. */
+    /** The buffered answer, which belongs to the request from now on; null if it is streamed. */
     private byte[] takeBufferedResponse() {
-        if (responsePipe != null) {
-            return null;
+        byte[] bytes = responseBody.complete();
+        if (bytes != null) {
+            responseBody = null;
         }
-        byte[] bytes = bufferedResponse.toByteArray();
-        bufferedResponse = null;
         return bytes;
     }
 
@@ -371,10 +391,11 @@
         completeResponse();
         switch (statusCode) {
             case OK -> {
-                if (responsePipe != null) {
-                    responsePipe.finish();
+                byte[] buffered = takeBufferedResponse();
+                if (buffered == null) {
+                    responseBody.pipe().finish();
                 }
-                completeOnce(AttemptOutcome.SUCCESS, takeBufferedResponse());
+                completeOnce(AttemptOutcome.SUCCESS, buffered);
             }
             case 404 -> completeOnce(AttemptOutcome.CACHE_MISS, null);
             default ->
@@ -388,7 +409,7 @@
 
     @Override
     public void failed(Exception cause) {
-        if (responsePipe != null && isOpen()) {
+        if (isStreamed() && isOpen()) {
             LOG.info("upstream: streamed response aborted by the node: " + cause);
         }
         // Guards against failing an attempt because its pooled connection was stale: no byte of the
