No byte of an attempt is written once its request has been answered

Cause: the reactor checked the permit as it created the head and handed it to the library, which writes it in the reactor's next turn; the coordinator could answer in between.

The permit is checked where bytes are given to the socket, and the check, the write and a revocation exclude each other: an answer either comes first, and nothing is written, or waits for the write. An attempt counts as begun from its first written byte on, so that one which was handed over and not written is withdrawn, or ends as never sent. Inside the lock nothing waits for another thread.

--- a/src/main/java/cairnbridge/proxy/AttemptSender.java
+++ b/src/main/java/cairnbridge/proxy/AttemptSender.java
@@ -101,7 +101,7 @@
      */
     void abandonUnsentAttempts(ActiveRequest request) {
         for (UpstreamAttempt attempt : request.attempts()) {
-            if (attempt.isWaiting()) {
+            if (attempt.isUnsent()) {
                 abandonAttempt(attempt, AttemptOutcome.NOT_SENT);
             }
         }
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import cairnbridge.decision.Ids.NodeId;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
@@ -36,9 +37,9 @@
 
     /** The progress of an attempt. */
     private enum Stage {
-        /** No byte of the request has been written. */
+        /** The request has not been handed to a connection. */
         WAITING,
-        /** Bytes may have been written, so the node may have executed the request. */
+        /** The request was handed to a connection, which may write it later. */
         SENDING,
         /** The outcome is determined. */
         ENDED
@@ -68,6 +69,12 @@
     private final ResponseProgress responseProgress = new ResponseProgress();
     private boolean abandoned;
 
+    /** Whether a byte of the request has been written. */
+    private volatile boolean begun;
+
+    /** Whether the head is the whole request. */
+    private boolean headOnly;
+
     private volatile long writtenAtTicks;
 
     /**
@@ -107,13 +114,13 @@
      *     sent; null if the attempt had ended
      */
     AttemptOutcome abandon(AttemptOutcome outcome) {
-        Stage before = stage.getAndSet(Stage.ENDED);
+        Stage before = sendPermit.whileNotWriting(() -> stage.getAndSet(Stage.ENDED));
         if (before == Stage.ENDED) {
             return null;
         }
         abandoned = true;
         AttemptOutcome actual =
-                before == Stage.WAITING && outcome == AttemptOutcome.TIMED_OUT
+                !begun && outcome == AttemptOutcome.TIMED_OUT
                         ? AttemptOutcome.CONNECT_FAILED
                         : outcome;
         traceEnd(actual);
@@ -130,11 +137,16 @@
         return abandoned;
     }
 
-    /** Whether the attempt is open and no byte of its request has been written. */
+    /** Whether the attempt is open and its request has not been handed to a connection. */
     boolean isWaiting() {
         return stage.get() == Stage.WAITING;
     }
 
+    /** Whether the attempt is open and no byte of its request has been written. */
+    boolean isUnsent() {
+        return isOpen() && !begun;
+    }
+
     private void completeOnce(AttemptOutcome outcome, byte[] body) {
         if (stage.getAndSet(Stage.ENDED) != Stage.ENDED) {
             postCompleted(outcome, body);
@@ -183,12 +195,8 @@
                         : new ByteArrayBody(requestBody);
         setBody(body);
         EntityDetails entity = body.entityDetails();
+        headOnly = entity == null;
         channel.sendRequest(request, entity, context);
-        // Guards against counting an attempt with a body twice: sendRequest may have written the
-        // whole body, and requestWritten has then been called.
-        if (entity == null) {
-            requestWritten();
-        }
     }
 
     /**
@@ -226,9 +234,34 @@
         }
     }
 
+    /**
+     * Guards against bytes that are written after the answer of their request, or after its client
+     * has left: the library writes some time after the request was handed to it.
+     */
     @Override
-    void bytesWritten(int count) {
-        RequestTrace.attemptBytesWritten(exchange.traceId, node, count);
+    int write(ByteBuffer source, WritableByteChannel socket) throws IOException {
+        exchange.revokeIfClientClosed();
+        extendPermit();
+        int before = source.remaining();
+        throwIfRejected(
+                sendPermit.writeIfPermitted(clock, begun, () -> writeIfOpen(source, socket)));
+        int count = before - source.remaining();
+        if (count > 0) {
+            RequestTrace.attemptBytesWritten(exchange.traceId, node, count);
+        }
+        if (headOnly && !isWritten() && !source.hasRemaining()) {
+            requestWritten();
+        }
+        return count;
+    }
+
+    private void writeIfOpen(ByteBuffer source, WritableByteChannel socket) throws IOException {
+        if (!isOpen()) {
+            throw new IOException("attempt was abandoned");
+        }
+        if (socket.write(source) > 0) {
+            begun = true;
+        }
     }
 
     @Override
@@ -245,7 +278,7 @@
 
     /** Whether the node may have received the last byte of the request, or may yet. */
     boolean mayHaveRun() {
-        return isWritten() || stage.get() == Stage.SENDING;
+        return begun && (isWritten() || stage.get() == Stage.SENDING);
     }
 
     /**
@@ -421,10 +454,7 @@
         Stage before = stage.getAndSet(Stage.ENDED);
         if (before != Stage.ENDED) {
             postCompleted(
-                    before == Stage.WAITING
-                            ? AttemptOutcome.CONNECT_FAILED
-                            : AttemptOutcome.CONNECTION_LOST,
-                    null);
+                    begun ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.CONNECT_FAILED, null);
         }
     }
 }
--- a/src/main/java/cairnbridge/proxy/UpstreamExchange.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamExchange.java
@@ -1,6 +1,8 @@
 package cairnbridge.proxy;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -56,9 +58,13 @@
         return -1;
     }
 
-    /** Called when the system has accepted bytes of the request. */
-    void bytesWritten(int count) {
-        // Only attempts need this notification.
+    /**
+     * Writes bytes of the request, as many as the socket accepts.
+     *
+     * @return the number of bytes written
+     */
+    int write(ByteBuffer source, WritableByteChannel socket) throws IOException {
+        return socket.write(source);
     }
 
     /** Called once the last byte of the request has been passed to the connection. */
--- a/src/main/java/cairnbridge/proxy/UpstreamSession.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamSession.java
@@ -26,12 +26,8 @@
 
     @Override
     public int write(ByteBuffer source) throws IOException {
-        int count = delegate().write(source);
         UpstreamExchange exchange = connection.latestExchange();
-        if (exchange != null && count > 0) {
-            exchange.bytesWritten(count);
-        }
-        return count;
+        return exchange == null ? delegate().write(source) : exchange.write(source, delegate());
     }
 
     @Override
