A long body counts from its pause although the system would hold more than 4 MiB of it

Cause: ReadPauses takes a client with more than 4 MiB left for one that has not sent its last byte. That is what Linux holds of the client's output alone; the proxy's side adapts its buffer and held up to 3.9 MB more after fast reading (AcceptorTest, before).

The listener sets the receive buffer, 256 KiB, which the system then does not adapt, and twice that is added to the bound.

AcceptorTest and ReadPausesTest failed before in one test each, pass now; UnreadBodiesTest, StreamsTest, OperatorsTest and HandoverTest pass (one run). Left: a client that sets a send buffer above 4 MiB itself.

--- a/src/main/java/cairnbridge/admin/AdminServer.java
+++ b/src/main/java/cairnbridge/admin/AdminServer.java
@@ -24,6 +24,10 @@
     private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
     private static final int MAX_CONNECTIONS = 32;
     private static final int SYSTEM_BACKLOG = 0;
+
+    /** The system adapts the receive buffers. */
+    private static final int ADAPTED_BUFFER = 0;
+
     private static final int SELECT_MILLIS = 200;
 
     private final AdminCommands commands;
@@ -47,7 +51,7 @@
             throws IOException {
         commands = new AdminCommands(operations, metrics);
         selector = Selector.open();
-        listener = ListeningSocket.open(address, SYSTEM_BACKLOG, false, selector);
+        listener = ListeningSocket.open(address, SYSTEM_BACKLOG, false, ADAPTED_BUFFER, selector);
     }
 
     /** The address that the endpoint listens on. */
--- a/src/main/java/cairnbridge/admin/ListeningSocket.java
+++ b/src/main/java/cairnbridge/admin/ListeningSocket.java
@@ -16,16 +16,25 @@
      *
      * @param backlog the maximum number of pending connections; 0 for the system default
      * @param reusePort whether other processes may listen on the same address (SO_REUSEPORT)
+     * @param receiveBufferBytes the receive buffer of accepted connections; 0 for one that the
+     *     system adapts
      * @param selector the selector to register with; closed if the address cannot be bound
      * @throws IOException if the address cannot be bound; the message contains the address
      */
     public static ServerSocketChannel open(
-            InetSocketAddress address, int backlog, boolean reusePort, Selector selector)
+            InetSocketAddress address,
+            int backlog,
+            boolean reusePort,
+            int receiveBufferBytes,
+            Selector selector)
             throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.setOption(StandardSocketOptions.SO_REUSEPORT, reusePort);
+            if (receiveBufferBytes > 0) {
+                server.setOption(StandardSocketOptions.SO_RCVBUF, receiveBufferBytes);
+            }
             server.bind(address, backlog);
             server.configureBlocking(false);
             server.register(selector, SelectionKey.OP_ACCEPT);
--- a/src/main/java/cairnbridge/proxy/Acceptor.java
+++ b/src/main/java/cairnbridge/proxy/Acceptor.java
@@ -29,6 +29,12 @@
     /** How long accepting is retried after a failure before the listener is closed. */
     private static final long FINAL_ACCEPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /**
+     * The receive buffer of each client connection. A size that is set is not adapted by the
+     * system, so that {@link ReadPauses} knows how much of a body can wait unread.
+     */
+    static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
+
     private static final int PROBE_TIMEOUT_MILLIS = 500;
     private static final int NO_PROBE = -1;
 
@@ -104,7 +110,8 @@
         this.acceptCall = acceptCall;
         emptyQueueTicks = clock.now();
         selector = Selector.open();
-        serverChannel = ListeningSocket.open(address, backlog, true, selector);
+        serverChannel =
+                ListeningSocket.open(address, backlog, true, RECEIVE_BUFFER_BYTES, selector);
     }
 
     /** The local address of the listener. */
--- a/src/main/java/cairnbridge/proxy/ReadPauses.java
+++ b/src/main/java/cairnbridge/proxy/ReadPauses.java
@@ -9,11 +9,15 @@
  * Thread-safe; all times are on the clock of {@link System#nanoTime}.
  */
 final class ReadPauses {
+    /** The most bytes of its output that Linux holds for a client that sets no limit itself. */
+    private static final long CLIENT_BUFFER_BYTES = 4 << 20;
+
     /**
      * The most bytes of a connection that the operating systems of a client and of the proxy hold
-     * together. A client with more than this left has not sent its last byte.
+     * together. A client with more than this left has not sent its last byte. The system counts
+     * twice the size that is asked for.
      */
-    static final long MAX_UNREAD_BYTES = 4 << 20;
+    static final long MAX_UNREAD_BYTES = CLIENT_BUFFER_BYTES + 2 * Acceptor.RECEIVE_BUFFER_BYTES;
 
     private static final long NONE = Long.MIN_VALUE;
 
