A long answer that its server still writes slowly is not broken off

Cause: an answer of unknown length was taken for one that never ends unless it had come at 16 kB a second on average.

What has stopped is judged by its average as before. Left: what arrives slower than that, and what pauses then.

--- a/src/main/java/cairnbridge/proxy/ResponseProgress.java
+++ b/src/main/java/cairnbridge/proxy/ResponseProgress.java
@@ -8,10 +8,14 @@
  */
 final class ResponseProgress {
     /**
-     * The rate at which a late response has to arrive to be taken for a long one. At that rate it
-     * has exceeded the longest body that is buffered after some four seconds.
+     * The mean rate at which a late response must have arrived to be taken for a long one, if it
+     * has paused since. At that rate it has exceeded the longest body that is buffered after some
+     * four seconds.
      */
-    private static final long MIN_BYTES_PER_MILLI = 16;
+    private static final long MIN_MEAN_BYTES_PER_MILLI = 16;
+
+    /** The rate at which a late response has to arrive now to be taken for a long one. */
+    private static final long MIN_PRESENT_BYTES_PER_MILLI = 2;
 
     private static final long NONE = Long.MAX_VALUE;
 
@@ -25,6 +29,7 @@
 
     private volatile boolean chunked;
     private volatile long receivedBytes;
+    private final RecentRate recentRate = new RecentRate();
 
     /**
      * Records that the head has been received.
@@ -33,6 +38,7 @@
      */
     void headReceived(EntityDetails entity, long now) {
         headReceivedAtTicks = now;
+        recentRate.start(now);
         announcedBytes = entity == null ? 0 : entity.getContentLength();
         chunked = entity != null && entity.isChunked();
     }
@@ -42,6 +48,7 @@
         if (firstBytesAtTicks == NONE && count > 0) {
             firstBytesAtTicks = now;
         }
+        recentRate.add(count, now);
         long total = receivedBytes + count;
         receivedBytes = total;
     }
@@ -78,10 +85,14 @@
 
     /**
      * Whether a body of unknown length may still turn out to be a long one, judged by the rate at
-     * which it has arrived since its head.
+     * which it has arrived since its head, and by that at which it arrives now.
      */
     boolean mayBecomeLong(long now) {
+        if (announcedBytes >= 0) {
+            return false;
+        }
         long elapsedMillis = (now - headReceivedAtTicks) / TickClock.TICKS_PER_MILLI;
-        return announcedBytes < 0 && receivedBytes >= elapsedMillis * MIN_BYTES_PER_MILLI;
+        return receivedBytes >= elapsedMillis * MIN_MEAN_BYTES_PER_MILLI
+                || recentRate.isAtLeast(MIN_PRESENT_BYTES_PER_MILLI, now);
     }
 }
