--- a/src/test/java/cairnbridge/proxy/UnreadBodiesTest.java
+++ b/src/test/java/cairnbridge/proxy/UnreadBodiesTest.java
@@ -80,6 +80,29 @@
         assertTrue(toldMillis(origin.requests.get(0)) <= TTL_MILLIS, origin.requests.get(0));
     }
 
+    /** Guards against a client without an answer that waits for a server which has stopped. */
+    @Test
+    void aBodyLongerThanTheSystemsHoldIsAnsweredWhoseServerDoesNotReadIt() throws Exception {
+        startBeforeStuckOrigin();
+        Socket client = connectClient();
+        client.setSoTimeout(10_000);
+        long startNanos = System.nanoTime();
+        daemon(
+                () -> {
+                    String head = head("d", TTL_MILLIS, "Content-Length: " + 5 * BODY_BYTES);
+                    client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                    client.getOutputStream().write(new byte[5 * BODY_BYTES]);
+                    return null;
+                });
+
+        int status = statusCode(readMessage(client));
+
+        long millis = (System.nanoTime() - startNanos) / 1_000_000;
+        testEnded.countDown();
+        assertEquals(502, status);
+        assertTrue(millis <= 2 * TTL_MILLIS + LOST_AFTER_MILLIS, "answered after " + millis);
+    }
+
     private static byte[] chunkedBody() {
         String size = Integer.toHexString(BODY_BYTES);
         return (size + "\r\n" + "x".repeat(BODY_BYTES) + "\r\n0\r\n\r\n")
