--- a/src/test/java/cairnbridge/proxy/UnreadBodiesTest.java
+++ b/src/test/java/cairnbridge/proxy/UnreadBodiesTest.java
@@ -80,6 +80,24 @@
         assertTrue(toldMillis(origin.requests.get(0)) <= TTL_MILLIS, origin.requests.get(0));
     }
 
+    /** Guards against ending a request whose client rests after a part that has filled a pipe. */
+    @ParameterizedTest
+    @ValueSource(ints = {70_000, 131_072, 200_000})
+    void aClientThatRestsBetweenLargePartsIsServedAfterItsLastByte(int partBytes) throws Exception {
+        start();
+        Socket client = connectClient();
+        int parts = 3;
+        client.getOutputStream()
+                .write(
+                        head("e", 150, "Content-Length: " + partBytes * parts)
+                                .getBytes(StandardCharsets.US_ASCII));
+        for (int i = 0; i < parts; i++) {
+            client.getOutputStream().write(new byte[partBytes]);
+            Thread.sleep(i < parts - 1 ? 600 : 0);
+        }
+        assertEquals(200, statusCode(readMessage(client)));
+    }
+
     /** Guards against a client without an answer that waits for a server which has stopped. */
     @Test
     void aBodyLongerThanTheSystemsHoldIsAnsweredWhoseServerDoesNotReadIt() throws Exception {
