A client that rests is not taken for one whose bytes wait to be read

Callers that sent a long body in parts of 128 KiB or more, with rests longer than their TTL, got 502 before their last byte. Cause: a part that fills the pipe counts as a pause in reading until input is found drained, which was asked only when bytes came: nothing came while the client rested, so the TTL ran from the pause. The deadline is found on the coordinator's thread meanwhile.

Once reading has resumed, three polls of the reactor without input show that nothing is left to read; the next input counts anew. Found by reading for related paths.

--- a/src/main/java/cairnbridge/proxy/ArrivalBound.java
+++ b/src/main/java/cairnbridge/proxy/ArrivalBound.java
@@ -5,7 +5,8 @@
 /**
  * Bounds the time for which the bytes that are read from one client connection have waited. Guards
  * against a request that waits in its socket while the reactor or the acceptor is held up, and is
- * then given its whole TTL. Used by the reactor's thread only; all times are ticks.
+ * then given its whole TTL. Used by the reactor's thread only, except for {@link #completedPolls};
+ * all times are ticks.
  */
 public final class ArrivalBound {
     /** How often a reactor or an acceptor without events polls. */
@@ -35,6 +36,11 @@
         registeredTicks = clock.now();
     }
 
+    /** The number of polls of the reactor so far, at the least; any thread may call this. */
+    long completedPolls() {
+        return pollTimes.completedPolls();
+    }
+
     /**
      * How long a byte that is read now may have waited beyond the time that is tolerated; 0 if not
      * at all.
--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -282,6 +282,10 @@
 
     private void readInput(IOSession ioSession, ByteBuffer source) throws IOException {
         int countBefore = requestHandlers.requestCount();
+        ClientExchange latest = requestHandlers.latest();
+        if (latest != null) {
+            latest.inputBegins();
+        }
         super.inputReady(ioSession, source);
         ClientExchange reading = requestHandlers.latest();
         if (reading != null) {
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -125,7 +125,7 @@
         this.hasClientClosed = hasClientClosed;
         requestMemory = new RequestMemory(context.requestBodies());
         answerMemory = new RequestMemory(context.answerBodies());
-        body = new RequestBody(requestMemory);
+        body = new RequestBody(requestMemory, arrivalBound::completedPolls);
     }
 
     /** Creates an exchange with the request context of its listener. */
@@ -394,6 +394,11 @@
         return body.unreadNanos() / TickClock.NANOS_PER_TICK;
     }
 
+    /** Called on the reactor's thread before input is read. */
+    void inputBegins() {
+        body.inputBegins();
+    }
+
     /** Called on the reactor's thread when everything that the client has sent has been read. */
     void inputDrained() {
         body.inputDrained();
--- a/src/main/java/cairnbridge/proxy/PollTimes.java
+++ b/src/main/java/cairnbridge/proxy/PollTimes.java
@@ -5,7 +5,7 @@
 /**
  * When the reactor polled its sockets. A thread checks whether it is interrupted directly before
  * each poll, {@value #CHECKS_PER_POLL} times at most: in HttpCore's loop, and in the selector. Used
- * by the reactor's thread only; all times are ticks.
+ * by the reactor's thread only, except for {@link #completedPolls}; all times are ticks.
  */
 final class PollTimes {
     private static final int CHECKS_PER_POLL = 2;
@@ -17,6 +17,9 @@
 
     private int next;
 
+    /** The number of checks so far. Written by the reactor's thread only. */
+    private volatile long checkCount;
+
     /** Creates an instance for a reactor that has not polled yet. */
     PollTimes(TickClock clock) {
         this.clock = clock;
@@ -27,6 +30,13 @@
     void recordCheck() {
         checks[next] = clock.now();
         next = (next + 1) % checks.length;
+        long count = checkCount + 1;
+        checkCount = count;
+    }
+
+    /** The number of polls so far, at the least; any thread may call this. */
+    long completedPolls() {
+        return checkCount / CHECKS_PER_POLL;
     }
 
     /**
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -3,6 +3,7 @@
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 
@@ -15,8 +16,18 @@
 final class RequestBody {
     private static final byte[] NO_BYTES = {};
 
+    /**
+     * The polls of the reactor after which a client has sent nothing more, if reading has resumed
+     * and nothing was read: at the second one the input of the first is handled.
+     */
+    private static final int SETTLED_POLLS = 3;
+
     private final RequestMemory memory;
     private final ReadPauses readPauses = new ReadPauses();
+    private final LongSupplier completedPolls;
+
+    /** The polls of the reactor that were completed when the client was last granted capacity. */
+    private volatile long pollsAtGrant;
 
     /** Run when memory has been returned for which this body waits. */
     private final Runnable memoryWaiter = this::memoryReturned;
@@ -45,9 +56,11 @@
      * Creates a body of which nothing is received.
      *
      * @param memory what the request may occupy of the memory budget
+     * @param completedPolls the number of polls of the reactor so far
      */
-    RequestBody(RequestMemory memory) {
+    RequestBody(RequestMemory memory, LongSupplier completedPolls) {
         this.memory = memory;
+        this.completedPolls = completedPolls;
     }
 
     /** Prepares for the body that the head has announced. */
@@ -139,7 +152,28 @@
      * in nanoseconds.
      */
     long unreadNanos() {
-        return readPauses.unreadNanos(System.nanoTime());
+        return isSettled() ? 0 : readPauses.unreadNanos(System.nanoTime());
+    }
+
+    /**
+     * Whether reading has resumed and the reactor has found nothing to read since. Guards against
+     * taking a client that rests for one whose bytes wait to be read.
+     */
+    private boolean isSettled() {
+        return !isBackpressured() && completedPolls.getAsLong() - pollsAtGrant > SETTLED_POLLS;
+    }
+
+    /** Called before input is read. */
+    void inputBegins() {
+        if (isSettled()) {
+            readPauses.drained();
+        }
+        pollsAtGrant = completedPolls.getAsLong();
+    }
+
+    private void grant(CapacityChannel channel, int bytes) throws IOException {
+        pollsAtGrant = completedPolls.getAsLong();
+        channel.update(bytes);
     }
 
     /** Records that everything which the client has sent so far has been read. */
@@ -176,7 +210,7 @@
      */
     void requestCapacity(CapacityChannel channel) throws IOException {
         if (pipe != null) {
-            pipe.requestCapacity(channel);
+            pipe.requestCapacity(bytes -> grant(channel, bytes));
             if (pipe.isBackpressured()) {
                 recordPause();
             }
@@ -191,7 +225,7 @@
         BufferedBody buffered = buffer;
         if (buffered == null || buffered.tryReserve(MemoryBudget.GRANT_BYTES)) {
             endWait();
-            channel.update(MemoryBudget.GRANT_BYTES);
+            grant(channel, MemoryBudget.GRANT_BYTES);
         } else {
             beginWait(channel);
         }
@@ -235,7 +269,7 @@
         }
         endWait();
         try {
-            channel.update(MemoryBudget.GRANT_BYTES);
+            grant(channel, MemoryBudget.GRANT_BYTES);
         } catch (IOException e) {
             releaseBuffer(); // The client's connection has failed.
         }
--- a/src/test/java/cairnbridge/proxy/RequestBodyTest.java
+++ b/src/test/java/cairnbridge/proxy/RequestBodyTest.java
@@ -22,7 +22,7 @@
     private RequestBody createBody() {
         RequestMemory memory = new RequestMemory(budget);
         memories.add(memory);
-        RequestBody body = new RequestBody(memory);
+        RequestBody body = new RequestBody(memory, () -> 0);
         body.expect(new BasicEntityDetails(BODY_BYTES, null));
         return body;
     }
