A client that waits for a server which hardly reads its body gets an answer

Callers of a PUT of 12 MB, read at 4 kB a second, had no answer after 15 s, with 1.2 s to live; nor of 30 MB to a server that had stopped reading. Cause: the deadline moves on as long as the last byte is not sent, also where the client waits for the server.

A stall of the proxy does not count. Log line 'request X ended, its body is not taken, N bytes received'.

UnreadBodiesTest failed before (no answer after 10 s, 1 of 1), passes now; UploadProgressTest passes (one run each).

--- a/src/main/java/cairnbridge/proxy/ActiveRequest.java
+++ b/src/main/java/cairnbridge/proxy/ActiveRequest.java
@@ -21,6 +21,9 @@
     /** The attempt whose response is streamed to the client; null if there is none. */
     private UpstreamAttempt streamingAttempt;
 
+    /** How fast the streamed body is taken; null until it is first asked for. */
+    private UploadProgress uploadProgress;
+
     private boolean answered;
 
     /** Whether the client has left and the trace id is remembered. */
@@ -112,6 +115,15 @@
         return exchange.requestPipe != null;
     }
 
+    /** Whether a streamed body is taken too slowly; see {@link UploadProgress#isTooSlow}. */
+    boolean isUploadTooSlow(long now) {
+        if (uploadProgress == null) {
+            uploadProgress = new UploadProgress(exchange.request().ttlTicks(), now);
+        }
+        return uploadProgress.isTooSlow(
+                now, exchange.receivedBytes(), exchange.hasBodyWaitedSinceLastCall());
+    }
+
     /** Records that the client has been answered, or has disconnected. */
     void markAnswered() {
         answered = true;
--- a/src/main/java/cairnbridge/proxy/ClientExchange.java
+++ b/src/main/java/cairnbridge/proxy/ClientExchange.java
@@ -399,6 +399,11 @@
         body.inputBegins();
     }
 
+    /** See {@link RequestBody#hasWaitedSinceLastCall}; called on the coordinator thread. */
+    boolean hasBodyWaitedSinceLastCall() {
+        return body.hasWaitedSinceLastCall();
+    }
+
     /** Called on the reactor's thread when everything that the client has sent has been read. */
     void inputDrained() {
         body.inputDrained();
--- a/src/main/java/cairnbridge/proxy/RequestBody.java
+++ b/src/main/java/cairnbridge/proxy/RequestBody.java
@@ -3,6 +3,7 @@
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -52,6 +53,12 @@
 
     private volatile long receivedBytes;
 
+    /** Whether reading has paused and has not caught up with the client since. */
+    private volatile boolean unread;
+
+    /** Whether reading has caught up with the client since the last query. */
+    private final AtomicBoolean caughtUp = new AtomicBoolean();
+
     /**
      * Creates a body of which nothing is received.
      *
@@ -166,7 +173,7 @@
     /** Called before input is read. */
     void inputBegins() {
         if (isSettled()) {
-            readPauses.drained();
+            recordCaughtUp();
         }
         pollsAtGrant = completedPolls.getAsLong();
     }
@@ -179,11 +186,24 @@
     /** Records that everything which the client has sent so far has been read. */
     void inputDrained() {
         if (!isBackpressured()) {
-            readPauses.drained();
+            recordCaughtUp();
         }
     }
 
+    private void recordCaughtUp() {
+        unread = false;
+        caughtUp.set(true);
+        readPauses.drained();
+    }
+
+    /** Whether the client may have waited to send the rest ever since the last call. */
+    boolean hasWaitedSinceLastCall() {
+        boolean caughtUpSince = caughtUp.getAndSet(false);
+        return unread && !caughtUpSince && !isSettled();
+    }
+
     private void recordPause() {
+        unread = true;
         readPauses.paused(System.nanoTime(), receivedBytes, bytesLeft());
     }
 
--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -209,9 +209,13 @@
      * rest of the body only waits to be read.
      */
     private void reviewStreamedRequest(ActiveRequest request) {
+        long now = clock.now();
+        if (!request.exchange().isRequestComplete() && request.isUploadTooSlow(now)) {
+            endSlowUpload(request, now);
+            return;
+        }
         changeDeadline(request, request.exchange().presentDeadlineTicks());
         long dueTicks = request.deadlineTicks() - DEADLINE_MARGIN_TICKS;
-        long now = clock.now();
         if (mustBeginHeld(request, now)) {
             streaming.beginHeld(request);
         }
@@ -225,6 +229,21 @@
         }
     }
 
+    /**
+     * Ends a request whose server takes its body too slowly. Guards against a client that waits for
+     * ever to send the rest: the deadline of its request moves on as long as it is not sent.
+     */
+    private void endSlowUpload(ActiveRequest request, long now) {
+        LOG.log(
+                Level.INFO,
+                "request {0} ended, its body is not taken, {1} bytes received",
+                new Object[] {
+                    request.exchange().traceId, Long.toString(request.exchange().receivedBytes())
+                });
+        changeDeadline(request, now);
+        endStreamedRequest(request);
+    }
+
     private void changeDeadline(ActiveRequest request, long deadlineTicks) {
         if (deadlineTicks != request.deadlineTicks()) {
             request.setDeadline(deadlineTicks);
--- a/src/main/java/cairnbridge/proxy/UploadProgress.java
+++ b/src/main/java/cairnbridge/proxy/UploadProgress.java
@@ -7,8 +7,12 @@
  * its client waits to send the rest. Used only by the coordinator thread; all times are ticks.
  */
 final class UploadProgress {
+    /** The most that the time between two calls counts, so that a stall of the process does not. */
+    private static final long MAX_STEP_TICKS = 200 * Ticks.MILLISECOND;
+
     private final long windowTicks;
-    private long windowStartTicks;
+    private long latestCallTicks;
+    private long waitedTicks;
     private long bytesAtStart;
 
     /**
@@ -18,7 +22,7 @@
      */
     UploadProgress(long windowTicks, long now) {
         this.windowTicks = windowTicks;
-        windowStartTicks = now;
+        latestCallTicks = now;
     }
 
     /**
@@ -29,13 +33,14 @@
      * @return whether a window has ended in which too little was taken
      */
     boolean isTooSlow(long now, long takenBytes, boolean clientWaited) {
-        long elapsedTicks = now - windowStartTicks;
-        if (clientWaited && elapsedTicks < windowTicks) {
+        waitedTicks += Math.min(now - latestCallTicks, MAX_STEP_TICKS);
+        latestCallTicks = now;
+        if (clientWaited && waitedTicks < windowTicks) {
             return false;
         }
-        long leastBytes = Ticks.toMillis(elapsedTicks) * ListenerState.MIN_BODY_BYTES_PER_MILLI;
+        long leastBytes = Ticks.toMillis(waitedTicks) * ListenerState.MIN_BODY_BYTES_PER_MILLI;
         boolean tooSlow = clientWaited && takenBytes - bytesAtStart < leastBytes;
-        windowStartTicks = now;
+        waitedTicks = 0;
         bytesAtStart = takenBytes;
         return tooSlow;
     }
