An attempt that was handed over and not written is withdrawn when its node closes

Same class as an attempt that is written after its request's answer: permitted on the reactor's thread, made untrue by the coordinator, written some time later. Where a node is drained or put into maintenance, only attempts that had not been handed to a connection were withdrawn.

--- a/src/main/java/cairnbridge/proxy/AttemptSender.java
+++ b/src/main/java/cairnbridge/proxy/AttemptSender.java
@@ -109,20 +109,27 @@
 
     /**
      * Abandons the unsent attempts to nodes that accept no new requests. Guards against an attempt
-     * that reaches a node after it was drained or put into maintenance, because the connection is
-     * established only then.
+     * that reaches a node after it was drained or put into maintenance, because its connection is
+     * established, or its bytes are written, only then.
      */
     void abandonUnsendableAttempts(Iterable<ActiveRequest> requests) {
         for (ActiveRequest request : requests) {
             for (UpstreamAttempt attempt : request.attempts()) {
-                if (attempt.isWaiting() && !upstreamPool.isAvailable(attempt.node)) {
-                    attempt.sendPermit.revoke(AttemptRejection.NODE_CLOSED);
-                    rejectAttempt(attempt, AttemptRejection.NODE_CLOSED);
+                if (attempt.isUnsent() && !upstreamPool.isAvailable(attempt.node)) {
+                    withdraw(attempt);
                 }
             }
         }
     }
 
+    /** Rejects an attempt unless its first byte has been written. */
+    private void withdraw(UpstreamAttempt attempt) {
+        attempt.sendPermit.revoke(AttemptRejection.NODE_CLOSED);
+        if (attempt.isUnsent()) {
+            rejectAttempt(attempt, AttemptRejection.NODE_CLOSED);
+        }
+    }
+
     /** Cancels all attempts of a request except one. */
     void cancelOtherAttempts(ActiveRequest request, UpstreamAttempt remaining) {
         for (UpstreamAttempt attempt : request.attempts()) {
--- a/src/test/java/cairnbridge/proxy/AnswerOrderTest.java
+++ b/src/test/java/cairnbridge/proxy/AnswerOrderTest.java
@@ -2,7 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Handler;
@@ -17,6 +20,7 @@
     private static final int TTL_MILLIS = 300;
     private static final Logger TRACE = Logger.getLogger(RequestTrace.class.getName());
 
+    private final CountDownLatch held = new CountDownLatch(1);
     private final CountDownLatch release = new CountDownLatch(1);
     private final Handler holdingHandler = new HoldingHandler();
 
@@ -25,6 +29,7 @@
         @Override
         public void publish(LogRecord line) {
             if (line.getMessage().contains("attempt begun")) {
+                held.countDown();
                 awaitUninterrupted(release);
             }
         }
@@ -40,6 +45,11 @@
         }
     }
 
+    private void holdBeforeWrites() {
+        TRACE.setLevel(Level.FINE);
+        TRACE.addHandler(holdingHandler);
+    }
+
     @AfterEach
     void removeHandler() {
         release.countDown();
@@ -51,8 +61,7 @@
     @Test
     void anAttemptThatWasPermittedIsNotWrittenAfterItsRequestIsAnswered() throws Exception {
         start();
-        TRACE.setLevel(Level.FINE);
-        TRACE.addHandler(holdingHandler);
+        holdBeforeWrites();
         Socket client = connectClient();
         send(client, "GET /view/1", ttlHeader(TTL_MILLIS), "");
         assertEquals(503, statusCode(readMessage(client)));
@@ -62,4 +71,29 @@
         waitUntil(() -> !cache.requests.isEmpty() || cache.closedConnectionCount.get() > 0);
         assertEquals(List.of(), cache.requests);
     }
+
+    /** Guards against an attempt that was permitted before its node was taken out of service. */
+    @Test
+    void anAttemptThatWasPermittedIsNotWrittenAfterItsNodeIsInMaintenance() throws Exception {
+        extraConfig = "\"admin_addr\":\"127.0.0.1:0\",";
+        start();
+        holdBeforeWrites();
+        send(connectClient(), "GET /view/1", ttlHeader(4000), "");
+        held.await();
+        assertEquals("200", callAdmin("maint-on c").substring(0, 3));
+
+        release.countDown();
+
+        waitUntil(() -> !cache.requests.isEmpty() || cache.closedConnectionCount.get() > 0);
+        assertEquals(List.of(), cache.requests);
+    }
+
+    private String callAdmin(String command) throws IOException {
+        InetSocketAddress address = proxy.adminAddress();
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream().write((command + "\n").getBytes(StandardCharsets.US_ASCII));
+            byte[] answer = socket.getInputStream().readAllBytes();
+            return new String(answer, StandardCharsets.US_ASCII);
+        }
+    }
 }
