A step of the wall clock does not change how long a client's connection has been idle

The idle time of a client's connection was the wall clock less the time of its last event: after a step back by an hour no connection counted as idle for an hour, so that standby and shutdown closed none of them; after a step forward all counted as idle at once, also new ones. Found by reading; not seen at a caller. It is taken from the monotonic clock now, as all else is.

WallClockTest failed before in both directions, passes now; ProxyTest, CloseRaceTest, OperatorsTest and DescriptorBudgetTest pass (one run).

--- a/src/main/java/cairnbridge/proxy/ClientConnection.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
@@ -48,6 +49,9 @@
      */
     private volatile long readingSinceNanos = NOT_READING;
 
+    /** When the latest event was handled, on the clock of {@link System#nanoTime}. */
+    private volatile long lastEventNanos = System.nanoTime();
+
     /** The number of requests begun on the connection when it was found overdue. */
     private volatile int requestCountAtCheck = NOT_OVERDUE;
 
@@ -85,14 +89,14 @@
         return requestHandlers.isIdle();
     }
 
-    /** The Unix time, in milliseconds, of the last event on this connection. */
-    long idleSinceMillis() {
-        return session.getLastEventTime();
+    /** The time since the last event on this connection, in nanoseconds. */
+    long idleNanos() {
+        return System.nanoTime() - lastEventNanos;
     }
 
     /** The time since the last event on this connection, in milliseconds. */
     long idleMillis() {
-        return System.currentTimeMillis() - idleSinceMillis();
+        return TimeUnit.NANOSECONDS.toMillis(idleNanos());
     }
 
     /** Whether a request has begun that has not been read completely. */
@@ -205,6 +209,7 @@
 
     @Override
     public void outputReady(IOSession ioSession) throws IOException {
+        lastEventNanos = System.nanoTime();
         if (closeIfStillOverdue()) {
             return;
         }
@@ -247,6 +252,7 @@
 
     @Override
     public void inputReady(IOSession ioSession, ByteBuffer source) throws IOException {
+        lastEventNanos = System.nanoTime();
         if (session.isClosing()) {
             session.linger(MAX_DISCARDED_BYTES);
         } else if (hasStoppedReading()) {
--- a/src/main/java/cairnbridge/proxy/ClientConnections.java
+++ b/src/main/java/cairnbridge/proxy/ClientConnections.java
@@ -115,7 +115,7 @@
         ClientConnection oldest = null;
         for (ClientConnection client : connections) {
             if (client.isClosable()
-                    && (oldest == null || client.idleSinceMillis() < oldest.idleSinceMillis())) {
+                    && (oldest == null || client.idleNanos() > oldest.idleNanos())) {
                 oldest = client;
             }
         }
