A later process is the successor although the wall clock was stepped back before it started

The order of the processes at one address was that of the wall clock at their starts, kept in the names of their markers: after a step back between the two, the older one saw no successor and did not hand over, and the younger one took itself for the older. Found by reading; not seen at a caller. The order is that of the start times that the system keeps since its boot; names and forms of the markers stay.

SiblingProcessesTest failed before, passes now; HandoverTest and StartTest pass (one run).

--- a/src/main/java/cairnbridge/proxy/SiblingProcesses.java
+++ b/src/main/java/cairnbridge/proxy/SiblingProcesses.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.logging.Logger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -40,6 +41,7 @@
     private final Optional<Path> sharedFolder;
     private final long processId = ProcessHandle.current().pid();
     private final long startedAtMillis = System.currentTimeMillis();
+    private final OptionalLong ownStart = ProcessStart.sinceBoot(processId);
 
     /**
      * Writes no marker yet; {@link #markRunning} does.
@@ -96,18 +98,32 @@
 
     /** Whether a process that started later is running, ready or not. */
     boolean hasSuccessor() {
-        return readMarkers().stream().anyMatch(marker -> marker.startedAtMillis > startedAtMillis);
+        return readMarkers().stream().anyMatch(marker -> compareStart(marker) > 0);
     }
 
     /** Whether a process that started earlier is running, ready or not. */
     boolean hasPredecessor() {
-        return readMarkers().stream().anyMatch(marker -> marker.startedAtMillis < startedAtMillis);
+        return readMarkers().stream().anyMatch(marker -> compareStart(marker) < 0);
     }
 
     /** Whether a process that started later is ready for all clients of the shared address. */
     boolean hasReadySuccessor() {
-        return readMarkers().stream()
-                .anyMatch(marker -> marker.ready && marker.startedAtMillis > startedAtMillis);
+        return readMarkers().stream().anyMatch(marker -> marker.ready && compareStart(marker) > 0);
+    }
+
+    /**
+     * Positive if the other process started later than this one. The time in the name of a marker
+     * decides only if the system does not tell, because the wall clock may have been stepped.
+     */
+    private int compareStart(ProcessMarker marker) {
+        OptionalLong other = ProcessStart.sinceBoot(marker.processId);
+        if (other.isPresent() && ownStart.isPresent()) {
+            int order = Long.compare(other.getAsLong(), ownStart.getAsLong());
+            if (order != 0) {
+                return order;
+            }
+        }
+        return Long.compare(marker.startedAtMillis, startedAtMillis);
     }
 
     /**
