--- a/src/main/java/cairnbridge/proxy/RequestDeadlines.java
+++ b/src/main/java/cairnbridge/proxy/RequestDeadlines.java
@@ -210,7 +210,8 @@
      */
     private void reviewStreamedRequest(ActiveRequest request) {
         long now = clock.now();
-        if (!request.exchange().isRequestComplete() && request.isUploadTooSlow(now)) {
+        boolean isReceiving = !request.isAnswered() && !request.exchange().isRequestComplete();
+        if (isReceiving && request.isUploadTooSlow(now)) {
             endSlowUpload(request, now);
             return;
         }
@@ -231,7 +232,8 @@
 
     /**
      * Ends a request whose server takes its body too slowly. Guards against a client that waits for
-     * ever to send the rest: the deadline of its request moves on as long as it is not sent.
+     * ever to send the rest: the deadline of its request moves on as long as it is not sent. The
+     * router answers, as the deadline has come.
      */
     private void endSlowUpload(ActiveRequest request, long now) {
         LOG.log(
@@ -241,7 +243,8 @@
                     request.exchange().traceId, Long.toString(request.exchange().receivedBytes())
                 });
         changeDeadline(request, now);
-        endStreamedRequest(request);
+        abandonOpenAttempts(request);
+        timers.scheduleRequestDeadline(now + BODY_CHECK_TICKS, request.id());
     }
 
     private void changeDeadline(ActiveRequest request, long deadlineTicks) {
@@ -254,6 +257,13 @@
 
     /** Ends a request whose body was streamed and that has no response yet. */
     private void endStreamedRequest(ActiveRequest request) {
+        if (!abandonOpenAttempts(request) && !request.isAnswered()) {
+            completion.failUnanswered(request);
+        }
+    }
+
+    /** Returns whether there was an open attempt, with whose end the router answers. */
+    private boolean abandonOpenAttempts(ActiveRequest request) {
         boolean hasOpenAttempt = false;
         for (UpstreamAttempt attempt : request.attempts()) {
             if (attempt.isOpen()) {
@@ -261,9 +271,7 @@
                 attemptSender.abandonAttempt(attempt, AttemptOutcome.TIMED_OUT);
             }
         }
-        if (!hasOpenAttempt && !request.isAnswered()) {
-            completion.failUnanswered(request);
-        }
+        return hasOpenAttempt;
     }
 
     /** Sets the deadline of a request whose streamed body has been received completely. */
--- a/src/main/java/cairnbridge/proxy/ResponseStreaming.java
+++ b/src/main/java/cairnbridge/proxy/ResponseStreaming.java
@@ -58,7 +58,7 @@
 
     /** Streams the held response of which most has arrived; does nothing if there is none. */
     void beginHeld(ActiveRequest request) {
-        UpstreamAttempt longest = longestHeld(request);
+        UpstreamAttempt longest = request.isAnswered() ? null : longestHeld(request);
         if (longest == null) {
             return;
         }
