--- a/src/test/java/cairnbridge/proxy/RestartSoakTest.java
+++ b/src/test/java/cairnbridge/proxy/RestartSoakTest.java
@@ -29,7 +29,8 @@
 /**
  * Restarts and upgrades real processes while clients send requests on persistent connections.
  * Signals and faults are drawn from a seed. The system property {@code soak.first} sets the first
- * seed, {@code soak.seeds} the number of seeds.
+ * seed, {@code soak.seeds} the number of seeds, {@code soak.crowd} the number of idle clients in
+ * those runs that have some.
  */
 @Timeout(90)
 class RestartSoakTest extends ProxyTestSupport {
@@ -42,7 +43,7 @@
                     SoakClient.Disconnects.NEVER,
                     SoakClient.Disconnects.NEVER,
                     SoakClient.Disconnects.NEVER);
-    private static final int IDLE_CLIENTS = 30;
+    private static final int IDLE_CLIENTS = Integer.getInteger("soak.crowd", 30);
     private static final int STEPS = 2;
 
     /**
