A head that waited for over 0.1 s is not written, and its attempt ends as never sent

Not seen at a server; AttemptTest forces it: a head of 101 ms ago was written before (1 of 1), and is refused now, so that the router may send another. Long bodies are left out: their time counts from their last byte, and they can be sent once only.

--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -35,6 +35,12 @@
      */
     private static final long STREAM_AFTER_TICKS = 100 * TickClock.TICKS_PER_MILLI;
 
+    /**
+     * The longest time between the creation of a head and its first written byte: the head tells
+     * the remaining time, which the platform allows to be 150 ms too long.
+     */
+    private static final long MAX_HEAD_AGE_TICKS = 100 * TickClock.TICKS_PER_MILLI;
+
     /** The progress of an attempt. */
     private enum Stage {
         /** The request has not been handed to a connection. */
@@ -75,6 +81,9 @@
     /** Whether the head is the whole request. */
     private boolean headOnly;
 
+    /** When the head was created. */
+    private long headCreatedAtTicks;
+
     private volatile long writtenAtTicks;
 
     /**
@@ -177,7 +186,8 @@
         if (!stage.compareAndSet(Stage.WAITING, Stage.SENDING)) {
             throw new IOException("attempt was abandoned");
         }
-        long remainingTicks = Math.max(1, deadlineTicks - clock.now());
+        headCreatedAtTicks = clock.now();
+        long remainingTicks = Math.max(1, deadlineTicks - headCreatedAtTicks);
         RequestTrace.attemptBegun(exchange.traceId, remainingTicks);
         BasicHttpRequest request =
                 AttemptHead.of(exchange, connection.address.getHostString(), remainingTicks);
@@ -242,6 +252,9 @@
     int write(ByteBuffer source, WritableByteChannel socket) throws IOException {
         exchange.revokeIfClientClosed();
         extendPermit();
+        if (isHeadOutdated()) {
+            throwIfRejected(AttemptRejection.TOO_LATE);
+        }
         int before = source.remaining();
         throwIfRejected(
                 sendPermit.writeIfPermitted(clock, begun, () -> writeIfOpen(source, socket)));
@@ -255,6 +268,13 @@
         return count;
     }
 
+    /** Whether the head, of which nothing is written, tells the server too much time. */
+    private boolean isHeadOutdated() {
+        return !begun
+                && exchange.requestPipe == null
+                && clock.now() - headCreatedAtTicks > MAX_HEAD_AGE_TICKS;
+    }
+
     private void writeIfOpen(ByteBuffer source, WritableByteChannel socket) throws IOException {
         if (!isOpen()) {
             throw new IOException("attempt was abandoned");
