--- a/src/main/java/cairnbridge/proxy/ResponseBody.java
+++ b/src/main/java/cairnbridge/proxy/ResponseBody.java
@@ -12,8 +12,6 @@
  * may begin to stream it.
  */
 final class ResponseBody {
-    private static final int LENGTH_UNKNOWN = -1;
-
     private final ClientExchange exchange;
     private final BufferedBody buffer;
 
@@ -50,11 +48,6 @@
         return pipe == null && buffer.tryAppend(source);
     }
 
-    /** Begins to stream a body of unknown length; see {@link #startStreaming(long)}. */
-    BodyPipe startStreaming() {
-        return startStreaming(LENGTH_UNKNOWN);
-    }
-
     /**
      * Begins to stream, first the bytes buffered so far.
      *
--- a/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
+++ b/src/main/java/cairnbridge/proxy/UpstreamAttempt.java
@@ -27,13 +27,6 @@
  */
 final class UpstreamAttempt extends UpstreamExchange {
     private static final Logger LOG = Logger.getLogger(UpstreamAttempt.class.getName());
-    private static final int OK = 200;
-
-    /**
-     * Guards against holding back a chunked response that a node sends slowly: if it is incomplete
-     * this long after its head, it is streamed to the client.
-     */
-    private static final long STREAM_AFTER_TICKS = 100 * TickClock.TICKS_PER_MILLI;
 
     /**
      * The longest time between the creation of a head and its first written byte: the head tells
@@ -62,17 +55,7 @@
     private final TickClock clock;
     private final ProxyMetrics metrics;
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
-    private int statusCode;
-    private int cacheStatus;
-    private boolean neverRan;
-
-    /**
-     * Null before the head of the response is received, and once its bytes are not needed any more.
-     * The status code is set before it.
-     */
-    private volatile ResponseBody responseBody;
-
-    private final ResponseProgress responseProgress = new ResponseProgress();
+    private final AttemptResponse response;
     private boolean abandoned;
 
     /** Whether a byte of the request has been written. */
@@ -113,6 +96,11 @@
         this.clock = clock;
         startedAtTicks = clock.now();
         sendPermit = exchange.sendPermit.forAttempt(latestStartTicks);
+        response =
+                new AttemptResponse(
+                        exchange,
+                        clock,
+                        pipe -> eventQueue.post(new ProxyEvent.ResponseStreamStarted(this, pipe)));
     }
 
     /**
@@ -164,13 +152,14 @@
 
     private void traceEnd(AttemptOutcome outcome) {
         RequestTrace.attemptEnded(
-                exchange.traceId, node, outcome, responseProgress.receivedBytes());
+                exchange.traceId, node, outcome, response.progress().receivedBytes());
     }
 
     private void postCompleted(AttemptOutcome outcome, byte[] body) {
         traceEnd(outcome);
         eventQueue.post(
-                new ProxyEvent.AttemptCompleted(this, outcome, cacheStatus, body, clock.now()));
+                new ProxyEvent.AttemptCompleted(
+                        this, outcome, response.cacheStatus(), body, clock.now()));
     }
 
     @Override
@@ -313,156 +302,65 @@
                 exchange.requestPipe == null
                         ? startedAtTicks
                         : writtenAtTicks > 0 ? writtenAtTicks : endedAtTicks;
-        long until = isStreamed() ? responseProgress.headReceivedAtTicks() : endedAtTicks;
+        long until =
+                response.isStreamed() ? response.progress().headReceivedAtTicks() : endedAtTicks;
         return Math.max(0, until - from);
     }
 
     @Override
-    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
-        statusCode = response.getCode();
-        RequestTrace.responseHeadReceived(exchange.traceId, node, statusCode);
-        neverRan = ServerHeaders.neverRan(response);
-        cacheStatus = ServerHeaders.cacheStatus(response);
-        responseProgress.headReceived(entity, clock.now());
-        responseBody = new ResponseBody(exchange, entity);
+    public void consumeResponse(HttpResponse head, EntityDetails entity, HttpContext context) {
+        response.headReceived(head, entity);
+        RequestTrace.responseHeadReceived(exchange.traceId, node, response.statusCode());
         if (entity == null) {
             streamEnd(List.of());
-        } else if (statusCode == OK && responseProgress.isLong()) {
-            startStreaming(responseProgress.announcedBytes());
         }
     }
 
     @Override
     public void consume(ByteBuffer src) throws IOException {
-        responseProgress.bytesReceived(src.remaining(), clock.now());
-        if (responseProgress.receivedBytes() > MessageFraming.MAX_BODY_BYTES) {
-            throw new IOException("response body is too long");
-        } else if (!isBodyNeeded()) {
-            src.position(src.limit());
-            return;
-        }
-        if (!isHeldBack() && responseBody.tryBuffer(src)) {
-            return;
-        }
-        startStreaming(-1);
-        responseBody.pipe().append(src);
+        response.bytesReceived(src);
     }
 
-    /** Whether a chunked response has been buffered for so long that it is streamed. */
-    private boolean isHeldBack() {
-        return responseProgress.isChunked()
-                && clock.now() - responseProgress.headReceivedAtTicks() >= STREAM_AFTER_TICKS;
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        response.grantCapacity(capacity);
     }
 
     /** How much of the response has arrived. */
     ResponseProgress responseProgress() {
-        return responseProgress;
-    }
-
-    /**
-     * Whether the response body may still be sent to the client: not that of an error response, nor
-     * one that was buffered for a client that has its answer or has disconnected.
-     */
-    private boolean isBodyNeeded() {
-        return statusCode == OK && (isStreamed() || !exchange.isFinished());
-    }
-
-    private boolean isStreamed() {
-        ResponseBody body = responseBody;
-        return body != null && body.isStreamed();
-    }
-
-    /** Begins to stream the response, unless the coordinator thread has begun to. */
-    private void startStreaming(long length) {
-        BodyPipe created = responseBody.startStreaming(length);
-        if (created != null) {
-            eventQueue.post(new ProxyEvent.ResponseStreamStarted(this, created));
-        }
+        return response.progress();
     }
 
     /** Whether a successful response of unknown length has begun and is still buffered. */
     boolean isResponseHeld() {
-        ResponseBody body = responseBody;
-        return body != null
-                && !body.isStreamed()
-                && isOpen()
-                && statusCode == OK
-                && responseProgress.announcedBytes() < 0;
+        return isOpen() && response.isHeld();
     }
 
-    /**
-     * Begins to stream a response that is held; called on the coordinator thread.
-     *
-     * @return its pipe; null if the response is complete or streamed
-     */
+    /** See {@link AttemptResponse#streamHeld}. */
     BodyPipe streamHeldResponse() {
-        ResponseBody body = responseBody;
-        return body == null ? null : body.startStreaming();
+        return response.streamHeld();
     }
 
     @Override
     long streamedBytesIfReadable() {
-        return isStreamed() && isOpen() && !responseBody.pipe().isBackpressured()
-                ? responseProgress.receivedBytes()
-                : -1;
+        return isOpen() && response.isReadable() ? response.progress().receivedBytes() : -1;
     }
 
-    /**
-     * Grants capacity to the node. Guards against answers that together fill the heap: an answer
-     * for which no memory is left is streamed, so that the node waits until the client has taken
-     * what came before.
-     */
-    @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        if (isBodyNeeded() && !responseBody.tryReserve()) {
-            startStreaming(responseProgress.announcedBytes());
-        }
-        responseBody.grantCapacity(capacity);
-    }
-
-    /** Guards against answers of failed attempts that are counted until their request is over. */
     @Override
     public void releaseResources() {
-        ResponseBody body = responseBody;
-        if (body != null && !body.isStreamed()) {
-            body.release();
-            responseBody = null;
-        }
-    }
-
-    /** The buffered answer, which belongs to the request from now on; null if it is streamed. */
-    private byte[] takeBufferedResponse() {
-        byte[] bytes = responseBody.complete();
-        if (bytes != null) {
-            responseBody = null;
-        }
-        return bytes;
+        response.release();
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
         completeResponse();
-        switch (statusCode) {
-            case OK -> {
-                byte[] buffered = takeBufferedResponse();
-                if (buffered == null) {
-                    responseBody.pipe().finish();
-                }
-                completeOnce(AttemptOutcome.SUCCESS, buffered);
-            }
-            case 404 -> completeOnce(AttemptOutcome.CACHE_MISS, null);
-            default ->
-                    completeOnce(
-                            neverRan && (statusCode == 503 || statusCode == 504)
-                                    ? AttemptOutcome.OVERLOADED
-                                    : AttemptOutcome.ERROR,
-                            null);
-        }
+        byte[] buffered = response.complete();
+        completeOnce(response.outcome(), buffered);
     }
 
     @Override
     public void failed(Exception cause) {
-        if (isStreamed() && isOpen()) {
+        if (response.isStreamed() && isOpen()) {
             LOG.info("upstream: streamed response aborted by the node: " + cause);
         }
         // Guards against failing an attempt because its pooled connection was stale: no byte of the
