--- a/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
+++ b/src/test/java/cairnbridge/proxy/ProxyTestSupport.java
@@ -382,11 +382,13 @@
 
     /** Reads up to the first line that contains a text, and returns that line. */
     static String awaitLogLine(BufferedReader log, String text) throws IOException {
+        List<String> others = new ArrayList<>();
         String line = log.readLine();
         while (line != null && !line.contains(text)) {
+            others.add(line);
             line = log.readLine();
         }
-        assertNotNull(line, "the log has no line with: " + text);
+        assertNotNull(line, "the log has no line with: " + text + ", but " + others);
         return line;
     }
 
